--- /dev/null
+++ b/caperdeck/__init__.py
@@ -0,0 +1,1 @@
+"""caperdeck: a balancer for long-lived connections."""
--- /dev/null
+++ b/caperdeck/core/decide.py
@@ -0,0 +1,461 @@
+"""All decisions of a caperdeck node: where a session goes, when it is moved, when it is answered.
+
+How to call it: make a Node from Settings, then call its method for each event in the order of arrival,
+with the time in float milliseconds; each call returns the actions to carry out, in order. The interface
+(settings, events' values, actions) is caperdeck/core/model.py; docs/design.md says why it decides so.
+"""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections.abc import Generator
+from dataclasses import dataclass, field
+
+from .model import (
+    NEVER_RAN, Action, Ask, Dial, Effect, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report,
+    RosterScope, Scope, Settings, TearDown, Wake, Watch, Withdraw,
+)  # fmt: skip
+
+# ---- constants (milliseconds, or shares of full load)
+
+FULL_LOAD = 1.0
+TRIGGER = 0.85  # the headroom threshold where the figure does not rise
+TRIGGER_LEAST = 0.6  # the lowest that a steep rise can push it
+LANDING = 1000.0  # from a move until the moved load has gone
+COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
+MOVE_AGE = 5000.0  # connections younger than this are spared
+SETTLE = 2500.0  # a report sooner after moves does not show them yet
+PROBE_EVERY = 2000.0
+PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
+FIGURE_LIFE = 7000.0  # an older figure says nothing
+FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
+TICK = 250.0
+FIRST_TIME_OUT = 0.6  # of the handshake target; each further dial has
+TIME_OUT_GROWTH = 1.5  # so many times more
+WAIT_FOR_HOST = 100.0
+ILL = 2.0  # failures, halved by each success, from which a host is shunned
+SHUN = 500.0  # and for how long at first, doubled with each failure
+SHUN_MOST = 8000.0
+FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
+BACK_OFF = 500.0
+COLD_SAFETY = 0.5  # of a node's part of a cold host's budget
+RATE_TAU = 20000.0  # the smoothing of the node's own arrivals
+TICK_TOKEN = -1
+
+
+@dataclass(slots=True)
+class _Sent:
+    host: int
+    at: float
+    may_have_run: bool = True
+
+
+@dataclass(slots=True, eq=False)
+class _Session:
+    id: int
+    listener: int
+    asked: float
+    deadline: float
+    usual: float | None  # the usual-load hint
+    weight: float  # set-up work against the mean session's
+    dials: list[_Sent] = field(default_factory=list)
+    out: bool = False  # a dial is out or a stream stands
+    stands: float | None = None  # since when
+    answered: bool = False  # concluded for the client: nothing may be sent any more
+    present: float | None = None  # the last load note
+    smooth: float = 0.0
+    noted: float = 0.0
+    run: Generator | None = None
+
+
+class Node:
+    """One balancer's decisions. It knows only what its own events have told it."""
+
+    def __init__(self, settings: Settings, now: float) -> None:
+        self.set = settings
+        self.now = now
+        self.draws = 0
+        self.acts: list[Action] = []
+        self.sessions: dict[int, _Session] = {}
+        # hosts: parallel arrays under the host's index
+        self.state: list[HostState] = []
+        self.size: list[float] = []
+        self.zone: list[int] = []
+        self.cell: list[int] = []
+        self.born: list[float] = []
+        self.held: list[int] = []  # dials out and standing sessions
+        self.dialing: list[int] = []  # dials out
+        self.standing: list[dict[int, _Session]] = []
+        self.figure: list[float | None] = []  # load over capacity, as last probed
+        self.figure_at: list[float] = []
+        self.probe_at: list[float] = []  # when to probe next
+        self.probe_out: list[float] = []  # when the probe that is out was sent, 0 if none is
+        self.moved_at: list[float] = []
+        self.ill: list[float] = []
+        self.shunned: list[float] = []  # until when
+        self.tokens: list[float] = []  # cold budget left, in mean sessions
+        self.tokens_at: list[float] = []
+        self.running: list[int] = []
+        self.rate = 0.0  # own arrivals: mean sessions a millisecond
+        self.rate_at = now
+        self.rate_since = now
+        self.mean_hint = 0.0
+        self.watch_wait = 250.0
+        self.watch_at = math.inf
+
+    def start(self) -> list[Action]:
+        if self.set.subscribe:
+            self.acts.append(Watch())
+        self.acts.append(Wake(TICK * (0.5 + self._chance()), TICK_TOKEN))
+        return self._done()
+
+    def _chance(self) -> float:
+        self.draws += 1
+        return zlib.crc32(self.draws.to_bytes(8, "little"), self.set.seed & 0xFFFFFFFF) / 2**32
+
+    def _done(self) -> list[Action]:
+        acts, self.acts = self.acts, []
+        return acts
+
+    # ---- hosts: roster, warmth, health
+
+    def roster(self, now: float, scope: RosterScope, entries: list[Entry]) -> list[Action]:
+        self.now = now
+        if scope is RosterScope.FAILED:
+            # Danger: unsubscribed and silent, we would be held to know of drains we never heard of.
+            self.watch_at = now + self.watch_wait * (0.5 + self._chance())
+            self.watch_wait = min(self.watch_wait * 2, self.set.ask_every / 4)
+            return self._done()
+        if scope is not RosterScope.SAVED:
+            self.watch_wait = 250.0
+        if scope is not RosterScope.CHANGES:
+            listed = {e.host for e in entries}
+            for h in range(len(self.state)):
+                if h not in listed:
+                    self.state[h] = HostState.GONE
+        for e in entries:
+            self._enter(now, e)
+        self.running = [h for h, state in enumerate(self.state) if state is HostState.RUNNING]
+        return self._done()
+
+    def _enter(self, now: float, e: Entry) -> None:
+        h = e.host
+        while len(self.state) <= h:
+            for array, blank in (
+                (self.state, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
+                (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, None),
+                (self.figure, None), (self.figure_at, 0.0), (self.probe_at, math.inf),
+                (self.probe_out, 0.0), (self.moved_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
+                (self.tokens, 0.0), (self.tokens_at, now),
+            ):  # fmt: skip
+                array.append({} if blank is None else blank)
+        if e.state is HostState.RUNNING and (self.state[h] is HostState.GONE or e.born > self.born[h]):
+            # Danger: a restarted process looks like the old one; what was known of that one is void.
+            self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
+            self.tokens[h], self.tokens_at[h] = 0.0, now
+            self.probe_at[h], self.probe_out[h] = now + PROBE_EVERY * self._chance(), 0.0
+        self.state[h], self.size[h], self.zone[h], self.cell[h] = e.state, e.size or 1.0, e.zone, e.cell
+        self.born[h] = e.born
+
+    def _warmth(self, now: float, h: int) -> float:
+        """The least share of its capacity that a host has now."""
+        age = now - self.born[h]
+        if not self.born[h] or age >= self.set.warm_after:
+            return 1.0
+        return self.set.cold_from + (1 - self.set.cold_from) * max(age, 0.0) / self.set.warm_after
+
+    def _budget(self, now: float, h: int) -> float:
+        """Cold budget of this node for a host, in mean sessions, as it stands now."""
+        known = [self.figure[i] for i in self.running if self.figure[i] is not None]
+        load = max(sum(known) / len(known), 0.3) if known else 0.6
+        # in a steady fleet all arrivals fill `load` of all hosts, so one host can take:
+        capacity = self._rate(now) * self.set.nodes / (max(len(self.running), 1) * load)
+        part = COLD_SAFETY * self.set.fall_multiple * self._warmth(now, h) * capacity / self.set.nodes
+        most = max(part * self.set.fall_span, 1.0)
+        self.tokens[h] = min(self.tokens[h] + part * (now - self.tokens_at[h]), most)
+        self.tokens_at[h] = now
+        return self.tokens[h]
+
+    def _rate(self, now: float) -> float:
+        """Own arrivals a millisecond; before enough is known, what came over at least a second."""
+        span = now - self.rate_since
+        fade = math.exp((self.rate_at - now) / RATE_TAU)
+        return self.rate * fade / (1 - math.exp(-max(span, 1000.0) / RATE_TAU)) / RATE_TAU
+
+    def _arrived(self, now: float, weight: float) -> None:
+        self.rate = self.rate * math.exp((self.rate_at - now) / RATE_TAU) + weight
+        self.rate_at = now
+
+    def _failed(self, now: float, h: int) -> None:
+        self.ill[h] = min(self.ill[h] + 1, 8.0)
+        if self.ill[h] >= ILL:
+            span = min(SHUN * 2 ** (self.ill[h] - ILL), SHUN_MOST)
+            self.shunned[h] = now + span * (0.75 + self._chance() / 2)
+
+    def _well(self, now: float, h: int) -> bool:
+        """Not shunned; once its time is over an ill host gets one dial at a time as a trial."""
+        return self.ill[h] < ILL or (now >= self.shunned[h] and not self.dialing[h])
+
+    # ---- forecasts
+
+    def note(self, now: float, sid: int, kind: Note, value: float) -> list[Action]:
+        s = self.sessions.get(sid)
+        if s is not None and kind is Note.LOAD:
+            s.smooth = value if s.present is None and s.usual is None else self._forecast(now, s)
+            s.present, s.noted = value, now
+        return []
+
+    def _forecast(self, now: float, s: _Session) -> float:
+        """Smoothed mean of the session's load notes, else its usual load, else the mean of what is known."""
+        if s.present is None:
+            return self.mean_hint or 1.0 if s.usual is None else s.usual
+        return s.present + (s.smooth - s.present) * math.exp((s.noted - now) / FORECAST_TAU)
+
+    # ---- placement
+
+    def _place(self, now: float, s: _Session) -> int:
+        """The lesser-loaded of two random hosts among those that may be sent to; -1 if none may."""
+        pool = [h for h in self.running if self._passes(now, s, h)]
+        if not pool:
+            return -1
+        tried = {d.host for d in s.dials}
+        pool = [h for h in pool if h not in tried] or pool
+        well = [h for h in pool if self._well(now, h)]
+        # Danger: an error that most hosts show says nothing about one of them.
+        pool = well if 2 * len(well) >= len(pool) else pool
+        pool = [h for h in pool if self._has_room(now, h)] or pool
+        if self.set.cross_price:
+            pool = [h for h in pool if self.zone[h] == self.set.zone] or pool
+        a = int(self._chance() * len(pool))
+        b = (a + 1 + int(self._chance() * (len(pool) - 1))) % len(pool)
+        a, b = pool[a], pool[b]
+        mean = sum(self.held[h] / self.size[h] for h in self.running) / len(self.running)
+        load_a, load_b = self._load(now, a, mean), self._load(now, b, mean)
+        return a if load_a < load_b or (load_a == load_b and self._chance() < 0.5) else b
+
+    def _load(self, now: float, h: int, mean: float) -> float:
+        """Own connections for the host's size; an unused or newly started host counts as the mean."""
+        own = self.held[h] / self.size[h]
+        return max(own, mean) if not own or self._warmth(now, h) < 1 else own
+
+    def _has_room(self, now: float, h: int) -> bool:
+        figure = self._figure(now, h)
+        return figure is None or figure < TRIGGER
+
+    def _figure(self, now: float, h: int) -> float | None:
+        return self.figure[h] if now - self.figure_at[h] < FIGURE_LIFE else None
+
+    # ---- send gate: every dial passes here, and each rule stands here and nowhere else
+
+    def _passes(self, now: float, s: _Session, h: int) -> bool:
+        if s.answered or now >= s.deadline or s.out or len(s.dials) >= self.set.max_dials:
+            return False
+        if self.state[h] is not HostState.RUNNING:
+            return False
+        listener = self.set.listeners[s.listener]
+        ran = next((d for d in s.dials if d.may_have_run), None)
+        if ran is not None and listener.effect is not Effect.REPEATABLE:
+            if listener.effect is Effect.ONCE_ONLY or now - ran.at >= listener.memory_span:
+                return False
+            if not self._same_group(listener.scope, ran.host, h):
+                return False
+        if self._warmth(now, h) < 1:
+            return self._budget(now, h) >= min(s.weight, 1.0)
+        return True
+
+    def _same_group(self, scope: Scope, a: int, b: int) -> bool:
+        group = {Scope.ALL: None, Scope.ZONE: self.zone, Scope.CELL: self.cell}[scope]
+        return group is None or group[a] == group[b]
+
+    def _may_refuse(self, s: _Session) -> bool:
+        listener = self.set.listeners[s.listener]
+        if listener.effect is Effect.REPEATABLE or not any(d.may_have_run for d in s.dials):
+            return True
+        return listener.effect is Effect.REFERENCED and listener.scope is Scope.ALL
+
+    # ---- sessions
+
+    def ask(self, now: float, a: Ask) -> list[Action]:
+        self.now = now
+        s = self._new(now, a)
+        if not a.returned:  # Danger: a wave of returning clients would look like a fleet that can take more.
+            self._arrived(now, s.weight)
+        s.run = self._session(s)
+        self._go_on(s, None)
+        return self._done()
+
+    def taken_over(self, now: float, a: Ask, h: int) -> list[Action]:
+        """A connection that stood before this node started; its dial 0 counts as made."""
+        s = self._new(now, a)
+        s.stands, s.out, s.answered = now - MOVE_AGE, True, True
+        s.dials.append(_Sent(h, now))
+        self.held[h] += 1
+        self.standing[h][s.id] = s
+        return []
+
+    def _new(self, now: float, a: Ask) -> _Session:
+        weight = 1.0
+        if a.load is not None:
+            self.mean_hint += (a.load - self.mean_hint) * (0.02 if self.mean_hint else 1.0)
+            weight = a.load / self.mean_hint if self.mean_hint else 1.0
+        s = _Session(a.session, a.listener, now, now + a.left, a.load, weight)
+        s.smooth = a.load or 0.0
+        self.sessions[s.id] = s
+        return s
+
+    def _session(self, s: _Session) -> Generator[Action | None, Outcome | None, None]:
+        """One session, from its ask to its answer; a stream's end needs no decision."""
+        target = self.set.listeners[s.listener].handshake_target
+        while True:
+            h = self._place(self.now, s)
+            if h >= 0:
+                time_out = FIRST_TIME_OUT * target * TIME_OUT_GROWTH ** len(s.dials)
+                if len(s.dials) + 1 >= self.set.max_dials:
+                    time_out = math.inf
+                yield Dial(s.id, h, min(self.now + time_out, s.deadline))
+                if s.answered:
+                    return
+            elif self.now + WAIT_FOR_HOST < min(s.asked + target, s.deadline) and not s.dials:
+                yield Wake(WAIT_FOR_HOST, s.id)
+            else:
+                break
+        if self._may_refuse(s):
+            wait = min(BACK_OFF * (1 + self._chance()), self.set.max_back_off) if self.set.back_off else 0.0
+            yield Refuse(s.id, wait)
+        else:
+            yield TearDown(s.id)
+
+    def _go_on(self, s: _Session, result: Outcome | None) -> None:
+        """Carries the session on to what it wants done next."""
+        try:
+            act = s.run.send(result)
+        except StopIteration:
+            return
+        self.acts.append(act)
+        if isinstance(act, Dial):
+            h = act.host
+            if self._warmth(self.now, h) < 1:
+                self.tokens[h] -= s.weight
+            s.dials.append(_Sent(h, self.now))
+            s.out = True
+            self.held[h] += 1
+            self.dialing[h] += 1
+        elif isinstance(act, (Refuse, TearDown)):
+            s.answered = True
+            del self.sessions[s.id]
+
+    def stands(self, now: float, sid: int) -> list[Action]:
+        s = self.sessions.get(sid)
+        if s is None or not s.out or s.stands is not None:
+            return []
+        h = s.dials[-1].host
+        s.stands, s.answered = now, True
+        self.dialing[h] -= 1
+        self.standing[h][sid] = s
+        self.ill[h] /= 2
+        return []
+
+    def outcome(self, now: float, sid: int, dial: int, result: Outcome, last: bool) -> list[Action]:
+        self.now = now
+        s = self.sessions.get(sid)
+        if s is None or not s.out or dial != len(s.dials) - 1:
+            return []
+        sent = s.dials[dial]
+        h = sent.host
+        s.out = False
+        self.held[h] -= 1
+        if s.stands is None:
+            self.dialing[h] -= 1
+        self.standing[h].pop(sid, None)
+        sent.may_have_run = result not in NEVER_RAN
+        if result in FAILURES and self.state[h] is HostState.RUNNING:
+            self._failed(now, h)
+        if last or s.answered:
+            s.answered = True
+            del self.sessions[sid]
+        else:
+            self._go_on(s, result)
+        return self._done()
+
+    def hangup(self, now: float, sid: int) -> list[Action]:
+        s = self.sessions.get(sid)
+        if s is None:
+            return []
+        s.answered = True
+        if not s.out:
+            del self.sessions[sid]
+        elif s.stands is None and self.set.may_withdraw:
+            self.acts.append(Withdraw(sid, len(s.dials) - 1))
+        return self._done()
+
+    def bell(self, now: float, token: int) -> list[Action]:
+        self.now = now
+        if token == TICK_TOKEN:
+            self._tick(now)
+        else:
+            s = self.sessions.get(token)
+            if s is not None and not s.answered and not s.out:
+                self._go_on(s, None)
+        return self._done()
+
+    # ---- probes and moves
+
+    def _tick(self, now: float) -> None:
+        self.acts.append(Wake(TICK, TICK_TOKEN))
+        if now >= self.watch_at:
+            self.watch_at = math.inf
+            self.acts.append(Watch())
+        for h in self.running:
+            if self.set.may_probe and now >= self.probe_at[h]:
+                if self.probe_out[h] and now - self.probe_out[h] < PROBE_LOST:
+                    continue
+                self.probe_at[h] = now + PROBE_EVERY
+                self.probe_out[h] = now
+                self.acts.append(Probe(h))
+            elif not self.set.may_probe and now >= self.probe_at[h]:
+                self.probe_at[h] = now + PROBE_EVERY
+                self._by_count(now, h)
+
+    def probed(self, now: float, h: int, result: Outcome, report: Report | None) -> list[Action]:
+        self.now = now
+        self.probe_out[h] = 0.0
+        if self.state[h] is not HostState.RUNNING:
+            return []
+        if result is not Outcome.GOOD:
+            self._failed(now, h)
+            return []
+        figure = None if report is None else report.load
+        if figure is None and report is not None and report.piled is not None:
+            figure = report.piled / min(c.message_target for c in self.set.listeners)
+        if figure is None:
+            self._by_count(now, h)
+            return self._done()
+        last, span = self._figure(now, h), now - self.figure_at[h]
+        rise = max(figure - last, 0.0) / span if last is not None and span > 0 else 0.0
+        self.figure[h], self.figure_at[h] = figure, now
+        threshold = max(min(TRIGGER, FULL_LOAD - rise * LANDING), TRIGGER_LEAST)
+        if figure > threshold:
+            self._relieve(now, h, (figure - threshold) / figure)
+        return self._done()
+
+    def _by_count(self, now: float, h: int) -> None:
+        """Without a figure: the connection count against the mean."""
+        mean = sum(self.held[i] for i in self.running) / max(len(self.running), 1)
+        if self.held[h] > COUNT_TRIGGER * mean:
+            self._relieve(now, h, 1 - COUNT_TRIGGER * mean / self.held[h])
+
+    def _relieve(self, now: float, h: int, share: float) -> None:
+        """Moves the connections of the highest forecast off a host, up to the share of the own load there."""
+        # Danger: the report may be older than the last moves, whose load would be moved twice.
+        if now - self.moved_at[h] < SETTLE:
+            return
+        loads = [(self._forecast(now, s), s.id, s) for s in self.standing[h].values()]
+        left = share * sum(load for load, _, _ in loads)
+        for load, sid, s in sorted(loads, key=lambda x: (-x[0], x[1])):
+            if left <= 0:
+                break
+            if now - s.stands >= MOVE_AGE:
+                left -= load
+                self.moved_at[h] = now
+                self.acts.append(Move(sid))
--- /dev/null
+++ b/caperdeck/core/model.py
@@ -0,0 +1,168 @@
+"""The interface of the decisions: what a front hands in and what it gets back. No logic.
+
+Times are float milliseconds on the front's clock. Sessions and hosts are small indices that the front
+gives out, per node and in the order in which the node first hears of them. Loads are milliseconds of
+work a second.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Effect(IntEnum):
+    """What happens when a session of a listener runs again."""
+
+    REPEATABLE = 0
+    REFERENCED = 1
+    ONCE_ONLY = 2
+
+
+class Scope(IntEnum):
+    """Which hosts drop repeats of a referenced session."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class HostState(IntEnum):
+    RUNNING = 0
+    DRAINING = 1
+    GONE = 2
+
+
+class RosterScope(IntEnum):
+    CHANGES = 0
+    FULL = 1
+    SAVED = 2
+    FAILED = 3
+
+
+class Outcome(IntEnum):
+    """How a dial, or the stream that came of it, ended."""
+
+    GOOD = 0
+    ERROR = 1
+    FULL = 2
+    LATE = 3
+    UNREACHED = 4
+    RESET = 5
+    WITHDRAWN = 6
+    NEVER_SENT = 7
+
+
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHED, Outcome.NEVER_SENT})
+
+
+class Note(IntEnum):
+    LOAD = 1
+    MESSAGE_DELAY = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Listener:
+    effect: Effect
+    scope: Scope
+    memory_span: float
+    handshake_target: float
+    message_target: float
+    utility: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    seed: int
+    nodes: int
+    zone: int
+    listeners: tuple[Listener, ...]
+    max_dials: int
+    may_withdraw: bool
+    may_probe: bool
+    back_off: bool
+    max_back_off: float
+    cold_from: float
+    warm_after: float
+    fall_multiple: float
+    fall_span: float
+    subscribe: bool
+    ask_every: float
+    cross_price: float
+
+
+class Entry(NamedTuple):
+    """A line of the roster; born is 0 where the host started long ago."""
+
+    host: int
+    state: HostState
+    size: float
+    zone: int
+    cell: int
+    born: float
+
+
+class Report(NamedTuple):
+    """What a probe told: load over capacity, and work piled up in milliseconds; None where not told."""
+
+    load: float | None = None
+    piled: float | None = None
+
+
+class Ask(NamedTuple):
+    """A session as it arrives; left is the time until its dial timeout, load is None without a hint."""
+
+    session: int
+    listener: int
+    customer: int
+    left: float
+    load: float | None
+    group: int | None
+    returned: bool
+
+
+class Dial(NamedTuple):
+    session: int
+    host: int
+    until: float
+
+
+class Withdraw(NamedTuple):
+    session: int
+    dial: int
+
+
+class Refuse(NamedTuple):
+    session: int
+    back_off: float
+
+
+class TearDown(NamedTuple):
+    session: int
+
+
+class Move(NamedTuple):
+    session: int
+
+
+class Probe(NamedTuple):
+    host: int
+
+
+class Wake(NamedTuple):
+    """Asks for a bell with this token after the given time."""
+
+    after: float
+    token: int
+
+
+class Watch(NamedTuple):
+    """Asks discovery for changes from now on."""
+
+
+class Log(NamedTuple):
+    text: str
+
+
+Action = Dial | Withdraw | Refuse | TearDown | Move | Probe | Wake | Watch | Log
--- /dev/null
+++ b/caperdeck/simwire/codec.py
@@ -0,0 +1,189 @@
+"""The zephyr wire and the model: names, units, and the small indices given out at the door."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+from caperdeck.core.model import (
+    Action, Ask, Dial, Effect, Entry, HostState, Listener, Log, Move, Note, Outcome, Probe, Refuse, Report,
+    RosterScope, Scope, Settings, TearDown, Wake, Watch, Withdraw,
+)  # fmt: skip
+
+MS = 1000.0
+EFFECTS = {
+    "idempotent": Effect.REPEATABLE,
+    "deduplicated": Effect.REFERENCED,
+    "at_most_once": Effect.ONCE_ONLY,
+}
+SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
+STATES = {"Running": HostState.RUNNING, "Stopping": HostState.DRAINING, "Deleted": HostState.GONE}
+ROSTERS = {
+    "INCREMENTAL": RosterScope.CHANGES,
+    "FULL": RosterScope.FULL,
+    "SAVED": RosterScope.SAVED,
+    "FAILED": RosterScope.FAILED,
+}
+OUTCOMES = {
+    "GOOD": Outcome.GOOD,
+    "BAD": Outcome.ERROR,
+    "FULL": Outcome.FULL,
+    "LATE": Outcome.LATE,
+    "NOCONN": Outcome.UNREACHED,
+    "RST": Outcome.RESET,
+    "CXL": Outcome.WITHDRAWN,
+    "NOP": Outcome.NEVER_SENT,
+}
+HINT_VALID, RETURNED = 1, 16
+
+
+class WireError(Exception):
+    """Input that the wire does not allow; the text names what was wrong."""
+
+
+def _need(table: dict, key: str, where: str) -> Any:
+    if not isinstance(table, dict) or key not in table:
+        raise WireError(f"setting {where}{key} is missing")
+    return table[key]
+
+
+def _lookup(table: dict, value: Any, what: str) -> Any:
+    try:
+        return table[value]
+    except (KeyError, TypeError):
+        raise WireError(f"unknown {what} {value!r}") from None
+
+
+def decode_settings(seed: int, setup: dict) -> Settings:
+    limits = _need(setup, "limits", "")
+    rules = _need(setup, "invariants", "")
+    rows = _need(setup, "listeners", "")
+    if not rows:
+        raise WireError("setting listeners is empty")
+    aims = setup.get("specifics", {}).get("messageAim") or []
+    listeners = []
+    for i, row in enumerate(rows):
+        where = f"listeners[{i}]."
+        target = _need(row, "handshakeTarget", where) * MS
+        listeners.append(Listener(
+            effect=_lookup(EFFECTS, _need(row, "effect", where), "effect"),
+            scope=_lookup(SCOPES, row.get("group") or "all", "group"),
+            memory_span=row.get("memorySpan", 0.0) * MS,
+            handshake_target=target,
+            message_target=aims[i] * MS if i < len(aims) else target,
+            utility=row.get("utility", 1.0),
+        ))  # fmt: skip
+    zones = setup.get("dcs", [])
+    return Settings(
+        seed=seed,
+        nodes=max(int(_need(setup, "fleetSize", "")), 1),
+        zone=zones.index(setup["locality"]) if setup.get("locality") in zones else 0,
+        listeners=tuple(listeners),
+        max_dials=int(_need(limits, "mostDials", "limits.")),
+        may_withdraw=bool(limits.get("cancel", False)),
+        may_probe=bool(limits.get("mayProbe", False)),
+        back_off=bool(limits.get("retryAfter", False)),
+        max_back_off=limits.get("maxRetryAfter", 0.0) * MS,
+        cold_from=_need(rules, "coldFrom", "invariants."),
+        warm_after=_need(rules, "warmAfter", "invariants.") * MS,
+        fall_multiple=_need(rules, "fallMultiple", "invariants."),
+        fall_span=_need(rules, "fall", "invariants.") * MS,
+        subscribe=setup.get("discovery") == "subscribe",
+        ask_every=rules.get("askEvery", 10.0) * MS,
+        cross_price=setup.get("prices", {}).get("crossZone", 0.0),
+    )
+
+
+class Door:
+    """One node's indices: ids go in here and come back unaltered."""
+
+    def __init__(self, setup: dict) -> None:
+        self.listeners = {row["name"]: i for i, row in enumerate(setup["listeners"])}
+        self.customers = {row["name"]: i for i, row in enumerate(setup.get("projects") or [])}
+        self.zones = {name: i for i, name in enumerate(setup.get("dcs") or [])}
+        self.hosts: dict[str, int] = {}
+        self.host_names: list[str] = []
+        self.sessions: dict[str, int] = {}
+        self.session_names: list[str | None] = []
+
+    def host(self, name: str) -> int:
+        index = self.hosts.get(name)
+        if index is None:
+            index = self.hosts[name] = len(self.host_names)
+            self.host_names.append(name)
+        return index
+
+    def known_host(self, name: Any) -> int:
+        return _lookup(self.hosts, name, "host")
+
+    def session(self, name: Any) -> int:
+        """The index of a session; -1, which no session has, where it was never given to this node."""
+        return self.sessions.get(name, -1)
+
+    def entry(self, row: list) -> Entry:
+        state, size, _, zone, cell, host, born = (list(row) + [None] * 7)[:7]
+        if not isinstance(host, str):
+            raise WireError(f"roster entry without a host: {row!r}")
+        return Entry(self.host(host), _lookup(STATES, state, "host state"), 1.0 if size is None else size,
+                     self.zones.get(zone, -1), cell or 0, (born or 0.0) * MS)  # fmt: skip
+
+    def ask(self, row: list) -> Ask:
+        corr, qos, customer, _, budget, hint, channel, flags = (list(row) + [None] * 8)[:8]
+        if not isinstance(corr, str) or not isinstance(budget, (int, float)):
+            raise WireError(f"a session needs an id and a time budget: {row!r}")
+        index = len(self.session_names)
+        self.sessions[corr] = index
+        self.session_names.append(corr)
+        flags = flags or 0
+        return Ask(
+            session=index,
+            listener=_lookup(self.listeners, qos, "listener"),
+            customer=self.customers.get(customer, -1),
+            left=budget * MS,
+            load=hint * MS if hint is not None and flags & HINT_VALID else None,
+            group=None if channel is None else zlib.crc32(str(channel).encode()),
+            returned=bool(flags & RETURNED),
+        )
+
+
+def decode_report(values: dict | None) -> Report | None:
+    if not values:
+        return None
+    piled = values.get("x1")
+    return Report(values.get("x0"), None if piled is None else piled * MS)
+
+
+def decode_note(kind: Any, value: float) -> tuple[Note, float] | None:
+    """Loads come in microseconds of work a second whatever the hint's unit; unknown kinds are passed over."""
+    if kind == Note.LOAD:
+        return Note.LOAD, value / 1000.0
+    if kind == Note.MESSAGE_DELAY:
+        return Note.MESSAGE_DELAY, value
+    return None
+
+
+def decode_outcome(ending: Any) -> Outcome:
+    return _lookup(OUTCOMES, ending, "ending")
+
+
+def encode(door: Door, act: Action) -> list:
+    match act:
+        case Dial(session, host, until):
+            return ["dispatch", door.session_names[session], door.host_names[host], round(until / MS, 6)]
+        case Refuse(session, back_off):
+            return ["pushBack", door.session_names[session], round(back_off / MS, 6)]
+        case TearDown(session):
+            return ["surrender", door.session_names[session]]
+        case Withdraw(session, dial):
+            return ["retract", door.session_names[session], dial]
+        case Move(session):
+            return ["evict", door.session_names[session]]
+        case Probe(host):
+            return ["poll", door.host_names[host]]
+        case Wake(after, token):
+            return ["setAlarm", round(after / MS, 6), str(token)]
+        case Watch():
+            return ["tail", True]
+        case Log(text):
+            return ["noteDown", text]
+    raise TypeError(f"no wire form for {act!r}")
--- /dev/null
+++ b/caperdeck/simwire/host.py
@@ -0,0 +1,129 @@
+"""Many nodes in one process: takes a batch apart, calls the nodes, puts the reply together."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from caperdeck.core.decide import Node
+from caperdeck.core.model import Action
+
+from . import codec
+from .codec import Door, WireError
+
+
+class Seat:
+    """A running node and the door to it."""
+
+    def __init__(self, now: float, seed: Any, setup: Any) -> None:
+        if not isinstance(seed, int):
+            raise WireError(f"powerOn needs a whole number as seed, got {seed!r}")
+        settings = codec.decode_settings(seed, setup)
+        self.door = Door(setup)
+        self.node = Node(settings, now)
+
+    def take(self, now: float, event: list) -> list[Action]:
+        name, *v = event
+        handler = EVENTS.get(name)
+        if handler is None:
+            raise WireError(f"unknown event {name!r}")
+        try:
+            return handler(self, now, v)
+        except (IndexError, ValueError, TypeError) as error:
+            # only what the wire handed over can be short or of the wrong kind here
+            raise WireError(f"event {name!r} {v!r}: {error}") from error
+
+    def roster(self, now: float, v: list) -> list[Action]:
+        scope = codec._lookup(codec.ROSTERS, v[1], "roster scope")
+        entries = [self.door.entry(row) for row in (v[2] if len(v) > 2 else None) or []]
+        return self.node.roster(now, scope, entries)
+
+    def ask(self, now: float, v: list) -> list[Action]:
+        return self.node.ask(now, self.door.ask(v))
+
+    def taken_over(self, now: float, v: list) -> list[Action]:
+        return self.node.taken_over(now, self.door.ask(v[:8]), self.door.known_host(v[8]))
+
+    def stands(self, now: float, v: list) -> list[Action]:
+        return self.node.stands(now, self.door.session(v[0]))
+
+    def note(self, now: float, v: list) -> list[Action]:
+        note = codec.decode_note(v[3], v[4])
+        return self.node.note(now, self.door.session(v[0]), *note) if note else []
+
+    def outcome(self, now: float, v: list) -> list[Action]:
+        ending = codec.decode_outcome(v[3])
+        return self.node.outcome(now, self.door.session(v[0]), v[1], ending, bool(v[5]))
+
+    def hangup(self, now: float, v: list) -> list[Action]:
+        return self.node.hangup(now, self.door.session(v[0]))
+
+    def bell(self, now: float, v: list) -> list[Action]:
+        return self.node.bell(now, int(v[0]))
+
+    def probed(self, now: float, v: list) -> list[Action]:
+        report = codec.decode_report(v[3] if len(v) > 3 else None)
+        return self.node.probed(now, self.door.known_host(v[0]), codec.decode_outcome(v[1]), report)
+
+    def message(self, now: float, v: list) -> list[Action]:
+        return []
+
+
+EVENTS = {
+    "rosterChange": Seat.roster,
+    "ask": Seat.ask,
+    "takenOver": Seat.taken_over,
+    "headReceived": Seat.stands,
+    "interim": Seat.note,
+    "reportBack": Seat.outcome,
+    "hangup": Seat.hangup,
+    "bell": Seat.bell,
+    "pingResult": Seat.probed,
+    "neighbourSays": Seat.message,
+}
+
+
+class Host:
+    """The nodes of this process; they share nothing but the process."""
+
+    def __init__(self) -> None:
+        self.seats: dict[int, Seat] = {}
+
+    def batch(self, batch: Any, complain: Any) -> dict:
+        """The reply to one batch; complain is told, in one line, of each input that broke the wire."""
+        if not isinstance(batch, dict) or "moment" not in batch or "serial" not in batch:
+            raise WireError("a batch needs moment and serial")
+        now = batch["moment"] * codec.MS
+        groups = []
+        for group in batch.get("groups") or []:
+            if not isinstance(group, dict) or "node" not in group:
+                raise WireError("a group of events needs the number of its node")
+            steps = self._steps(now, group["node"], group.get("input") or [], complain)
+            if steps:
+                groups.append({"node": group["node"], "steps": steps})
+        return {"serial": batch["serial"], "groups": groups}
+
+    def _steps(self, now: float, number: int, events: list, complain: Any) -> list:
+        steps: list = []
+        for event in events:
+            try:
+                steps += self._take(now, number, event)
+            except WireError as error:
+                text = f"node {number}: {error}"
+                complain(text)
+                steps.append(["crash", text])
+                break
+        return steps
+
+    def _take(self, now: float, number: int, event: Any) -> list:
+        if not isinstance(event, list) or not event or not isinstance(event[0], str):
+            raise WireError(f"an event is an array that begins with its name, got {event!r}")
+        if event[0] == "powerOn":
+            seat = self.seats[number] = Seat(now, *(event[1:] + [None, None])[:2])
+            return [codec.encode(seat.door, act) for act in seat.node.start()]
+        seat = self.seats.get(number)
+        if seat is None:
+            raise WireError(f"event {event[0]!r} for a node that was never started")
+        if event[0] == "destroy":
+            del self.seats[number]
+            return []
+        return [codec.encode(seat.door, act) for act in seat.take(now, event)]
