--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -29,6 +29,8 @@
 PROBE_EVERY = 2000.0
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
 FIGURE_LIFE = 7000.0  # an older figure says nothing
+REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
+CEILING = 1.0  # nothing new goes to a host estimated above this
 FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
 TICK = 250.0
 FIRST_TIME_OUT = 0.6  # of the handshake target; each further dial has
@@ -38,6 +40,7 @@
 SHUN = 500.0  # and for how long at first, doubled with each failure
 SHUN_MOST = 8000.0
 FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
+CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
 COLD_SAFETY = 0.5  # of a node's part of a cold host's budget
 RATE_TAU = 20000.0  # the smoothing of the node's own arrivals
@@ -92,6 +95,7 @@
         self.probe_at: list[float] = []  # when to probe next
         self.probe_out: list[float] = []  # when the probe that is out was sent, 0 if none is
         self.moved_at: list[float] = []
+        self.added: list[list[tuple[float, float]]] = []  # own load sent lately: when, how much
         self.ill: list[float] = []
         self.shunned: list[float] = []  # until when
         self.tokens: list[float] = []  # cold budget left, in mean sessions
@@ -101,6 +105,8 @@
         self.rate_at = now
         self.rate_since = now
         self.mean_hint = 0.0
+        self.mean_figure: float | None = None
+        self.unit = 0.0  # load that fills a host of size 1, 0 while unknown
         self.watch_wait = 250.0
         self.watch_at = math.inf
 
@@ -144,19 +150,21 @@
         while len(self.state) <= h:
             for array, blank in (
                 (self.state, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
-                (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, None),
-                (self.figure, None), (self.figure_at, 0.0), (self.probe_at, math.inf),
+                (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}), (self.added, []),
+                (self.figure, None), (self.figure_at, -math.inf), (self.probe_at, math.inf),
                 (self.probe_out, 0.0), (self.moved_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
                 (self.tokens, 0.0), (self.tokens_at, now),
             ):  # fmt: skip
-                array.append({} if blank is None else blank)
+                array.append(blank)
         if e.state is HostState.RUNNING and (self.state[h] is HostState.GONE or e.born > self.born[h]):
             # Danger: a restarted process looks like the old one; what was known of that one is void.
             self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
             self.tokens[h], self.tokens_at[h] = 0.0, now
             self.probe_at[h], self.probe_out[h] = now + PROBE_EVERY * self._chance(), 0.0
-        self.state[h], self.size[h], self.zone[h], self.cell[h] = e.state, e.size or 1.0, e.zone, e.cell
-        self.born[h] = e.born
+            self.size[h] = 0.0
+        # a listed size may be lowered by what the host holds: the largest seen is nearest the host's own
+        self.size[h] = max(self.size[h], e.size) or 1.0
+        self.state[h], self.zone[h], self.cell[h], self.born[h] = e.state, e.zone, e.cell, e.born
 
     def _warmth(self, now: float, h: int) -> float:
         """The least share of its capacity that a host has now."""
@@ -167,8 +175,7 @@
 
     def _budget(self, now: float, h: int) -> float:
         """Cold budget of this node for a host, in mean sessions, as it stands now."""
-        known = [self.figure[i] for i in self.running if self.figure[i] is not None]
-        load = max(sum(known) / len(known), 0.3) if known else 0.6
+        load = 0.6 if self.mean_figure is None else max(self.mean_figure, 0.3)
         # in a steady fleet all arrivals fill `load` of all hosts, so one host can take:
         capacity = self._rate(now) * self.set.nodes / (max(len(self.running), 1) * load)
         part = COLD_SAFETY * self.set.fall_multiple * self._warmth(now, h) * capacity / self.set.nodes
@@ -201,7 +208,13 @@
 
     def note(self, now: float, sid: int, kind: Note, value: float) -> list[Action]:
         s = self.sessions.get(sid)
-        if s is not None and kind is Note.LOAD:
+        if s is None:
+            return []
+        if kind is Note.MESSAGE_DELAY:
+            # Danger: a host can be slow for messages while its report, older, still looks fine.
+            if s.stands is not None and value > min(c.message_target for c in self.set.listeners):
+                self._full(now, s.dials[-1].host)
+        else:
             s.smooth = value if s.present is None and s.usual is None else self._forecast(now, s)
             s.present, s.noted = value, now
         return []
@@ -224,28 +237,51 @@
         well = [h for h in pool if self._well(now, h)]
         # Danger: an error that most hosts show says nothing about one of them.
         pool = well if 2 * len(well) >= len(pool) else pool
-        pool = [h for h in pool if self._has_room(now, h)] or pool
-        if self.set.cross_price:
-            pool = [h for h in pool if self.zone[h] == self.set.zone] or pool
+        loads = {h: self._load(now, h) for h in pool}
+        roomy = [h for h in pool if loads[h] < TRIGGER]
+        near = [h for h in roomy if self.zone[h] == self.set.zone] if self.set.cross_price else []
+        # Danger: past full load a host serves nobody; what it is sent there is lost with the rest.
+        pool = near or roomy or [h for h in pool if loads[h] < CEILING]
+        if not pool:
+            return -1
         a = int(self._chance() * len(pool))
         b = (a + 1 + int(self._chance() * (len(pool) - 1))) % len(pool)
         a, b = pool[a], pool[b]
-        mean = sum(self.held[h] / self.size[h] for h in self.running) / len(self.running)
-        load_a, load_b = self._load(now, a, mean), self._load(now, b, mean)
-        return a if load_a < load_b or (load_a == load_b and self._chance() < 0.5) else b
+        return a if loads[a] < loads[b] or (loads[a] == loads[b] and self._chance() < 0.5) else b
 
-    def _load(self, now: float, h: int, mean: float) -> float:
-        """Own connections for the host's size; an unused or newly started host counts as the mean."""
-        own = self.held[h] / self.size[h]
-        return max(own, mean) if not own or self._warmth(now, h) < 1 else own
-
-    def _has_room(self, now: float, h: int) -> bool:
+    def _load(self, now: float, h: int) -> float:
+        """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
         figure = self._figure(now, h)
-        return figure is None or figure < TRIGGER
+        if self.mean_figure is None:
+            return 0.0 if not self.running else self._count_load(h)
+        if figure is None or self._warmth(now, h) < 1:
+            figure = max(figure or 0.0, self.mean_figure)
+        since = self.figure_at[h] - REPORT_LAG
+        sent = sum(load for at, load in self.added[h] if at > since)
+        # the other nodes see the same reports and are held to do as this one does
+        return figure + self.set.nodes * sent / (self.unit * self.size[h]) if self.unit else figure
+
+    def _count_load(self, h: int) -> float:
+        """Without figures: own connections for the host's size, below every threshold; unused is the mean."""
+        mean = sum(self.held) / (sum(self.size[i] for i in self.running) or 1.0)
+        own = self.held[h] / self.size[h] or mean
+        return own / (own + mean) * 0.5 if own else 0.0
 
     def _figure(self, now: float, h: int) -> float | None:
         return self.figure[h] if now - self.figure_at[h] < FIGURE_LIFE else None
 
+    def _survey(self, now: float) -> None:
+        """The fleet as the reports show it: its mean load, and what load fills a host of size 1."""
+        known = [(f, h) for h in self.running if (f := self._figure(now, h)) is not None]
+        self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
+        asked = sum(f * self.size[h] for f, h in known)
+        own = sum(self._forecast(now, s) for _, h in known for s in self.standing[h].values())
+        self.unit = self.set.nodes * own / asked if asked > 0 else 0.0
+
+    def _full(self, now: float, h: int) -> None:
+        """Holds a host to be at full load until the next report."""
+        self.figure[h], self.figure_at[h] = max(self._figure(now, h) or 0.0, FULL_LOAD), now
+
     # ---- send gate: every dial passes here, and each rule stands here and nowhere else
 
     def _passes(self, now: float, s: _Session, h: int) -> bool:
@@ -341,6 +377,8 @@
             s.out = True
             self.held[h] += 1
             self.dialing[h] += 1
+            self.added[h] = [x for x in self.added[h] if x[0] > self.now - 2 * PROBE_EVERY]
+            self.added[h].append((self.now, self._forecast(self.now, s)))
         elif isinstance(act, (Refuse, TearDown)):
             s.answered = True
             del self.sessions[s.id]
@@ -369,8 +407,11 @@
             self.dialing[h] -= 1
         self.standing[h].pop(sid, None)
         sent.may_have_run = result not in NEVER_RAN
-        if result in FAILURES and self.state[h] is HostState.RUNNING:
-            self._failed(now, h)
+        if self.state[h] is HostState.RUNNING:
+            if result in FAILURES:
+                self._failed(now, h)
+            if result in CROWDED:
+                self._full(now, h)
         if last or s.answered:
             s.answered = True
             del self.sessions[sid]
@@ -406,6 +447,7 @@
         if now >= self.watch_at:
             self.watch_at = math.inf
             self.acts.append(Watch())
+        self._survey(now)
         for h in self.running:
             if self.set.may_probe and now >= self.probe_at[h]:
                 if self.probe_out[h] and now - self.probe_out[h] < PROBE_LOST:
@@ -452,10 +494,15 @@
             return
         loads = [(self._forecast(now, s), s.id, s) for s in self.standing[h].values()]
         left = share * sum(load for load, _, _ in loads)
+        # Danger: with nowhere better to go, moved connections come back to hosts as full and add set-up work.
+        room = sum(max(TRIGGER - self._load(now, i), 0.0) * self.size[i] for i in self.running if i != h)
+        room = room * self.unit / self.set.nodes if self.unit else math.inf
         for load, sid, s in sorted(loads, key=lambda x: (-x[0], x[1])):
             if left <= 0:
                 break
-            if now - s.stands >= MOVE_AGE:
+            if now - s.stands >= MOVE_AGE and load <= room:
                 left -= load
+                room -= load
+                self.added[h].append((now, -load))
                 self.moved_at[h] = now
                 self.acts.append(Move(sid))
