--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -30,6 +30,7 @@
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
 FIGURE_LIFE = 7000.0  # an older figure says nothing
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
+GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
 CEILING = 1.0  # nothing new goes to a host estimated above this
 FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
 TICK = 250.0
@@ -42,8 +43,7 @@
 FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
 CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
-COLD_SAFETY = 0.5  # of a node's part of a cold host's budget
-RATE_TAU = 20000.0  # the smoothing of the node's own arrivals
+COLD_SAFETY = 0.6  # of a node's part of a cold host's budget
 TICK_TOKEN = -1
 
 
@@ -61,7 +61,8 @@
     asked: float
     deadline: float
     usual: float | None  # the usual-load hint
-    weight: float  # set-up work against the mean session's
+    weight: float  # what it takes of a cold host's budget
+    group: int | None
     dials: list[_Sent] = field(default_factory=list)
     out: bool = False  # a dial is out or a stream stands
     stands: float | None = None  # since when
@@ -85,6 +86,7 @@
         self.state: list[HostState] = []
         self.size: list[float] = []
         self.zone: list[int] = []
+        self.mark: list[int] = []
         self.cell: list[int] = []
         self.born: list[float] = []
         self.held: list[int] = []  # dials out and standing sessions
@@ -98,12 +100,9 @@
         self.added: list[list[tuple[float, float]]] = []  # own load sent lately: when, how much
         self.ill: list[float] = []
         self.shunned: list[float] = []  # until when
-        self.tokens: list[float] = []  # cold budget left, in mean sessions
+        self.tokens: list[float] = []  # cold budget left, in load
         self.tokens_at: list[float] = []
         self.running: list[int] = []
-        self.rate = 0.0  # own arrivals: mean sessions a millisecond
-        self.rate_at = now
-        self.rate_since = now
         self.mean_hint = 0.0
         self.mean_figure: float | None = None
         self.unit = 0.0  # load that fills a host of size 1, 0 while unknown
@@ -150,8 +149,8 @@
         while len(self.state) <= h:
             for array, blank in (
                 (self.state, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
-                (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}), (self.added, []),
-                (self.figure, None), (self.figure_at, -math.inf), (self.probe_at, math.inf),
+                (self.mark, 0), (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}),
+                (self.added, []), (self.figure, None), (self.figure_at, -math.inf), (self.probe_at, math.inf),
                 (self.probe_out, 0.0), (self.moved_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
                 (self.tokens, 0.0), (self.tokens_at, now),
             ):  # fmt: skip
@@ -165,6 +164,7 @@
         # a listed size may be lowered by what the host holds: the largest seen is nearest the host's own
         self.size[h] = max(self.size[h], e.size) or 1.0
         self.state[h], self.zone[h], self.cell[h], self.born[h] = e.state, e.zone, e.cell, e.born
+        self.mark[h] = e.mark
 
     def _warmth(self, now: float, h: int) -> float:
         """The least share of its capacity that a host has now."""
@@ -174,26 +174,16 @@
         return self.set.cold_from + (1 - self.set.cold_from) * max(age, 0.0) / self.set.warm_after
 
     def _budget(self, now: float, h: int) -> float:
-        """Cold budget of this node for a host, in mean sessions, as it stands now."""
-        load = 0.6 if self.mean_figure is None else max(self.mean_figure, 0.3)
-        # in a steady fleet all arrivals fill `load` of all hosts, so one host can take:
-        capacity = self._rate(now) * self.set.nodes / (max(len(self.running), 1) * load)
-        part = COLD_SAFETY * self.set.fall_multiple * self._warmth(now, h) * capacity / self.set.nodes
-        most = max(part * self.set.fall_span, 1.0)
+        """Cold budget of this node for a host as it stands now, in load sent."""
+        set_ = self.set
+        # a cold host takes new load no faster than would fill it over its warm-up
+        fill = self.unit * self.size[h] / set_.warm_after or self.mean_hint / set_.fall_span
+        part = COLD_SAFETY * set_.fall_multiple * self._warmth(now, h) * fill / set_.nodes
+        most = max(part * set_.fall_span, self.mean_hint)
         self.tokens[h] = min(self.tokens[h] + part * (now - self.tokens_at[h]), most)
         self.tokens_at[h] = now
         return self.tokens[h]
 
-    def _rate(self, now: float) -> float:
-        """Own arrivals a millisecond; before enough is known, what came over at least a second."""
-        span = now - self.rate_since
-        fade = math.exp((self.rate_at - now) / RATE_TAU)
-        return self.rate * fade / (1 - math.exp(-max(span, 1000.0) / RATE_TAU)) / RATE_TAU
-
-    def _arrived(self, now: float, weight: float) -> None:
-        self.rate = self.rate * math.exp((self.rate_at - now) / RATE_TAU) + weight
-        self.rate_at = now
-
     def _failed(self, now: float, h: int) -> None:
         self.ill[h] = min(self.ill[h] + 1, 8.0)
         if self.ill[h] >= ILL:
@@ -222,7 +212,7 @@
     def _forecast(self, now: float, s: _Session) -> float:
         """Smoothed mean of the session's load notes, else its usual load, else the mean of what is known."""
         if s.present is None:
-            return self.mean_hint or 1.0 if s.usual is None else s.usual
+            return self.mean_hint if s.usual is None else s.usual
         return s.present + (s.smooth - s.present) * math.exp((s.noted - now) / FORECAST_TAU)
 
     # ---- placement
@@ -239,11 +229,16 @@
         pool = well if 2 * len(well) >= len(pool) else pool
         loads = {h: self._load(now, h) for h in pool}
         roomy = [h for h in pool if loads[h] < TRIGGER]
-        near = [h for h in roomy if self.zone[h] == self.set.zone] if self.set.cross_price else []
+        near = [h for h in roomy if self.zone[h] == self.set.zone] if self.set.cross_price and not self.set.groups else []
         # Danger: past full load a host serves nobody; what it is sent there is lost with the rest.
         pool = near or roomy or [h for h in pool if loads[h] < CEILING]
         if not pool:
             return -1
+        if s.group is not None and self.set.groups:
+            # every host that holds one of a group pays for the group: all nodes draw the same two for it
+            pool.sort(key=lambda h: zlib.crc32((s.group * self.mark[h]).to_bytes(8, "little")))
+            a, b = pool[0], pool[-1 if len(pool) == 1 else 1]
+            return a if loads[a] < loads[b] + GROUP_MARGIN else b
         a = int(self._chance() * len(pool))
         b = (a + 1 + int(self._chance() * (len(pool) - 1))) % len(pool)
         a, b = pool[a], pool[b]
@@ -254,8 +249,8 @@
         figure = self._figure(now, h)
         if self.mean_figure is None:
             return 0.0 if not self.running else self._count_load(h)
-        if figure is None or self._warmth(now, h) < 1:
-            figure = max(figure or 0.0, self.mean_figure)
+        if figure is None:  # unused or newly started
+            figure = self.mean_figure
         since = self.figure_at[h] - REPORT_LAG
         sent = sum(load for at, load in self.added[h] if at > since)
         # the other nodes see the same reports and are held to do as this one does
@@ -297,7 +292,7 @@
             if not self._same_group(listener.scope, ran.host, h):
                 return False
         if self._warmth(now, h) < 1:
-            return self._budget(now, h) >= min(s.weight, 1.0)
+            return self._budget(now, h) >= min(s.weight, self.mean_hint)
         return True
 
     def _same_group(self, scope: Scope, a: int, b: int) -> bool:
@@ -315,8 +310,6 @@
     def ask(self, now: float, a: Ask) -> list[Action]:
         self.now = now
         s = self._new(now, a)
-        if not a.returned:  # Danger: a wave of returning clients would look like a fleet that can take more.
-            self._arrived(now, s.weight)
         s.run = self._session(s)
         self._go_on(s, None)
         return self._done()
@@ -331,11 +324,10 @@
         return []
 
     def _new(self, now: float, a: Ask) -> _Session:
-        weight = 1.0
-        if a.load is not None:
-            self.mean_hint += (a.load - self.mean_hint) * (0.02 if self.mean_hint else 1.0)
-            weight = a.load / self.mean_hint if self.mean_hint else 1.0
-        s = _Session(a.session, a.listener, now, now + a.left, a.load, weight)
+        load = 1.0 if a.load is None else a.load
+        self.mean_hint += (load - self.mean_hint) * (0.02 if self.mean_hint else 1.0)
+        weight = max(load, self.mean_hint)
+        s = _Session(a.session, a.listener, now, now + a.left, a.load, weight, a.group)
         s.smooth = a.load or 0.0
         self.sessions[s.id] = s
         return s
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -90,10 +90,11 @@
     subscribe: bool
     ask_every: float
     cross_price: float
+    groups: bool
 
 
 class Entry(NamedTuple):
-    """A line of the roster; born is 0 where the host started long ago."""
+    """A line of the roster; born is 0 where the host started long ago; mark is alike at every node."""
 
     host: int
     state: HostState
@@ -101,6 +102,7 @@
     zone: int
     cell: int
     born: float
+    mark: int
 
 
 class Report(NamedTuple):
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -91,6 +91,7 @@
         subscribe=setup.get("discovery") == "subscribe",
         ask_every=rules.get("askEvery", 10.0) * MS,
         cross_price=setup.get("prices", {}).get("crossZone", 0.0),
+        groups=bool(setup.get("specifics", {}).get("groups", False)),
     )
 
 
@@ -124,8 +125,15 @@
         state, size, _, zone, cell, host, born = (list(row) + [None] * 7)[:7]
         if not isinstance(host, str):
             raise WireError(f"roster entry without a host: {row!r}")
-        return Entry(self.host(host), _lookup(STATES, state, "host state"), 1.0 if size is None else size,
-                     self.zones.get(zone, -1), cell or 0, (born or 0.0) * MS)  # fmt: skip
+        return Entry(
+            host=self.host(host),
+            state=_lookup(STATES, state, "host state"),
+            size=1.0 if size is None else size,
+            zone=self.zones.get(zone, -1),
+            cell=cell or 0,
+            born=(born or 0.0) * MS,
+            mark=zlib.crc32(host.encode()),
+        )
 
     def ask(self, row: list) -> Ask:
         corr, qos, customer, _, budget, hint, channel, flags = (list(row) + [None] * 8)[:8]
