Work piled up counts as load; hosts past full load shed even with no room

Cause: hosts at 0.9 of load with 700 ms piled up served nobody and never drained; with no room anywhere nothing was moved.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -29,6 +29,8 @@
 PROBE_EVERY = 2000.0
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
 FIGURE_LIFE = 7000.0  # an older figure says nothing
+PILE_LIFE = 1500.0  # so long a note of work piled up holds
+DRAIN = 1500.0  # a pile is to be worked off in so long beside the load
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
 CEILING = 1.0  # nothing new goes to a host estimated above this
@@ -96,6 +98,8 @@
         self.figure_at: list[float] = []
         self.probe_at: list[float] = []  # when to probe next
         self.probe_out: list[float] = []  # when the probe that is out was sent, 0 if none is
+        self.pile: list[float] = []  # work piled up, as last noted, and when
+        self.pile_at: list[float] = []
         self.moved_at: list[float] = []
         self.added: list[list[tuple[float, float]]] = []  # own load sent lately: when, how much
         self.ill: list[float] = []
@@ -150,7 +154,8 @@
             for array, blank in (
                 (self.state, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
                 (self.mark, 0), (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}),
-                (self.added, []), (self.figure, None), (self.figure_at, -math.inf), (self.probe_at, math.inf),
+                (self.added, []), (self.pile, 0.0), (self.pile_at, -math.inf),
+                (self.figure, None), (self.figure_at, -math.inf), (self.probe_at, math.inf),
                 (self.probe_out, 0.0), (self.moved_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
                 (self.tokens, 0.0), (self.tokens_at, now),
             ):  # fmt: skip
@@ -201,9 +206,8 @@
         if s is None:
             return []
         if kind is Note.MESSAGE_DELAY:
-            # Danger: a host can be slow for messages while its report, older, still looks fine.
-            if s.stands is not None and value > min(c.message_target for c in self.set.listeners):
-                self._full(now, s.dials[-1].host)
+            if s.stands is not None:
+                self.pile[s.dials[-1].host], self.pile_at[s.dials[-1].host] = value, now
         else:
             s.smooth = value if s.present is None and s.usual is None else self._forecast(now, s)
             s.present, s.noted = value, now
@@ -229,7 +233,8 @@
         pool = well if 2 * len(well) >= len(pool) else pool
         loads = {h: self._load(now, h) for h in pool}
         roomy = [h for h in pool if loads[h] < TRIGGER]
-        near = [h for h in roomy if self.zone[h] == self.set.zone] if self.set.cross_price and not self.set.groups else []
+        local = self.set.cross_price and not self.set.groups
+        near = [h for h in roomy if local and self.zone[h] == self.set.zone]
         # Danger: past full load a host serves nobody; what it is sent there is lost with the rest.
         pool = near or roomy or [h for h in pool if loads[h] < CEILING]
         if not pool:
@@ -251,6 +256,8 @@
             return 0.0 if not self.running else self._count_load(h)
         if figure is None:  # unused or newly started
             figure = self.mean_figure
+        # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
+        figure += self._pile(now, h)
         since = self.figure_at[h] - REPORT_LAG
         sent = sum(load for at, load in self.added[h] if at > since)
         # the other nodes see the same reports and are held to do as this one does
@@ -265,6 +272,10 @@
     def _figure(self, now: float, h: int) -> float | None:
         return self.figure[h] if now - self.figure_at[h] < FIGURE_LIFE else None
 
+    def _pile(self, now: float, h: int) -> float:
+        """The load that working off a host's pile adds."""
+        return self.pile[h] / DRAIN if now - self.pile_at[h] < PILE_LIFE else 0.0
+
     def _survey(self, now: float) -> None:
         """The fleet as the reports show it: its mean load, and what load fills a host of size 1."""
         known = [(f, h) for h in self.running if (f := self._figure(now, h)) is not None]
@@ -468,31 +479,33 @@
         last, span = self._figure(now, h), now - self.figure_at[h]
         rise = max(figure - last, 0.0) / span if last is not None and span > 0 else 0.0
         self.figure[h], self.figure_at[h] = figure, now
+        figure += self._pile(now, h)
         threshold = max(min(TRIGGER, FULL_LOAD - rise * LANDING), TRIGGER_LEAST)
         if figure > threshold:
-            self._relieve(now, h, (figure - threshold) / figure)
+            self._relieve(now, h, (figure - threshold) / figure, figure > FULL_LOAD)
         return self._done()
 
     def _by_count(self, now: float, h: int) -> None:
         """Without a figure: the connection count against the mean."""
         mean = sum(self.held[i] for i in self.running) / max(len(self.running), 1)
         if self.held[h] > COUNT_TRIGGER * mean:
-            self._relieve(now, h, 1 - COUNT_TRIGGER * mean / self.held[h])
+            self._relieve(now, h, 1 - COUNT_TRIGGER * mean / self.held[h], False)
 
-    def _relieve(self, now: float, h: int, share: float) -> None:
+    def _relieve(self, now: float, h: int, share: float, over: bool) -> None:
         """Moves the connections of the highest forecast off a host, up to the share of the own load there."""
         # Danger: the report may be older than the last moves, whose load would be moved twice.
         if now - self.moved_at[h] < SETTLE:
             return
         loads = [(self._forecast(now, s), s.id, s) for s in self.standing[h].values()]
         left = share * sum(load for load, _, _ in loads)
-        # Danger: with nowhere better to go, moved connections come back to hosts as full and add set-up work.
+        # Danger: with nowhere better to go, moved connections come back to hosts as full; past full load,
+        # where nobody is served, they are moved all the same and refused until there is room.
         room = sum(max(TRIGGER - self._load(now, i), 0.0) * self.size[i] for i in self.running if i != h)
         room = room * self.unit / self.set.nodes if self.unit else math.inf
         for load, sid, s in sorted(loads, key=lambda x: (-x[0], x[1])):
             if left <= 0:
                 break
-            if now - s.stands >= MOVE_AGE and load <= room:
+            if now - s.stands >= MOVE_AGE and (load <= room or over):
                 left -= load
                 room -= load
                 self.added[h].append((now, -load))
