--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -33,7 +33,6 @@
 DRAIN = 1500.0  # a pile is to be worked off in so long beside the load
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
-CEILING = 1.0  # nothing new goes to a host estimated above this
 FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
 TICK = 250.0
 FIRST_TIME_OUT = 0.6  # of the handshake target; each further dial has
@@ -235,8 +234,8 @@
         roomy = [h for h in pool if loads[h] < TRIGGER]
         local = self.set.cross_price and not self.set.groups
         near = [h for h in roomy if local and self.zone[h] == self.set.zone]
-        # Danger: past full load a host serves nobody; what it is sent there is lost with the rest.
-        pool = near or roomy or [h for h in pool if loads[h] < CEILING]
+        # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
+        pool = near or roomy
         if not pool:
             return -1
         if s.group is not None and self.set.groups:
