--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -21,6 +21,7 @@
 
 FULL_LOAD = 1.0
 TRIGGER = 0.85  # the headroom threshold where the figure does not rise
+ROOM = 0.7  # nothing new goes to a host at or above this
 TRIGGER_LEAST = 0.6  # the lowest that a steep rise can push it
 LANDING = 1000.0  # from a move until the moved load has gone
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
@@ -231,7 +232,7 @@
         # Danger: an error that most hosts show says nothing about one of them.
         pool = well if 2 * len(well) >= len(pool) else pool
         loads = {h: self._load(now, h) for h in pool}
-        roomy = [h for h in pool if loads[h] < TRIGGER]
+        roomy = [h for h in pool if loads[h] < ROOM]
         local = self.set.cross_price and not self.set.groups
         near = [h for h in roomy if local and self.zone[h] == self.set.zone]
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
