--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -9,7 +9,7 @@
 
 import math
 import zlib
-from collections.abc import Generator
+from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 
 from .model import (
@@ -35,7 +35,7 @@
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
 FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
-TICK = 250.0
+TICK = 500.0
 FIRST_TIME_OUT = 0.6  # of the handshake target; each further dial has
 TIME_OUT_GROWTH = 1.5  # so many times more
 WAIT_FOR_HOST = 100.0
@@ -107,6 +107,8 @@
         self.tokens: list[float] = []  # cold budget left, in load
         self.tokens_at: list[float] = []
         self.running: list[int] = []
+        self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
+        self.most_ill = False
         self.mean_hint = 0.0
         self.mean_figure: float | None = None
         self.unit = 0.0  # load that fills a host of size 1, 0 while unknown
@@ -145,7 +147,9 @@
                     self.state[h] = HostState.GONE
         for e in entries:
             self._enter(now, e)
-        self.running = [h for h, state in enumerate(self.state) if state is HostState.RUNNING]
+        running = [h for h, state in enumerate(self.state) if state is HostState.RUNNING]
+        if running != self.running:
+            self.running, self.orders = running, {}
         return self._done()
 
     def _enter(self, now: float, e: Entry) -> None:
@@ -197,7 +201,8 @@
 
     def _well(self, now: float, h: int) -> bool:
         """Not shunned; once its time is over an ill host gets one dial at a time as a trial."""
-        return self.ill[h] < ILL or (now >= self.shunned[h] and not self.dialing[h])
+        # Danger: an error that most hosts show says nothing about one of them.
+        return self.ill[h] < ILL or self.most_ill or (now >= self.shunned[h] and not self.dialing[h])
 
     # ---- forecasts
 
@@ -222,32 +227,47 @@
     # ---- placement
 
     def _place(self, now: float, s: _Session) -> int:
-        """The lesser-loaded of two random hosts among those that may be sent to; -1 if none may."""
-        pool = [h for h in self.running if self._passes(now, s, h)]
-        if not pool:
-            return -1
-        tried = {d.host for d in s.dials}
-        pool = [h for h in pool if h not in tried] or pool
-        well = [h for h in pool if self._well(now, h)]
-        # Danger: an error that most hosts show says nothing about one of them.
-        pool = well if 2 * len(well) >= len(pool) else pool
-        loads = {h: self._load(now, h) for h in pool}
-        roomy = [h for h in pool if loads[h] < ROOM]
-        local = self.set.cross_price and not self.set.groups
-        near = [h for h in roomy if local and self.zone[h] == self.set.zone]
+        """The lesser-loaded of two random hosts that may be sent to and have room; -1 if there is none."""
+        tried = [d.host for d in s.dials]
+        for avoid in (tried, []) if tried else ([],):
+            for draw in self._draws(s):
+                found = []
+                for h in draw:
+                    if h not in avoid and self._fit(now, h) and self._passes(now, s, h):
+                        found.append(h)
+                        if len(found) == 2:
+                            break
+                if found:
+                    margin = GROUP_MARGIN if s.group is not None and self.set.groups else 0.0
+                    loads = [self._load(now, h) for h in found]
+                    return found[-1] if loads[-1] + margin < loads[0] else found[0]
+        return -1
+
+    def _fit(self, now: float, h: int) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        pool = near or roomy
-        if not pool:
-            return -1
+        return self._well(now, h) and self._load(now, h) < ROOM
+
+    def _draws(self, s: _Session) -> Iterator[Iterator[int]]:
+        """The running hosts as drawn, those of the own zone first where crossing has a price."""
         if s.group is not None and self.set.groups:
             # every host that holds one of a group pays for the group: all nodes draw the same two for it
-            pool.sort(key=lambda h: zlib.crc32((s.group * self.mark[h]).to_bytes(8, "little")))
-            a, b = pool[0], pool[-1 if len(pool) == 1 else 1]
-            return a if loads[a] < loads[b] + GROUP_MARGIN else b
-        a = int(self._chance() * len(pool))
-        b = (a + 1 + int(self._chance() * (len(pool) - 1))) % len(pool)
-        a, b = pool[a], pool[b]
-        return a if loads[a] < loads[b] or (loads[a] == loads[b] and self._chance() < 0.5) else b
+            if s.group not in self.orders:
+                self.orders[s.group] = sorted(self.running, key=lambda h: self._mix(s.group, self.mark[h]))
+            yield iter(self.orders[s.group])
+        elif self.set.cross_price:
+            yield self._shuffled([h for h in self.running if self.zone[h] == self.set.zone])
+            yield self._shuffled([h for h in self.running if self.zone[h] != self.set.zone])
+        else:
+            yield self._shuffled(list(self.running))
+
+    def _mix(self, group: int, mark: int) -> int:
+        return zlib.crc32((group * mark).to_bytes(8, "little"))
+
+    def _shuffled(self, hosts: list[int]) -> Iterator[int]:
+        for i in range(len(hosts)):
+            j = i + int(self._chance() * (len(hosts) - i))
+            hosts[i], hosts[j] = hosts[j], hosts[i]
+            yield hosts[i]
 
     def _load(self, now: float, h: int) -> float:
         """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
@@ -278,6 +298,7 @@
 
     def _survey(self, now: float) -> None:
         """The fleet as the reports show it: its mean load, and what load fills a host of size 1."""
+        self.most_ill = 2 * sum(self.ill[h] >= ILL for h in self.running) > len(self.running)
         known = [(f, h) for h in self.running if (f := self._figure(now, h)) is not None]
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         asked = sum(f * self.size[h] for f, h in known)
