--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -11,6 +11,7 @@
 import zlib
 from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from .model import (
     NEVER_RAN, Action, Ask, Dial, Effect, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report,
@@ -33,6 +34,7 @@
 PILE_LIFE = 1500.0  # so long a note of work piled up holds
 DRAIN = 1500.0  # a pile is to be worked off in so long beside the load
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
+LOOK = 16  # so many hosts of a draw are looked at for two with room
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
 FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
 TICK = 500.0
@@ -101,7 +103,8 @@
         self.pile: list[float] = []  # work piled up, as last noted, and when
         self.pile_at: list[float] = []
         self.moved_at: list[float] = []
-        self.added: list[list[tuple[float, float]]] = []  # own load sent lately: when, how much
+        self.added: list[list[tuple[float, float]]] = []  # own load sent since the last report
+        self.extra: list[float] = []  # its sum
         self.ill: list[float] = []
         self.shunned: list[float] = []  # until when
         self.tokens: list[float] = []  # cold budget left, in load
@@ -158,7 +161,7 @@
             for array, blank in (
                 (self.state, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
                 (self.mark, 0), (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}),
-                (self.added, []), (self.pile, 0.0), (self.pile_at, -math.inf),
+                (self.added, []), (self.extra, 0.0), (self.pile, 0.0), (self.pile_at, -math.inf),
                 (self.figure, None), (self.figure_at, -math.inf), (self.probe_at, math.inf),
                 (self.probe_out, 0.0), (self.moved_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
                 (self.tokens, 0.0), (self.tokens_at, now),
@@ -232,7 +235,7 @@
         for avoid in (tried, []) if tried else ([],):
             for draw in self._draws(s):
                 found = []
-                for h in draw:
+                for h in islice(draw, LOOK):
                     if h not in avoid and self._fit(now, h) and self._passes(now, s, h):
                         found.append(h)
                         if len(found) == 2:
@@ -278,10 +281,8 @@
             figure = self.mean_figure
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
-        since = self.figure_at[h] - REPORT_LAG
-        sent = sum(load for at, load in self.added[h] if at > since)
         # the other nodes see the same reports and are held to do as this one does
-        return figure + self.set.nodes * sent / (self.unit * self.size[h]) if self.unit else figure
+        return figure + self.set.nodes * self.extra[h] / (self.unit * self.size[h]) if self.unit else figure
 
     def _count_load(self, h: int) -> float:
         """Without figures: own connections for the host's size, below every threshold; unused is the mean."""
@@ -307,7 +308,16 @@
 
     def _full(self, now: float, h: int) -> None:
         """Holds a host to be at full load until the next report."""
-        self.figure[h], self.figure_at[h] = max(self._figure(now, h) or 0.0, FULL_LOAD), now
+        self._know(now, h, max(self._figure(now, h) or 0.0, FULL_LOAD))
+
+    def _know(self, now: float, h: int, figure: float) -> None:
+        self.figure[h], self.figure_at[h] = figure, now
+        self.added[h] = [x for x in self.added[h] if x[0] > now - REPORT_LAG]
+        self.extra[h] = sum(load for _, load in self.added[h])
+
+    def _add(self, now: float, h: int, load: float) -> None:
+        self.added[h].append((now, load))
+        self.extra[h] += load
 
     # ---- send gate: every dial passes here, and each rule stands here and nowhere else
 
@@ -401,8 +411,7 @@
             s.out = True
             self.held[h] += 1
             self.dialing[h] += 1
-            self.added[h] = [x for x in self.added[h] if x[0] > self.now - 2 * PROBE_EVERY]
-            self.added[h].append((self.now, self._forecast(self.now, s)))
+            self._add(self.now, h, self._forecast(self.now, s))
         elif isinstance(act, (Refuse, TearDown)):
             s.answered = True
             del self.sessions[s.id]
@@ -499,7 +508,7 @@
             return self._done()
         last, span = self._figure(now, h), now - self.figure_at[h]
         rise = max(figure - last, 0.0) / span if last is not None and span > 0 else 0.0
-        self.figure[h], self.figure_at[h] = figure, now
+        self._know(now, h, figure)
         figure += self._pile(now, h)
         threshold = max(min(TRIGGER, FULL_LOAD - rise * LANDING), TRIGGER_LEAST)
         if figure > threshold:
@@ -529,6 +538,6 @@
             if now - s.stands >= MOVE_AGE and (load <= room or over):
                 left -= load
                 room -= load
-                self.added[h].append((now, -load))
+                self._add(now, h, -load)
                 self.moved_at[h] = now
                 self.acts.append(Move(sid))
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -121,7 +121,6 @@
     left: float
     load: float | None
     group: int | None
-    returned: bool
 
 
 class Dial(NamedTuple):
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -34,7 +34,7 @@
     "CXL": Outcome.WITHDRAWN,
     "NOP": Outcome.NEVER_SENT,
 }
-HINT_VALID, RETURNED = 1, 16
+HINT_VALID = 1
 
 
 class WireError(Exception):
@@ -142,15 +142,13 @@
         index = len(self.session_names)
         self.sessions[corr] = index
         self.session_names.append(corr)
-        flags = flags or 0
         return Ask(
             session=index,
             listener=_lookup(self.listeners, qos, "listener"),
             customer=self.customers.get(customer, -1),
             left=budget * MS,
-            load=hint * MS if hint is not None and flags & HINT_VALID else None,
+            load=hint * MS if hint is not None and (flags or 0) & HINT_VALID else None,
             group=None if channel is None else zlib.crc32(str(channel).encode()),
-            returned=bool(flags & RETURNED),
         )
 
 
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,129 @@
+"""Placement, forecasts, probes and moves."""
+
+import pytest
+from helpers import START, ask, dials, entry, figures, node, standing
+
+from caperdeck.core.model import Move, Note, Outcome, Refuse, Report
+
+
+def placed(n, count=1, **kw):
+    return [dials(n.ask(START, ask(i, **kw)))[0].host for i in range(count)]
+
+
+def test_the_lesser_loaded_of_two_takes_a_new_connection():
+    n = node(2)
+    figures(n, [0.5, 0.2])
+    assert placed(n) == [1]
+
+
+def test_dials_since_the_report_count_so_a_burst_spreads():
+    n = node(4)
+    standing(n, 0, [10.0] * 40)
+    figures(n, [0.3, 0.3, 0.3, 0.2])
+    hosts = placed(n, 40)
+    assert max(hosts.count(h) for h in range(4)) <= 16
+
+
+def test_without_any_figure_the_count_decides():
+    n = node(2, may_probe=False)
+    standing(n, 0, [1.0] * 5)
+    standing(n, 1, [1.0], first=200)
+    assert placed(n) == [1]
+
+
+def test_with_no_room_anywhere_a_session_is_refused_rather_than_piled_on():
+    n = node(3)
+    figures(n, [0.9, 1.1, 0.95])
+    acts = n.ask(START, ask(1, left=50.0))
+    assert [type(a) for a in acts] == [Refuse]
+
+
+def test_work_piled_up_counts_as_load():
+    n = node(2)
+    figures(n, [0.5, 0.5])
+    standing(n, 0, [1.0])
+    n.note(START, 100, Note.MESSAGE_DELAY, 600.0)
+    assert placed(n, 5) == [1] * 5
+
+
+def test_the_own_zone_comes_first_until_it_has_no_room():
+    n = node(entries=[entry(0), entry(1, zone=1), entry(2, zone=1)], cross_price=0.1)
+    figures(n, [0.5, 0.1, 0.1])
+    assert placed(n) == [0]
+    figures(n, [0.8, 0.1, 0.1])
+    assert set(placed(n, 5)) <= {1, 2}
+
+
+def test_a_group_gathers_on_the_same_host_at_every_node():
+    hosts = set()
+    for seed in (1, 2, 3):
+        n = node(8, groups=True, seed=seed)
+        figures(n, [0.3] * 8)
+        hosts |= set(placed(n, 5, group=77))
+    assert len(hosts) == 1
+
+
+def test_an_ill_host_is_shunned_but_not_when_most_are():
+    n = node(3)
+    for _ in range(3):
+        n._failed(START, 0)
+    n._survey(START)
+    assert 0 not in placed(n, 20)
+    for h in (1, 2):
+        n.ill[h], n.shunned[h] = 5.0, START + 1000
+    n._survey(START)
+    assert n._well(START, 0)
+
+
+@pytest.mark.parametrize("notes, low, high", [([], 10, 10), ([(0, 50.0)], 40, 50), ([(15900, 50.0)], 10, 12)])
+def test_the_forecast_is_the_smoothed_mean_of_the_load_notes(notes, low, high):
+    n = node(1)
+    standing(n, 0, [10.0])
+    for at, value in notes:
+        n.note(START + at, 100, Note.LOAD, value)
+    assert low <= n._forecast(START + 16000, n.sessions[100]) <= high
+
+
+def test_past_the_threshold_the_heaviest_own_connections_move():
+    n = node(3)
+    standing(n, 0, [5.0, 40.0, 10.0, 45.0])
+    figures(n, [0.5, 0.1, 0.1])
+    assert n.probed(START + 60000, 0, Outcome.GOOD, Report(0.8)) == []
+    acts = n.probed(START + 120000, 0, Outcome.GOOD, Report(0.95))
+    assert acts == [Move(103)]
+
+
+def test_a_steep_rise_lowers_the_threshold():
+    n = node(3)
+    standing(n, 0, [40.0, 10.0])
+    figures(n, [0.5, 0.1, 0.1])
+    assert n.probed(START + 1000, 0, Outcome.GOOD, Report(0.8)) == [Move(100)]
+
+
+def test_a_report_that_does_not_show_the_last_moves_moves_nothing():
+    n = node(3)
+    standing(n, 0, [40.0, 10.0, 10.0])
+    figures(n, [1.2, 0.1, 0.1])
+    assert n.probed(START + 1000, 0, Outcome.GOOD, Report(1.2))
+    assert n.probed(START + 2000, 0, Outcome.GOOD, Report(1.2)) == []
+
+
+@pytest.mark.parametrize("figure, moves", [(0.95, 0), (1.3, 1)])
+def test_with_nowhere_better_to_go_only_past_full_load_is_moved(figure, moves):
+    n = node(2)
+    standing(n, 0, [40.0, 10.0])
+    figures(n, [0.95, 0.95])
+    assert len(n.probed(START + 1000, 0, Outcome.GOOD, Report(figure))) == moves
+
+
+def test_young_connections_are_spared():
+    n = node(2)
+    standing(n, 0, [40.0], since=START - 4000)
+    figures(n, [1.2, 0.1])
+    assert n.probed(START, 0, Outcome.GOOD, Report(1.2)) == []
+
+
+def test_without_a_figure_the_count_triggers():
+    n = node(3)
+    standing(n, 0, [10.0] * 6)
+    assert n.probed(START, 0, Outcome.GOOD, Report()) and not n.probed(START, 1, Outcome.GOOD, Report())
