--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -538,7 +538,7 @@
             if now - s.stands >= MOVE_AGE and (load <= room or over):
                 # Danger: many nodes with few connections each would clear a host by rounding their share up.
                 if load > left and self._chance() * load > left:
-                    break
+                    continue
                 left -= load
                 room -= load
                 self._add(now, h, -load)
