Own dials since the report count for the nodes of a zone, not for all

Cause: in a cut zone one node alone sends to its hosts, yet counted each dial four times and refused 1,100 returning clients beside half-empty hosts.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -109,6 +109,9 @@
         self.shunned: list[float] = []  # until when
         self.tokens: list[float] = []  # cold budget left, in load
         self.tokens_at: list[float] = []
+        self.alike = float(settings.nodes)  # nodes that draw the same hosts as this one
+        if settings.cross_price and not settings.groups:
+            self.alike = max(settings.nodes / settings.zones, 1.0)
         self.running: list[int] = []
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
@@ -281,8 +284,8 @@
             figure = self.mean_figure
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
-        # the other nodes see the same reports and are held to do as this one does
-        return figure + self.set.nodes * self.extra[h] / (self.unit * self.size[h]) if self.unit else figure
+        # the other nodes that draw this host see the same reports and are held to do as this one does
+        return figure + self.alike * self.extra[h] / (self.unit * self.size[h]) if self.unit else figure
 
     def _count_load(self, h: int) -> float:
         """Without figures: own connections for the host's size, below every threshold; unused is the mean."""
