--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -109,9 +109,7 @@
         self.shunned: list[float] = []  # until when
         self.tokens: list[float] = []  # cold budget left, in load
         self.tokens_at: list[float] = []
-        self.alike = float(settings.nodes)  # nodes that draw the same hosts as this one
-        if settings.cross_price and not settings.groups:
-            self.alike = max(settings.nodes / settings.zones, 1.0)
+        self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
         self.running: list[int] = []
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
@@ -284,7 +282,7 @@
             figure = self.mean_figure
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
-        # the other nodes that draw this host see the same reports and are held to do as this one does
+        # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
         return figure + self.alike * self.extra[h] / (self.unit * self.size[h]) if self.unit else figure
 
     def _count_load(self, h: int) -> float:
