--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -237,7 +237,7 @@
             for draw in self._draws(s):
                 found = []
                 for h in islice(draw, LOOK):
-                    if h not in avoid and self._fit(now, s, h) and self._passes(now, s, h):
+                    if h not in avoid and self._fit(now, h) and self._passes(now, s, h):
                         found.append(h)
                         if len(found) == 2:
                             break
@@ -247,12 +247,9 @@
                     return found[-1] if loads[-1] + margin < loads[0] else found[0]
         return -1
 
-    def _fit(self, now: float, s: _Session, h: int) -> bool:
+    def _fit(self, now: float, h: int) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        if not self._well(now, h) or (load := self._load(now, h)) >= ROOM:
-            return False
-        # Danger: one connection alone can be larger than what is left of a host, and takes the rest down.
-        return not self.unit or load + self._forecast(now, s) / (self.unit * self.size[h]) < FULL_LOAD
+        return self._well(now, h) and self._load(now, h) < ROOM
 
     def _draws(self, s: _Session) -> Iterator[Iterator[int]]:
         """The running hosts as drawn, those of the own zone first where crossing has a price."""
@@ -536,12 +533,10 @@
         # where nobody is served, they are moved all the same and refused until there is room.
         room = sum(max(TRIGGER - self._load(now, i), 0.0) * self.size[i] for i in self.running if i != h)
         room = room * self.unit / self.set.nodes if self.unit else math.inf
-        # Danger: a connection larger than any host would take the next host down, and the next.
-        largest = FULL_LOAD * self.unit * max(self.size[i] for i in self.running) if self.unit else math.inf
         for load, sid, s in sorted(loads, key=lambda x: (-x[0], x[1])):
             if left <= 0:
                 break
-            if now - s.stands >= MOVE_AGE and (load <= room or over and load <= largest):
+            if now - s.stands >= MOVE_AGE and (load <= room or over):
                 # Danger: many nodes with few connections each would clear a host by rounding their share up.
                 if load > left and self._chance() * load > left:
                     continue
