--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -23,7 +23,6 @@
 FULL_LOAD = 1.0
 TRIGGER = 0.85  # the headroom threshold where the figure does not rise
 ROOM = 0.7  # nothing new goes to a host at or above this
-ROOM_BEYOND = 0.5  # the same for a customer beyond its share
 TRIGGER_LEAST = 0.6  # the lowest that a steep rise can push it
 LANDING = 1000.0  # from a move until the moved load has gone
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
@@ -63,7 +62,6 @@
 class _Session:
     id: int
     listener: int
-    customer: int
     asked: float
     deadline: float
     usual: float | None  # the usual-load hint
@@ -112,7 +110,6 @@
         self.tokens: list[float] = []  # cold budget left, in load
         self.tokens_at: list[float] = []
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
-        self.customer_held = [0] * (len(settings.shares) + 1)  # the last one for those without a share
         self.running: list[int] = []
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
@@ -235,14 +232,12 @@
 
     def _place(self, now: float, s: _Session) -> int:
         """The lesser-loaded of two random hosts that may be sent to and have room; -1 if there is none."""
-        # Danger: one customer's flood would fill the fleet; beyond its share it gets what others leave.
-        room = ROOM_BEYOND if self._beyond_share(s.customer) else ROOM
         tried = [d.host for d in s.dials]
         for avoid in (tried, []) if tried else ([],):
             for draw in self._draws(s):
                 found = []
                 for h in islice(draw, LOOK):
-                    if h not in avoid and self._fit(now, h, room) and self._passes(now, s, h):
+                    if h not in avoid and self._fit(now, h) and self._passes(now, s, h):
                         found.append(h)
                         if len(found) == 2:
                             break
@@ -252,15 +247,9 @@
                     return found[-1] if loads[-1] + margin < loads[0] else found[0]
         return -1
 
-    def _fit(self, now: float, h: int, room: float) -> bool:
+    def _fit(self, now: float, h: int) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        return self._well(now, h) and self._load(now, h) < room
-
-    def _beyond_share(self, customer: int) -> bool:
-        """Whether a customer's connections here, held to be alike at every node, are more than its share."""
-        if not 0 <= customer < len(self.set.shares):
-            return False
-        return self.customer_held[customer] * self.set.nodes > self.set.shares[customer]
+        return self._well(now, h) and self._load(now, h) < ROOM
 
     def _draws(self, s: _Session) -> Iterator[Iterator[int]]:
         """The running hosts as drawn, those of the own zone first where crossing has a price."""
@@ -373,19 +362,15 @@
         s = self._new(now, a)
         s.stands, s.out, s.answered = now - MOVE_AGE, True, True
         s.dials.append(_Sent(h, now))
-        self._hold(s, h, 1)
+        self.held[h] += 1
         self.standing[h][s.id] = s
         return []
 
-    def _hold(self, s: _Session, h: int, count: int) -> None:
-        self.held[h] += count
-        self.customer_held[s.customer] += count
-
     def _new(self, now: float, a: Ask) -> _Session:
         load = 1.0 if a.load is None else a.load
         self.mean_hint += (load - self.mean_hint) * (0.02 if self.mean_hint else 1.0)
         weight = max(load, self.mean_hint)
-        s = _Session(a.session, a.listener, a.customer, now, now + a.left, a.load, weight, a.group)
+        s = _Session(a.session, a.listener, now, now + a.left, a.load, weight, a.group)
         s.smooth = a.load or 0.0
         self.sessions[s.id] = s
         return s
@@ -425,7 +410,7 @@
                 self.tokens[h] -= s.weight
             s.dials.append(_Sent(h, self.now))
             s.out = True
-            self._hold(s, h, 1)
+            self.held[h] += 1
             self.dialing[h] += 1
             self._add(self.now, h, self._forecast(self.now, s))
         elif isinstance(act, (Refuse, TearDown)):
@@ -451,7 +436,7 @@
         sent = s.dials[dial]
         h = sent.host
         s.out = False
-        self._hold(s, h, -1)
+        self.held[h] -= 1
         if s.stands is None:
             self.dialing[h] -= 1
         self.standing[h].pop(sid, None)
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -91,7 +91,6 @@
     ask_every: float
     cross_price: float
     groups: bool
-    shares: tuple[float, ...]  # per customer, the connections of all nodes within its share
 
 
 class Entry(NamedTuple):
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -91,7 +91,6 @@
         subscribe=setup.get("discovery") == "subscribe",
         ask_every=rules.get("askEvery", 10.0) * MS,
         cross_price=setup.get("prices", {}).get("crossZone", 0.0),
-        shares=tuple(setup.get("specifics", {}).get("tenantQuotaConnections") or ()),
         groups=bool(setup.get("specifics", {}).get("groups", False)),
     )
 
