--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -22,7 +22,8 @@
 
 FULL_LOAD = 1.0
 TRIGGER = 0.85  # the headroom threshold where the figure does not rise
-ROOM = 0.7  # nothing new goes to a host at or above this
+ROOM_NEAR = 0.75  # the same for the own zone, where leaving it has a price
+ROOM = 0.63  # nothing new goes to a host at or above this
 TRIGGER_LEAST = 0.6  # the lowest that a steep rise can push it
 LANDING = 1000.0  # from a move until the moved load has gone
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
@@ -249,7 +250,8 @@
 
     def _fit(self, now: float, h: int) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        return self._well(now, h) and self._load(now, h) < ROOM
+        near = self.set.cross_price and not self.set.groups and self.zone[h] == self.set.zone
+        return self._well(now, h) and self._load(now, h) < (ROOM_NEAR if near else ROOM)
 
     def _draws(self, s: _Session) -> Iterator[Iterator[int]]:
         """The running hosts as drawn, those of the own zone first where crossing has a price."""
