--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -23,7 +23,7 @@
 FULL_LOAD = 1.0
 TRIGGER = 0.85  # the headroom threshold where the figure does not rise
 ROOM_NEAR = 0.75  # the same for the own zone, where leaving it has a price
-ROOM = 0.63  # nothing new goes to a host at or above this
+ROOM = 0.67  # nothing new goes to a host at or above this
 TRIGGER_LEAST = 0.6  # the lowest that a steep rise can push it
 LANDING = 1000.0  # from a move until the moved load has gone
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
