--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -34,7 +34,7 @@
 FIGURE_LIFE = 7000.0  # an older figure says nothing
 PILE_LIFE = 1500.0  # so long a note of work piled up holds
 DRAIN = 1500.0  # a pile is to be worked off in so long beside the load
-REPORT_LAG = 2000.0  # what a report tells is about so old when it comes
+REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
 LOOK = 16  # so many hosts of a draw are looked at for two with room
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
 FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
@@ -111,7 +111,6 @@
         self.tokens: list[float] = []  # cold budget left, in load
         self.tokens_at: list[float] = []
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
-        self.moving: set[int] = set()
         self.running: list[int] = []
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
@@ -442,9 +441,7 @@
         self.held[h] -= 1
         if s.stands is None:
             self.dialing[h] -= 1
-        if self.standing[h].pop(sid, None) is not None and s.id not in self.moving:
-            self._add(now, h, -self._forecast(now, s))
-        self.moving.discard(s.id)
+        self.standing[h].pop(sid, None)
         sent.may_have_run = result not in NEVER_RAN
         if self.state[h] is HostState.RUNNING:
             if result in FAILURES:
@@ -547,7 +544,6 @@
                     continue
                 left -= load
                 room -= load
-                self.moving.add(sid)
                 self._add(now, h, -load)
                 self.moved_at[h] = now
                 self.acts.append(Move(sid))
