--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -30,8 +30,6 @@
 MOVE_AGE = 5000.0  # connections younger than this are spared
 SETTLE = 2500.0  # a report sooner after moves does not show them yet
 PROBE_EVERY = 2000.0
-BUSY = 0.5  # a host above this is probed more often,
-PROBE_BUSY = 1000.0  # so often
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
 FIGURE_LIFE = 7000.0  # an older figure says nothing
 PILE_LIFE = 1500.0  # so long a note of work piled up holds
@@ -515,8 +513,6 @@
         rise = max(figure - last, 0.0) / span if last is not None and span > 0 else 0.0
         self._know(now, h, figure)
         figure += self._pile(now, h)
-        if figure > BUSY:
-            self.probe_at[h] -= PROBE_EVERY - PROBE_BUSY
         threshold = max(min(TRIGGER, FULL_LOAD - rise * LANDING), TRIGGER_LEAST)
         if figure > threshold:
             self._relieve(now, h, (figure - threshold) / figure, figure > FULL_LOAD)
