Tidy-up: level with the draw, the generator reads its result, dead parts dropped

The admission level is given with each draw instead of being worked out again for each host; whether a dial may have run is set where the session is resumed; a check never reached, an action never sent and the second telling of groups are gone.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -22,9 +22,9 @@
 
 FULL_LOAD = 1.0
 TRIGGER = 0.85  # the headroom threshold where the figure does not rise
-ROOM_NEAR = 0.75  # the same for the own zone, where leaving it has a price
-ROOM = 0.67  # nothing new goes to a host at or above this
 TRIGGER_LEAST = 0.6  # the lowest that a steep rise can push it
+ROOM = 0.67  # nothing new goes to a host at or above this
+ROOM_NEAR = 0.75  # the same for the own zone, where leaving it has a price
 LANDING = 1000.0  # from a move until the moved load has gone
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
 MOVE_AGE = 5000.0  # connections younger than this are spared
@@ -235,36 +235,35 @@
         """The lesser-loaded of two random hosts that may be sent to and have room; -1 if there is none."""
         tried = [d.host for d in s.dials]
         for avoid in (tried, []) if tried else ([],):
-            for draw in self._draws(s):
+            for room, draw in self._draws(s):
                 found = []
                 for h in islice(draw, LOOK):
-                    if h not in avoid and self._fit(now, h) and self._passes(now, s, h):
+                    if h not in avoid and self._fit(now, h, room) and self._passes(now, s, h):
                         found.append(h)
                         if len(found) == 2:
                             break
                 if found:
-                    margin = GROUP_MARGIN if s.group is not None and self.set.groups else 0.0
+                    margin = 0.0 if s.group is None else GROUP_MARGIN
                     loads = [self._load(now, h) for h in found]
                     return found[-1] if loads[-1] + margin < loads[0] else found[0]
         return -1
 
-    def _fit(self, now: float, h: int) -> bool:
+    def _fit(self, now: float, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        near = self.set.cross_price and not self.set.groups and self.zone[h] == self.set.zone
-        return self._well(now, h) and self._load(now, h) < (ROOM_NEAR if near else ROOM)
+        return self._well(now, h) and self._load(now, h) < room
 
-    def _draws(self, s: _Session) -> Iterator[Iterator[int]]:
-        """The running hosts as drawn, those of the own zone first where crossing has a price."""
-        if s.group is not None and self.set.groups:
+    def _draws(self, s: _Session) -> Iterator[tuple[float, Iterator[int]]]:
+        """Levels to be under and hosts as drawn; the own zone first where leaving it has a price."""
+        if s.group is not None:
             # every host that holds one of a group pays for the group: all nodes draw the same two for it
             if s.group not in self.orders:
                 self.orders[s.group] = sorted(self.running, key=lambda h: self._mix(s.group, self.mark[h]))
-            yield iter(self.orders[s.group])
+            yield ROOM, iter(self.orders[s.group])
         elif self.set.cross_price:
-            yield self._shuffled([h for h in self.running if self.zone[h] == self.set.zone])
-            yield self._shuffled([h for h in self.running if self.zone[h] != self.set.zone])
+            yield ROOM_NEAR, self._shuffled([h for h in self.running if self.zone[h] == self.set.zone])
+            yield ROOM, self._shuffled([h for h in self.running if self.zone[h] != self.set.zone])
         else:
-            yield self._shuffled(list(self.running))
+            yield ROOM, self._shuffled(list(self.running))
 
     def _mix(self, group: int, mark: int) -> int:
         return zlib.crc32((group * mark).to_bytes(8, "little"))
@@ -279,7 +278,7 @@
         """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
         figure = self._figure(now, h)
         if self.mean_figure is None:
-            return 0.0 if not self.running else self._count_load(h)
+            return self._count_load(h)
         if figure is None:  # unused or newly started
             figure = self.mean_figure
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
@@ -386,9 +385,8 @@
                 time_out = FIRST_TIME_OUT * target * TIME_OUT_GROWTH ** len(s.dials)
                 if len(s.dials) + 1 >= self.set.max_dials:
                     time_out = math.inf
-                yield Dial(s.id, h, min(self.now + time_out, s.deadline))
-                if s.answered:
-                    return
+                result = yield Dial(s.id, h, min(self.now + time_out, s.deadline))
+                s.dials[-1].may_have_run = result not in NEVER_RAN
             elif self.now + WAIT_FOR_HOST < min(s.asked + target, s.deadline) and not s.dials:
                 yield Wake(WAIT_FOR_HOST, s.id)
             else:
@@ -435,14 +433,12 @@
         s = self.sessions.get(sid)
         if s is None or not s.out or dial != len(s.dials) - 1:
             return []
-        sent = s.dials[dial]
-        h = sent.host
+        h = s.dials[dial].host
         s.out = False
         self.held[h] -= 1
         if s.stands is None:
             self.dialing[h] -= 1
         self.standing[h].pop(sid, None)
-        sent.may_have_run = result not in NEVER_RAN
         if self.state[h] is HostState.RUNNING:
             if result in FAILURES:
                 self._failed(now, h)
@@ -485,14 +481,13 @@
             self.acts.append(Watch())
         self._survey(now)
         for h in self.running:
-            if self.set.may_probe and now >= self.probe_at[h]:
-                if self.probe_out[h] and now - self.probe_out[h] < PROBE_LOST:
-                    continue
-                self.probe_at[h] = now + PROBE_EVERY
+            if now < self.probe_at[h] or (self.probe_out[h] and now - self.probe_out[h] < PROBE_LOST):
+                continue
+            self.probe_at[h] = now + PROBE_EVERY
+            if self.set.may_probe:
                 self.probe_out[h] = now
                 self.acts.append(Probe(h))
-            elif not self.set.may_probe and now >= self.probe_at[h]:
-                self.probe_at[h] = now + PROBE_EVERY
+            else:
                 self._by_count(now, h)
 
     def probed(self, now: float, h: int, result: Outcome, report: Report | None) -> list[Action]:
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -89,7 +89,6 @@
     subscribe: bool
     ask_every: float
     cross_price: float
-    groups: bool
 
 
 class Entry(NamedTuple):
@@ -112,7 +111,9 @@
 
 
 class Ask(NamedTuple):
-    """A session as it arrives; left is the time until its dial timeout, load is None without a hint."""
+    """A session as it arrives; left is the time until its dial timeout, load is None without a hint,
+    group where connections of one group share work.
+    """
 
     session: int
     listener: int
@@ -161,8 +162,4 @@
     """Asks discovery for changes from now on."""
 
 
-class Log(NamedTuple):
-    text: str
-
-
-Action = Dial | Withdraw | Refuse | TearDown | Move | Probe | Wake | Watch | Log
+Action = Dial | Withdraw | Refuse | TearDown | Move | Probe | Wake | Watch
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from caperdeck.core.model import (
-    Action, Ask, Dial, Effect, Entry, HostState, Listener, Log, Move, Note, Outcome, Probe, Refuse, Report,
+    Action, Ask, Dial, Effect, Entry, HostState, Listener, Move, Note, Outcome, Probe, Refuse, Report,
     RosterScope, Scope, Settings, TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
 
@@ -47,7 +47,7 @@
     return table[key]
 
 
-def _lookup(table: dict, value: Any, what: str) -> Any:
+def lookup(table: dict, value: Any, what: str) -> Any:
     try:
         return table[value]
     except (KeyError, TypeError):
@@ -66,8 +66,8 @@
         where = f"listeners[{i}]."
         target = _need(row, "handshakeTarget", where) * MS
         listeners.append(Listener(
-            effect=_lookup(EFFECTS, _need(row, "effect", where), "effect"),
-            scope=_lookup(SCOPES, row.get("group") or "all", "group"),
+            effect=lookup(EFFECTS, _need(row, "effect", where), "effect"),
+            scope=lookup(SCOPES, row.get("group") or "all", "group"),
             memory_span=row.get("memorySpan", 0.0) * MS,
             handshake_target=target,
             message_target=aims[i] * MS if i < len(aims) else target,
@@ -90,7 +90,6 @@
         subscribe=setup.get("discovery") == "subscribe",
         ask_every=rules.get("askEvery", 10.0) * MS,
         cross_price=setup.get("prices", {}).get("crossZone", 0.0),
-        groups=bool(setup.get("specifics", {}).get("groups", False)),
     )
 
 
@@ -101,6 +100,7 @@
         self.listeners = {row["name"]: i for i, row in enumerate(setup["listeners"])}
         self.customers = {row["name"]: i for i, row in enumerate(setup.get("projects") or [])}
         self.zones = {name: i for i, name in enumerate(setup.get("dcs") or [])}
+        self.groups = bool(setup.get("specifics", {}).get("groups", False))
         self.hosts: dict[str, int] = {}
         self.host_names: list[str] = []
         self.sessions: dict[str, int] = {}
@@ -114,7 +114,7 @@
         return index
 
     def known_host(self, name: Any) -> int:
-        return _lookup(self.hosts, name, "host")
+        return lookup(self.hosts, name, "host")
 
     def session(self, name: Any) -> int:
         """The index of a session; -1, which no session has, where it was never given to this node."""
@@ -126,7 +126,7 @@
             raise WireError(f"roster entry without a host: {row!r}")
         return Entry(
             host=self.host(host),
-            state=_lookup(STATES, state, "host state"),
+            state=lookup(STATES, state, "host state"),
             size=1.0 if size is None else size,
             zone=self.zones.get(zone, -1),
             cell=cell or 0,
@@ -143,11 +143,11 @@
         self.session_names.append(corr)
         return Ask(
             session=index,
-            listener=_lookup(self.listeners, qos, "listener"),
+            listener=lookup(self.listeners, qos, "listener"),
             customer=self.customers.get(customer, -1),
             left=budget * MS,
             load=hint * MS if hint is not None and (flags or 0) & HINT_VALID else None,
-            group=None if channel is None else zlib.crc32(str(channel).encode()),
+            group=None if channel is None or not self.groups else zlib.crc32(str(channel).encode()),
         )
 
 
@@ -168,7 +168,7 @@
 
 
 def decode_outcome(ending: Any) -> Outcome:
-    return _lookup(OUTCOMES, ending, "ending")
+    return lookup(OUTCOMES, ending, "ending")
 
 
 def encode(door: Door, act: Action) -> list:
@@ -189,6 +189,4 @@
             return ["setAlarm", round(after / MS, 6), str(token)]
         case Watch():
             return ["tail", True]
-        case Log(text):
-            return ["noteDown", text]
     raise TypeError(f"no wire form for {act!r}")
--- a/caperdeck/simwire/host.py
+++ b/caperdeck/simwire/host.py
@@ -33,7 +33,7 @@
             raise WireError(f"event {name!r} {v!r}: {error}") from error
 
     def roster(self, now: float, v: list) -> list[Action]:
-        scope = codec._lookup(codec.ROSTERS, v[1], "roster scope")
+        scope = codec.lookup(codec.ROSTERS, v[1], "roster scope")
         entries = [self.door.entry(row) for row in (v[2] if len(v) > 2 else None) or []]
         return self.node.roster(now, scope, entries)
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -57,7 +57,7 @@
 def test_a_group_gathers_on_the_same_host_at_every_node():
     hosts = set()
     for seed in (1, 2, 3):
-        n = node(8, groups=True, seed=seed)
+        n = node(8, seed=seed)
         figures(n, [0.3] * 8)
         hosts |= set(placed(n, 5, group=77))
     assert len(hosts) == 1
