Candidates looked at on demand, probes paid by sessions, own part of the fleet's room

Now a session looks at its two candidates where their figure is over 1 s old; own connections' hosts are probed as the sessions taken allow, and on a note of delay; a node fills at the most three times its even part of the room; a cold host's budget is drawn by chance where a part is less than one connection; a report is acted on once, and one draw decides on the connection that does not fit into the share.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -12,6 +12,7 @@
 from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
+from typing import NamedTuple
 
 from .model import (
     NEVER_RAN, Action, Ask, Dial, Effect, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report,
@@ -29,13 +30,17 @@
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
 MOVE_AGE = 5000.0  # connections younger than this are spared
 SETTLE = 2500.0  # a report sooner after moves does not show them yet
-PROBE_EVERY = 2000.0
+PROBE_EVERY = 2000.0  # hosts with own connections; a candidate's figure is fresh for half of it
+FRESH = 1000.0
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
+LOOK_WAIT = 0.25  # of the handshake target: so long a session waits for its candidates' figures
+LOOKS = 3  # so often at the most
 FIGURE_LIFE = 7000.0  # an older figure says nothing
 PILE_LIFE = 1500.0  # so long a note of work piled up holds
 DRAIN = 1500.0  # a pile is to be worked off in so long beside the load
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
-LOOK = 16  # so many hosts of a draw are looked at for two with room
+DRAWS = 16  # so many hosts are drawn for two that may have room
+GROUP_PRIME = 4294967291  # shuffles the hosts' marks for a group
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
 FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
 TICK = 500.0
@@ -48,7 +53,10 @@
 FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
 CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
-COLD_SAFETY = 0.6  # of a node's part of a cold host's budget
+COLD_PART = 0.4  # of a cold host's budget, for all nodes' parts together
+COLD_CALM = 0.3  # of it, up to which the choices of all nodes may come to without a look at the parts
+UNEVEN = 3.0  # times its even share of the fleet's room a node may fill: clients come unevenly
+UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
 TICK_TOKEN = -1
 
 
@@ -59,6 +67,13 @@
     may_have_run: bool = True
 
 
+class _Look(NamedTuple):
+    """A session wants fresh figures of these hosts before it chooses."""
+
+    hosts: list[int]
+    wait: float
+
+
 @dataclass(slots=True, eq=False)
 class _Session:
     id: int
@@ -75,6 +90,8 @@
     present: float | None = None  # the last load note
     smooth: float = 0.0
     noted: float = 0.0
+    looking: set[int] = field(default_factory=set)  # hosts whose figures it waits for
+    wakes: float = 0.0  # and until when, at the most
     run: Generator | None = None
 
 
@@ -99,19 +116,31 @@
         self.standing: list[dict[int, _Session]] = []
         self.figure: list[float | None] = []  # load over capacity, as last probed
         self.figure_at: list[float] = []
-        self.probe_at: list[float] = []  # when to probe next
+        self.seen_at: list[float] = []  # the last answer to a probe
+        self.lookers: list[list[int]] = []  # sessions that wait for the host's figure
         self.probe_out: list[float] = []  # when the probe that is out was sent, 0 if none is
         self.pile: list[float] = []  # work piled up, as last noted, and when
         self.pile_at: list[float] = []
-        self.moved_at: list[float] = []
+        self.acted_at: list[float] = []  # when a report was last acted upon
         self.added: list[list[tuple[float, float]]] = []  # own load sent since the last report
         self.extra: list[float] = []  # its sum
         self.ill: list[float] = []
         self.shunned: list[float] = []  # until when
-        self.tokens: list[float] = []  # cold budget left, in load
+        self.tokens: list[float] = []  # own part of a cold host's budget saved, in load, and when
         self.tokens_at: list[float] = []
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
         self.running: list[int] = []
+        self.near: list[int] = []  # of these the ones in the own zone, and the others
+        self.far: list[int] = []
+        self.mine: dict[int, None] = {}  # hosts with own standing connections
+        self.known: dict[int, None] = {}  # hosts with a figure that is not too old, oldest first
+        self.ailing: dict[int, None] = {}  # hosts that look ill
+        self.whole_size = 0.0
+        self.purse = 0.0  # probes that the sessions taken allow
+        self.choices = 0.0  # load that own sessions chose hosts for in about the last fall span
+        self.part = math.inf  # the own part of the fleet's room, whole and
+        self.spare = math.inf  # not yet taken
+        self.open = 1.0  # hosts held to have room
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
         self.mean_hint = 0.0
@@ -155,6 +184,9 @@
         running = [h for h, state in enumerate(self.state) if state is HostState.RUNNING]
         if running != self.running:
             self.running, self.orders = running, {}
+            self.near = [h for h in running if self.zone[h] == self.set.zone]
+            self.far = [h for h in running if self.zone[h] != self.set.zone]
+            self.whole_size = sum(self.size[h] for h in running)
         return self._done()
 
     def _enter(self, now: float, e: Entry) -> None:
@@ -164,19 +196,18 @@
                 (self.state, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
                 (self.mark, 0), (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}),
                 (self.added, []), (self.extra, 0.0), (self.pile, 0.0), (self.pile_at, -math.inf),
-                (self.figure, None), (self.figure_at, -math.inf), (self.probe_at, math.inf),
-                (self.probe_out, 0.0), (self.moved_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
-                (self.tokens, 0.0), (self.tokens_at, now),
+                (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
+                (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
+                (self.lookers, []), (self.tokens, 0.0), (self.tokens_at, now),
             ):  # fmt: skip
                 array.append(blank)
         if e.state is HostState.RUNNING and (self.state[h] is HostState.GONE or e.born > self.born[h]):
             # Danger: a restarted process looks like the old one; what was known of that one is void.
             self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
+            self.seen_at[h], self.probe_out[h] = -math.inf, 0.0
             self.tokens[h], self.tokens_at[h] = 0.0, now
-            self.probe_at[h], self.probe_out[h] = now + PROBE_EVERY * self._chance(), 0.0
-            self.size[h] = 0.0
-        # a listed size may be lowered by what the host holds: the largest seen is nearest the host's own
-        self.size[h] = max(self.size[h], e.size) or 1.0
+        # a listed size that is lowered by what the host holds says little of the host's own
+        self.size[h] = e.size or 1.0 if self.set.sizes_stand else 1.0
         self.state[h], self.zone[h], self.cell[h], self.born[h] = e.state, e.zone, e.cell, e.born
         self.mark[h] = e.mark
 
@@ -187,20 +218,28 @@
             return 1.0
         return self.set.cold_from + (1 - self.set.cold_from) * max(age, 0.0) / self.set.warm_after
 
-    def _budget(self, now: float, h: int) -> float:
-        """Cold budget of this node for a host as it stands now, in load sent."""
-        set_ = self.set
+    def _cold_right(self, now: float, s: _Session, h: int) -> bool:
+        """Whether a session may go to a cold host, so that all nodes together keep the host's budget."""
         # a cold host takes new load no faster than would fill it over its warm-up
-        fill = self.unit * self.size[h] / set_.warm_after or self.mean_hint / set_.fall_span
-        part = COLD_SAFETY * set_.fall_multiple * self._warmth(now, h) * fill / set_.nodes
-        most = max(part * set_.fall_span, self.mean_hint)
-        self.tokens[h] = min(self.tokens[h] + part * (now - self.tokens_at[h]), most)
-        self.tokens_at[h] = now
-        return self.tokens[h]
+        fill = self.unit * self.size[h] / self.set.warm_after or self.mean_hint / self.set.fall_span
+        budget = self.set.fall_multiple * self._warmth(now, h) * fill
+        # this node's part of it, with the chance of one connection where it is less than one
+        part = COLD_PART * budget / self.set.nodes
+        saved = min(self.tokens[h] + part * (now - self.tokens_at[h]), part * self.set.fall_span)
+        self.tokens[h], self.tokens_at[h] = min(saved, 0.0), now
+        # Danger: where nodes are many, none sees what the others send: each takes them to choose as often as
+        # it does. The square bounds the sum at twice the budget however steep a wave comes.
+        likely = self.set.nodes * self.choices * min(2 / self.open, 1.0)
+        calm = COLD_CALM * budget * self.set.fall_span / likely if likely else 1.0
+        if saved > 0 and self._chance() * self.mean_hint < saved:
+            self.tokens[h] = max(saved, self.mean_hint) - s.weight
+            return True
+        return calm >= 1 or self._chance() < calm * calm
 
     def _failed(self, now: float, h: int) -> None:
         self.ill[h] = min(self.ill[h] + 1, 8.0)
         if self.ill[h] >= ILL:
+            self.ailing[h] = None
             span = min(SHUN * 2 ** (self.ill[h] - ILL), SHUN_MOST)
             self.shunned[h] = now + span * (0.75 + self._chance() / 2)
 
@@ -217,11 +256,14 @@
             return []
         if kind is Note.MESSAGE_DELAY:
             if s.stands is not None:
-                self.pile[s.dials[-1].host], self.pile_at[s.dials[-1].host] = value, now
+                h = s.dials[-1].host
+                self.pile[h], self.pile_at[h] = value, now
+                if now - max(self.seen_at[h], self.acted_at[h] + SETTLE - FRESH) > FRESH:
+                    self._probe(now, h)
         else:
             s.smooth = value if s.present is None and s.usual is None else self._forecast(now, s)
             s.present, s.noted = value, now
-        return []
+        return self._done()
 
     def _forecast(self, now: float, s: _Session) -> float:
         """Smoothed mean of the session's load notes, else its usual load, else the mean of what is known."""
@@ -231,48 +273,63 @@
 
     # ---- placement
 
-    def _place(self, now: float, s: _Session) -> int:
+    def _choose(self, s: _Session) -> Generator[_Look, None, int]:
         """The lesser-loaded of two random hosts that may be sent to and have room; -1 if there is none."""
-        tried = [d.host for d in s.dials]
-        for avoid in (tried, []) if tried else ([],):
-            for room, draw in self._draws(s):
-                found = []
-                for h in islice(draw, LOOK):
-                    if h not in avoid and self._fit(now, h, room) and self._passes(now, s, h):
-                        found.append(h)
-                        if len(found) == 2:
-                            break
-                if found:
-                    margin = 0.0 if s.group is None else GROUP_MARGIN
-                    loads = [self._load(now, h) for h in found]
-                    return found[-1] if loads[-1] + margin < loads[0] else found[0]
+        # Danger: many nodes see the same room in one report; each filling it would overfill it many times.
+        if self.spare <= 0:
+            return -1
+        self.choices += s.weight
+        looks = 0
+        wait = LOOK_WAIT * self.set.listeners[s.listener].handshake_target
+        margin = 0.0 if s.group is None else GROUP_MARGIN
+        for room, draw in self._draws(s):
+            while pair := list(islice((h for h in draw if self._fit(s, h, room)), 2)):
+                old = [h for h in pair if self._old(h)]
+                if old and looks == LOOKS:
+                    return -1
+                if old:
+                    looks += 1
+                    yield _Look(old, wait)
+                    pair = [h for h in pair if not self._old(h) and self._fit(s, h, room)]
+                if len(pair) == 2 and self._load(self.now, pair[1]) + margin < self._load(self.now, pair[0]):
+                    pair.reverse()
+                for h in pair:
+                    if self._passes(self.now, s, h):
+                        return h
         return -1
 
-    def _fit(self, now: float, h: int, room: float) -> bool:
+    def _old(self, h: int) -> bool:
+        return self.set.may_probe and self.now - self.seen_at[h] > FRESH
+
+    def _fit(self, s: _Session, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        return self._well(now, h) and self._load(now, h) < room
+        if not self._allowed(self.now, s, h) or not self._well(self.now, h):
+            return False
+        # Danger: in a full fleet the mean is full too; a host nobody has looked at yet would stay empty.
+        unseen = self._figure(self.now, h) is None and self._old(h)
+        return unseen or self._load(self.now, h) < room
 
     def _draws(self, s: _Session) -> Iterator[tuple[float, Iterator[int]]]:
         """Levels to be under and hosts as drawn; the own zone first where leaving it has a price."""
         if s.group is not None:
             # every host that holds one of a group pays for the group: all nodes draw the same two for it
             if s.group not in self.orders:
-                self.orders[s.group] = sorted(self.running, key=lambda h: self._mix(s.group, self.mark[h]))
+                marked = [(s.group * self.mark[h] % GROUP_PRIME, h) for h in self.running]
+                self.orders[s.group] = [h for _, h in sorted(marked)[:DRAWS]]
             yield ROOM, iter(self.orders[s.group])
         elif self.set.cross_price:
-            yield ROOM_NEAR, self._shuffled([h for h in self.running if self.zone[h] == self.set.zone])
-            yield ROOM, self._shuffled([h for h in self.running if self.zone[h] != self.set.zone])
+            yield ROOM_NEAR, self._drawn(self.near)
+            yield ROOM, self._drawn(self.far)
         else:
-            yield ROOM, self._shuffled(list(self.running))
-
-    def _mix(self, group: int, mark: int) -> int:
-        return zlib.crc32((group * mark).to_bytes(8, "little"))
+            yield ROOM, self._drawn(self.running)
 
-    def _shuffled(self, hosts: list[int]) -> Iterator[int]:
-        for i in range(len(hosts)):
+    def _drawn(self, hosts: list[int]) -> Iterator[int]:
+        """Up to DRAWS of the hosts, in random order; the list is not touched."""
+        swapped: dict[int, int] = {}
+        for i in range(min(len(hosts), DRAWS)):
             j = i + int(self._chance() * (len(hosts) - i))
-            hosts[i], hosts[j] = hosts[j], hosts[i]
-            yield hosts[i]
+            yield hosts[swapped.get(j, j)]
+            swapped[j] = swapped.get(i, i)
 
     def _load(self, now: float, h: int) -> float:
         """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
@@ -300,20 +357,32 @@
         return self.pile[h] / DRAIN if now - self.pile_at[h] < PILE_LIFE else 0.0
 
     def _survey(self, now: float) -> None:
-        """The fleet as the reports show it: its mean load, and what load fills a host of size 1."""
-        self.most_ill = 2 * sum(self.ill[h] >= ILL for h in self.running) > len(self.running)
-        known = [(f, h) for h in self.running if (f := self._figure(now, h)) is not None]
+        """The fleet as the reports show it: mean load, what fills a host of size 1, the own share of room."""
+        while self.known and now - self.figure_at[oldest := next(iter(self.known))] >= FIGURE_LIFE:
+            del self.known[oldest]
+        self.ailing = {h: None for h in self.ailing if self.ill[h] >= ILL}
+        known = [(self.figure[h], h) for h in self.known if self.figure[h] is not None]
+        met = dict.fromkeys([*self.known, *self.ailing])
+        self.most_ill = 2 * sum(self.ill[h] >= ILL for h in met) > len(met)
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
-        asked = sum(f * self.size[h] for f, h in known)
-        own = sum(self._forecast(now, s) for _, h in known for s in self.standing[h].values())
-        self.unit = self.set.nodes * own / asked if asked > 0 else 0.0
-
-    def _full(self, now: float, h: int) -> None:
-        """Holds a host to be at full load until the next report."""
-        self._know(now, h, max(self._figure(now, h) or 0.0, FULL_LOAD))
+        if not known:
+            self.part = self.spare = math.inf
+            return
+        own = sum(self._forecast(now, s) for h in self.mine for s in self.standing[h].values())
+        if own and self.mean_figure:
+            unit = self.set.nodes * own / (self.mean_figure * self.whole_size)
+            self.unit += (unit - self.unit) * (UNIT_SMOOTH if self.unit else 1.0)
+        rooms = [max(ROOM - f - self._pile(now, h), 0.0) for f, h in known]
+        if self.unit:
+            share = self.unit * self.whole_size * min(UNEVEN / self.set.nodes, 1.0)
+            self.part = share * sum(rooms) / len(rooms)
+            self.spare = min(self.spare + self.part * TICK / REPORT_LAG, self.part)
+        self.open = max(len(self.running) * sum(r > 0 for r in rooms) / len(rooms), 1.0)
 
     def _know(self, now: float, h: int, figure: float) -> None:
         self.figure[h], self.figure_at[h] = figure, now
+        self.known.pop(h, None)
+        self.known[h] = None
         self.added[h] = [x for x in self.added[h] if x[0] > now - REPORT_LAG]
         self.extra[h] = sum(load for _, load in self.added[h])
 
@@ -324,6 +393,11 @@
     # ---- send gate: every dial passes here, and each rule stands here and nowhere else
 
     def _passes(self, now: float, s: _Session, h: int) -> bool:
+        if not self._allowed(now, s, h):
+            return False
+        return self._warmth(now, h) >= 1 or self._cold_right(now, s, h)
+
+    def _allowed(self, now: float, s: _Session, h: int) -> bool:
         if s.answered or now >= s.deadline or s.out or len(s.dials) >= self.set.max_dials:
             return False
         if self.state[h] is not HostState.RUNNING:
@@ -335,8 +409,6 @@
                 return False
             if not self._same_group(listener.scope, ran.host, h):
                 return False
-        if self._warmth(now, h) < 1:
-            return self._budget(now, h) >= min(s.weight, self.mean_hint)
         return True
 
     def _same_group(self, scope: Scope, a: int, b: int) -> bool:
@@ -345,9 +417,8 @@
 
     def _may_refuse(self, s: _Session) -> bool:
         listener = self.set.listeners[s.listener]
-        if listener.effect is Effect.REPEATABLE or not any(d.may_have_run for d in s.dials):
-            return True
-        return listener.effect is Effect.REFERENCED and listener.scope is Scope.ALL
+        harmless = listener.effect is Effect.REFERENCED and listener.scope is Scope.ALL
+        return harmless or listener.effect is Effect.REPEATABLE or not any(d.may_have_run for d in s.dials)
 
     # ---- sessions
 
@@ -364,15 +435,20 @@
         s.stands, s.out, s.answered = now - MOVE_AGE, True, True
         s.dials.append(_Sent(h, now))
         self.held[h] += 1
-        self.standing[h][s.id] = s
+        self._stand(s, h)
         return []
 
+    def _stand(self, s: _Session, h: int) -> None:
+        self.standing[h][s.id] = s
+        self.mine[h] = None
+
     def _new(self, now: float, a: Ask) -> _Session:
         load = 1.0 if a.load is None else a.load
         self.mean_hint += (load - self.mean_hint) * (0.02 if self.mean_hint else 1.0)
         weight = max(load, self.mean_hint)
         s = _Session(a.session, a.listener, now, now + a.left, a.load, weight, a.group)
         s.smooth = a.load or 0.0
+        self.purse += 1
         self.sessions[s.id] = s
         return s
 
@@ -380,7 +456,7 @@
         """One session, from its ask to its answer; a stream's end needs no decision."""
         target = self.set.listeners[s.listener].handshake_target
         while True:
-            h = self._place(self.now, s)
+            h = yield from self._choose(s)
             if h >= 0:
                 time_out = FIRST_TIME_OUT * target * TIME_OUT_GROWTH ** len(s.dials)
                 if len(s.dials) + 1 >= self.set.max_dials:
@@ -403,11 +479,17 @@
             act = s.run.send(result)
         except StopIteration:
             return
+        if isinstance(act, _Look):
+            for h in act.hosts:
+                self._probe(self.now, h)
+                self.lookers[h].append(s.id)
+            s.looking, s.wakes = set(act.hosts), self.now + act.wait
+            self.acts.append(Wake(act.wait, s.id))
+            return
         self.acts.append(act)
         if isinstance(act, Dial):
             h = act.host
-            if self._warmth(self.now, h) < 1:
-                self.tokens[h] -= s.weight
+            self.spare -= self._forecast(self.now, s)
             s.dials.append(_Sent(h, self.now))
             s.out = True
             self.held[h] += 1
@@ -424,7 +506,7 @@
         h = s.dials[-1].host
         s.stands, s.answered = now, True
         self.dialing[h] -= 1
-        self.standing[h][sid] = s
+        self._stand(s, h)
         self.ill[h] /= 2
         return []
 
@@ -438,12 +520,13 @@
         self.held[h] -= 1
         if s.stands is None:
             self.dialing[h] -= 1
-        self.standing[h].pop(sid, None)
+        if self.standing[h].pop(sid, None) and not self.standing[h]:
+            del self.mine[h]
         if self.state[h] is HostState.RUNNING:
             if result in FAILURES:
                 self._failed(now, h)
             if result in CROWDED:
-                self._full(now, h)
+                self._know(now, h, max(self._figure(now, h) or 0.0, FULL_LOAD))  # until the next report
         if last or s.answered:
             s.answered = True
             del self.sessions[sid]
@@ -468,7 +551,8 @@
             self._tick(now)
         else:
             s = self.sessions.get(token)
-            if s is not None and not s.answered and not s.out:
+            if s is not None and not s.answered and not s.out and now >= s.wakes:
+                s.looking.clear()
                 self._go_on(s, None)
         return self._done()
 
@@ -479,31 +563,52 @@
         if now >= self.watch_at:
             self.watch_at = math.inf
             self.acts.append(Watch())
+        self.choices *= self.set.fall_span / (self.set.fall_span + TICK)
         self._survey(now)
-        for h in self.running:
-            if now < self.probe_at[h] or (self.probe_out[h] and now - self.probe_out[h] < PROBE_LOST):
-                continue
-            self.probe_at[h] = now + PROBE_EVERY
-            if self.set.may_probe:
-                self.probe_out[h] = now
-                self.acts.append(Probe(h))
-            else:
+        self.purse = min(self.purse + TICK / PROBE_EVERY, len(self.mine) + 1)
+        for h in sorted(self.mine, key=lambda h: (self.seen_at[h], h)):
+            if now - self.seen_at[h] < PROBE_EVERY or self.purse < 1:
+                break
+            if not self.set.may_probe:
+                self.seen_at[h] = now
                 self._by_count(now, h)
+            elif self.state[h] is HostState.RUNNING and self._probe(now, h):
+                self.purse -= 1
+
+    def _probe(self, now: float, h: int) -> bool:
+        if not self.set.may_probe or (self.probe_out[h] and now - self.probe_out[h] < PROBE_LOST):
+            return False
+        self.probe_out[h] = now
+        self.acts.append(Probe(h))
+        return True
 
     def probed(self, now: float, h: int, result: Outcome, report: Report | None) -> list[Action]:
         self.now = now
         self.probe_out[h] = 0.0
-        if self.state[h] is not HostState.RUNNING:
-            return []
-        if result is not Outcome.GOOD:
-            self._failed(now, h)
-            return []
+        if result is Outcome.GOOD:
+            self.seen_at[h] = now
+        if self.state[h] is HostState.RUNNING:
+            if result is Outcome.GOOD:
+                self._learn(now, h, report)
+            else:
+                self._failed(now, h)
+        waiting, self.lookers[h] = self.lookers[h], []
+        for sid in waiting:
+            s = self.sessions.get(sid)
+            if s is not None and h in s.looking:
+                s.looking.discard(h)
+                if not s.looking and not s.answered and not s.out:
+                    s.wakes = now
+                    self._go_on(s, None)
+        return self._done()
+
+    def _learn(self, now: float, h: int, report: Report | None) -> None:
         figure = None if report is None else report.load
         if figure is None and report is not None and report.piled is not None:
             figure = report.piled / min(c.message_target for c in self.set.listeners)
         if figure is None:
             self._by_count(now, h)
-            return self._done()
+            return
         last, span = self._figure(now, h), now - self.figure_at[h]
         rise = max(figure - last, 0.0) / span if last is not None and span > 0 else 0.0
         self._know(now, h, figure)
@@ -511,7 +616,6 @@
         threshold = max(min(TRIGGER, FULL_LOAD - rise * LANDING), TRIGGER_LEAST)
         if figure > threshold:
             self._relieve(now, h, (figure - threshold) / figure, figure > FULL_LOAD)
-        return self._done()
 
     def _by_count(self, now: float, h: int) -> None:
         """Without a figure: the connection count against the mean."""
@@ -522,23 +626,22 @@
     def _relieve(self, now: float, h: int, share: float, over: bool) -> None:
         """Moves the connections of the highest forecast off a host, up to the share of the own load there."""
         # Danger: the report may be older than the last moves, whose load would be moved twice.
-        if now - self.moved_at[h] < SETTLE:
+        if now - self.acted_at[h] < SETTLE:
             return
+        self.acted_at[h] = now
         loads = [(self._forecast(now, s), s.id, s) for s in self.standing[h].values()]
         left = share * sum(load for load, _, _ in loads)
         # Danger: with nowhere better to go, moved connections come back to hosts as full; past full load,
         # where nobody is served, they are moved all the same and refused until there is room.
-        room = sum(max(TRIGGER - self._load(now, i), 0.0) * self.size[i] for i in self.running if i != h)
-        room = room * self.unit / self.set.nodes if self.unit else math.inf
+        room = self.part
         for load, sid, s in sorted(loads, key=lambda x: (-x[0], x[1])):
             if left <= 0:
                 break
             if now - s.stands >= MOVE_AGE and (load <= room or over):
                 # Danger: many nodes with few connections each would clear a host by rounding their share up.
                 if load > left and self._chance() * load > left:
-                    continue
+                    break
                 left -= load
                 room -= load
                 self._add(now, h, -load)
-                self.moved_at[h] = now
                 self.acts.append(Move(sid))
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -89,6 +89,7 @@
     subscribe: bool
     ask_every: float
     cross_price: float
+    sizes_stand: bool
 
 
 class Entry(NamedTuple):
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -90,6 +90,7 @@
         subscribe=setup.get("discovery") == "subscribe",
         ask_every=rules.get("askEvery", 10.0) * MS,
         cross_price=setup.get("prices", {}).get("crossZone", 0.0),
+        sizes_stand=setup.get("weights") in ("nominal", "rough"),
     )
 
 
