--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -25,6 +25,7 @@
 TRIGGER_LEAST = 0.6  # the lowest that a steep rise can push it
 ROOM = 0.67  # nothing new goes to a host at or above this
 ROOM_NEAR = 0.75  # the same for the own zone, where leaving it has a price
+LESSER = 0.0  # so much lower is the level for a listener whose utility is next to nothing
 LANDING = 1000.0  # from a move until the moved load has gone
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
 MOVE_AGE = 2000.0  # connections younger than this are spared
@@ -55,7 +56,7 @@
 BACK_OFF = 500.0
 COLD_PART = 0.4  # of a cold host's budget, for all nodes' parts together
 COLD_CALM = 0.3  # of it, up to which the choices of all nodes may come to without a look at the parts
-UNEVEN = 3.0  # times its even share of the fleet's room a node may fill: clients come unevenly
+UNEVEN = 1.5  # times its even share of the fleet's room a node may fill: clients come unevenly
 UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
 SLACK = 1.0  # a bell may ring so much early by the rounding of its time
 TICK_TOKEN = -1
@@ -122,6 +123,8 @@
         self.shunned: list[float] = []  # until when
         self.tokens: list[float] = []  # own part of a cold host's budget saved, in load, and when
         self.tokens_at: list[float] = []
+        most = max(c.utility for c in settings.listeners) or 1.0
+        self.lesser = [LESSER * (1 - c.utility / most) for c in settings.listeners]
         self.shortest = min(c.message_target for c in settings.listeners)
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
         self.running: list[int] = []
@@ -282,7 +285,8 @@
         self.choices += s.weight
         looks = 0
         margin = 0.0 if s.group is None else GROUP_MARGIN
-        for room, draw in self._draws(s):
+        lesser = self.lesser[s.listener]
+        for room, draw in ((room - lesser, draw) for room, draw in self._draws(s)):
             while pair := list(islice((h for h in draw if self._fit(s, h, room)), 2)):
                 old = [h for h in pair if self._old(h)]
                 if old and looks == LOOKS:
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -69,6 +69,7 @@
     memory_span: float
     handshake_target: float
     message_target: float
+    utility: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -71,6 +71,7 @@
             memory_span=row.get("memorySpan", 0.0) * MS,
             handshake_target=target,
             message_target=aims[i] * MS if i < len(aims) else target,
+            utility=row.get("utility", 1.0),
         ))  # fmt: skip
     zones = setup.get("dcs", [])
     return Settings(
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,7 +7,7 @@
 
 
 def settings(effect=Effect.REPEATABLE, scope=Scope.ALL, **changes) -> Settings:
-    listener = Listener(effect, scope, 5000.0, 300.0, 100.0)
+    listener = Listener(effect, scope, 5000.0, 300.0, 100.0, 1.0)
     values = {
         "seed": 7, "nodes": 3, "zone": 0, "listeners": (listener,), "max_dials": 5, "may_withdraw": True,
         "may_probe": True, "back_off": True, "max_back_off": 1000.0, "cold_from": 0.3, "warm_after": 8000.0,
