Room kept for higher utility where few hosts have any; cold budget by saved parts alone

The level for a listener of lesser utility is now lowered by 0.4 times the share of hosts without room times what its utility lacks of the highest. The chance by own choices beside the saved parts of a cold budget was idle and is gone.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -25,7 +25,7 @@
 TRIGGER_LEAST = 0.6  # the lowest that a steep rise can push it
 ROOM = 0.67  # nothing new goes to a host at or above this
 ROOM_NEAR = 0.75  # the same for the own zone, where leaving it has a price
-LESSER = 0.0  # so much lower is the level for a listener whose utility is next to nothing
+LESSER = 0.4  # of full load lower, where nearly no host has room, is the level for next to no utility
 LANDING = 1000.0  # from a move until the moved load has gone
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
 MOVE_AGE = 2000.0  # connections younger than this are spared
@@ -54,8 +54,7 @@
 FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
 CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
-COLD_PART = 0.4  # of a cold host's budget, for all nodes' parts together
-COLD_CALM = 0.3  # of it, up to which the choices of all nodes may come to without a look at the parts
+COLD_PART = 0.6  # of a cold host's budget, for all nodes' parts together
 UNEVEN = 1.5  # times its even share of the fleet's room a node may fill: clients come unevenly
 UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
 SLACK = 1.0  # a bell may ring so much early by the rounding of its time
@@ -134,10 +133,9 @@
         self.ailing: dict[int, None] = {}  # hosts that look ill
         self.whole_size = 0.0
         self.purse = 0.0  # probes that the sessions taken allow
-        self.choices = 0.0  # load that own sessions chose hosts for in about the last fall span
         self.part = math.inf  # the own part of the fleet's room, whole and
         self.spare = math.inf  # not yet taken
-        self.open = 1.0  # hosts held to have room
+        self.scarce = 0.0  # of the hosts, as far as seen, so many have no room
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
         self.mean_hint = 0.0
@@ -217,18 +215,15 @@
         # a cold host takes new load no faster than would fill it over its warm-up
         fill = self.unit * self.size[h] / self.set.warm_after or self.mean_hint / self.set.fall_span
         budget = self.set.fall_multiple * self._warmth(now, h) * fill
-        # this node's part of it, with the chance of one connection where it is less than one
+        # Danger: where nodes are many a part is less than one connection, and all nodes sending the first one
+        # would push the host over: the part saved then buys a chance, and a draw spends it either way.
         part = COLD_PART * budget / self.set.nodes
         saved = min(self.tokens[h] + part * (now - self.tokens_at[h]), part * self.set.fall_span)
         self.tokens[h], self.tokens_at[h] = min(saved, 0.0), now
-        # Danger: where nodes are many, none sees what the others send: each takes them to choose as often as
-        # it does. The square bounds the sum at twice the budget however steep a wave comes.
-        likely = self.set.nodes * self.choices * min(2 / self.open, 1.0)
-        calm = COLD_CALM * budget * self.set.fall_span / likely if likely else 1.0
-        if saved > 0 and self._chance() * self.mean_hint < saved:
-            self.tokens[h] = max(saved, self.mean_hint) - s.weight
-            return True
-        return calm >= 1 or self._chance() < calm * calm
+        if saved <= self._chance() * self.mean_hint:
+            return False
+        self.tokens[h] = max(saved, self.mean_hint) - s.weight
+        return True
 
     def _failed(self, now: float, h: int) -> None:
         self.ill[h] = min(self.ill[h] + 1, 8.0)
@@ -282,11 +277,9 @@
         # Danger: many nodes see the same room in one report; each filling it would overfill it many times.
         if self.spare <= 0:
             return -1
-        self.choices += s.weight
         looks = 0
         margin = 0.0 if s.group is None else GROUP_MARGIN
-        lesser = self.lesser[s.listener]
-        for room, draw in ((room - lesser, draw) for room, draw in self._draws(s)):
+        for room, draw in self._draws(s):
             while pair := list(islice((h for h in draw if self._fit(s, h, room)), 2)):
                 old = [h for h in pair if self._old(h)]
                 if old and looks == LOOKS:
@@ -315,16 +308,18 @@
 
     def _draws(self, s: _Session) -> Iterator[tuple[float, Iterator[int]]]:
         """Levels to be under and hosts as drawn; the own zone first where leaving it has a price."""
+        # the fewer hosts have room, the more of it is kept for the sessions of the highest utility
+        room = ROOM - self.lesser[s.listener] * self.scarce
         if s.group is not None:
             # every host that holds one of a group pays for the group: all nodes draw the same two for it
             if s.group not in self.orders:
                 marked = [(s.group * self.mark[h] % GROUP_PRIME, h) for h in self.running]
                 self.orders[s.group] = [h for _, h in sorted(marked)[:DRAWS]]
-            yield ROOM, iter(self.orders[s.group])
+            yield room, iter(self.orders[s.group])
             return
         if self.set.cross_price:
             yield ROOM_NEAR, self._drawn(self.near)
-        yield ROOM, self._drawn(self.running)
+        yield room, self._drawn(self.running)
 
     def _drawn(self, hosts: list[int]) -> Iterator[int]:
         """Up to DRAWS of the hosts, in random order; the list is not touched."""
@@ -378,7 +373,7 @@
             share = self.unit * self.whole_size * min(UNEVEN / self.set.nodes, 1.0)
             self.part = share * sum(rooms) / len(rooms)
             self.spare = min(self.spare + self.part * TICK / REPORT_LAG, self.part)
-        self.open = max(len(self.running) * sum(r > 0 for r in rooms) / len(rooms), 1.0)
+        self.scarce = sum(r == 0 for r in rooms) / len(rooms)
 
     def _know(self, now: float, h: int, figure: float) -> None:
         self.figure[h], self.figure_at[h] = figure, now
@@ -560,7 +555,6 @@
         if now >= self.watch_at:
             self.watch_at = math.inf
             self.acts.append(Watch())
-        self.choices *= self.set.fall_span / (self.set.fall_span + TICK)
         self._survey(now)
         self.purse = min(self.purse + TICK / PROBE_EVERY, len(self.mine) + 1)
         for h in sorted(self.mine, key=lambda h: (self.seen_at[h], h)):
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,7 +1,9 @@
 """Placement, forecasts, probes and moves."""
 
+from dataclasses import replace
+
 import pytest
-from helpers import START, ask, dials, entry, figures, node, standing
+from helpers import START, ask, dials, entry, figures, node, settings, standing
 
 from caperdeck.core.model import Move, Note, Outcome, Probe, Refuse, Report
 
@@ -38,6 +40,16 @@
     assert [type(a) for a in acts] == [Refuse]
 
 
+def test_where_few_hosts_have_room_it_is_kept_for_the_higher_utility():
+    high = settings().listeners[0]
+    n = node(4, listeners=(high, replace(high, utility=0.2)))
+    figures(n, [0.8, 0.8, 0.8, 0.5])
+    assert not dials(n.ask(START, ask(1)._replace(listener=1, left=50.0)))
+    assert dials(n.ask(START, ask(2)))[0].host == 3
+    figures(n, [0.4, 0.4, 0.4, 0.8])
+    assert dials(n.ask(START, ask(3)._replace(listener=1)))
+
+
 def test_work_piled_up_counts_as_load():
     n = node(2)
     figures(n, [0.5, 0.5])
