--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -300,11 +300,10 @@
 
     def _fit(self, s: _Session, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        if not self._allowed(self.now, s, h) or not self._well(self.now, h):
-            return False
         # Danger: in a full fleet the mean is full too; a host nobody has looked at yet would stay empty.
         unseen = self._figure(self.now, h) is None and self._old(h)
-        return unseen or self._load(self.now, h) < room
+        roomy = unseen or self._load(self.now, h) < room
+        return roomy and self._well(self.now, h) and self._allowed(self.now, s, h)
 
     def _draws(self, s: _Session) -> Iterator[tuple[float, Iterator[int]]]:
         """Levels to be under and hosts as drawn; the own zone first where leaving it has a price."""
@@ -313,8 +312,9 @@
         if s.group is not None:
             # every host that holds one of a group pays for the group: all nodes draw the same two for it
             if s.group not in self.orders:
-                marked = [(s.group * self.mark[h] % GROUP_PRIME, h) for h in self.running]
-                self.orders[s.group] = [h for _, h in sorted(marked)[:DRAWS]]
+                group, marks = s.group, self.mark
+                mixed = sorted([(group * marks[h] % GROUP_PRIME) << 20 | h for h in self.running])
+                self.orders[group] = [x & 0xFFFFF for x in mixed[:DRAWS]]
             yield room, iter(self.orders[s.group])
             return
         if self.set.cross_price:
@@ -341,7 +341,7 @@
 
     def _count_load(self, h: int) -> float:
         """Without figures: own connections for the host's size, below every threshold; unused is the mean."""
-        mean = sum(self.held) / (sum(self.size[i] for i in self.running) or 1.0)
+        mean = sum(self.held) / (self.whole_size or 1.0)
         own = self.held[h] / self.size[h] or mean
         return own / (own + mean) * 0.5 if own else 0.0
 
@@ -610,7 +610,7 @@
 
     def _by_count(self, now: float, h: int) -> None:
         """Without a figure: the connection count against the mean."""
-        mean = sum(self.held[i] for i in self.running) / max(len(self.running), 1)
+        mean = sum(self.held) / max(len(self.running), 1)
         if self.held[h] > COUNT_TRIGGER * mean:
             self._relieve(now, h, 1 - COUNT_TRIGGER * mean / self.held[h], False, SETTLE)
 
