A look takes at most half of the time that a client has left

Found in reading: a try with less time left than a look waits would have been answered after its dial timeout.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -31,8 +31,8 @@
 MOVE_AGE = 2000.0  # connections younger than this are spared
 SETTLE = 2500.0  # a report sooner after moves does not show them yet
 NOTE_SETTLE = 900.0  # a note of work piled up is not late: it shows all but the moves just before
-PROBE_EVERY = 2000.0  # hosts with own connections; a candidate's figure is fresh for half of it
-FRESH = 1000.0
+PROBE_EVERY = 2000.0  # hosts with own connections, as far as the sessions taken pay for it
+FRESH = 1000.0  # a candidate whose figure is older is looked at first
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
 LOOK_WAIT = 0.25  # of the handshake target: so long a session waits for its candidates' figures
 LOOKS = 3  # so often at the most
@@ -476,7 +476,9 @@
             for (h,) in act:
                 self._probe(self.now, h)
                 self.lookers[h].append(s.id)
-            act = Wake(LOOK_WAIT * self.set.listeners[s.listener].handshake_target, s.id)
+            wait = LOOK_WAIT * self.set.listeners[s.listener].handshake_target
+            # Danger: a client with little time left would go unanswered while its node looks.
+            act = Wake(min(wait, (s.deadline - self.now) / 2), s.id)
         self.acts.append(act)
         if isinstance(act, Wake):
             s.wakes = self.now + act.after - SLACK
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -75,6 +75,16 @@
     assert dials(n.bell(START + wake.after - 0.001, wake.token))[0].host == 1
 
 
+def test_a_look_leaves_a_client_in_a_hurry_time_for_its_answer():
+    n = node(9)
+    n.seen_at = [-1e9] * 9
+    now, acts = START, n.ask(START, ask(1, left=30.0))
+    while not isinstance(acts[-1], Refuse):
+        now += acts[-1].after
+        assert now < START + 31
+        acts = n.bell(now, 1)
+
+
 def test_a_host_nobody_looked_at_is_found_though_the_mean_is_full():
     n = node(3)
     figures(n, [0.9, 0.9, None])
