--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -29,7 +29,7 @@
 LANDING = 1000.0  # from a move until the moved load has gone
 COUNT_TRIGGER = 1.5  # without figures: this multiple of the mean count
 MOVE_AGE = 2000.0  # connections younger than this are spared
-SETTLE = 2500.0  # a report sooner after moves does not show them yet
+SETTLE = 2500.0  # a report sooner after the last one acted on does not show its moves yet
 NOTE_SETTLE = 900.0  # a note of work piled up is not late: it shows all but the moves just before
 PROBE_EVERY = 2000.0  # hosts with own connections, as far as the sessions taken pay for it
 FRESH = 1000.0  # a candidate whose figure is older is looked at first
@@ -240,6 +240,7 @@
     # ---- forecasts
 
     def note(self, now: float, sid: int, kind: Note, value: float) -> list[Action]:
+        self.now = now
         s = self.sessions.get(sid)
         if s is None:
             return []
@@ -258,10 +259,9 @@
         self.pile[h], self.pile_at[h] = pile, now
         # Danger: a burst on standing connections overfills every host at once, before any report shows it.
         if pile >= self.shortest:
-            load = max(FULL_LOAD + grown, 0.0) + pile / DRAIN
-            if load > TRIGGER:
-                self._relieve(now, h, (load - TRIGGER) / load, True, NOTE_SETTLE)
-        if now - max(self.seen_at[h], self.acted_at[h] + SETTLE - FRESH) > FRESH:
+            load = max(FULL_LOAD + grown, 0.0) + self._pile(now, h)
+            self._relieve(now, h, load, TRIGGER, True, NOTE_SETTLE)
+        if self._old(h) and now - self.acted_at[h] > SETTLE:
             self._probe(now, h)
 
     def _forecast(self, now: float, s: _Session) -> float:
@@ -358,8 +358,7 @@
             del self.known[oldest]
         self.ailing = {h: None for h in self.ailing if self.ill[h] >= ILL}
         known = [(self.figure[h], h) for h in self.known if self.figure[h] is not None]
-        met = dict.fromkeys([*self.known, *self.ailing])
-        self.most_ill = 2 * sum(self.ill[h] >= ILL for h in met) > len(met)
+        self.most_ill = 2 * len(self.ailing) > len(self.known.keys() | self.ailing.keys())
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         if not known:
             self.part = self.spare = math.inf
@@ -444,7 +443,7 @@
         self.sessions[s.id] = s
         return s
 
-    def _session(self, s: _Session) -> Generator[Action | None, Outcome | None, None]:
+    def _session(self, s: _Session) -> Generator[Action | list[Probe], Outcome | None, None]:
         """One session, from its ask to its answer; a stream's end needs no decision."""
         target = self.set.listeners[s.listener].handshake_target
         while True:
@@ -483,13 +482,13 @@
         if isinstance(act, Wake):
             s.wakes = self.now + act.after - SLACK
         elif isinstance(act, Dial):
-            h = act.host
-            self.spare -= self._forecast(self.now, s)
+            h, load = act.host, self._forecast(self.now, s)
+            self.spare -= load
             s.dials.append(_Sent(h, self.now))
             s.out = True
             self.held[h] += 1
             self.dialing[h] += 1
-            self._add(self.now, h, self._forecast(self.now, s))
+            self._add(self.now, h, load)
         elif isinstance(act, (Refuse, TearDown)):
             s.answered = True
             del self.sessions[s.id]
@@ -591,7 +590,6 @@
             if s is not None and h in s.looking:
                 s.looking.discard(h)
                 if not s.looking and not s.answered and not s.out:
-                    s.wakes = now
                     self._go_on(s, None)
         return self._done()
 
@@ -607,23 +605,21 @@
         self._know(now, h, figure)
         figure += self._pile(now, h)
         threshold = max(min(TRIGGER, FULL_LOAD - rise * LANDING), TRIGGER_LEAST)
-        if figure > threshold:
-            self._relieve(now, h, (figure - threshold) / figure, figure > FULL_LOAD, SETTLE)
+        self._relieve(now, h, figure, threshold, figure > FULL_LOAD, SETTLE)
 
     def _by_count(self, now: float, h: int) -> None:
         """Without a figure: the connection count against the mean."""
         mean = sum(self.held) / max(len(self.running), 1)
-        if self.held[h] > COUNT_TRIGGER * mean:
-            self._relieve(now, h, 1 - COUNT_TRIGGER * mean / self.held[h], False, SETTLE)
+        self._relieve(now, h, self.held[h], COUNT_TRIGGER * mean, False, SETTLE)
 
-    def _relieve(self, now: float, h: int, share: float, over: bool, settle: float) -> None:
-        """Moves the connections of the highest forecast off a host, up to the share of the own load there."""
+    def _relieve(self, now: float, h: int, figure: float, threshold: float, over: bool, settle: float) -> None:
+        """Past the threshold, moves the highest forecasts off a host, up to the share of the own load there."""
         # Danger: the report may be older than the last moves, whose load would be moved twice.
-        if now - self.acted_at[h] < settle:
+        if figure <= threshold or now - self.acted_at[h] < settle:
             return
         self.acted_at[h] = now
         loads = [(self._forecast(now, s), s.id, s) for s in self.standing[h].values()]
-        left = share * sum(load for load, _, _ in loads)
+        left = (figure - threshold) / figure * sum(load for load, _, _ in loads)
         # Danger: with nowhere better to go, moved connections come back to hosts as full; past full load,
         # where nobody is served, they are moved all the same and refused until there is room.
         room = self.part
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -99,7 +99,6 @@
         n = node(40, nodes=nodes, seed=seed * 0x9E3779B1)
         n.unit = 300.0
         figures(n, [0.6] * 40)
-        n.spare = min(n.part, n.spare)
         sent += sum(bool(dials(n.ask(START, ask(i, left=50.0)))) for i in range(100))
     room = 40 * 0.07 * 30
     assert 0 < sent / 20 <= 3 * room / nodes + 1
