--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -612,14 +612,14 @@
         mean = sum(self.held) / max(len(self.running), 1)
         self._relieve(now, h, self.held[h], COUNT_TRIGGER * mean, False, SETTLE)
 
-    def _relieve(self, now: float, h: int, figure: float, threshold: float, over: bool, settle: float) -> None:
-        """Past the threshold, moves the highest forecasts off a host, up to the share of the own load there."""
+    def _relieve(self, now: float, h: int, figure: float, limit: float, over: bool, settle: float) -> None:
+        """Past the limit, moves the highest forecasts off a host, up to the share of the own load there."""
         # Danger: the report may be older than the last moves, whose load would be moved twice.
-        if figure <= threshold or now - self.acted_at[h] < settle:
+        if figure <= limit or now - self.acted_at[h] < settle:
             return
         self.acted_at[h] = now
         loads = [(self._forecast(now, s), s.id, s) for s in self.standing[h].values()]
-        left = (figure - threshold) / figure * sum(load for load, _, _ in loads)
+        left = (figure - limit) / figure * sum(load for load, _, _ in loads)
         # Danger: with nowhere better to go, moved connections come back to hosts as full; past full load,
         # where nobody is served, they are moved all the same and refused until there is room.
         room = self.part
