--- /dev/null
+++ b/caperdeck/__main__.py
@@ -0,0 +1,74 @@
+"""caperdeck: a balancer for long-lived connections.
+
+Usage:
+  caperdeck serve [--config=FILE] [--log-level=LEVEL]
+  caperdeck check [--config=FILE]
+  caperdeck version
+  caperdeck (-h | --help)
+
+Commands:
+  serve    Run one node until SIGTERM.
+  check    Read the configuration and say whether a node could start on it.
+  version  Print the version.
+
+Options:
+  --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
+  --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
+  -h --help          Show this text.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from docopt import docopt
+
+from caperdeck import __version__
+from caperdeck.lifecycle.config import Config, ConfigError, load_config
+
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def serve(config: Config, level: str) -> int:
+    from twisted.internet import reactor
+
+    from caperdeck.lifecycle.logs import start_logging
+    from caperdeck.lifecycle.service import Service
+
+    service = Service(reactor, config, start_logging(level))
+    try:
+        service.start()
+    except OSError as error:
+        print(f"caperdeck: cannot listen: {error}", file=sys.stderr)
+        return 1
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    arguments = docopt(__doc__, argv)
+    if arguments["version"]:
+        print(f"caperdeck {__version__}")
+        return 0
+    level = arguments["--log-level"].upper()
+    if level not in LEVELS:
+        print(f"caperdeck: --log-level is one of {', '.join(LEVELS)}", file=sys.stderr)
+        return 2
+    try:
+        config = load_config(os.environ, arguments["--config"])
+    except ConfigError as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return 2
+    if arguments["check"]:
+        print(f"node {config.name}: {len(config.names.listeners)} classes, {len(config.known)} known hosts")
+        return 0
+    return serve(config, level)
+
+
+def script() -> None:
+    sys.exit(main())
+
+
+if __name__ == "__main__":
+    script()
--- /dev/null
+++ b/caperdeck/core/facade.py
@@ -0,0 +1,229 @@
+"""The decisions in blocking style, for code that talks to a network: pick, report, tick.
+
+Each call takes the time in float milliseconds and returns what is to be done now, in order. A pick whose
+hosts are looked at first returns the looks; a later report or tick returns the rest. The caller calls tick
+once `due` has come. Nothing is decided here: the calls become the module's events, its actions the orders.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from .decide import Node
+from .model import (
+    Action, Ask, Dial, Entry, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Settings, TearDown,
+    Wake, Watch, Withdraw,
+)  # fmt: skip
+
+
+# ---- orders: what the caller is to do
+
+
+class Connect(NamedTuple):
+    """Open a connection to the host for the session's dial of this number and wait for it until then."""
+
+    session: int
+    dial: int
+    host: int
+    until: float
+
+
+class Abandon(NamedTuple):
+    """Stop waiting on this dial."""
+
+    session: int
+    dial: int
+
+
+class Decline(NamedTuple):
+    """Answer the client that trying again does no harm, after back_off where that is not 0."""
+
+    session: int
+    back_off: float
+
+
+class GiveUp(NamedTuple):
+    """Answer the client that it failed."""
+
+    session: int
+
+
+class SendAway(NamedTuple):
+    """Tell the client of a standing session to come again, and end the session."""
+
+    session: int
+
+
+class Look(NamedTuple):
+    """Probe the host."""
+
+    host: int
+
+
+Order = Connect | Abandon | Decline | GiveUp | SendAway | Look
+
+
+# ---- news: what the caller has seen
+
+
+class Up(NamedTuple):
+    """The host has taken the session, which stands from now on."""
+
+    session: int
+
+
+class Over(NamedTuple):
+    """A dial, or the standing session that came of it, has ended; last if the client needs no answer."""
+
+    session: int
+    dial: int
+    outcome: Outcome
+    last: bool
+
+
+class Left(NamedTuple):
+    """The client went before it had an answer."""
+
+    session: int
+
+
+class Load(NamedTuple):
+    """The host told the load of a standing session, in milliseconds of work a second."""
+
+    session: int
+    value: float
+
+
+class Slow(NamedTuple):
+    """A message on a standing session took so many milliseconds at its host."""
+
+    session: int
+    value: float
+
+
+class Looked(NamedTuple):
+    """A probe's result: load over capacity and work piled up in milliseconds where the host told them."""
+
+    host: int
+    outcome: Outcome
+    load: float | None = None
+    piled: float | None = None
+
+
+class Listed(NamedTuple):
+    """Discovery's list of hosts: all of it, or what changed."""
+
+    whole: bool
+    entries: list[Entry]
+
+
+News = Up | Over | Left | Load | Slow | Looked | Listed
+
+
+class Balancer:
+    """One node's decisions behind three calls."""
+
+    def __init__(self, settings: Settings, now: float) -> None:
+        self._node = Node(settings, now)
+        self._bells: list[tuple[float, int, int]] = []
+        self._dials: dict[int, int] = {}  # of each session without an answer, how many were made
+        self._rung = 0
+        self._orders(now, self._node.start())  # no orders yet, only the first bell
+
+    @property
+    def due(self) -> float:
+        """When tick is to be called next."""
+        return self._bells[0][0] if self._bells else math.inf
+
+    def pick(
+        self, now: float, session: int, listener: int, customer: int, left: float,
+        load: float | None = None, group: int | None = None,
+    ) -> list[Order]:  # fmt: skip
+        """Place a new session whose client waits so many milliseconds."""
+        self._dials[session] = 0
+        return self._orders(now, self._node.ask(now, Ask(session, listener, customer, left, load, group)))
+
+    def resume(
+        self, now: float, session: int, listener: int, customer: int, host: int,
+        load: float | None = None, group: int | None = None,
+    ) -> list[Order]:  # fmt: skip
+        """A session that stood on the host before this node started; its dial 0 counts as made."""
+        ask = Ask(session, listener, customer, 0.0, load, group)
+        return self._orders(now, self._node.taken_over(now, ask, host))
+
+    def tick(self, now: float) -> list[Order]:
+        orders: list[Order] = []
+        while self._bells and self._bells[0][0] <= now:
+            _, _, token = heapq.heappop(self._bells)
+            orders += self._orders(now, self._node.bell(now, token))
+        return orders
+
+    def report(self, now: float, news: News) -> list[Order]:
+        return self._orders(now, self._event(news, now))
+
+    @singledispatchmethod
+    def _event(self, news: News, now: float) -> list[Action]:
+        raise TypeError(f"no news: {news!r}")
+
+    @_event.register
+    def _(self, news: Up, now: float) -> list[Action]:
+        self._dials.pop(news.session, None)
+        return self._node.stands(now, news.session)
+
+    @_event.register
+    def _(self, news: Over, now: float) -> list[Action]:
+        if news.last:
+            self._dials.pop(news.session, None)
+        return self._node.outcome(now, news.session, news.dial, news.outcome, news.last)
+
+    @_event.register
+    def _(self, news: Left, now: float) -> list[Action]:
+        return self._node.hangup(now, news.session)
+
+    @_event.register
+    def _(self, news: Load, now: float) -> list[Action]:
+        return self._node.note(now, news.session, Note.LOAD, news.value)
+
+    @_event.register
+    def _(self, news: Slow, now: float) -> list[Action]:
+        return self._node.note(now, news.session, Note.MESSAGE_DELAY, news.value)
+
+    @_event.register
+    def _(self, news: Looked, now: float) -> list[Action]:
+        return self._node.probed(now, news.host, news.outcome, Report(news.load, news.piled))
+
+    @_event.register
+    def _(self, news: Listed, now: float) -> list[Action]:
+        scope = RosterScope.FULL if news.whole else RosterScope.CHANGES
+        return self._node.roster(now, scope, news.entries)
+
+    def _orders(self, now: float, actions: list[Action]) -> list[Order]:
+        return [order for act in actions if (order := self._order(now, act)) is not None]
+
+    def _order(self, now: float, act: Action) -> Order | None:
+        match act:
+            case Dial(session, host, until):
+                dial = self._dials[session]
+                self._dials[session] = dial + 1
+                return Connect(session, dial, host, until)
+            case Withdraw(session, dial):
+                return Abandon(session, dial)
+            case Refuse(session, back_off):
+                self._dials.pop(session, None)
+                return Decline(session, back_off)
+            case TearDown(session):
+                self._dials.pop(session, None)
+                return GiveUp(session)
+            case Move(session):
+                return SendAway(session)
+            case Probe(host):
+                return Look(host)
+            case Wake(after, token):
+                self._rung += 1
+                heapq.heappush(self._bells, (now + after, self._rung, token))
+            case Watch():
+                pass  # an agent on the node's own machine is watched from the start on
+        return None
--- /dev/null
+++ b/caperdeck/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, logging, the service and its shutdown."""
--- /dev/null
+++ b/caperdeck/lifecycle/config.py
@@ -0,0 +1,107 @@
+"""What the node is told at its start: EDGE_CONFIG, a JSON file, read once."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from caperdeck.core.model import Settings
+from caperdeck.core.settings import MS, SettingsError, decode_settings, need
+from caperdeck.state.addresses import Address, AddressError, parse_address
+
+LEAST_SOCKETS = 32
+
+
+class ConfigError(Exception):
+    """The configuration cannot be served; the text says what is wrong with it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Names as the settings give them, with their indices, and what the network code itself reads."""
+
+    listeners: dict[str, int]
+    customers: dict[str, int]
+    zones: tuple[str, ...]
+    groups: bool
+    reports: bool  # hosts answer STATS
+    max_back_off: float  # 0 where clients are told none
+    longest_wait: float  # of any client
+
+    def customer(self, tenant: str | None) -> int:
+        return -1 if tenant is None else self.customers.get(tenant, -1)
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: str
+    sockets: int
+    connect_time_out: float
+    rev: int
+    known: list
+    settings: Settings
+    names: Names
+
+
+def load_config(environment: Mapping[str, str], path: str | None = None) -> Config:
+    """From the file that the path or EDGE_CONFIG names; what stands alone in the environment fills gaps."""
+    path = path or environment.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("no configuration: EDGE_CONFIG is not set")
+    try:
+        with open(path, "rb") as file:
+            raw = orjson.loads(file.read())
+    except OSError as error:
+        raise ConfigError(f"configuration {path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"configuration {path} is no JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"configuration {path} is no JSON object")
+    for key in ("name", "listen", "discovery"):
+        raw.setdefault(key, environment.get(f"EDGE_{key.upper()}"))
+    try:
+        return decode_config(raw)
+    except (SettingsError, AddressError) as error:
+        raise ConfigError(f"configuration {path}: {error}") from None
+    except (TypeError, ValueError, AttributeError, KeyError) as error:
+        raise ConfigError(f"configuration {path}: a value of the wrong kind: {error}") from None
+
+
+def decode_config(raw: dict[str, Any]) -> Config:
+    setup = need(raw, "settings", "")
+    limits = need(setup, "limits", "settings.")
+    known = raw.get("known") or {}
+    sockets = int((raw.get("limits") or {}).get("sockets", 1024))
+    if sockets < LEAST_SOCKETS:
+        raise SettingsError(f"limits.sockets is {sockets}, at least {LEAST_SOCKETS} are needed")
+    discovery = need(raw, "discovery", "")
+    parse_address(discovery)
+    return Config(
+        name=str(raw.get("name")),
+        listen=parse_address(need(raw, "listen", "")),
+        discovery=discovery,
+        sockets=sockets,
+        connect_time_out=limits.get("dialTimeout", 0.25) * MS,
+        rev=int(known.get("rev", 0)),
+        known=known.get("targets") or [],
+        settings=decode_settings(int(str(raw.get("seed", "0")), 16), setup),
+        names=decode_names(setup),
+    )
+
+
+def decode_names(setup: dict[str, Any]) -> Names:
+    rows, limits = need(setup, "listeners", "settings."), setup["limits"]
+    return Names(
+        listeners={row["name"]: i for i, row in enumerate(rows)},
+        customers={row["name"]: i for i, row in enumerate(setup.get("projects") or [])},
+        zones=tuple(setup.get("dcs") or []),
+        groups=bool((setup.get("specifics") or {}).get("groups", False)),
+        reports=(setup.get("report") or {}).get("how") != "silent",
+        max_back_off=limits.get("maxRetryAfter", 0.0) * MS if limits.get("retryAfter") else 0.0,
+        longest_wait=max(row.get("hardLimit", 0.0) for row in rows) * MS,
+    )
--- /dev/null
+++ b/caperdeck/lifecycle/service.py
@@ -0,0 +1,114 @@
+"""The node as a service: start, SIGTERM, exit."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import time
+from typing import Any
+
+from loguru import logger
+from twisted.internet.task import LoopingCall
+
+from caperdeck.core.facade import Balancer
+from caperdeck.state.budget import SocketBudget, open_descriptors
+from caperdeck.state.hosts import Hosts
+from caperdeck.wire.client import ClientFactory
+from caperdeck.wire.desk import Desk
+from caperdeck.wire.discovery import Discovery
+
+from .config import Config
+from .logs import Sink
+
+MS = 1000.0
+BACKLOG = 4096
+SWEEP = 0.25  # seconds
+SERVE_ON = 450.0  # after SIGTERM, while clients still come
+SPARE = 400.0  # before the longest wait of a client is over, all have been moved
+LINGER = 300.0  # from the last end until the exit
+FREEZE_AFTER = 60.0
+
+
+def make_clock():
+    """Unix time in milliseconds, which never steps after the start."""
+    offset = time.time() - time.monotonic()
+    return lambda: (time.monotonic() + offset) * MS
+
+
+class Service:
+    def __init__(self, reactor: Any, config: Config, sink: Sink) -> None:
+        self.reactor = reactor
+        self.config = config
+        self.sink = sink
+        self.clock = make_clock()
+        balancer = Balancer(config.settings, self.clock())
+        budget = SocketBudget(config.sockets, 0)
+        self.desk = Desk(
+            reactor, self.clock, balancer, config.names, Hosts(config.names.zones), budget,
+            config.connect_time_out,
+        )  # fmt: skip
+        self.desk.accepting = self.accept
+        self.discovery = Discovery(
+            reactor, config.discovery, config.rev, self.desk.listed, self.complain)  # fmt: skip
+        self.port = None
+        self.accepts = True
+        self.stopped_at = 0.0
+
+    def start(self) -> None:
+        config = self.config
+        self.desk.listed(True, config.known)
+        self.discovery.start()
+        address, factory = config.listen, ClientFactory(self.desk)
+        self.port = self.reactor.listenTCP(address.port, factory, BACKLOG, address.host)
+        self.desk.carry_out([])
+        LoopingCall(self.sweep).start(SWEEP, now=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
+        self.desk.budget.used = open_descriptors() + 4
+        gc.collect()
+        gc.freeze()
+        logger.info("start node={} listen={}:{} hosts={} sockets={}", config.name, *config.listen,
+                    self.desk.hosts.running(), config.sockets)  # fmt: skip
+
+    def complain(self, reason: str, text: str) -> None:
+        logger.warning("discovery reason={} {}", reason, text)
+
+    def sweep(self) -> None:
+        self.desk.sweep()
+        self.sink.flush()
+
+    def accept(self, on: bool) -> None:
+        """Takes new clients in, or leaves them to the kernel while sockets are short."""
+        if on is not self.accepts and self.port is not None:
+            self.accepts = on
+            (self.port.startReading if on else self.port.stopReading)()
+            if not on:
+                logger.warning("accept reason=no-sockets open={}", self.desk.budget.clients)
+
+    # ---- the stop
+
+    def stop(self) -> None:
+        """Serves on while clients come, then moves every standing session, evenly, and exits."""
+        if self.stopped_at:
+            return
+        self.stopped_at = self.clock()
+        self.desk.stopping = True
+        logger.info("stop sessions={}", len(self.desk.sessions.table))
+        self.reactor.callLater(SERVE_ON / MS, self.move_some)
+
+    def move_some(self) -> None:
+        last = self.stopped_at + max(self.config.names.longest_wait - SPARE, SERVE_ON)
+        standing = self.desk.sessions.standing()
+        left = last - self.clock()
+        steps = max(int(left / 50.0), 1)
+        for s in standing[: -(-len(standing) // steps)]:
+            self.desk.move(s, "stop")
+        if self.desk.sessions.table or self.desk.open or self.clock() < self.stopped_at + 2 * SERVE_ON:
+            self.reactor.callLater(0.05, self.move_some)
+        else:
+            self.reactor.callLater(LINGER / MS, self.exit)
+
+    def exit(self) -> None:
+        logger.info("exit ms={:.0f}", self.clock() - self.stopped_at)
+        self.sink.flush()
+        self.reactor.stop()
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -6,17 +6,11 @@
 from typing import Any
 
 from caperdeck.core.model import (
-    Action, Ask, Dial, Effect, Entry, HostState, Listener, Move, Note, Outcome, Probe, Refuse, Report,
-    RosterScope, Scope, Settings, TearDown, Wake, Watch, Withdraw,
+    Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, TearDown,
+    Wake, Watch, Withdraw,
 )  # fmt: skip
+from caperdeck.core.settings import MS
 
-MS = 1000.0
-EFFECTS = {
-    "idempotent": Effect.REPEATABLE,
-    "deduplicated": Effect.REFERENCED,
-    "at_most_once": Effect.ONCE_ONLY,
-}
-SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
 STATES = {"Running": HostState.RUNNING, "Stopping": HostState.DRAINING, "Deleted": HostState.GONE}
 ROSTERS = {
     "INCREMENTAL": RosterScope.CHANGES,
@@ -41,12 +35,6 @@
     """Input that the wire does not allow; the text names what was wrong."""
 
 
-def _need(table: dict, key: str, where: str) -> Any:
-    if not isinstance(table, dict) or key not in table:
-        raise WireError(f"setting {where}{key} is missing")
-    return table[key]
-
-
 def lookup(table: dict, value: Any, what: str) -> Any:
     try:
         return table[value]
@@ -54,47 +42,6 @@
         raise WireError(f"unknown {what} {value!r}") from None
 
 
-def decode_settings(seed: int, setup: dict) -> Settings:
-    limits = _need(setup, "limits", "")
-    rules = _need(setup, "invariants", "")
-    rows = _need(setup, "listeners", "")
-    if not rows:
-        raise WireError("setting listeners is empty")
-    aims = setup.get("specifics", {}).get("messageAim") or []
-    listeners = []
-    for i, row in enumerate(rows):
-        where = f"listeners[{i}]."
-        target = _need(row, "handshakeTarget", where) * MS
-        listeners.append(Listener(
-            effect=lookup(EFFECTS, _need(row, "effect", where), "effect"),
-            scope=lookup(SCOPES, row.get("group") or "all", "group"),
-            memory_span=row.get("memorySpan", 0.0) * MS,
-            handshake_target=target,
-            message_target=aims[i] * MS if i < len(aims) else target,
-            utility=row.get("utility", 1.0),
-        ))  # fmt: skip
-    zones = setup.get("dcs", [])
-    return Settings(
-        seed=seed,
-        nodes=max(int(_need(setup, "fleetSize", "")), 1),
-        zone=zones.index(setup["locality"]) if setup.get("locality") in zones else 0,
-        listeners=tuple(listeners),
-        max_dials=int(_need(limits, "mostDials", "limits.")),
-        may_withdraw=bool(limits.get("cancel", False)),
-        may_probe=bool(limits.get("mayProbe", False)),
-        back_off=bool(limits.get("retryAfter", False)),
-        max_back_off=limits.get("maxRetryAfter", 0.0) * MS,
-        cold_from=_need(rules, "coldFrom", "invariants."),
-        warm_after=_need(rules, "warmAfter", "invariants.") * MS,
-        fall_multiple=_need(rules, "fallMultiple", "invariants."),
-        fall_span=_need(rules, "fall", "invariants.") * MS,
-        subscribe=setup.get("discovery") == "subscribe",
-        ask_every=rules.get("askEvery", 10.0) * MS,
-        cross_price=setup.get("prices", {}).get("crossZone", 0.0),
-        sizes_stand=setup.get("weights") in ("nominal", "rough"),
-    )
-
-
 class Door:
     """One node's indices: ids go in here and come back unaltered."""
 
--- a/caperdeck/simwire/host.py
+++ b/caperdeck/simwire/host.py
@@ -6,6 +6,7 @@
 
 from caperdeck.core.decide import Node
 from caperdeck.core.model import Action
+from caperdeck.core.settings import MS, SettingsError, decode_settings
 
 from . import codec
 from .codec import Door, WireError
@@ -17,7 +18,10 @@
     def __init__(self, now: float, seed: Any, setup: Any) -> None:
         if not isinstance(seed, int):
             raise WireError(f"powerOn needs a whole number as seed, got {seed!r}")
-        settings = codec.decode_settings(seed, setup)
+        try:
+            settings = decode_settings(seed, setup)
+        except SettingsError as error:
+            raise WireError(str(error)) from error
         self.door = Door(setup)
         self.node = Node(settings, now)
 
@@ -92,7 +96,7 @@
         """The reply to one batch; complain is told, in one line, of each input that broke the wire."""
         if not isinstance(batch, dict) or "moment" not in batch or "serial" not in batch:
             raise WireError("a batch needs moment and serial")
-        now = batch["moment"] * codec.MS
+        now = batch["moment"] * MS
         groups = []
         for group in batch.get("groups") or []:
             if not isinstance(group, dict) or "node" not in group:
--- /dev/null
+++ b/caperdeck/state/budget.py
@@ -0,0 +1,36 @@
+"""How many descriptors the node may still open, so that it never runs out of them."""
+
+from __future__ import annotations
+
+import os
+
+RESERVE = 192  # for clients that come at once and are turned away, for files and what libraries open
+RESERVE_PART = 0.25  # and no more than this part of the limit
+
+
+def open_descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+class SocketBudget:
+    """Counts both sides of each session; probes and discovery have a part of their own."""
+
+    def __init__(self, limit: int, used: int) -> None:
+        self.limit = limit
+        self.reserve = min(RESERVE, int(limit * RESERVE_PART))
+        self.used = used  # open before anything was counted here
+        self.probes = 0  # kept free, one for each host of the roster
+        self.clients = 0
+        self.sessions = 0  # each has a host's side, from its first line on
+
+    @property
+    def left(self) -> int:
+        """Descriptors that sessions may still take."""
+        return self.limit - self.reserve - self.used - self.probes - self.clients - self.sessions
+
+    def may_serve(self) -> bool:
+        return self.left > 0
+
+    def may_accept(self) -> bool:
+        """Whether one more client can be taken in, if only to be answered: half the reserve is for that."""
+        return self.left > -self.reserve // 2
--- /dev/null
+++ b/caperdeck/wire/client.py
@@ -0,0 +1,116 @@
+"""Clients' connections: the first line is taken to the desk, later ones are passed on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import ServerFactory
+from twisted.protocols.basic import LineReceiver
+from zope.interface import implementer
+
+from .heads import CRLF, LONGEST_LINE
+
+if TYPE_CHECKING:
+    from caperdeck.state.sessions import Session
+
+    from .desk import Desk
+
+LINGER = 1.0  # seconds that a client has to end its side after its last line
+
+
+@implementer(IHalfCloseableProtocol)
+class ClientConnection(LineReceiver):
+    delimiter = CRLF
+    MAX_LENGTH = LONGEST_LINE
+
+    def __init__(self, desk: Desk) -> None:
+        self.desk = desk
+        self.session: Session | None = None
+        self.opened = 0.0
+        self.closing = False
+        self.lingers = None
+        self.early: bytes | None = None
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.opened = self.desk.clock()
+        self.desk.client_came(self)
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.closing:
+            return
+        if self.session is None:
+            self.desk.first_line(self, line)
+        elif self.session.up_at:
+            self.desk.from_client(self.session, line)
+        else:
+            # Danger: a client that does not wait would fill the memory; the rest stays in the kernel.
+            self.early = line
+            self.pauseProducing()
+
+    def stand(self) -> None:
+        """Passes on what came before the session stood."""
+        if self.early is not None:
+            line, self.early = self.early, None
+            self.desk.from_client(self.session, line)
+            self.resumeProducing()
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        if not self.closing:
+            self.desk.client_broke(self, "long-line")
+
+    def pass_on(self, line: bytes) -> None:
+        self.transport.writeSequence((line, CRLF))
+
+    def close(self, last_line: bytes | None = None) -> None:
+        """Ends the connection after a last line, if any."""
+        if self.closing:
+            return
+        self.closing = True
+        self.transport.unregisterProducer()
+        if last_line is not None:
+            self.pass_on(last_line)
+        # Danger: closed with a line of the client unread, the kernel resets it and our last line is lost.
+        self.transport.loseWriteConnection()
+        self.lingers = self.desk.reactor.callLater(LINGER, self.transport.abortConnection)
+        if self.paused:
+            self.resumeProducing()
+
+    def abort(self) -> None:
+        self.closing = True
+        self.transport.unregisterProducer()
+        self.transport.abortConnection()
+
+    def stopProducing(self) -> None:
+        """The host's side is gone; its own connectionLost sees to this one."""
+
+    def readConnectionLost(self) -> None:
+        """The client has ended its side."""
+        if not self.closing:
+            self.closing = True
+            self.desk.client_gone(self, reset=False)
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        """The last line has gone out."""
+
+    def connectionLost(self, reason) -> None:
+        if self.lingers is not None and self.lingers.active():
+            self.lingers.cancel()
+        if not self.closing:
+            self.closing = True
+            self.desk.client_gone(self, reset=not reason.check(ConnectionDone))
+        self.desk.client_closed(self)
+
+
+class ClientFactory(ServerFactory):
+    noisy = False
+
+    def __init__(self, desk: Desk) -> None:
+        self.desk = desk
+
+    def buildProtocol(self, addr) -> ClientConnection:
+        return ClientConnection(self.desk)
--- /dev/null
+++ b/caperdeck/wire/desk.py
@@ -0,0 +1,381 @@
+"""Where clients, hosts and the balancer meet: each session from its first line to its log line.
+
+What a connection sees is reported to the balancer; the orders that come back are carried out here. Every
+client gets its one answer in `_answer` or by its host's own line, and every session ends in `_end`.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from caperdeck.core.facade import (
+    Abandon, Balancer, Connect, Decline, GiveUp, Left, Listed, Load, Look, Looked, News, Order, Over,
+    SendAway, Up,
+)  # fmt: skip
+from caperdeck.core.model import HostState, Outcome
+from caperdeck.lifecycle.config import Names
+from caperdeck.state.budget import SocketBudget
+from caperdeck.state.hosts import Hosts
+from caperdeck.state.sessions import Session, Sessions
+
+from .client import ClientConnection
+from .heads import HeadError, Head, parse_head
+from .host import HostConnection
+from .probe import Probes
+
+MS = 1000.0
+ANSWER_MARGIN = 30.0  # a client's answer is out so long before it stops waiting
+FULL_BACK_OFF = 500.0  # for clients turned away because sockets are short
+AGAIN = 200.0  # until a connection that stood before is tried again at its host
+RESUME_TIME_OUT = 3000.0  # for one such try
+SILENCE = 4000.0  # a host that has brought nothing back for so long is given up
+IDLE = 30000.0  # a client that has sent no line for so long is closed
+IDLE_SHORT = 2000.0  # the same while sockets are short
+
+
+class Desk:
+    def __init__(
+        self, reactor: Any, clock: Callable[[], float], balancer: Balancer, names: Names, hosts: Hosts,
+        budget: SocketBudget, connect_time_out: float,
+    ) -> None:  # fmt: skip
+        self.reactor = reactor
+        self.clock = clock
+        self.balancer = balancer
+        self.names = names
+        self.hosts = hosts
+        self.budget = budget
+        self.connect_time_out = connect_time_out
+        self.sessions = Sessions()
+        self.probes = Probes(reactor, names.reports, 2 * connect_time_out, self.looked)
+        self.idle: dict[ClientConnection, None] = {}  # without a first line, the oldest first
+        self.open: dict[ClientConnection, None] = {}
+        self.stopping = False
+        self.accepting: Callable[[bool], None] = lambda on: None
+        self.orders: deque[Order] = deque()
+        self.at_work = False
+        self.bell = None
+
+    # ---- the balancer
+
+    def report(self, news: News) -> None:
+        self.carry_out(self.balancer.report(self.clock(), news))
+
+    def carry_out(self, orders: list[Order]) -> None:
+        """Carries orders out, those that they bring about after them."""
+        self.orders += orders
+        if self.at_work:
+            return
+        self.at_work = True
+        try:
+            while self.orders:
+                self._carry_out(self.orders.popleft())
+        finally:
+            self.at_work = False
+        self._set_bell()
+
+    def _set_bell(self) -> None:
+        due, now = self.balancer.due, self.clock()
+        if self.bell is not None and self.bell.active():
+            if self.bell_at <= due:
+                return
+            self.bell.cancel()
+        self.bell_at = due
+        self.bell = self.reactor.callLater(max(due - now, 0.0) / MS, self._ring)
+
+    def _ring(self) -> None:
+        self.carry_out(self.balancer.tick(self.clock()))
+
+    def _carry_out(self, order: Order) -> None:
+        if isinstance(order, Look):
+            self.probes.look(order.host, self.hosts.address[order.host])
+            return
+        s = self.sessions.table.get(order.session)
+        if s is None or s.over:
+            return
+        match order:
+            case Connect(_, dial, host, until):
+                self._dial(s, dial, host, until)
+            case Abandon():
+                self._end_dial(s, Outcome.WITHDRAWN)
+            case Decline(_, back_off):
+                self._answer(s, b"BUSY %d" % back_off if back_off >= 1 else b"BUSY", "refused")
+            case GiveUp():
+                self._answer(s, b"ERR", "failed")
+            case SendAway():
+                self.move(s, "moved")
+
+    # ---- clients
+
+    def client_came(self, client: ClientConnection) -> None:
+        self.budget.clients += 1
+        self.open[client] = None
+        self.idle[client] = None
+        if not self.budget.may_accept():
+            self.accepting(False)
+
+    def client_closed(self, client: ClientConnection) -> None:
+        """Its descriptor is free again."""
+        self.budget.clients -= 1
+        del self.open[client]
+        if self.idle.pop(client, self) is None:
+            logger.info("end reason=no-line ms={:.0f}", self.clock() - client.opened)
+        if self.budget.may_accept():
+            self.accepting(True)
+
+    def first_line(self, client: ClientConnection, line: bytes) -> None:
+        if line == b"PING":
+            if self.stopping:
+                client.close()
+            else:
+                client.pass_on(b"PONG")
+            return
+        self.idle.pop(client, None)
+        try:
+            head = parse_head(line)
+            listener = self.names.listeners.get(head.listener)
+            if listener is None:
+                raise HeadError("unknown-class")
+            if head.at is not None and head.at not in self.hosts.index:
+                raise HeadError("unknown-host")
+        except HeadError as error:
+            self._turn_away(client, b"ERR", str(error), line[:80])
+            return
+        if not self.budget.may_serve():
+            back_off = min(FULL_BACK_OFF, self.names.max_back_off)
+            self._turn_away(client, b"BUSY %d" % back_off if back_off else b"BUSY", "no-sockets", b"")
+            return
+        self.budget.sessions += 1
+        s = client.session = self.sessions.new(head, client, self.clock())
+        if head.at is not None:
+            self._resume(s)
+            return
+        left, customer = max(head.wait - ANSWER_MARGIN, 0.0), self.names.customer(head.tenant)
+        self.carry_out(self.balancer.pick(s.since, s.index, listener, customer, left, *self._hints(head)))
+
+    def _hints(self, head: Head) -> tuple[float | None, int | None]:
+        load = None if head.load is None else head.load * MS
+        group = head.group if self.names.groups else None
+        return load, None if group is None else zlib.crc32(group.encode())
+
+    def _turn_away(self, client: ClientConnection, answer: bytes, reason: str, line: bytes) -> None:
+        client.close(answer)
+        logger.info("end reason={} line={!r}", reason, line.decode("utf-8", "replace"))
+
+    def from_client(self, s: Session, line: bytes) -> None:
+        self.sessions.line_from_client(s, self.clock())
+        s.conn.pass_on(line)
+
+    def client_gone(self, client: ClientConnection, reset: bool) -> None:
+        """The client has ended its connection."""
+        s = client.session
+        if s is None or s.over:
+            return
+        if not s.up_at:
+            self._end(s, "client-left")
+            if s.head.at is None:
+                self.report(Left(s.index))
+                if s.conn is not None:
+                    self.report(Over(s.index, s.dial, Outcome.WITHDRAWN, True))
+            self._hang_up(s, reset=False)
+            return
+        self._end(s, "client-reset" if reset else "client-closed")
+        self._hang_up(s, reset)
+        self.report(Over(s.index, 0 if s.head.at else s.dial, Outcome.WITHDRAWN, True))
+
+    def client_broke(self, client: ClientConnection, reason: str) -> None:
+        """The client has sent what cannot be passed on."""
+        s = client.session
+        if s is None or s.over:
+            self._turn_away(client, b"ERR", reason, b"")
+            return
+        up = bool(s.up_at)
+        dial, had = (0 if s.head.at else s.dial), s.conn is not None
+        self._end(s, reason)
+        self._hang_up(s, reset=False)
+        client.close(None if up else b"ERR")
+        if s.head.at is None or up:
+            if not up:
+                self.report(Left(s.index))
+            if had:
+                self.report(Over(s.index, dial, Outcome.WITHDRAWN, True))
+
+    # ---- dials
+
+    def _dial(self, s: Session, dial: int, host: int, until: float) -> None:
+        s.host, s.dial = host, dial
+        s.conn = HostConnection(self, s, dial)
+        address = self.hosts.address[host]
+        wait = max(until - self.clock(), 0.0)
+        s.timer = self.reactor.callLater(wait / MS, self._late, s.conn)
+        s.conn.until = until
+        s.conn.dial_to(address, min(self.connect_time_out, wait + 1))
+
+    def _resume(self, s: Session) -> None:
+        """Takes up a connection that stood at its host before this node started."""
+        if s.over:
+            return
+        s.host, s.dial = self.hosts.index[s.head.at], 0
+        s.conn = HostConnection(self, s, 0)
+        s.conn.until = s.deadline
+        s.conn.dial_to(self.hosts.address[s.host], RESUME_TIME_OUT)
+
+    def dial_open(self, conn: HostConnection) -> None:
+        """The connection is up; the one place where a head goes out."""
+        s = conn.session
+        # Danger: a host may have begun to drain while the connection came up.
+        may_send = self.hosts.state[s.host] is HostState.RUNNING or s.head.at is not None
+        wait = max(int(conn.until - self.clock()), 1)
+        if not may_send or not conn.send_head(s.head.pieces(wait)):
+            self._end_dial(s, Outcome.UNREACHED)
+
+    def dial_failed(self, conn: HostConnection) -> None:
+        self._end_dial(conn.session, Outcome.UNREACHED)
+
+    def _late(self, conn: HostConnection) -> None:
+        if not conn.ended:
+            self._end_dial(conn.session, Outcome.LATE if conn.sent else Outcome.UNREACHED)
+
+    def _end_dial(self, s: Session, outcome: Outcome) -> None:
+        """A dial that has not come to stand is over."""
+        if s.conn is None or s.up_at:
+            return
+        self._hang_up(s, reset=False)
+        if s.head.at is None:
+            self.report(Over(s.index, s.dial, outcome, False))
+        elif self.clock() + AGAIN < s.deadline:
+            self.reactor.callLater(AGAIN / MS, self._resume, s)
+        else:
+            self._answer(s, b"ERR", "host-lost")
+
+    def _hang_up(self, s: Session, reset: bool) -> None:
+        """Ends the host's side of a session."""
+        conn, s.conn = s.conn, None
+        if s.timer is not None and s.timer.active():
+            s.timer.cancel()
+        if conn is not None and not conn.ended:
+            (conn.abort if reset else conn.close)()
+
+    # ---- hosts
+
+    def from_host(self, conn: HostConnection, line: bytes) -> None:
+        s = conn.session
+        if s.up_at:
+            self.sessions.line_from_host(s, self.clock())
+            s.client.pass_on(line)
+            if line == b"MOVE" or line.startswith(b"BYE"):
+                conn.farewell = line
+            elif line.startswith(b"LOAD "):
+                self._told_load(s, line)
+        elif line.startswith(b"UP"):
+            self._stand(s, conn, line)
+        else:
+            outcome = Outcome.FULL if line.startswith(b"BUSY") else Outcome.ERROR
+            self._end_dial(s, Outcome.WITHDRAWN if line == b"MOVE" else outcome)
+
+    def _told_load(self, s: Session, line: bytes) -> None:
+        try:
+            self.report(Load(s.index, float(line[5:]) / MS))
+        except ValueError:
+            logger.warning("host uid={} reason=bad-load line={!r}", self.hosts.uid[s.host], line[:80])
+
+    def _stand(self, s: Session, conn: HostConnection, line: bytes) -> None:
+        now = s.up_at = self.clock()
+        if s.timer is not None and s.timer.active():
+            s.timer.cancel()
+        client, head = s.client, s.head
+        client.pass_on(line)
+        client.transport.registerProducer(conn, True)
+        conn.transport.registerProducer(client, True)
+        if head.at is None:
+            self.report(Up(s.index))
+        else:
+            listener = self.names.listeners[head.listener]
+            customer, hints = self.names.customer(head.tenant), self._hints(head)
+            self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
+        client.stand()
+
+    def host_gone(self, conn: HostConnection, reset: bool) -> None:
+        """The host has ended its connection."""
+        s = conn.session
+        if s.over or s.conn is not conn:
+            return
+        if not s.up_at:
+            self._end_dial(s, Outcome.RESET if conn.sent else Outcome.UNREACHED)
+            return
+        said = conn.farewell
+        if said:
+            outcome = Outcome.WITHDRAWN if said == b"MOVE" else Outcome.GOOD
+            self._end(s, "host-moved" if said == b"MOVE" else "served")
+        else:
+            outcome = Outcome.RESET
+            self._end(s, "host-reset" if reset else "host-closed")
+        s.conn = None
+        if reset and not said:
+            s.client.abort()
+        else:
+            s.client.close()
+        self.report(Over(s.index, s.dial, outcome, True))
+
+    # ---- ends
+
+    def _answer(self, s: Session, line: bytes, reason: str) -> None:
+        """The final answer to a client whose session does not come to stand."""
+        self._end(s, reason)
+        self._hang_up(s, reset=False)
+        s.client.close(line)
+
+    def move(self, s: Session, reason: str, outcome: Outcome = Outcome.WITHDRAWN) -> None:
+        """Tells the client of a standing session to come again; lines are whole, so it is between two."""
+        if not s.up_at or s.over:
+            return
+        self._end(s, reason)
+        self._hang_up(s, reset=outcome is Outcome.RESET)
+        s.client.close(b"MOVE")
+        self.report(Over(s.index, s.dial, outcome, True))
+
+    def _end(self, s: Session, reason: str) -> None:
+        """The one log line of a session."""
+        self.sessions.drop(s)
+        self.budget.sessions -= 1
+        now = self.clock()
+        host = self.hosts.uid[s.host] if s.host >= 0 else "-"
+        logger.info(
+            "end id={} reason={} class={} host={} dials={} ms={:.0f} up_ms={:.0f}",
+            s.head.id, reason, s.head.listener, host, s.dial + 1, now - s.since,
+            now - s.up_at if s.up_at else 0,
+        )  # fmt: skip
+
+    # ---- the roster and probes
+
+    def looked(self, news: Looked) -> None:
+        self.report(news)
+
+    def listed(self, whole: bool, rows: Any) -> None:
+        entries = self.hosts.take(whole, rows, self.complain_entry)
+        self.budget.probes = self.hosts.running()
+        for host in list(self.probes.open):
+            if self.hosts.state[host] is HostState.GONE:
+                self.probes.close(host)
+        self.report(Listed(whole, entries))
+
+    def complain_entry(self, text: str) -> None:
+        logger.warning("roster reason=bad-entry {}", text)
+
+    # ---- housekeeping
+
+    def sweep(self) -> None:
+        now = self.clock()
+        # Danger: a machine that vanished says nothing and its connections stay open.
+        for s in self.sessions.silent(now - SILENCE):
+            self.move(s, "host-silent", Outcome.RESET)
+        # Danger: clients that connect and say nothing would take every descriptor.
+        limit = IDLE if self.budget.may_serve() else IDLE_SHORT
+        for client in list(self.idle):
+            if now - client.opened < limit:
+                break
+            client.close()
--- /dev/null
+++ b/caperdeck/wire/probe.py
@@ -0,0 +1,133 @@
+"""Probes: one connection a host, kept open between them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import LineReceiver
+
+from caperdeck.core.facade import Looked
+from caperdeck.core.model import Outcome
+from caperdeck.state.addresses import Address
+
+from .heads import CRLF, LONGEST_LINE, parse_report
+
+MS = 1000.0
+
+
+class ProbeConnection(LineReceiver):
+    delimiter = CRLF
+    MAX_LENGTH = LONGEST_LINE
+
+    def __init__(self, pool: Probes, host: int, address: Address) -> None:
+        self.pool = pool
+        self.host = host
+        self.address = address
+        self.waits = None  # the timer of the probe that is out
+        self.sent = False
+        self.ended = False
+        self.connector = None
+
+    def ask(self) -> None:
+        self.waits = self.pool.reactor.callLater(self.pool.time_out / MS, self.late)
+        if self.connected:
+            self.send()
+
+    def send(self) -> None:
+        self.sent = True
+        self.transport.writeSequence((self.pool.question, CRLF))
+
+    def connectionMade(self) -> None:
+        if self.ended:
+            self.transport.abortConnection()
+            return
+        self.transport.setTcpNoDelay(True)
+        if self.waits is not None:
+            self.send()
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.waits is None:
+            return
+        if line.startswith(b"PONG"):
+            self.conclude(Outcome.GOOD, parse_report(line[4:]))
+        else:
+            self.conclude(Outcome.ERROR, {})
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self.end(Outcome.ERROR)
+
+    def late(self) -> None:
+        self.end(Outcome.LATE if self.sent else Outcome.UNREACHED)
+
+    def conclude(self, outcome: Outcome, values: dict[str, float]) -> None:
+        if self.waits is None:
+            return
+        if self.waits.active():
+            self.waits.cancel()
+        self.waits, self.sent = None, False
+        piled = values.get("x1")
+        self.pool.told(Looked(self.host, outcome, values.get("x0"), None if piled is None else piled * MS))
+
+    def end(self, outcome: Outcome) -> None:
+        """Closes the connection and concludes the probe that is out, if any."""
+        if self.ended:
+            return
+        self.ended = True
+        if self.connected:
+            self.transport.abortConnection()
+        else:
+            self.connector.disconnect()
+        self.pool.forget(self)
+        self.conclude(outcome, {})
+
+    def connectionLost(self, reason) -> None:
+        self.end(Outcome.RESET if self.sent else Outcome.UNREACHED)
+
+
+class _OneProbe(ClientFactory):
+    noisy = False
+
+    def __init__(self, conn: ProbeConnection) -> None:
+        self.conn = conn
+
+    def buildProtocol(self, addr) -> ProbeConnection:
+        return self.conn
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        self.conn.end(Outcome.UNREACHED)
+
+
+class Probes:
+    """The probe connections, one a host."""
+
+    def __init__(self, reactor: Any, reports: bool, time_out: float, told: Callable[[Looked], None]) -> None:
+        self.reactor = reactor
+        self.question = b"STATS" if reports else b"PING"
+        self.time_out = time_out
+        self.told = told
+        self.open: dict[int, ProbeConnection] = {}
+
+    def look(self, host: int, address: Address | None) -> None:
+        conn = self.open.get(host)
+        if conn is not None and conn.address != address:
+            conn.end(Outcome.UNREACHED)
+            conn = None
+        if address is None:
+            self.told(Looked(host, Outcome.UNREACHED))
+            return
+        if conn is None:
+            conn = self.open[host] = ProbeConnection(self, host, address)
+            conn.connector = self.reactor.connectTCP(
+                address.host, address.port, _OneProbe(conn), self.time_out / MS)  # fmt: skip
+        if conn.waits is None:
+            conn.ask()
+
+    def forget(self, conn: ProbeConnection) -> None:
+        if self.open.get(conn.host) is conn:
+            del self.open[conn.host]
+
+    def close(self, host: int) -> None:
+        if host in self.open:
+            self.open[host].end(Outcome.UNREACHED)
