--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# build, test, lint and run; `make run CONFIG=FILE` starts one node.
+PYTHON = .venv/bin/python
+
+.PHONY: build test lint run check clean
+
+build:
+	cat requirements.txt requirements-dev.txt | cmp -s - .venv/installed-dev.txt || $(MAKE) --no-print-directory venv
+
+.PHONY: venv
+venv:
+	test -x $(PYTHON) || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements-dev.txt
+	cat requirements.txt requirements-dev.txt > .venv/installed-dev.txt
+
+test: build
+	$(PYTHON) -m pytest -q
+
+lint: build
+	.venv/bin/ruff check .
+
+check: build
+	$(PYTHON) -m caperdeck check $(if $(CONFIG),--config=$(CONFIG))
+
+run: build
+	$(PYTHON) -m caperdeck serve $(if $(CONFIG),--config=$(CONFIG))
+
+clean:
+	rm -rf .venv .pytest_cache .ruff_cache
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -24,7 +24,7 @@
 BACKLOG = 4096
 SWEEP = 0.25  # seconds
 SERVE_ON = 450.0  # after SIGTERM, while clients still come
-SPARE = 400.0  # before the longest wait of a client is over, all have been moved
+LONGEST_STOP = 3000.0  # all are moved in the longest wait of a client, or in this if that is longer
 LINGER = 300.0  # from the last end until the exit
 
 
@@ -96,7 +96,7 @@
         self.reactor.callLater(SERVE_ON / MS, self.move_some)
 
     def move_some(self) -> None:
-        last = self.stopped_at + max(self.config.names.longest_wait - SPARE, SERVE_ON)
+        last = self.stopped_at + min(max(self.config.names.longest_wait, SERVE_ON), LONGEST_STOP)
         standing = self.desk.sessions.standing()
         left = last - self.clock()
         steps = max(int(left / 50.0), 1)
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -88,7 +88,10 @@
         self.bell = self.reactor.callLater(max(due - now, 0.0) / MS, self._ring)
 
     def _ring(self) -> None:
-        self.carry_out(self.balancer.tick(self.clock()))
+        try:
+            self.carry_out(self.balancer.tick(self.clock()))
+        finally:
+            self._set_bell()
 
     def _carry_out(self, order: Order) -> None:
         if isinstance(order, Look):
@@ -272,7 +275,7 @@
                 self._sends_away(s.host, line)
             elif line.startswith(b"LOAD "):
                 self._told_load(s, line)
-        elif line.startswith(b"UP"):
+        elif line == b"UP" or line.startswith(b"UP "):
             self._stand(s, conn, line)
         else:
             self._sends_away(s.host, line)
@@ -380,7 +383,9 @@
         now = self.clock()
         # Danger: a machine that vanished says nothing and its connections stay open.
         for s in self.sessions.silent(now - SILENCE):
-            self.move(s, "host-silent", Outcome.RESET)
+            # a host held up by a client that does not read is not silent
+            if not s.conn.paused:
+                self.move(s, "host-silent", Outcome.RESET)
         # Danger: clients that connect and say nothing would take every descriptor.
         limit = IDLE if self.budget.may_serve() else IDLE_SHORT
         for client in list(self.idle):
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -16,6 +16,8 @@
 
     from .desk import Desk
 
+LINGER = 1.0  # seconds in which what was written last has to go out
+
 
 class HostConnection(LineReceiver):
     delimiter = CRLF
@@ -30,6 +32,7 @@
         self.ended = False  # concluded; nothing that still comes counts
         self.farewell = b""  # BYE or MOVE, if the host said so
         self.connector = None
+        self.lingers = None
 
     def dial_to(self, address: Address, time_out: float) -> None:
         factory = _OneDial(self)
@@ -75,6 +78,8 @@
         if self.connected:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
+            # Danger: a machine that vanished never takes what is still to be written, and the socket stays.
+            self.lingers = self.desk.reactor.callLater(LINGER, self.transport.abortConnection)
         else:
             self.connector.disconnect()
 
@@ -90,6 +95,8 @@
         """The client's side is gone; its own connectionLost sees to this one."""
 
     def connectionLost(self, reason) -> None:
+        if self.lingers is not None and self.lingers.active():
+            self.lingers.cancel()
         if not self.ended:
             self.desk.host_gone(self, reset=not reason.check(ConnectionDone))
             self.ended = True
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -230,6 +230,24 @@
     assert reasons(log) == ["host-silent"]
 
 
+def test_a_client_that_does_not_read_does_not_make_its_host_silent():
+    d = desk(hosts=1)
+    client, host = up(d)
+    client.dataReceived(b"one\r\n")
+    host.pauseProducing()
+    d.reactor.advance(5.0)
+    d.sweep()
+    assert not host.ended and not client.closing
+
+
+def test_a_host_that_takes_nothing_any_more_is_let_go():
+    d = desk()
+    client, host = up(d)
+    lost(client)
+    d.reactor.advance(1.1)
+    assert host.transport.ended == "reset"
+
+
 def test_a_host_that_answers_is_kept():
     d = desk(hosts=1)
     client, host = up(d)
