--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -42,7 +42,6 @@
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
 DRAWS = 16  # so many hosts are drawn for two that may have room
 GROUP_PRIME = 4294967291  # shuffles the hosts' marks for a group
-GROUP_NEAR = 0.5  # under this a group is gathered in the own zone, where leaving it has a price
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
 FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
 TICK = 500.0
@@ -137,7 +136,7 @@
         self.part = math.inf  # the own part of the fleet's room, whole and
         self.spare = math.inf  # not yet taken
         self.scarce = 0.0  # of the hosts, as far as seen, so many have no room
-        self.orders: dict[int, tuple[list[int], list[int]]] = {}  # near and all hosts as drawn by a group
+        self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
         self.mean_hint = 0.0
         self.mean_figure: float | None = None
@@ -315,14 +314,8 @@
             if s.group not in self.orders:
                 group, marks = s.group, self.mark
                 mixed = sorted([(group * marks[h] % GROUP_PRIME) << 20 | h for h in self.running])
-                order = [x & 0xFFFFF for x in mixed]
-                near = [h for h in order if self.zone[h] == self.set.zone]
-                self.orders[group] = near[:DRAWS], order[:DRAWS]
-            near, order = self.orders[s.group]
-            # on light hosts a group that is paid for in each zone costs less than leaving the zone
-            if self.set.cross_price:
-                yield GROUP_NEAR, iter(near)
-            yield room, iter(order)
+                self.orders[group] = [x & 0xFFFFF for x in mixed[:DRAWS]]
+            yield room, iter(self.orders[s.group])
             return
         if self.set.cross_price:
             yield ROOM_NEAR, self._drawn(self.near)
