--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -364,7 +364,8 @@
             self.part = self.spare = math.inf
             return
         own = sum(self._forecast(now, s) for h in self.mine for s in self.standing[h].values())
-        if own and self.mean_figure:
+        # Danger: a list may leave no host running while figures of the last ones are still known.
+        if own and self.mean_figure and self.whole_size:
             unit = self.set.nodes * own / (self.mean_figure * self.whole_size)
             self.unit += (unit - self.unit) * (UNIT_SMOOTH if self.unit else 1.0)
         rooms = [max(ROOM - f - self._pile(now, h), 0.0) for f, h in known]
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -48,7 +48,9 @@
         )  # fmt: skip
         self.desk.accepting = self.accept
         self.discovery = Discovery(
-            reactor, config.discovery, config.rev, self.desk.listed, self.complain)  # fmt: skip
+            reactor, config.discovery, config.rev, self.desk.listed, self.desk.discovery_spoke,
+            self.complain,
+        )  # fmt: skip
         self.port = None
         self.accepts = True
         self.stopped_at = 0.0
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Callable, Sequence
 
@@ -24,7 +25,8 @@
         self.address: list[Address | None] = []
         self.state: list[HostState] = []
         self.entry: list[Entry | None] = []  # as last listed
-        self.drained: list[float] = []  # the start of the process that said itself that it drains
+        self.sent_away: list[float] = []  # when a client was last sent away by the host itself
+        self.held: dict[int, None] = {}  # hosts held to drain though the list has not said so
 
     def running(self) -> int:
         return sum(state is HostState.RUNNING for state in self.state)
@@ -61,24 +63,34 @@
             self.address.append(None)
             self.state.append(HostState.GONE)
             self.entry.append(None)
-            self.drained.append(-1.0)
+            self.sent_away.append(-math.inf)
         zone = row.get("az")
         zone = self.zones.get(zone, -1) if isinstance(zone, str) else -1
         mark = zlib.crc32(uid.encode())
         entry = Entry(h, STATES[state], float(size), zone, int(cell), float(born), mark)
-        # Danger: the list is seconds late, and would make ready again a host that has said that it drains.
-        if entry.state is HostState.RUNNING and entry.born <= self.drained[h]:
-            entry = entry._replace(state=HostState.DRAINING)
         self.address[h], self.state[h], self.entry[h] = address, entry.state, entry
+        self.held.pop(h, None)
         return entry
 
-    def drains(self, h: int) -> Entry | None:
-        """The host has said itself that it drains: its entry, changed, where the list did not know yet."""
-        if self.state[h] is not HostState.RUNNING:
-            return None
-        entry = self.entry[h]._replace(state=HostState.DRAINING)
-        self.state[h], self.entry[h], self.drained[h] = entry.state, entry, entry.born
-        return entry
+    def hold(self, since: float) -> list[Entry]:
+        """While discovery is silent: entries of the hosts that have sent clients away, as if they drained.
+
+        None if these are half of the hosts or more: clients that all come again are no drain.
+        """
+        new = [h for h, at in enumerate(self.sent_away) if at >= since and self.state[h] is HostState.RUNNING]
+        if 2 * (len(new) + len(self.held)) >= self.running() + len(self.held):
+            return []
+        for h in new:
+            self.state[h] = HostState.DRAINING
+            self.held[h] = None
+        return [self.entry[h]._replace(state=HostState.DRAINING) for h in new]
+
+    def release(self) -> list[Entry]:
+        """Discovery speaks again: the list holds for the hosts that were held to drain."""
+        held, self.held = self.held, {}
+        for h in held:
+            self.state[h] = self.entry[h].state
+        return [self.entry[h] for h in held]
 
     def _address(self, uid: str, row: dict) -> Address | None:
         if STATES[row["state"]] is HostState.GONE:
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -34,6 +34,8 @@
 AGAIN = 200.0  # until a connection that stood before is tried again at its host
 RESUME_TIME_OUT = 3000.0  # for one such try
 SILENCE = 4000.0  # a host that has brought nothing back for so long is given up
+SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
+AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
 IDLE = 30000.0  # a client that has sent no line for so long is closed
 IDLE_SHORT = 2000.0  # the same while sockets are short
 
@@ -54,6 +56,7 @@
         self.probes = Probes(reactor, names.reports, 2 * connect_time_out, self.looked)
         self.idle: dict[ClientConnection, None] = {}  # without a first line, the oldest first
         self.open: dict[ClientConnection, None] = {}
+        self.told_at = clock()  # when discovery last said anything
         self.stopping = False
         self.accepting: Callable[[bool], None] = lambda on: None
         self.orders: deque[Order] = deque()
@@ -272,22 +275,16 @@
             s.client.pass_on(line)
             if line == b"MOVE" or line.startswith(b"BYE"):
                 conn.farewell = line
-                self._sends_away(s.host, line)
+                if line == b"MOVE":
+                    self.hosts.sent_away[s.host] = self.clock()
             elif line.startswith(b"LOAD "):
                 self._told_load(s, line)
         elif line == b"UP" or line.startswith(b"UP "):
             self._stand(s, conn, line)
         else:
-            self._sends_away(s.host, line)
             outcome = Outcome.FULL if line.startswith(b"BUSY") else Outcome.ERROR
             self._end_dial(s, Outcome.WITHDRAWN if line == b"MOVE" else outcome)
 
-    def _sends_away(self, host: int, line: bytes) -> None:
-        """A host that tells a client to move drains, whatever the list, late or silent, still says."""
-        if line == b"MOVE" and (entry := self.hosts.drains(host)) is not None:
-            logger.info("host uid={} reason=told-drain", self.hosts.uid[host])
-            self.report(Listed(False, [entry]))
-
     def _told_load(self, s: Session, line: bytes) -> None:
         try:
             self.report(Load(s.index, float(line[5:]) / MS))
@@ -374,6 +371,20 @@
                 self.probes.close(host)
         self.report(Listed(whole, entries))
 
+    def discovery_spoke(self) -> None:
+        """Anything at all has come from discovery."""
+        self.told_at = self.clock()
+        if self.hosts.held:
+            self.report(Listed(False, self.hosts.release()))
+
+    def _mind_silence(self, now: float) -> None:
+        # Danger: what a silent discovery has to tell counts as told all the same; a host that drains
+        # then shows it only by sending its clients away.
+        if now - self.told_at > SILENT_LIST and (entries := self.hosts.hold(now - AWAY_LIFE)):
+            uids = ",".join(self.hosts.uid[e.host] for e in entries)
+            logger.info("roster reason=held-to-drain uids={}", uids)
+            self.report(Listed(False, entries))
+
     def complain_entry(self, text: str) -> None:
         logger.warning("roster reason=bad-entry {}", text)
 
@@ -381,6 +392,7 @@
 
     def sweep(self) -> None:
         now = self.clock()
+        self._mind_silence(now)
         # Danger: a machine that vanished says nothing and its connections stay open.
         for s in self.sessions.silent(now - SILENCE):
             # a host held up by a client that does not read is not silent
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -43,12 +43,13 @@
 
     def __init__(
         self, reactor: Any, address: str, rev: int, listed: Callable[[bool, Any], None],
-        complain: Callable[[str, str], None],
+        spoke: Callable[[], None], complain: Callable[[str, str], None],
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.url = f"http://{address}/discovery/hosts"
         self.rev = rev
         self.listed = listed
+        self.spoke = spoke  # called for each line, empty ones too
         self.complain = complain
         self.agent = Agent(reactor, connectTimeout=2.0, pool=HTTPConnectionPool(reactor, persistent=False))
         self.body: _WatchBody | None = None
@@ -96,6 +97,7 @@
 
     def line(self, line: bytes) -> None:
         self.heard()
+        self.spoke()
         self.wait = AGAIN
         if not line:
             return
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import START, ask, dials, entry, figures, node, settings, standing
 
-from caperdeck.core.model import Move, Note, Outcome, Probe, Refuse, Report
+from caperdeck.core.model import HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Wake
 
 
 def placed(n, count=1, **kw):
@@ -206,3 +206,11 @@
     n = node(3)
     standing(n, 0, [10.0] * 6)
     assert n.probed(START, 0, Outcome.GOOD, Report()) and not n.probed(START, 1, Outcome.GOOD, Report())
+
+
+def test_a_list_that_leaves_no_host_running_stops_nothing():
+    n = node(2)
+    standing(n, 0, [10.0] * 5)
+    figures(n, [0.5, 0.5])
+    n.roster(START, RosterScope.FULL, [entry(h, HostState.DRAINING) for h in range(2)])
+    assert Wake(500.0, -1) in n.bell(START, -1)
