The room of hosts that drain or are gone no longer counts

Seen in a read of the module: known keeps a figure for 7 s, also of hosts that have begun to drain or are gone, and decide._survey took their room into the mean room and with it into each node's own part.

Also: discovery that cannot be reached is said once in the log, and what was written last has 0.8 s to go out, under the second that the protocol allows.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -357,7 +357,9 @@
         while self.known and now - self.figure_at[oldest := next(iter(self.known))] >= FIGURE_LIFE:
             del self.known[oldest]
         self.ailing = {h: None for h in self.ailing if self.ill[h] >= ILL}
-        known = [(self.figure[h], h) for h in self.known if self.figure[h] is not None]
+        # Danger: the room of a host that drains or is gone is no room.
+        seen = (h for h in self.known if self.state[h] is HostState.RUNNING)
+        known = [(self.figure[h], h) for h in seen if self.figure[h] is not None]
         self.most_ill = 2 * len(self.ailing) > len(self.known.keys() | self.ailing.keys())
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         if not known:
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -17,7 +17,7 @@
 
     from .desk import Desk
 
-LINGER = 1.0  # seconds that a client has to end its side after its last line
+LINGER = 0.8  # seconds that a client has to end its side after its last line
 
 
 @implementer(IHalfCloseableProtocol)
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -63,7 +63,13 @@
         self.heard()
         url = f"{self.url}?watch=1&from={self.rev}".encode()
         asked = self.asked = self.agent.request(b"GET", url, Headers({b"User-Agent": [b"caperdeck"]}))
-        asked.addCallbacks(self.answered, lambda _: self.again(None) if self.asked is asked else None)
+        asked.addCallbacks(self.answered, lambda failure: self.failed(asked, failure))
+
+    def failed(self, asked: Any, failure: Any) -> None:
+        if self.asked is asked:
+            if self.wait == AGAIN:  # once for each time that discovery is away
+                self.complain("discovery-unreached", failure.getErrorMessage())
+            self.again(None)
 
     def answered(self, response) -> None:
         if response.code != 200:
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -16,7 +16,7 @@
 
     from .desk import Desk
 
-LINGER = 1.0  # seconds in which what was written last has to go out
+LINGER = 0.8  # seconds in which what was written last has to go out
 
 
 class HostConnection(LineReceiver):
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -214,3 +214,13 @@
     figures(n, [0.5, 0.5])
     n.roster(START, RosterScope.FULL, [entry(h, HostState.DRAINING) for h in range(2)])
     assert Wake(500.0, -1) in n.bell(START, -1)
+
+
+def test_the_room_of_a_host_that_drains_is_no_room():
+    n = node(3)
+    standing(n, 1, [10.0] * 20)
+    figures(n, [0.0, 0.6, 0.6])
+    before = n.part
+    n.roster(START, RosterScope.CHANGES, [entry(0, HostState.DRAINING)])
+    n.bell(START, -1)
+    assert 0 < n.part < before / 2
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -394,3 +394,13 @@
     reactor.advance(SILENT)
     reactor.advance(0.2)
     assert said == ["discovery-silent"] and len(reactor.tcpClients) == 2
+
+
+def test_a_discovery_that_cannot_be_reached_is_named_once_and_asked_again():
+    reactor, said = MemoryReactorClock(), []
+    watch = Discovery(reactor, "127.0.0.1:8500", 4, None, lambda: None, lambda reason, _: said.append(reason))
+    watch.start()
+    for _ in range(3):
+        reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(Refused()))
+        reactor.advance(2.0)
+    assert said == ["discovery-unreached"] and len(reactor.tcpClients) == 4
