The test of an unreached discovery lets its clock run in small steps

The library's endpoint gives a failed address up only 0.3 s later, so one long step of the test's clock ended before the retry.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -402,5 +402,5 @@
     watch.start()
     for _ in range(3):
         reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(Refused()))
-        reactor.advance(2.0)
+        reactor.pump([0.1] * 15)
     assert said == ["discovery-unreached"] and len(reactor.tcpClients) == 4
