Silent hosts are given up after 2 s, clients without a line after their idle time

A client of a machine that vanished waited 4 to 6 s. A client whose machine vanished kept two descriptors for ever; it is moved after connIdle without a line (30 s at the least).

--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -14,6 +14,7 @@
 from caperdeck.state.names import Names
 
 LEAST_SOCKETS = 32
+LEAST_IDLE = 30.0  # seconds; clients speak every two
 
 
 class ConfigError(Exception):
@@ -89,4 +90,5 @@
         reports=(setup.get("report") or {}).get("how") != "silent",
         max_back_off=limits.get("maxRetryAfter", 0.0) * MS if limits.get("retryAfter") else 0.0,
         longest_wait=max(row.get("hardLimit", 0.0) for row in rows) * MS,
+        idle=max(limits.get("connIdle", LEAST_IDLE), LEAST_IDLE) * MS,
     )
--- a/caperdeck/state/names.py
+++ b/caperdeck/state/names.py
@@ -14,6 +14,7 @@
     reports: bool  # hosts answer STATS
     max_back_off: float  # 0 where clients are told none
     longest_wait: float  # of any client
+    idle: float  # a standing connection without a line for so long is ended
 
     def customer(self, tenant: str | None) -> int:
         return -1 if tenant is None else self.customers.get(tenant, -1)
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -25,6 +25,7 @@
     conn: HostConnection | None = None  # the dial that is out, or the stream's host side
     timer: IDelayedCall | None = None  # ends the dial that is out
     up_at: float = 0.0  # 0 until it stands
+    heard_at: float = 0.0  # the client's last line
     asked_at: float = 0.0  # since when a client's line waits for one from the host; 0 if none does
     over: bool = False  # answered or ended; nothing is sent for it any more
 
@@ -47,6 +48,7 @@
         self.table.pop(s.index, None)
 
     def line_from_client(self, s: Session, now: float) -> None:
+        s.heard_at = now
         if not s.asked_at:
             s.asked_at = now
             self.unanswered[s] = None
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -33,7 +33,7 @@
 FULL_BACK_OFF = 500.0  # for clients turned away because sockets are short
 AGAIN = 200.0  # until a connection that stood before is tried again at its host
 RESUME_TIME_OUT = 3000.0  # for one such try
-SILENCE = 4000.0  # a host that has brought nothing back for so long is given up
+SILENCE = 2000.0  # a host that has brought nothing back for so long is given up
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
 AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
 IDLE = 30000.0  # a client that has sent no line for so long is closed
@@ -57,6 +57,7 @@
         self.idle: dict[ClientConnection, None] = {}  # without a first line, the oldest first
         self.open: dict[ClientConnection, None] = {}
         self.told_at = clock()  # when discovery last said anything
+        self.searched_at = clock()  # for clients that fell silent
         self.stopping = False
         self.accepting: Callable[[bool], None] = lambda on: None
         self.orders: deque[Order] = deque()
@@ -179,36 +180,30 @@
     def client_gone(self, client: ClientConnection, reset: bool) -> None:
         """The client has ended its connection."""
         s = client.session
-        if s is None or s.over:
-            return
-        if not s.up_at:
-            self._end(s, "client-left")
-            if s.head.at is None:
-                self.report(Left(s.index))
-                if s.conn is not None:
-                    self.report(Over(s.index, s.dial, Outcome.WITHDRAWN, True))
-            self._hang_up(s, reset=False)
-            return
-        self._end(s, "client-reset" if reset else "client-closed")
-        self._hang_up(s, reset)
-        self.report(Over(s.index, 0 if s.head.at else s.dial, Outcome.WITHDRAWN, True))
+        if s is not None and not s.over:
+            how = "client-reset" if reset else "client-closed"
+            self._lose_client(s, how if s.up_at else "client-left", reset)
 
     def client_broke(self, client: ClientConnection, reason: str) -> None:
         """The client has sent what cannot be passed on."""
         s = client.session
-        if s is None or s.over:
+        if s is None:
             self._turn_away(client, b"ERR", reason, b"")
-            return
-        up = bool(s.up_at)
-        dial, had = (0 if s.head.at else s.dial), s.conn is not None
+        elif not s.over:
+            self._lose_client(s, reason, reset=False)
+            client.close(None if s.up_at else b"ERR")
+
+    def _lose_client(self, s: Session, reason: str, reset: bool) -> None:
+        """Nobody waits for the session any more: ends it, and its host's side in the same way."""
+        up, dialing = bool(s.up_at), s.conn is not None
         self._end(s, reason)
-        self._hang_up(s, reset=False)
-        client.close(None if up else b"ERR")
-        if s.head.at is None or up:
-            if not up:
-                self.report(Left(s.index))
-            if had:
-                self.report(Over(s.index, dial, Outcome.WITHDRAWN, True))
+        self._hang_up(s, reset and up)
+        if s.head.at is not None and not up:
+            return  # the balancer has not heard of it yet
+        if not up:
+            self.report(Left(s.index))
+        if dialing:
+            self.report(Over(s.index, s.dial, Outcome.WITHDRAWN, True))
 
     # ---- dials
 
@@ -292,7 +287,7 @@
             logger.warning("host uid={} reason=bad-load line={!r}", self.hosts.uid[s.host], line[:80])
 
     def _stand(self, s: Session, conn: HostConnection, line: bytes) -> None:
-        now = s.up_at = self.clock()
+        now = s.up_at = s.heard_at = self.clock()
         if s.timer is not None and s.timer.active():
             s.timer.cancel()
         client, head = s.client, s.head
@@ -398,6 +393,12 @@
             # a host held up by a client that does not read is not silent
             if not s.conn.paused:
                 self.move(s, "host-silent", Outcome.RESET)
+        # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
+        if now - self.searched_at > self.names.idle / 10:
+            self.searched_at = now
+            for s in self.sessions.standing():
+                if now - s.heard_at > self.names.idle:
+                    self.move(s, "client-silent")
         # Danger: clients that connect and say nothing would take every descriptor.
         limit = IDLE if self.budget.may_serve() else IDLE_SHORT
         for client in list(self.idle):
