--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -52,7 +52,8 @@
 
     def stand(self) -> None:
         """Passes on what came before the session stood."""
-        if self.early is not None:
+        # Danger: the word that it stands may have brought the order to move it at once.
+        if self.early is not None and not self.closing:
             line, self.early = self.early, None
             self.desk.from_client(self.session, line)
             self.resumeProducing()
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -291,6 +291,7 @@
         if s.timer is not None and s.timer.active():
             s.timer.cancel()
         client, head = s.client, s.head
+        logger.debug("up id={} host={} class={}", head.id, self.hosts.uid[s.host], head.listener)
         client.pass_on(line)
         client.transport.registerProducer(conn, True)
         conn.transport.registerProducer(client, True)
@@ -356,6 +357,7 @@
     # ---- the roster and probes
 
     def looked(self, news: Looked) -> None:
+        logger.debug("look uid={} outcome={} load={}", self.hosts.uid[news.host], news.outcome.name, news.load)
         self.report(news)
 
     def listed(self, whole: bool, rows: Any) -> None:
