--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -357,7 +357,8 @@
     # ---- the roster and probes
 
     def looked(self, news: Looked) -> None:
-        logger.debug("look uid={} outcome={} load={}", self.hosts.uid[news.host], news.outcome.name, news.load)
+        uid = self.hosts.uid[news.host]
+        logger.debug("look uid={} outcome={} load={}", uid, news.outcome.name, news.load)
         self.report(news)
 
     def listed(self, whole: bool, rows: Any) -> None:
