A node that stood still reads before it judges; idle clients end with the stop

The stop waited for connections that never sent a line. The library accepts up to some hundred clients in one go, so accepting stops with three quarters of the reserve left.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -104,6 +104,7 @@
         steps = max(int(left / 50.0), 1)
         for s in standing[: -(-len(standing) // steps)]:
             self.desk.move(s, "stop")
+        self.desk.close_idle(self.clock() - SERVE_ON)
         if self.desk.sessions.table or self.desk.open or self.clock() < self.stopped_at + 2 * SERVE_ON:
             self.reactor.callLater(0.05, self.move_some)
         else:
--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -32,5 +32,6 @@
         return self.left > 0
 
     def may_accept(self) -> bool:
-        """Whether one more client can be taken in, if only to be answered: half the reserve is for that."""
-        return self.left > -self.reserve // 2
+        """Whether one more client can be taken in, if only to be answered from the reserve."""
+        # Danger: the library accepts some hundred at once before it hears that it should stop.
+        return self.left > -self.reserve // 4
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -24,7 +24,7 @@
 from caperdeck.state.sessions import Session, Sessions
 
 from .client import ClientConnection
-from .heads import HeadError, Head, parse_head
+from .heads import Head, HeadError, parse_head
 from .host import HostConnection
 from .probe import Probes
 
@@ -36,6 +36,7 @@
 SILENCE = 2000.0  # a host that has brought nothing back for so long is given up
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
 AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
+STOOD_STILL = 1000.0  # without a sweep for so long the node had no time to read
 IDLE = 30000.0  # a client that has sent no line for so long is closed
 IDLE_SHORT = 2000.0  # the same while sockets are short
 
@@ -57,12 +58,14 @@
         self.idle: dict[ClientConnection, None] = {}  # without a first line, the oldest first
         self.open: dict[ClientConnection, None] = {}
         self.told_at = clock()  # when discovery last said anything
+        self.swept_at = clock()
         self.searched_at = clock()  # for clients that fell silent
         self.stopping = False
         self.accepting: Callable[[bool], None] = lambda on: None
         self.orders: deque[Order] = deque()
         self.at_work = False
         self.bell = None
+        self.bell_at = 0.0
 
     # ---- the balancer
 
@@ -389,13 +392,16 @@
     # ---- housekeeping
 
     def sweep(self) -> None:
-        now = self.clock()
-        self._mind_silence(now)
-        # Danger: a machine that vanished says nothing and its connections stay open.
-        for s in self.sessions.silent(now - SILENCE):
-            # a host held up by a client that does not read is not silent
-            if not s.conn.paused:
-                self.move(s, "host-silent", Outcome.RESET)
+        now, last = self.clock(), self.swept_at
+        self.swept_at = now
+        # Danger: after the node itself stood still, what it has not read yet looks like silence.
+        if now - last < STOOD_STILL:
+            self._mind_silence(now)
+            # Danger: a machine that vanished says nothing and its connections stay open.
+            for s in self.sessions.silent(now - SILENCE):
+                # a host held up by a client that does not read is not silent
+                if not s.conn.paused:
+                    self.move(s, "host-silent", Outcome.RESET)
         # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
         if now - self.searched_at > self.names.idle / 10:
             self.searched_at = now
@@ -403,8 +409,11 @@
                 if now - s.heard_at > self.names.idle:
                     self.move(s, "client-silent")
         # Danger: clients that connect and say nothing would take every descriptor.
-        limit = IDLE if self.budget.may_serve() else IDLE_SHORT
+        self.close_idle(now - (IDLE if self.budget.may_serve() else IDLE_SHORT))
+
+    def close_idle(self, before: float) -> None:
+        """Ends the clients that have come before that time and sent no first line."""
         for client in list(self.idle):
-            if now - client.opened < limit:
+            if client.opened >= before:
                 break
             client.close()
