--- a/caperdeck/lifecycle/logs.py
+++ b/caperdeck/lifecycle/logs.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 from twisted.logger import LogLevel, globalLogPublisher
+from twisted.python.failure import Failure
 
 MOST_WAITING = 1 << 20  # bytes of lines that wait for a slow reader
 FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}"
@@ -59,11 +60,14 @@
     return sink
 
 
+def one_line(failure: Failure) -> str:
+    return failure.getTraceback().strip().replace("\n", " | ")
+
+
 def _from_twisted(event: dict) -> None:
     """What the network library complains of, in one line."""
     failure = event.get("log_failure")
     if failure is not None:
-        where = failure.getTraceback().strip().replace("\n", " | ")
-        logger.error("internal reason=exception {}", where)
+        logger.error("internal reason=exception {}", one_line(failure))
     elif event.get("log_level") in (LogLevel.warn, LogLevel.error, LogLevel.critical):
         logger.warning("internal reason=library {}", event.get("log_format"))
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -18,7 +18,7 @@
 from caperdeck.wire.discovery import Discovery
 
 from .config import Config
-from .logs import Sink
+from .logs import Sink, one_line
 
 MS = 1000.0
 BACKLOG = 4096
@@ -57,14 +57,14 @@
 
     def start(self) -> None:
         config = self.config
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
         self.desk.listed(True, config.known)
         self.discovery.start()
         address, factory = config.listen, ClientFactory(self.desk)
         self.port = self.reactor.listenTCP(address.port, factory, BACKLOG, address.host)
         self.desk.carry_out([])
-        LoopingCall(self.sweep).start(SWEEP, now=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
+        self.keep_sweeping()
         self.desk.budget.used = open_descriptors() + 4
         gc.collect()
         gc.freeze()
@@ -74,6 +74,14 @@
     def complain(self, reason: str, text: str) -> None:
         logger.warning("discovery reason={} {}", reason, text)
 
+    def keep_sweeping(self, failure: Any = None) -> None:
+        # Danger: a loop that has failed once stays still, and nothing would find silent hosts any more.
+        if failure is not None:
+            logger.error("internal reason=exception {}", one_line(failure))
+        loop = LoopingCall(self.sweep)
+        loop.clock = self.reactor
+        loop.start(SWEEP, now=False).addErrback(self.keep_sweeping)
+
     def sweep(self) -> None:
         self.desk.sweep()
         self.sink.flush()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -139,6 +139,16 @@
     assert late.transport.lines() == [b"MOVE"] and front.closing
 
 
+def test_sweeping_goes_on_after_a_fault(tmp_path, monkeypatch):
+    d = desk()
+    service = Service(d.reactor, load_config(write(tmp_path / "c", CONFIG)), Sink(2))
+    swept = []
+    monkeypatch.setattr(service, "sweep", lambda: swept.append(1) or 1 // (len(swept) - 1))
+    service.keep_sweeping()
+    d.reactor.pump([0.25] * 5)
+    assert len(swept) > 2
+
+
 # ---- a node as a process
 
 
