A host that has told no figure yet is asked at each tick

With looks logged: the first probes bring no figure (reports are told up to a second later), yet they counted as seen and were paid, so the next came 1.7 to 2.5 s later. Ruled out: placement (nothing new went there), moves before the start, the socket code.

At fault: decide._tick and probed, which took an answer without a figure for a look. Where hosts tell figures such a host is now asked at each tick, and the look is not charged.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -358,8 +358,7 @@
             del self.known[oldest]
         self.ailing = {h: None for h in self.ailing if self.ill[h] >= ILL}
         # Danger: the room of a host that drains or is gone is no room.
-        seen = (h for h in self.known if self.state[h] is HostState.RUNNING)
-        known = [(self.figure[h], h) for h in seen if self.figure[h] is not None]
+        known = [(self.figure[h], h) for h in self.running if h in self.known and self.figure[h] is not None]
         self.most_ill = 2 * len(self.ailing) > len(self.known.keys() | self.ailing.keys())
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         if not known:
@@ -561,8 +560,11 @@
             self.acts.append(Watch())
         self._survey(now)
         self.purse = min(self.purse + TICK / PROBE_EVERY, len(self.mine) + 1)
-        for h in sorted(self.mine, key=lambda h: (self.seen_at[h], h)):
-            if now - self.seen_at[h] < PROBE_EVERY or self.purse < 1:
+        # Danger: a host that has told no figure yet may be past its capacity; it is asked at each tick.
+        told = zip(self.seen_at, self.figure, strict=True)
+        age = [now - t + PROBE_EVERY * (self.set.figures and f is None) for t, f in told]
+        for h in sorted(self.mine, key=lambda h: (-age[h], h)):
+            if age[h] < PROBE_EVERY or self.purse < 1:
                 break
             if not self.set.may_probe:
                 self.seen_at[h] = now
@@ -585,6 +587,7 @@
         if self.state[h] is HostState.RUNNING:
             if result is Outcome.GOOD:
                 self._learn(now, h, report)
+                self.purse += self.set.figures and self.figure[h] is None
             else:
                 self._failed(now, h)
         waiting, self.lookers[h] = self.lookers[h], []
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -81,6 +81,7 @@
     max_dials: int
     may_withdraw: bool
     may_probe: bool
+    figures: bool  # hosts tell load or work piled up when probed
     back_off: bool
     max_back_off: float
     cold_from: float
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -224,3 +224,15 @@
     n.roster(START, RosterScope.CHANGES, [entry(0, HostState.DRAINING)])
     n.bell(START, -1)
     assert 0 < n.part < before / 2
+
+
+@pytest.mark.parametrize("figures_told, again", [(True, 1), (False, 0)])
+def test_a_host_that_has_told_no_figure_yet_is_asked_at_each_tick(figures_told, again):
+    n = node(1, figures=figures_told)
+    standing(n, 0, [10.0] * 3)
+    for tick in range(1, 9):
+        n.bell(START + 500.0 * tick, -1)
+        n.probed(START + 500.0 * tick, 0, Outcome.GOOD, Report())
+    assert n.acts == [] and (Probe(0) in n.bell(START + 4500.0, -1)) == again
+    n.probed(START + 4500.0, 0, Outcome.GOOD, Report(0.5))
+    assert Probe(0) not in n.bell(START + 5000.0, -1)
