No more clients accepted at once than there are descriptors to answer them

Tried as an operator would: 140 silent clients and 400 sessions at once on a node with 160 descriptors. 102 clients were reset without an answer, and the others waited up to 3.4 s. Seen in the library: a listening port takes a hundred connections or more in one go, and closes those that find no descriptor; those turned away lingered 0.8 s each; silent clients were kept for 2 s while others waited. ClientPort now takes no more than the budget allows, clients that are turned away for sockets do not linger, and silent ones go after 0.25 s while sockets are short.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -13,7 +13,7 @@
 from caperdeck.core.facade import Balancer
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
-from caperdeck.wire.client import ClientFactory
+from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
 from caperdeck.wire.discovery import Discovery
 
@@ -25,6 +25,7 @@
 SWEEP = 0.25  # seconds
 SERVE_ON = 450.0  # after SIGTERM, while clients still come
 LONGEST_STOP = 3000.0  # all are moved in the longest wait of a client, or in this if that is longer
+SHORT_EVERY = 1000.0  # the log says so often at the most that sockets are short
 LINGER = 300.0  # from the last end until the exit
 
 
@@ -53,6 +54,7 @@
         )  # fmt: skip
         self.port = None
         self.accepts = True
+        self.short_at = 0.0  # when the log last said that sockets are short
         self.stopped_at = 0.0
 
     def start(self) -> None:
@@ -62,7 +64,8 @@
         self.desk.listed(True, config.known)
         self.discovery.start()
         address, factory = config.listen, ClientFactory(self.desk)
-        self.port = self.reactor.listenTCP(address.port, factory, BACKLOG, address.host)
+        self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
+        self.port.startListening()
         self.desk.carry_out([])
         self.keep_sweeping()
         self.desk.budget.used = open_descriptors() + 4
@@ -91,7 +94,8 @@
         if on is not self.accepts and self.port is not None:
             self.accepts = on
             (self.port.startReading if on else self.port.stopReading)()
-            if not on:
+            if not on and self.clock() - self.short_at > SHORT_EVERY:
+                self.short_at = self.clock()
                 logger.warning("accept reason=no-sockets open={}", self.desk.budget.clients)
 
     # ---- the stop
--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -33,5 +33,9 @@
 
     def may_accept(self) -> bool:
         """Whether one more client can be taken in, if only to be answered from the reserve."""
-        # Danger: the library accepts some hundred at once before it hears that it should stop.
-        return self.left > -self.reserve // 4
+        return self.acceptable > 0
+
+    @property
+    def acceptable(self) -> int:
+        """How many clients may be taken in at once; half of the reserve is for those that are turned away."""
+        return max(self.left + self.reserve // 2, 0)
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -7,6 +7,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ServerFactory
+from twisted.internet.tcp import Port
 from twisted.protocols.basic import LineReceiver
 from zope.interface import implementer
 
@@ -65,14 +66,17 @@
     def pass_on(self, line: bytes) -> None:
         self.transport.writeSequence((line, CRLF))
 
-    def close(self, last_line: bytes | None = None) -> None:
-        """Ends the connection after a last line, if any."""
+    def close(self, last_line: bytes | None = None, linger: bool = True) -> None:
+        """Ends the connection after a last line, if any; without lingering where sockets are short."""
         if self.closing:
             return
         self.closing = True
         self.transport.unregisterProducer()
         if last_line is not None:
             self.pass_on(last_line)
+        if not linger:
+            self.transport.loseConnection()
+            return
         # Danger: closed with a line of the client unread, the kernel resets it and our last line is lost.
         self.transport.loseWriteConnection()
         self.lingers = self.desk.reactor.callLater(LINGER, self.transport.abortConnection)
@@ -107,6 +111,19 @@
         self.desk.client_closed(self)
 
 
+class ClientPort(Port):
+    """Accepts no more clients at once than there are descriptors for."""
+
+    # Danger: the library takes a hundred in one go, and closes unanswered those that find no descriptor.
+    @property
+    def numberAccepts(self) -> int:
+        return self.factory.desk.budget.acceptable
+
+    @numberAccepts.setter
+    def numberAccepts(self, wanted: int) -> None:
+        pass
+
+
 class ClientFactory(ServerFactory):
     noisy = False
 
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -38,7 +38,7 @@
 AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
 STOOD_STILL = 1000.0  # without a sweep for so long the node had no time to read
 IDLE = 30000.0  # a client that has sent no line for so long is closed
-IDLE_SHORT = 2000.0  # the same while sockets are short
+IDLE_SHORT = 250.0  # the same while sockets are short
 
 
 class Desk:
@@ -127,6 +127,7 @@
         self.idle[client] = None
         if not self.budget.may_accept():
             self.accepting(False)
+            self.close_idle(client.opened - IDLE_SHORT)
 
     def client_closed(self, client: ClientConnection) -> None:
         """Its descriptor is free again."""
@@ -173,7 +174,7 @@
         return load, None if group is None else zlib.crc32(group.encode())
 
     def _turn_away(self, client: ClientConnection, answer: bytes, reason: str, line: bytes) -> None:
-        client.close(answer)
+        client.close(answer, linger=self.budget.may_serve())
         logger.info("end reason={} line={!r}", reason, line.decode("utf-8", "replace"))
 
     def from_client(self, s: Session, line: bytes) -> None:
@@ -416,4 +417,4 @@
         for client in list(self.idle):
             if client.opened >= before:
                 break
-            client.close()
+            client.close(linger=False)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,6 +11,7 @@
 from caperdeck.core.facade import Looked
 from caperdeck.core.model import HostState, Outcome
 from caperdeck.state.addresses import Address
+from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.discovery import SILENT, Discovery, _WatchBody
 from caperdeck.wire.heads import HeadError, parse_head, parse_report
 from caperdeck.wire.probe import Probes
@@ -331,6 +332,18 @@
     assert heard[-1] is True
 
 
+def test_no_more_clients_are_accepted_at_once_than_can_be_answered():
+    d = desk(sockets=40)
+    port = ClientPort(0, ClientFactory(d))
+    free = port.numberAccepts
+    idle = [connect(d) for _ in range(free - 1)]
+    port.numberAccepts = 100
+    assert 5 < free < 40 and port.numberAccepts == 1 and not d.budget.may_serve()
+    d.reactor.advance(0.5)
+    connect(d)
+    assert port.numberAccepts == 0 and {client.transport.ended for client in idle} == {"end"}
+
+
 # ---- probes
 
 
