--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -97,13 +97,6 @@
     value: float
 
 
-class Slow(NamedTuple):
-    """A message on a standing session took so many milliseconds at its host."""
-
-    session: int
-    value: float
-
-
 class Looked(NamedTuple):
     """A probe's result: load over capacity and work piled up in milliseconds where the host told them."""
 
@@ -120,7 +113,7 @@
     entries: list[Entry]
 
 
-News = Up | Over | Left | Load | Slow | Looked | Listed
+News = Up | Over | Left | Load | Looked | Listed
 
 
 class Balancer:
@@ -188,10 +181,6 @@
     def _(self, news: Load, now: float) -> list[Action]:
         return self._node.note(now, news.session, Note.LOAD, news.value)
 
-    @_event.register
-    def _(self, news: Slow, now: float) -> list[Action]:
-        return self._node.note(now, news.session, Note.MESSAGE_DELAY, news.value)
-
     @_event.register
     def _(self, news: Looked, now: float) -> list[Action]:
         return self._node.probed(now, news.host, news.outcome, Report(news.load, news.piled))
