Few nodes look at each host every 2 s though no session pays for it

A session that stands had turned heavy, which hosts here do not tell.

At fault: decide._tick. Probes are paid by sessions taken, plus one in 2 s a node; with three new sessions in 6 s a node saw each of five hosts every 10 s, where the design asks for 2 s.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -32,6 +32,7 @@
 SETTLE = 2500.0  # a report sooner after the last one acted on does not show its moves yet
 NOTE_SETTLE = 900.0  # a note of work piled up is not late: it shows all but the moves just before
 PROBE_EVERY = 2000.0  # hosts with own connections, as far as the sessions taken pay for it
+ALL_LOOKS = 3.0  # probes of a host in that time by all nodes together that no session has to pay for
 FRESH = 1000.0  # a candidate whose figure is older is looked at first
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
 LOOK_WAIT = 0.25  # of the handshake target: so long a session waits for its candidates' figures
@@ -241,8 +242,7 @@
 
     def note(self, now: float, sid: int, kind: Note, value: float) -> list[Action]:
         self.now = now
-        s = self.sessions.get(sid)
-        if s is None:
+        if (s := self.sessions.get(sid)) is None:
             return []
         if kind is Note.MESSAGE_DELAY:
             if s.stands is not None:
@@ -518,11 +518,10 @@
             self.dialing[h] -= 1
         if self.standing[h].pop(sid, None) and not self.standing[h]:
             del self.mine[h]
-        if self.state[h] is HostState.RUNNING:
-            if result in FAILURES:
-                self._failed(now, h)
-            if result in CROWDED:
-                self._know(now, h, max(self._figure(now, h) or 0.0, FULL_LOAD))  # until the next report
+        if result in FAILURES and self.state[h] is HostState.RUNNING:
+            self._failed(now, h)
+        if result in CROWDED and self.state[h] is HostState.RUNNING:
+            self._know(now, h, max(self._figure(now, h) or 0.0, FULL_LOAD))  # until the next report
         if last or s.answered:
             s.answered = True
             del self.sessions[sid]
@@ -559,8 +558,9 @@
             self.watch_at = math.inf
             self.acts.append(Watch())
         self._survey(now)
-        self.purse = min(self.purse + TICK / PROBE_EVERY, len(self.mine) + 1)
-        # Danger: a host that has told no figure yet may be past its capacity; it is asked at each tick.
+        rate = max(ALL_LOOKS * len(self.mine) / self.set.nodes, 1.0) / PROBE_EVERY
+        self.purse = min(self.purse + TICK * rate, len(self.mine) + 1)
+        # Danger: an overfilled host goes unseen where few sessions pay, or while it has told no figure yet.
         told = zip(self.seen_at, self.figure, strict=True)
         age = [now - t + PROBE_EVERY * (self.set.figures and f is None) for t, f in told]
         for h in sorted(self.mine, key=lambda h: (-age[h], h)):
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -236,3 +236,19 @@
     assert n.acts == [] and (Probe(0) in n.bell(START + 4500.0, -1)) == again
     n.probed(START + 4500.0, 0, Outcome.GOOD, Report(0.5))
     assert Probe(0) not in n.bell(START + 5000.0, -1)
+
+
+@pytest.mark.parametrize("nodes, looks", [(3, 4), (300, 2)])
+def test_few_nodes_look_at_their_hosts_though_no_session_pays(nodes, looks):
+    n = node(4, nodes=nodes)
+    for h in range(4):
+        standing(n, h, [10.0] * 3, first=100 * h)
+    figures(n, [0.5] * 4)
+    n.purse, seen = 0.0, []
+    for tick in range(1, 9):
+        acts = n.bell(START + 500.0 * tick, -1)
+        seen += [a.host for a in acts if isinstance(a, Probe)]
+        for a in acts:
+            if isinstance(a, Probe):
+                n.probed(START + 500.0 * tick, a.host, Outcome.GOOD, Report(0.5))
+    assert len(set(seen)) == looks
