Connections share their lines, ends and dials; the facade matches news; dead state dropped

Found in a reading of the whole change; behaviour as it was, the tests untouched. Client, host and probe each had their own delimiter, length, writing of a line, waiting for an end and one-connection factory: wire/lines.py has them once. A host's close and abort were one method but for a line. The facade sent news through a single dispatch, made anew at each call, where its orders use match. Dropped: the dial's number in a host's connection, which nobody read; the table of open clients, which the budget counts; checks for sessions that have left the table; a start of the bell that the first list has made already.

--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -9,7 +9,6 @@
 
 import heapq
 import math
-from functools import singledispatchmethod
 from typing import NamedTuple
 
 from .decide import Node
@@ -155,41 +154,29 @@
         return orders
 
     def report(self, now: float, news: News) -> list[Order]:
-        return self._orders(now, self._event(news, now))
+        return self._orders(now, self._event(now, news))
 
-    @singledispatchmethod
-    def _event(self, news: News, now: float) -> list[Action]:
+    def _event(self, now: float, news: News) -> list[Action]:
+        match news:
+            case Up(session):
+                self._dials.pop(session, None)
+                return self._node.stands(now, session)
+            case Over(session, dial, outcome, last):
+                if last:
+                    self._dials.pop(session, None)
+                return self._node.outcome(now, session, dial, outcome, last)
+            case Left(session):
+                self._dials.pop(session, None)
+                return self._node.hangup(now, session)
+            case Load(session, value):
+                return self._node.note(now, session, Note.LOAD, value)
+            case Looked(host, outcome, load, piled):
+                return self._node.probed(now, host, outcome, Report(load, piled))
+            case Listed(whole, entries):
+                scope = RosterScope.FULL if whole else RosterScope.CHANGES
+                return self._node.roster(now, scope, entries)
         raise TypeError(f"no news: {news!r}")
 
-    @_event.register
-    def _(self, news: Up, now: float) -> list[Action]:
-        self._dials.pop(news.session, None)
-        return self._node.stands(now, news.session)
-
-    @_event.register
-    def _(self, news: Over, now: float) -> list[Action]:
-        if news.last:
-            self._dials.pop(news.session, None)
-        return self._node.outcome(now, news.session, news.dial, news.outcome, news.last)
-
-    @_event.register
-    def _(self, news: Left, now: float) -> list[Action]:
-        self._dials.pop(news.session, None)
-        return self._node.hangup(now, news.session)
-
-    @_event.register
-    def _(self, news: Load, now: float) -> list[Action]:
-        return self._node.note(now, news.session, Note.LOAD, news.value)
-
-    @_event.register
-    def _(self, news: Looked, now: float) -> list[Action]:
-        return self._node.probed(now, news.host, news.outcome, Report(news.load, news.piled))
-
-    @_event.register
-    def _(self, news: Listed, now: float) -> list[Action]:
-        scope = RosterScope.FULL if news.whole else RosterScope.CHANGES
-        return self._node.roster(now, scope, news.entries)
-
     def _orders(self, now: float, actions: list[Action]) -> list[Order]:
         return [order for act in actions if (order := self._order(now, act)) is not None]
 
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import LoopingCall
 
 from caperdeck.core.facade import Balancer
+from caperdeck.core.settings import MS
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
 from caperdeck.wire.client import ClientFactory, ClientPort
@@ -20,7 +21,6 @@
 from .config import Config
 from .logs import Sink, one_line
 
-MS = 1000.0
 BACKLOG = 4096
 SWEEP = 0.25  # seconds
 SERVE_ON = 450.0  # after SIGTERM, while clients still come
@@ -66,7 +66,6 @@
         address, factory = config.listen, ClientFactory(self.desk)
         self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
         self.port.startListening()
-        self.desk.carry_out([])
         self.keep_sweeping()
         self.desk.budget.used = open_descriptors() + 4
         gc.collect()
@@ -117,7 +116,7 @@
         for s in standing[: -(-len(standing) // steps)]:
             self.desk.move(s, "stop")
         self.desk.close_idle(self.clock() - SERVE_ON)
-        if self.desk.sessions.table or self.desk.open or self.clock() < self.stopped_at + 2 * SERVE_ON:
+        if self.desk.budget.clients or self.clock() < self.stopped_at + 2 * SERVE_ON:
             self.reactor.callLater(0.05, self.move_some)
         else:
             self.reactor.callLater(LINGER / MS, self.exit)
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -75,7 +75,7 @@
     def hold(self, since: float) -> list[Entry]:
         """While discovery is silent: entries of the hosts that have sent clients away, as if they drained.
 
-        None if these are half of the hosts or more: clients that all come again are no drain.
+        Nothing if these are half of the hosts or more: clients that all come again are no drain.
         """
         new = [h for h, at in enumerate(self.sent_away) if at >= since and self.state[h] is HostState.RUNNING]
         if 2 * (len(new) + len(self.held)) >= self.running() + len(self.held):
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import takewhile
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -60,12 +61,7 @@
 
     def silent(self, before: float) -> list[Session]:
         """The sessions whose line has waited since before that time."""
-        found = []
-        for s in self.unanswered:
-            if s.asked_at >= before:
-                break
-            found.append(s)
-        return found
+        return list(takewhile(lambda s: s.asked_at < before, self.unanswered))
 
     def standing(self) -> list[Session]:
-        return [s for s in self.table.values() if s.up_at and not s.over]
+        return [s for s in self.table.values() if s.up_at]
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -8,30 +8,23 @@
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ServerFactory
 from twisted.internet.tcp import Port
-from twisted.protocols.basic import LineReceiver
 from zope.interface import implementer
 
-from .heads import CRLF, LONGEST_LINE
+from .lines import LineConnection, cancel
 
 if TYPE_CHECKING:
     from caperdeck.state.sessions import Session
 
     from .desk import Desk
 
-LINGER = 0.8  # seconds that a client has to end its side after its last line
-
 
 @implementer(IHalfCloseableProtocol)
-class ClientConnection(LineReceiver):
-    delimiter = CRLF
-    MAX_LENGTH = LONGEST_LINE
-
+class ClientConnection(LineConnection):
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
         self.session: Session | None = None
         self.opened = 0.0
         self.closing = False
-        self.lingers = None
         self.early: bytes | None = None
 
     def connectionMade(self) -> None:
@@ -63,9 +56,6 @@
         if not self.closing:
             self.desk.client_broke(self, "long-line")
 
-    def pass_on(self, line: bytes) -> None:
-        self.transport.writeSequence((line, CRLF))
-
     def close(self, last_line: bytes | None = None, linger: bool = True) -> None:
         """Ends the connection after a last line, if any; without lingering where sockets are short."""
         if self.closing:
@@ -79,7 +69,7 @@
             return
         # Danger: closed with a line of the client unread, the kernel resets it and our last line is lost.
         self.transport.loseWriteConnection()
-        self.lingers = self.desk.reactor.callLater(LINGER, self.transport.abortConnection)
+        self.linger(self.desk.reactor)
         if self.paused:
             self.resumeProducing()
 
@@ -88,9 +78,6 @@
         self.transport.unregisterProducer()
         self.transport.abortConnection()
 
-    def stopProducing(self) -> None:
-        """The host's side is gone; its own connectionLost sees to this one."""
-
     def readConnectionLost(self) -> None:
         """The client has ended its side."""
         if not self.closing:
@@ -103,8 +90,7 @@
         """The last line has gone out."""
 
     def connectionLost(self, reason) -> None:
-        if self.lingers is not None and self.lingers.active():
-            self.lingers.cancel()
+        cancel(self.lingers)
         if not self.closing:
             self.closing = True
             self.desk.client_gone(self, reset=not reason.check(ConnectionDone))
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -18,6 +18,7 @@
     SendAway, Up,
 )  # fmt: skip
 from caperdeck.core.model import HostState, Outcome
+from caperdeck.core.settings import MS
 from caperdeck.state.budget import SocketBudget
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.names import Names
@@ -26,9 +27,9 @@
 from .client import ClientConnection
 from .heads import Head, HeadError, parse_head
 from .host import HostConnection
+from .lines import cancel
 from .probe import Probes
 
-MS = 1000.0
 ANSWER_MARGIN = 30.0  # a client's answer is out so long before it stops waiting
 FULL_BACK_OFF = 500.0  # for clients turned away because sockets are short
 AGAIN = 200.0  # until a connection that stood before is tried again at its host
@@ -56,7 +57,6 @@
         self.sessions = Sessions()
         self.probes = Probes(reactor, names.reports, 2 * connect_time_out, self.looked)
         self.idle: dict[ClientConnection, None] = {}  # without a first line, the oldest first
-        self.open: dict[ClientConnection, None] = {}
         self.told_at = clock()  # when discovery last said anything
         self.swept_at = clock()
         self.searched_at = clock()  # for clients that fell silent
@@ -105,7 +105,7 @@
             self.probes.look(order.host, self.hosts.address[order.host])
             return
         s = self.sessions.table.get(order.session)
-        if s is None or s.over:
+        if s is None:
             return
         match order:
             case Connect(_, dial, host, until):
@@ -123,7 +123,6 @@
 
     def client_came(self, client: ClientConnection) -> None:
         self.budget.clients += 1
-        self.open[client] = None
         self.idle[client] = None
         if not self.budget.may_accept():
             self.accepting(False)
@@ -132,8 +131,8 @@
     def client_closed(self, client: ClientConnection) -> None:
         """Its descriptor is free again."""
         self.budget.clients -= 1
-        del self.open[client]
-        if self.idle.pop(client, self) is None:
+        if client in self.idle:
+            del self.idle[client]
             logger.info("end reason=no-line ms={:.0f}", self.clock() - client.opened)
         if self.budget.may_accept():
             self.accepting(True)
@@ -213,20 +212,17 @@
 
     def _dial(self, s: Session, dial: int, host: int, until: float) -> None:
         s.host, s.dial = host, dial
-        s.conn = HostConnection(self, s, dial)
-        address = self.hosts.address[host]
+        s.conn = HostConnection(self, s, until)
         wait = max(until - self.clock(), 0.0)
         s.timer = self.reactor.callLater(wait / MS, self._late, s.conn)
-        s.conn.until = until
-        s.conn.dial_to(address, min(self.connect_time_out, wait + 1))
+        s.conn.dial_to(self.hosts.address[host], min(self.connect_time_out, wait + 1))
 
     def _resume(self, s: Session) -> None:
         """Takes up a connection that stood at its host before this node started."""
         if s.over:
             return
         s.host, s.dial = self.hosts.index[s.head.at], 0
-        s.conn = HostConnection(self, s, 0)
-        s.conn.until = s.deadline
+        s.conn = HostConnection(self, s, s.deadline)
         s.conn.dial_to(self.hosts.address[s.host], RESUME_TIME_OUT)
 
     def dial_open(self, conn: HostConnection) -> None:
@@ -260,10 +256,9 @@
     def _hang_up(self, s: Session, reset: bool) -> None:
         """Ends the host's side of a session."""
         conn, s.conn = s.conn, None
-        if s.timer is not None and s.timer.active():
-            s.timer.cancel()
+        cancel(s.timer)
         if conn is not None and not conn.ended:
-            (conn.abort if reset else conn.close)()
+            conn.close(reset)
 
     # ---- hosts
 
@@ -292,8 +287,7 @@
 
     def _stand(self, s: Session, conn: HostConnection, line: bytes) -> None:
         now = s.up_at = s.heard_at = self.clock()
-        if s.timer is not None and s.timer.active():
-            s.timer.cancel()
+        cancel(s.timer)
         client, head = s.client, s.head
         logger.debug("up id={} host={} class={}", head.id, self.hosts.uid[s.host], head.listener)
         client.pass_on(line)
--- a/caperdeck/wire/heads.py
+++ b/caperdeck/wire/heads.py
@@ -8,8 +8,7 @@
 import math
 from dataclasses import dataclass
 
-LONGEST_LINE = 4096
-CRLF = b"\r\n"
+from .lines import CRLF
 
 
 class HeadError(ValueError):
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import ClientFactory
-from twisted.protocols.basic import LineReceiver
 
-from .heads import CRLF, LONGEST_LINE
+from caperdeck.core.settings import MS
+
+from .lines import LineConnection, OneConnection, cancel
 
 if TYPE_CHECKING:
     from caperdeck.state.addresses import Address
@@ -16,27 +16,19 @@
 
     from .desk import Desk
 
-LINGER = 0.8  # seconds in which what was written last has to go out
-
-
-class HostConnection(LineReceiver):
-    delimiter = CRLF
-    MAX_LENGTH = LONGEST_LINE
 
-    def __init__(self, desk: Desk, session: Session, dial: int) -> None:
+class HostConnection(LineConnection):
+    def __init__(self, desk: Desk, session: Session, until: float) -> None:
         self.desk = desk
         self.session = session
-        self.dial = dial
         self.sent = False  # the head's last byte has been written
-        self.until = 0.0
+        self.until = until
         self.ended = False  # concluded; nothing that still comes counts
         self.farewell = b""  # BYE or MOVE, if the host said so
         self.connector = None
-        self.lingers = None
 
     def dial_to(self, address: Address, time_out: float) -> None:
-        factory = _OneDial(self)
-        self.connector = self.desk.reactor.connectTCP(address.host, address.port, factory, time_out / 1000)
+        self.connector = self.desk.reactor.connectTCP(*address, OneConnection(self), time_out / MS)
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -69,49 +61,27 @@
             self.desk.host_gone(self, reset=True)
             self.transport.abortConnection()
 
-    def pass_on(self, line: bytes) -> None:
-        self.transport.writeSequence((line, CRLF))
-
-    def close(self) -> None:
+    def close(self, reset: bool) -> None:
         """Ends the connection, or the attempt at one."""
         self.ended = True
-        if self.connected:
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
-            # Danger: a machine that vanished never takes what is still to be written, and the socket stays.
-            self.lingers = self.desk.reactor.callLater(LINGER, self.transport.abortConnection)
-        else:
+        if not self.connected:
             self.connector.disconnect()
-
-    def abort(self) -> None:
-        self.ended = True
-        if self.connected:
-            self.transport.unregisterProducer()
+            return
+        self.transport.unregisterProducer()
+        if reset:
             self.transport.abortConnection()
         else:
-            self.connector.disconnect()
+            self.transport.loseConnection()
+            # Danger: a machine that vanished never takes what is still to be written, and the socket stays.
+            self.linger(self.desk.reactor)
 
-    def stopProducing(self) -> None:
-        """The client's side is gone; its own connectionLost sees to this one."""
+    def failed(self) -> None:
+        if not self.ended:
+            self.ended = True
+            self.desk.dial_failed(self)
 
     def connectionLost(self, reason) -> None:
-        if self.lingers is not None and self.lingers.active():
-            self.lingers.cancel()
+        cancel(self.lingers)
         if not self.ended:
             self.desk.host_gone(self, reset=not reason.check(ConnectionDone))
             self.ended = True
-
-
-class _OneDial(ClientFactory):
-    noisy = False
-
-    def __init__(self, conn: HostConnection) -> None:
-        self.conn = conn
-
-    def buildProtocol(self, addr) -> HostConnection:
-        return self.conn
-
-    def clientConnectionFailed(self, connector, reason) -> None:
-        if not self.conn.ended:
-            self.conn.ended = True
-            self.conn.desk.dial_failed(self.conn)
--- /dev/null
+++ b/caperdeck/wire/lines.py
@@ -0,0 +1,48 @@
+"""What every connection of the node has in common: lines, their length, and how an end is waited for."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import LineReceiver
+
+CRLF = b"\r\n"
+LONGEST_LINE = 4096
+LINGER = 0.8  # seconds in which what was written last has to go out
+
+
+def cancel(call: Any) -> None:
+    """Takes a timer back that may have run already, or was never set."""
+    if call is not None and call.active():
+        call.cancel()
+
+
+class LineConnection(LineReceiver):
+    delimiter = CRLF
+    MAX_LENGTH = LONGEST_LINE
+    lingers = None
+
+    def pass_on(self, line: bytes) -> None:
+        self.transport.writeSequence((line, CRLF))
+
+    def linger(self, reactor: Any) -> None:
+        self.lingers = reactor.callLater(LINGER, self.transport.abortConnection)
+
+    def stopProducing(self) -> None:
+        """The other side of the session is gone; its own connectionLost sees to this one."""
+
+
+class OneConnection(ClientFactory):
+    """For one connection that the node opens; told by `failed` if it does not come up."""
+
+    noisy = False
+
+    def __init__(self, conn: Any) -> None:
+        self.conn = conn
+
+    def buildProtocol(self, addr) -> Any:
+        return self.conn
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        self.conn.failed()
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -5,22 +5,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import ClientFactory
-from twisted.protocols.basic import LineReceiver
-
 from caperdeck.core.facade import Looked
 from caperdeck.core.model import Outcome
+from caperdeck.core.settings import MS
 from caperdeck.state.addresses import Address
 
-from .heads import CRLF, LONGEST_LINE, parse_report
-
-MS = 1000.0
-
+from .heads import parse_report
+from .lines import LineConnection, OneConnection, cancel
 
-class ProbeConnection(LineReceiver):
-    delimiter = CRLF
-    MAX_LENGTH = LONGEST_LINE
 
+class ProbeConnection(LineConnection):
     def __init__(self, pool: Probes, host: int, address: Address) -> None:
         self.pool = pool
         self.host = host
@@ -37,7 +31,7 @@
 
     def send(self) -> None:
         self.sent = True
-        self.transport.writeSequence((self.pool.question, CRLF))
+        self.pass_on(self.pool.question)
 
     def connectionMade(self) -> None:
         if self.ended:
@@ -64,8 +58,7 @@
     def conclude(self, outcome: Outcome, values: dict[str, float]) -> None:
         if self.waits is None:
             return
-        if self.waits.active():
-            self.waits.cancel()
+        cancel(self.waits)
         self.waits, self.sent = None, False
         piled = values.get("x1")
         self.pool.told(Looked(self.host, outcome, values.get("x0"), None if piled is None else piled * MS))
@@ -82,23 +75,13 @@
         self.pool.forget(self)
         self.conclude(outcome, {})
 
+    def failed(self) -> None:
+        self.end(Outcome.UNREACHED)
+
     def connectionLost(self, reason) -> None:
         self.end(Outcome.RESET if self.sent else Outcome.UNREACHED)
 
 
-class _OneProbe(ClientFactory):
-    noisy = False
-
-    def __init__(self, conn: ProbeConnection) -> None:
-        self.conn = conn
-
-    def buildProtocol(self, addr) -> ProbeConnection:
-        return self.conn
-
-    def clientConnectionFailed(self, connector, reason) -> None:
-        self.conn.end(Outcome.UNREACHED)
-
-
 class Probes:
     """The probe connections, one a host."""
 
@@ -119,8 +102,7 @@
             return
         if conn is None:
             conn = self.open[host] = ProbeConnection(self, host, address)
-            conn.connector = self.reactor.connectTCP(
-                address.host, address.port, _OneProbe(conn), self.time_out / MS)  # fmt: skip
+            conn.connector = self.reactor.connectTCP(*address, OneConnection(conn), self.time_out / MS)
         if conn.waits is None:
             conn.ask()
 
