Names and reports decoded once for adapter and node; one script makes the environment

The node had its own tables of listeners, customers, zones and groups beside the adapter's door, and its own reading of x0 and x1: decode_names and decode_report now stand in core/settings.py for both. What only the network code reads is in state/limits.py, the connect time-out with it. BUSY with its wait is written at one place; a wait of under 1 ms is now left out in both uses, where one wrote BUSY 0.

--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,7 @@
 .PHONY: build test lint run check clean
 
 build:
-	cat requirements.txt requirements-dev.txt | cmp -s - .venv/installed-dev.txt || $(MAKE) --no-print-directory venv
-
-.PHONY: venv
-venv:
-	test -x $(PYTHON) || python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements-dev.txt
-	cat requirements.txt requirements-dev.txt > .venv/installed-dev.txt
+	bash .ci/venv
 
 test: build
 	$(PYTHON) -m pytest -q
--- a/caperdeck/core/settings.py
+++ b/caperdeck/core/settings.py
@@ -1,10 +1,15 @@
-"""The settings that a node is given at its start, decoded once, on the simulator's wire and on sockets."""
+"""The settings that a node is given at its start, decoded once, and the names and units that they define.
+
+The simulator's wire and the socket node go through here alike.
+"""
 
 from __future__ import annotations
 
+import zlib
+from dataclasses import dataclass
 from typing import Any
 
-from .model import Effect, Listener, Scope, Settings
+from .model import Effect, Listener, Report, Scope, Settings
 
 MS = 1000.0
 EFFECTS = {
@@ -71,3 +76,32 @@
         cross_price=setup.get("prices", {}).get("crossZone", 0.0),
         sizes_stand=setup.get("weights") in ("nominal", "rough"),
     )
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Names as the settings give them, with their indices."""
+
+    listeners: dict[str, int]
+    customers: dict[str, int]
+    zones: dict[str, int]
+    groups: bool
+
+    def group(self, name: Any) -> int | None:
+        """A group's index, where connections of one group share work."""
+        return None if name is None or not self.groups else zlib.crc32(str(name).encode())
+
+
+def decode_names(setup: dict) -> Names:
+    return Names(
+        listeners={row["name"]: i for i, row in enumerate(setup["listeners"])},
+        customers={row["name"]: i for i, row in enumerate(setup.get("projects") or [])},
+        zones={name: i for i, name in enumerate(setup.get("dcs") or [])},
+        groups=bool(setup.get("specifics", {}).get("groups", False)),
+    )
+
+
+def decode_report(values: dict | None) -> Report:
+    values = values or {}
+    piled = values.get("x1")
+    return Report(values.get("x0"), None if piled is None else piled * MS)
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -9,9 +9,9 @@
 import orjson
 
 from caperdeck.core.model import Settings
-from caperdeck.core.settings import MS, SettingsError, decode_settings, need
+from caperdeck.core.settings import MS, Names, SettingsError, decode_names, decode_settings, need
 from caperdeck.state.addresses import Address, AddressError, parse_address
-from caperdeck.state.names import Names
+from caperdeck.state.limits import Limits
 
 LEAST_SOCKETS = 32
 LEAST_IDLE = 30.0  # seconds; clients speak every two
@@ -27,11 +27,11 @@
     listen: Address
     discovery: str
     sockets: int
-    connect_time_out: float
     rev: int
     known: list
     settings: Settings
     names: Names
+    limits: Limits
 
 
 def load_config(environment: Mapping[str, str], path: str | None = None) -> Config:
@@ -60,7 +60,7 @@
 
 def decode_config(raw: dict[str, Any]) -> Config:
     setup = need(raw, "settings", "")
-    limits = need(setup, "limits", "settings.")
+    need(setup, "limits", "settings.")
     known = raw.get("known") or {}
     sockets = int((raw.get("limits") or {}).get("sockets", 1024))
     if sockets < LEAST_SOCKETS:
@@ -72,21 +72,18 @@
         listen=parse_address(need(raw, "listen", "")),
         discovery=discovery,
         sockets=sockets,
-        connect_time_out=limits.get("dialTimeout", 0.25) * MS,
         rev=int(known.get("rev", 0)),
         known=known.get("targets") or [],
         settings=decode_settings(int(str(raw.get("seed", "0")), 16), setup),
         names=decode_names(setup),
+        limits=decode_limits(setup),
     )
 
 
-def decode_names(setup: dict[str, Any]) -> Names:
-    rows, limits = need(setup, "listeners", "settings."), setup["limits"]
-    return Names(
-        listeners={row["name"]: i for i, row in enumerate(rows)},
-        customers={row["name"]: i for i, row in enumerate(setup.get("projects") or [])},
-        zones=tuple(setup.get("dcs") or []),
-        groups=bool((setup.get("specifics") or {}).get("groups", False)),
+def decode_limits(setup: dict[str, Any]) -> Limits:
+    rows, limits = setup["listeners"], setup["limits"]
+    return Limits(
+        connect_time_out=limits.get("dialTimeout", 0.25) * MS,
         reports=(setup.get("report") or {}).get("how") != "silent",
         max_back_off=limits.get("maxRetryAfter", 0.0) * MS if limits.get("retryAfter") else 0.0,
         longest_wait=max(row.get("hardLimit", 0.0) for row in rows) * MS,
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -44,8 +44,7 @@
         balancer = Balancer(config.settings, self.clock())
         budget = SocketBudget(config.sockets, 0)
         self.desk = Desk(
-            reactor, self.clock, balancer, config.names, Hosts(config.names.zones), budget,
-            config.connect_time_out,
+            reactor, self.clock, balancer, config.names, config.limits, Hosts(config.names.zones), budget,
         )  # fmt: skip
         self.desk.accepting = self.accept
         self.discovery = Discovery(
@@ -109,7 +108,7 @@
         self.reactor.callLater(SERVE_ON / MS, self.move_some)
 
     def move_some(self) -> None:
-        last = self.stopped_at + min(max(self.config.names.longest_wait, SERVE_ON), LONGEST_STOP)
+        last = self.stopped_at + min(max(self.config.limits.longest_wait, SERVE_ON), LONGEST_STOP)
         standing = self.desk.sessions.standing()
         left = last - self.clock()
         steps = max(int(left / 50.0), 1)
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from caperdeck.core.model import (
-    Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, TearDown,
+    Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, RosterScope, TearDown,
     Wake, Watch, Withdraw,
 )  # fmt: skip
-from caperdeck.core.settings import MS
+from caperdeck.core.settings import MS, decode_names
 
 STATES = {"Running": HostState.RUNNING, "Stopping": HostState.DRAINING, "Deleted": HostState.GONE}
 ROSTERS = {
@@ -46,10 +46,7 @@
     """One node's indices: ids go in here and come back unaltered."""
 
     def __init__(self, setup: dict) -> None:
-        self.listeners = {row["name"]: i for i, row in enumerate(setup["listeners"])}
-        self.customers = {row["name"]: i for i, row in enumerate(setup.get("projects") or [])}
-        self.zones = {name: i for i, name in enumerate(setup.get("dcs") or [])}
-        self.groups = bool(setup.get("specifics", {}).get("groups", False))
+        self.names = decode_names(setup)
         self.hosts: dict[str, int] = {}
         self.host_names: list[str] = []
         self.sessions: dict[str, int] = {}
@@ -77,7 +74,7 @@
             host=self.host(host),
             state=lookup(STATES, state, "host state"),
             size=1.0 if size is None else size,
-            zone=self.zones.get(zone, -1),
+            zone=self.names.zones.get(zone, -1),
             cell=cell or 0,
             born=(born or 0.0) * MS,
             mark=zlib.crc32(host.encode()),
@@ -92,20 +89,14 @@
         self.session_names.append(corr)
         return Ask(
             session=index,
-            listener=lookup(self.listeners, qos, "listener"),
-            customer=self.customers.get(customer, -1),
+            listener=lookup(self.names.listeners, qos, "listener"),
+            customer=self.names.customers.get(customer, -1),
             left=budget * MS,
             load=hint * MS if hint is not None and (flags or 0) & HINT_VALID else None,
-            group=None if channel is None or not self.groups else zlib.crc32(str(channel).encode()),
+            group=self.names.group(channel),
         )
 
 
-def decode_report(values: dict | None) -> Report:
-    values = values or {}
-    piled = values.get("x1")
-    return Report(values.get("x0"), None if piled is None else piled * MS)
-
-
 def decode_note(kind: Any, value: float) -> tuple[Note, float] | None:
     """Loads come in microseconds of work a second whatever the hint's unit; unknown kinds are passed over."""
     if kind == Note.LOAD:
--- a/caperdeck/simwire/host.py
+++ b/caperdeck/simwire/host.py
@@ -6,7 +6,7 @@
 
 from caperdeck.core.decide import Node
 from caperdeck.core.model import Action
-from caperdeck.core.settings import MS, SettingsError, decode_settings
+from caperdeck.core.settings import MS, SettingsError, decode_report, decode_settings
 
 from . import codec
 from .codec import Door, WireError
@@ -65,7 +65,7 @@
         return self.node.bell(now, int(v[0]))
 
     def probed(self, now: float, v: list) -> list[Action]:
-        report = codec.decode_report(v[3] if len(v) > 3 else None)
+        report = decode_report(v[3] if len(v) > 3 else None)
         return self.node.probed(now, self.door.known_host(v[0]), codec.decode_outcome(v[1]), report)
 
     def message(self, now: float, v: list) -> list[Action]:
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -4,7 +4,7 @@
 
 import math
 import zlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from caperdeck.core.model import Entry, HostState
 
@@ -18,8 +18,8 @@
 
 
 class Hosts:
-    def __init__(self, zones: Sequence[str]) -> None:
-        self.zones = {name: i for i, name in enumerate(zones)}
+    def __init__(self, zones: dict[str, int]) -> None:
+        self.zones = zones
         self.index: dict[str, int] = {}
         self.uid: list[str] = []
         self.address: list[Address | None] = []
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import zlib
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -18,10 +17,10 @@
     SendAway, Up,
 )  # fmt: skip
 from caperdeck.core.model import HostState, Outcome
-from caperdeck.core.settings import MS
+from caperdeck.core.settings import MS, Names
 from caperdeck.state.budget import SocketBudget
 from caperdeck.state.hosts import Hosts
-from caperdeck.state.names import Names
+from caperdeck.state.limits import Limits
 from caperdeck.state.sessions import Session, Sessions
 
 from .client import ClientConnection
@@ -42,20 +41,24 @@
 IDLE_SHORT = 250.0  # the same while sockets are short
 
 
+def busy(back_off: float) -> bytes:
+    return b"BUSY %d" % back_off if back_off >= 1 else b"BUSY"
+
+
 class Desk:
     def __init__(
-        self, reactor: Any, clock: Callable[[], float], balancer: Balancer, names: Names, hosts: Hosts,
-        budget: SocketBudget, connect_time_out: float,
+        self, reactor: Any, clock: Callable[[], float], balancer: Balancer, names: Names, limits: Limits,
+        hosts: Hosts, budget: SocketBudget,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.clock = clock
         self.balancer = balancer
         self.names = names
+        self.limits = limits
         self.hosts = hosts
         self.budget = budget
-        self.connect_time_out = connect_time_out
         self.sessions = Sessions()
-        self.probes = Probes(reactor, names.reports, 2 * connect_time_out, self.looked)
+        self.probes = Probes(reactor, limits.reports, 2 * limits.connect_time_out, self.looked)
         self.idle: dict[ClientConnection, None] = {}  # without a first line, the oldest first
         self.told_at = clock()  # when discovery last said anything
         self.swept_at = clock()
@@ -113,7 +116,7 @@
             case Abandon():
                 self._end_dial(s, Outcome.WITHDRAWN)
             case Decline(_, back_off):
-                self._answer(s, b"BUSY %d" % back_off if back_off >= 1 else b"BUSY", "refused")
+                self._answer(s, busy(back_off), "refused")
             case GiveUp():
                 self._answer(s, b"ERR", "failed")
             case SendAway():
@@ -156,21 +159,20 @@
             self._turn_away(client, b"ERR", str(error), line[:80])
             return
         if not self.budget.may_serve():
-            back_off = min(FULL_BACK_OFF, self.names.max_back_off)
-            self._turn_away(client, b"BUSY %d" % back_off if back_off else b"BUSY", "no-sockets", b"")
+            back_off = min(FULL_BACK_OFF, self.limits.max_back_off)
+            self._turn_away(client, busy(back_off), "no-sockets", b"")
             return
         self.budget.sessions += 1
         s = client.session = self.sessions.new(head, client, self.clock())
         if head.at is not None:
             self._resume(s)
             return
-        left, customer = max(head.wait - ANSWER_MARGIN, 0.0), self.names.customer(head.tenant)
+        left, customer = max(head.wait - ANSWER_MARGIN, 0.0), self.names.customers.get(head.tenant, -1)
         self.carry_out(self.balancer.pick(s.since, s.index, listener, customer, left, *self._hints(head)))
 
     def _hints(self, head: Head) -> tuple[float | None, int | None]:
         load = None if head.load is None else head.load * MS
-        group = head.group if self.names.groups else None
-        return load, None if group is None else zlib.crc32(group.encode())
+        return load, self.names.group(head.group)
 
     def _turn_away(self, client: ClientConnection, answer: bytes, reason: str, line: bytes) -> None:
         client.close(answer, linger=self.budget.may_serve())
@@ -215,7 +217,7 @@
         s.conn = HostConnection(self, s, until)
         wait = max(until - self.clock(), 0.0)
         s.timer = self.reactor.callLater(wait / MS, self._late, s.conn)
-        s.conn.dial_to(self.hosts.address[host], min(self.connect_time_out, wait + 1))
+        s.conn.dial_to(self.hosts.address[host], min(self.limits.connect_time_out, wait + 1))
 
     def _resume(self, s: Session) -> None:
         """Takes up a connection that stood at its host before this node started."""
@@ -297,7 +299,7 @@
             self.report(Up(s.index))
         else:
             listener = self.names.listeners[head.listener]
-            customer, hints = self.names.customer(head.tenant), self._hints(head)
+            customer, hints = self.names.customers.get(head.tenant, -1), self._hints(head)
             self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
         client.stand()
 
@@ -398,10 +400,10 @@
                 if not s.conn.paused:
                     self.move(s, "host-silent", Outcome.RESET)
         # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
-        if now - self.searched_at > self.names.idle / 10:
+        if now - self.searched_at > self.limits.idle / 10:
             self.searched_at = now
             for s in self.sessions.standing():
-                if now - s.heard_at > self.names.idle:
+                if now - s.heard_at > self.limits.idle:
                     self.move(s, "client-silent")
         # Danger: clients that connect and say nothing would take every descriptor.
         self.close_idle(now - (IDLE if self.budget.may_serve() else IDLE_SHORT))
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -7,7 +7,7 @@
 
 from caperdeck.core.facade import Looked
 from caperdeck.core.model import Outcome
-from caperdeck.core.settings import MS
+from caperdeck.core.settings import MS, decode_report
 from caperdeck.state.addresses import Address
 
 from .heads import parse_report
@@ -60,8 +60,7 @@
             return
         cancel(self.waits)
         self.waits, self.sent = None, False
-        piled = values.get("x1")
-        self.pool.told(Looked(self.host, outcome, values.get("x0"), None if piled is None else piled * MS))
+        self.pool.told(Looked(self.host, outcome, *decode_report(values)))
 
     def end(self, outcome: Outcome) -> None:
         """Closes the connection and concludes the probe that is out, if any."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,8 +7,8 @@
 from caperdeck.core.decide import Node
 from caperdeck.core.facade import Balancer
 from caperdeck.core.model import Ask, Dial, Effect, Entry, HostState, Listener, RosterScope, Scope, Settings
-from caperdeck.core.settings import decode_settings
-from caperdeck.lifecycle.config import decode_names
+from caperdeck.core.settings import decode_names, decode_settings
+from caperdeck.lifecycle.config import decode_limits
 from caperdeck.state.budget import SocketBudget
 from caperdeck.state.hosts import Hosts
 from caperdeck.wire.client import ClientConnection
@@ -126,7 +126,8 @@
 
     names = decode_names(setup)
     balancer = Balancer(decode_settings(7, setup), clock())
-    d = Desk(reactor, clock, balancer, names, Hosts(names.zones), SocketBudget(sockets, 10), 250.0)
+    budget = SocketBudget(sockets, 10)
+    d = Desk(reactor, clock, balancer, names, decode_limits(setup), Hosts(names.zones), budget)
     d.listed(True, [row(f"s-{h}", port=9000 + h) for h in range(hosts)])
     return d
 
