SIGHUP reads the configuration again and watches the discovery it names

Checked: service.start() sets handlers for SIGTERM and SIGINT only, so SIGHUP keeps its default; nothing else in the log. At fault: lifecycle/service.py, start; wire/discovery.py had no way to another address.

Now: the file is read and checked whole, discovery and the descriptor limit are taken, sessions stay, an unusable file (or a pipe in its place) is named and the old one kept; what needs a restart is named. Ignored until the node is ready.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -7,7 +7,7 @@
   caperdeck (-h | --help)
 
 Commands:
-  serve    Run one node until SIGTERM.
+  serve    Run one node until SIGTERM; SIGHUP makes it read its configuration again.
   check    Read the configuration and say whether a node could start on it.
   version  Print the version.
 
@@ -20,23 +20,24 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 
 from docopt import docopt
 
 from caperdeck import __version__
-from caperdeck.lifecycle.config import Config, ConfigError, load_config
+from caperdeck.lifecycle.config import Config, ConfigError, load_config, reload_config
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
-def serve(config: Config, level: str) -> int:
+def serve(config: Config, level: str, path: str | None) -> int:
     from twisted.internet import reactor
 
     from caperdeck.lifecycle.logs import start_logging
     from caperdeck.lifecycle.service import Service
 
-    service = Service(reactor, config, start_logging(level))
+    service = Service(reactor, config, start_logging(level), lambda: reload_config(os.environ, path))
     try:
         service.start()
     except OSError as error:
@@ -55,6 +56,9 @@
     if level not in LEVELS:
         print(f"caperdeck: --log-level is one of {', '.join(LEVELS)}", file=sys.stderr)
         return 2
+    if arguments["serve"]:
+        # Danger: a SIGHUP that comes while the node starts would end it; the file is read after this.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load_config(os.environ, arguments["--config"])
     except ConfigError as error:
@@ -63,7 +67,7 @@
     if arguments["check"]:
         print(f"node {config.name}: {len(config.names.listeners)} classes, {len(config.known)} known hosts")
         return 0
-    return serve(config, level)
+    return serve(config, level, arguments["--config"])
 
 
 def script() -> None:
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -1,7 +1,8 @@
-"""What the node is told at its start: EDGE_CONFIG, a JSON file, read once."""
+"""What the node is told at its start: EDGE_CONFIG, a JSON file, read at the start and again at SIGHUP."""
 
 from __future__ import annotations
 
+import os
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -14,6 +15,7 @@
 from caperdeck.state.limits import Limits
 
 LEAST_SOCKETS = 32
+LARGEST = 8 << 20  # bytes of a configuration
 LEAST_IDLE = 30.0  # seconds; clients speak every two
 
 
@@ -41,7 +43,10 @@
         raise ConfigError("no configuration: EDGE_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            raw = orjson.loads(file.read())
+            text = file.read(LARGEST + 1)
+            if len(text) > LARGEST:
+                raise ConfigError(f"configuration {path} is over {LARGEST} bytes")
+            raw = orjson.loads(text)
     except OSError as error:
         raise ConfigError(f"configuration {path}: {error.strerror}") from None
     except orjson.JSONDecodeError as error:
@@ -54,10 +59,19 @@
         return decode_config(raw)
     except (SettingsError, AddressError) as error:
         raise ConfigError(f"configuration {path}: {error}") from None
-    except (TypeError, ValueError, AttributeError, KeyError) as error:
+    except (TypeError, ValueError, AttributeError, KeyError, OverflowError) as error:
         raise ConfigError(f"configuration {path}: a value of the wrong kind: {error}") from None
 
 
+def reload_config(environment: Mapping[str, str], path: str | None = None) -> Config:
+    """The same at a node that runs already."""
+    path = path or environment.get("EDGE_CONFIG") or ""
+    # Danger: a pipe in the file's place would hold the node up until somebody writes to it.
+    if not os.path.isfile(path):
+        raise ConfigError(f"configuration {path}: no regular file")
+    return load_config(environment, path)
+
+
 def decode_config(raw: dict[str, Any]) -> Config:
     setup = need(raw, "settings", "")
     need(setup, "limits", "settings.")
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -1,10 +1,12 @@
-"""The node as a service: start, SIGTERM, exit."""
+"""The node as a service: start, SIGHUP, SIGTERM, exit."""
 
 from __future__ import annotations
 
 import gc
 import signal
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from loguru import logger
@@ -18,7 +20,7 @@
 from caperdeck.wire.desk import Desk
 from caperdeck.wire.discovery import Discovery
 
-from .config import Config
+from .config import Config, ConfigError
 from .logs import Sink, one_line
 
 BACKLOG = 4096
@@ -36,9 +38,10 @@
 
 
 class Service:
-    def __init__(self, reactor: Any, config: Config, sink: Sink) -> None:
+    def __init__(self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config]) -> None:
         self.reactor = reactor
         self.config = config
+        self.reread = reread
         self.sink = sink
         self.clock = make_clock()
         balancer = Balancer(config.settings, self.clock())
@@ -58,8 +61,10 @@
 
     def start(self) -> None:
         config = self.config
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
+        for number, do in (
+            (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
+        ):  # fmt: skip
+            signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
         self.desk.listed(True, config.known)
         self.discovery.start()
         address, factory = config.listen, ClientFactory(self.desk)
@@ -96,6 +101,26 @@
                 self.short_at = self.clock()
                 logger.warning("accept reason=no-sockets open={}", self.desk.budget.clients)
 
+    # ---- a new configuration
+
+    def reload(self) -> None:
+        """Takes the file's new discovery and limits; what needs a restart is named and stays as it is."""
+        try:
+            new = self.reread()
+        except ConfigError as error:
+            # Danger: half a file, or one for another program, must not end a node that serves.
+            logger.error("reload reason=unusable {}", error)
+            return
+        old = self.config
+        kept = [key for key in ("name", "listen", "settings", "names", "limits")
+                if getattr(new, key) != getattr(old, key)]  # fmt: skip
+        self.config = replace(old, discovery=new.discovery, sockets=new.sockets)
+        self.desk.budget.resize(new.sockets)
+        if new.discovery != old.discovery:
+            self.discovery.move_to(new.discovery)
+        logger.info("reload discovery={} sockets={} kept={}", new.discovery, new.sockets,
+                    ",".join(kept) or "-")  # fmt: skip
+
     # ---- the stop
 
     def stop(self) -> None:
--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -16,13 +16,16 @@
     """Counts both sides of each session; probes and discovery have a part of their own."""
 
     def __init__(self, limit: int, used: int) -> None:
-        self.limit = limit
-        self.reserve = min(RESERVE, int(limit * RESERVE_PART))
+        self.resize(limit)
         self.used = used  # open before anything was counted here
         self.probes = 0  # kept free, one for each host of the roster
         self.clients = 0
         self.sessions = 0  # each has a host's side, from its first line on
 
+    def resize(self, limit: int) -> None:
+        self.limit = limit
+        self.reserve = min(RESERVE, int(limit * RESERVE_PART))
+
     @property
     def left(self) -> int:
         """Descriptors that sessions may still take."""
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -10,6 +10,8 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
+from .lines import cancel
+
 LONGEST_LIST = 16 << 20
 AGAIN = 0.1  # seconds until the watch is opened again, doubled up to
 AGAIN_MOST = 1.0
@@ -46,7 +48,7 @@
         spoke: Callable[[], None], complain: Callable[[str, str], None],
     ) -> None:  # fmt: skip
         self.reactor = reactor
-        self.url = f"http://{address}/discovery/hosts"
+        self.address = address
         self.rev = rev
         self.listed = listed
         self.spoke = spoke  # called for each line, empty ones too
@@ -61,10 +63,23 @@
     def start(self) -> None:
         self.retry = None
         self.heard()
-        url = f"{self.url}?watch=1&from={self.rev}".encode()
+        url = f"http://{self.address}/discovery/hosts?watch=1&from={self.rev}".encode()
         asked = self.asked = self.agent.request(b"GET", url, Headers({b"User-Agent": [b"caperdeck"]}))
         asked.addCallbacks(self.answered, lambda failure: self.failed(asked, failure))
 
+    def move_to(self, address: str) -> None:
+        """Watches another discovery from now on; the list last told holds until it speaks."""
+        # Danger: another discovery may count its versions anew, and would be asked for none of its changes.
+        self.address, self.rev, self.wait = address, 0, AGAIN
+        asked, self.asked = self.asked, None
+        body, self.body = self.body, None
+        cancel(self.retry)
+        if asked is not None:
+            asked.cancel()
+        if body is not None and body.transport is not None:
+            body.transport.loseConnection()
+        self.start()
+
     def failed(self, asked: Any, failure: Any) -> None:
         if self.asked is asked:
             if self.wait == AGAIN:  # once for each time that discovery is away
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,8 @@
 """Builds a node and its fleet, or a desk and its connections, directly."""
 
+from contextlib import contextmanager
+
+from loguru import logger
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -17,6 +20,15 @@
 START = 1_000_000.0
 
 
+@contextmanager
+def logged():
+    """The log lines of a test."""
+    lines = []
+    number = logger.add(lines.append, format="{message}")
+    yield lines
+    logger.remove(number)
+
+
 def settings(effect=Effect.REPEATABLE, scope=Scope.ALL, **changes) -> Settings:
     listener = Listener(effect, scope, 5000.0, 300.0, 100.0, 1.0)
     values = {
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -10,11 +10,11 @@
 import time
 
 import pytest
-from helpers import OPEN, SETUP, START, connect, desk, row, settings, up
+from helpers import OPEN, SETUP, START, connect, desk, logged, row, settings, up
 
 from caperdeck.core.facade import Balancer, Connect, Decline, Left, Listed, Look, Looked, Over, SendAway, Up
 from caperdeck.core.model import Entry, HostState, Outcome
-from caperdeck.lifecycle.config import ConfigError, load_config
+from caperdeck.lifecycle.config import ConfigError, load_config, reload_config
 from caperdeck.lifecycle.logs import MOST_WAITING, Sink
 from caperdeck.lifecycle.service import Service
 from caperdeck.state.addresses import Address
@@ -120,12 +120,52 @@
     os.close(written)
 
 
+# ---- a new configuration
+
+
+def service_of(d, path):
+    environment = write(path, CONFIG)
+    return Service(d.reactor, load_config(environment), Sink(2), lambda: reload_config(environment))
+
+
+def test_another_discovery_and_other_limits_are_taken_while_sessions_stay(tmp_path):
+    d = desk(hosts=1)
+    service = service_of(d, tmp_path / "c")
+    service.desk = d
+    client, host = up(d)
+    service.discovery.start()
+    write(tmp_path / "c", CONFIG | {"discovery": "127.0.0.2:8600", "limits": {"sockets": 512}, "name": "n2"})
+    service.reload()
+    assert (d.reactor.tcpClients[-1][1], service.discovery.rev) == (8600, 0)
+    assert (d.budget.limit, service.config.name, service.config.sockets) == (512, "n1", 512)
+    client.dataReceived(b"one\r\n")
+    assert host.transport.lines() == [b"one"] and not client.closing
+    service.reload()
+    assert len(d.reactor.tcpClients) == 3  # the host, both discoveries
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", json.dumps(CONFIG | {"discovery": "nowhere"}), None])
+def test_an_unusable_file_is_named_and_the_old_one_kept(tmp_path, text):
+    d = desk()
+    service = service_of(d, tmp_path / "c")
+    before = service.config
+    (tmp_path / "c").unlink()
+    if text is None:
+        os.mkfifo(tmp_path / "c")
+    else:
+        write(tmp_path / "c", text)
+    with logged() as log:
+        service.reload()
+    assert service.config is before and service.discovery.address == "127.0.0.1:8500"
+    assert not d.reactor.tcpClients and [line for line in log if "reload reason=unusable" in line]
+
+
 # ---- the stop
 
 
 def test_at_the_stop_every_session_is_moved_before_the_longest_wait_is_over(tmp_path):
     d = desk(hosts=1)
-    service = Service(d.reactor, load_config(write(tmp_path / "c", CONFIG)), Sink(2))
+    service = service_of(d, tmp_path / "c")
     service.desk, service.clock = d, d.clock
     service.stopped_at, d.stopping = d.clock(), True
     sessions = [up(d) for _ in range(20)]
@@ -141,7 +181,7 @@
 
 def test_sweeping_goes_on_after_a_fault(tmp_path, monkeypatch):
     d = desk()
-    service = Service(d.reactor, load_config(write(tmp_path / "c", CONFIG)), Sink(2))
+    service = service_of(d, tmp_path / "c")
     swept = []
     monkeypatch.setattr(service, "sweep", lambda: swept.append(1) or 1 // (len(swept) - 1))
     service.keep_sweeping()
@@ -206,6 +246,10 @@
             assert answers.readline() == b"UP r1\r\n"
             client.sendall(b"hello\r\n")
             assert answers.readline() == b"hello\r\n"
+            node.send_signal(signal.SIGHUP)
+            assert b"reload discovery=" in next(line for line in node.stderr if b"end " not in line)
+            client.sendall(b"still\r\n")
+            assert answers.readline() == b"still\r\n"
             sent = time.monotonic()
             node.send_signal(signal.SIGTERM)
             assert answers.readline() == b"MOVE\r\n" and answers.readline() == b""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,8 +2,7 @@
 
 import orjson
 import pytest
-from helpers import OPEN, Wire, accept, connect, desk, lost, row, up
-from loguru import logger
+from helpers import OPEN, Wire, accept, connect, desk, logged, lost, row, up
 from twisted.internet.error import ConnectionRefusedError as Refused
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
@@ -19,10 +18,8 @@
 
 @pytest.fixture
 def log():
-    lines = []
-    number = logger.add(lines.append, format="{message}")
-    yield lines
-    logger.remove(number)
+    with logged() as lines:
+        yield lines
 
 
 def sweeps(d, seconds):
