What fills a host is learned from the connections that hosts tell they hold

Checked: discovery told the list, looks came back, no dial was made (dials=0), so the part of the room was used up. Ruled out: shunned hosts (no failure in the log), sockets (364 of 1,132). At fault: decide._survey took nodes x own load as the load of the whole fleet; after a restart the own load is next to nothing, and what fills a host, the part of the room and the weight of own sends since the report with it. While the other node is away it is twice too much. Each probe told active=80 connections on those hosts, and the node did not read it.

Also: a host that holds connections and tells x0=0 has not measured it yet (seen at the start: active=123, x0=0) and is no empty host; the mean hint is a running mean at first, not the first hint.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -1,8 +1,7 @@
 """All decisions of a caperdeck node: where a session goes, when it is moved, when it is answered.
 
-How to call it: make a Node from Settings, then call its method for each event in the order of arrival,
-with the time in float milliseconds; each call returns the actions to carry out, in order. The interface
-(settings, events' values, actions) is caperdeck/core/model.py; docs/design.md says why it decides so.
+How to call it: make a Node from Settings, then call its method for each event in the order of arrival; each
+call returns the actions to carry out, in order. model.py is the interface; docs/design.md says why.
 """
 
 from __future__ import annotations
@@ -111,6 +110,7 @@
         self.standing: list[dict[int, _Session]] = []
         self.figure: list[float | None] = []  # load over capacity, as last probed
         self.figure_at: list[float] = []
+        self.crowd: list[float | None] = []  # connections that it holds for all nodes, as last told
         self.seen_at: list[float] = []  # the last answer to a probe
         self.lookers: list[list[int]] = []  # sessions that wait for the host's figure
         self.probe_out: list[float] = []  # when the probe that is out was sent, 0 if none is
@@ -140,6 +140,7 @@
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
         self.mean_hint = 0.0
+        self.asked = 0  # sessions so far
         self.mean_figure: float | None = None
         self.unit = 0.0  # load that fills a host of size 1, 0 while unknown
         self.watch_wait = 250.0
@@ -168,8 +169,7 @@
             self.watch_at = now + self.watch_wait * (0.5 + self._chance())
             self.watch_wait = min(self.watch_wait * 2, self.set.ask_every / 4)
             return self._done()
-        if scope is not RosterScope.SAVED:
-            self.watch_wait = 250.0
+        self.watch_wait = 250.0
         if scope is not RosterScope.CHANGES:
             for h in set(range(len(self.state))).difference(e.host for e in entries):
                 self.state[h] = HostState.GONE
@@ -191,7 +191,7 @@
                 (self.added, []), (self.extra, 0.0), (self.pile, 0.0), (self.pile_at, -math.inf),
                 (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
                 (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
-                (self.lookers, []), (self.tokens, 0.0), (self.tokens_at, now),
+                (self.lookers, []), (self.tokens, 0.0), (self.tokens_at, now), (self.crowd, None),
             ):  # fmt: skip
                 array.append(blank)
         if e.state is HostState.RUNNING and (self.state[h] is HostState.GONE or e.born > self.born[h]):
@@ -277,8 +277,7 @@
         # Danger: many nodes see the same room in one report; each filling it would overfill it many times.
         if self.spare <= 0:
             return -1
-        looks = 0
-        margin = 0.0 if s.group is None else GROUP_MARGIN
+        looks, margin = 0, 0.0 if s.group is None else GROUP_MARGIN
         for room, draw in self._draws(s):
             while pair := list(islice((h for h in draw if self._fit(s, h, room)), 2)):
                 old = [h for h in pair if self._old(h)]
@@ -290,9 +289,8 @@
                     pair = [h for h in pair if not self._old(h) and self._fit(s, h, room)]
                 if len(pair) == 2 and self._load(self.now, pair[1]) + margin < self._load(self.now, pair[0]):
                     pair.reverse()
-                for h in pair:
-                    if self._passes(self.now, s, h):
-                        return h
+                if (h := next((h for h in pair if self._passes(self.now, s, h)), -1)) >= 0:
+                    return h
         return -1
 
     def _old(self, h: int) -> bool:
@@ -301,9 +299,8 @@
     def _fit(self, s: _Session, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
         # Danger: in a full fleet the mean is full too; a host nobody has looked at yet would stay empty.
-        unseen = self._figure(self.now, h) is None and self._old(h)
-        roomy = unseen or self._load(self.now, h) < room
-        return roomy and self._well(self.now, h) and self._allowed(self.now, s, h)
+        now, unseen = self.now, self._figure(self.now, h) is None and self._old(h)
+        return (unseen or self._load(now, h) < room) and self._well(now, h) and self._allowed(now, s, h)
 
     def _draws(self, s: _Session) -> Iterator[tuple[float, Iterator[int]]]:
         """Levels to be under and hosts as drawn; the own zone first where leaving it has a price."""
@@ -331,8 +328,7 @@
 
     def _load(self, now: float, h: int) -> float:
         """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
-        figure = self._figure(now, h)
-        if figure is None:  # unused or newly started
+        if (figure := self._figure(now, h)) is None:  # unused or newly started
             figure = self._count_load(h) if self.mean_figure is None else self.mean_figure
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
@@ -364,15 +360,21 @@
         if not known:
             self.part = self.spare = math.inf
             return
-        own = sum(self._forecast(now, s) for h in self.mine for s in self.standing[h].values())
+        own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
+        # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
+        # while the others are away; what the hosts hold for all nodes says more where it is told.
+        told = [(self.crowd[h], f * self.size[h]) for f, h in known if self.crowd[h] is not None]
+        loads = (sum(own) + self.mean_hint) / (len(own) + 1) * sum(held for held, _ in told)
+        full = sum(load for _, load in told)
+        if not told:
+            loads, full = self.set.nodes * sum(own), self.mean_figure * self.whole_size
         # Danger: a list may leave no host running while figures of the last ones are still known.
-        if own and self.mean_figure and self.whole_size:
-            unit = self.set.nodes * own / (self.mean_figure * self.whole_size)
-            self.unit += (unit - self.unit) * (UNIT_SMOOTH if self.unit else 1.0)
+        if loads and full:
+            self.unit += (loads / full - self.unit) * (max(UNIT_SMOOTH, 1 / self.asked) if self.unit else 1.0)
         rooms = [max(ROOM - f - self._pile(now, h), 0.0) for f, h in known]
         if self.unit:
-            share = self.unit * self.whole_size * min(UNEVEN / self.set.nodes, 1.0)
-            self.part = share * sum(rooms) / len(rooms)
+            share = min(UNEVEN / self.set.nodes, 1.0) / len(rooms)
+            self.part = self.unit * self.whole_size * share * sum(rooms)
             self.spare = min(self.spare + self.part * TICK / REPORT_LAG, self.part)
         self.scarce = sum(r == 0 for r in rooms) / len(rooms)
 
@@ -409,9 +411,9 @@
         return True
 
     def _may_refuse(self, s: _Session) -> bool:
-        listener = self.set.listeners[s.listener]
-        harmless = listener.effect is Effect.REFERENCED and listener.scope is Scope.ALL
-        return harmless or listener.effect is Effect.REPEATABLE or not any(d.may_have_run for d in s.dials)
+        c = self.set.listeners[s.listener]
+        harmless = c.effect is Effect.REPEATABLE or c.effect is Effect.REFERENCED and c.scope is Scope.ALL
+        return harmless or not any(d.may_have_run for d in s.dials)
 
     # ---- sessions
 
@@ -437,7 +439,8 @@
 
     def _new(self, now: float, a: Ask) -> _Session:
         load = 1.0 if a.load is None else a.load
-        self.mean_hint += (load - self.mean_hint) * (0.02 if self.mean_hint else 1.0)
+        self.asked += 1
+        self.mean_hint += (load - self.mean_hint) * max(0.02, 1 / self.asked)
         weight = max(load, self.mean_hint)
         s = _Session(a.session, a.listener, now, now + a.left, a.load, weight, a.group)
         s.smooth = a.load or 0.0
@@ -451,9 +454,8 @@
         while True:
             h = yield from self._choose(s)
             if h >= 0:
-                time_out = FIRST_TIME_OUT * target * TIME_OUT_GROWTH ** len(s.dials)
-                if len(s.dials) + 1 >= self.set.max_dials:
-                    time_out = math.inf
+                last = len(s.dials) + 1 >= self.set.max_dials
+                time_out = math.inf if last else FIRST_TIME_OUT * target * TIME_OUT_GROWTH ** len(s.dials)
                 result = yield Dial(s.id, h, min(self.now + time_out, s.deadline))
                 s.dials[-1].may_have_run = result not in NEVER_RAN
             elif self.now + WAIT_FOR_HOST < min(s.asked + target, s.deadline) and not s.dials:
@@ -496,8 +498,7 @@
             del self.sessions[s.id]
 
     def stands(self, now: float, sid: int) -> list[Action]:
-        s = self.sessions.get(sid)
-        if s is None or not s.out or s.stands is not None:
+        if (s := self.sessions.get(sid)) is None or not s.out or s.stands is not None:
             return []
         h = s.dials[-1].host
         s.stands, s.answered = now, True
@@ -508,14 +509,12 @@
 
     def outcome(self, now: float, sid: int, dial: int, result: Outcome, last: bool) -> list[Action]:
         self.now = now
-        s = self.sessions.get(sid)
-        if s is None or not s.out or dial != len(s.dials) - 1:
+        if (s := self.sessions.get(sid)) is None or not s.out or dial != len(s.dials) - 1:
             return []
         h = s.dials[dial].host
         s.out = False
         self.held[h] -= 1
-        if s.stands is None:
-            self.dialing[h] -= 1
+        self.dialing[h] -= s.stands is None
         if self.standing[h].pop(sid, None) and not self.standing[h]:
             del self.mine[h]
         if result in FAILURES and self.state[h] is HostState.RUNNING:
@@ -584,12 +583,11 @@
         self.probe_out[h] = 0.0
         if result is Outcome.GOOD:
             self.seen_at[h] = now
-        if self.state[h] is HostState.RUNNING:
-            if result is Outcome.GOOD:
+            if self.state[h] is HostState.RUNNING:
                 self._learn(now, h, report)
                 self.purse += self.set.figures and self.figure[h] is None
-            else:
-                self._failed(now, h)
+        elif self.state[h] is HostState.RUNNING:
+            self._failed(now, h)
         waiting, self.lookers[h] = self.lookers[h], []
         for sid in waiting:
             s = self.sessions.get(sid)
@@ -600,7 +598,9 @@
         return self._done()
 
     def _learn(self, now: float, h: int, report: Report) -> None:
-        figure = report.load
+        # Danger: a host that holds connections and tells no load yet has not measured it; it is not empty.
+        figure = None if report.held and not report.load else report.load
+        self.crowd[h] = report.held
         if figure is None and report.piled is not None:
             figure = report.piled / self.shortest
         if figure is None:
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -97,12 +97,11 @@
 
 
 class Looked(NamedTuple):
-    """A probe's result: load over capacity and work piled up in milliseconds where the host told them."""
+    """A probe's result, with what the host told."""
 
     host: int
     outcome: Outcome
-    load: float | None = None
-    piled: float | None = None
+    told: Report = Report()
 
 
 class Listed(NamedTuple):
@@ -170,8 +169,8 @@
                 return self._node.hangup(now, session)
             case Load(session, value):
                 return self._node.note(now, session, Note.LOAD, value)
-            case Looked(host, outcome, load, piled):
-                return self._node.probed(now, host, outcome, Report(load, piled))
+            case Looked(host, outcome, told):
+                return self._node.probed(now, host, outcome, told)
             case Listed(whole, entries):
                 scope = RosterScope.FULL if whole else RosterScope.CHANGES
                 return self._node.roster(now, scope, entries)
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -107,10 +107,13 @@
 
 
 class Report(NamedTuple):
-    """What a probe told: load over capacity, and work piled up in milliseconds; None where not told."""
+    """What a probe told: load over capacity, work piled up in milliseconds, and the connections that the host
+    holds for all nodes together; None where not told.
+    """
 
     load: float | None = None
     piled: float | None = None
+    held: float | None = None
 
 
 class Ask(NamedTuple):
--- a/caperdeck/core/settings.py
+++ b/caperdeck/core/settings.py
@@ -104,4 +104,4 @@
 def decode_report(values: dict | None) -> Report:
     values = values or {}
     piled = values.get("x1")
-    return Report(values.get("x0"), None if piled is None else piled * MS)
+    return Report(values.get("x0"), None if piled is None else piled * MS, values.get("active"))
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -358,7 +358,8 @@
 
     def looked(self, news: Looked) -> None:
         uid = self.hosts.uid[news.host]
-        logger.debug("look uid={} outcome={} load={}", uid, news.outcome.name, news.load)
+        told = news.told
+        logger.debug("look uid={} outcome={} load={} held={}", uid, news.outcome.name, told.load, told.held)
         self.report(news)
 
     def listed(self, whole: bool, rows: Any) -> None:
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -60,7 +60,7 @@
             return
         cancel(self.waits)
         self.waits, self.sent = None, False
-        self.pool.told(Looked(self.host, outcome, *decode_report(values)))
+        self.pool.told(Looked(self.host, outcome, decode_report(values)))
 
     def end(self, outcome: Outcome) -> None:
         """Closes the connection and concludes the probe that is out, if any."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -252,3 +252,24 @@
             if isinstance(a, Probe):
                 n.probed(START + 500.0 * tick, a.host, Outcome.GOOD, Report(0.5))
     assert len(set(seen)) == looks
+
+
+# ---- what fills a host
+
+
+@pytest.mark.parametrize("others", [0, 90])
+def test_what_fills_a_host_is_learned_from_all_that_it_holds(others):
+    """A node that has just started holds few of the connections, or all of them while the others are away."""
+    n = node(hosts=2)
+    standing(n, 0, [10.0] * 10)
+    for h in range(2):
+        n.probed(START, h, Outcome.GOOD, Report(0.5, None, (10.0 + 2 * others) / 2))
+    n._survey(START)
+    assert n.unit == pytest.approx(10.0 * (10 + 2 * others))
+
+
+def test_a_host_that_holds_connections_and_tells_no_load_has_not_measured_it():
+    n = node(hosts=2)
+    n.probed(START, 0, Outcome.GOOD, Report(0.0, None, 120.0))
+    n.probed(START, 1, Outcome.GOOD, Report(0.0, None, 0.0))
+    assert (n.figure[0], n.figure[1]) == (None, 0.0)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -13,7 +13,7 @@
 from helpers import OPEN, SETUP, START, connect, desk, logged, row, settings, up
 
 from caperdeck.core.facade import Balancer, Connect, Decline, Left, Listed, Look, Looked, Over, SendAway, Up
-from caperdeck.core.model import Entry, HostState, Outcome
+from caperdeck.core.model import Entry, HostState, Outcome, Report
 from caperdeck.lifecycle.config import ConfigError, load_config, reload_config
 from caperdeck.lifecycle.logs import MOST_WAITING, Sink
 from caperdeck.lifecycle.service import Service
@@ -43,8 +43,8 @@
     b = balancer()
     looks = b.pick(START, 0, 0, -1, 1200.0)
     assert {type(order) for order in looks} == {Look} and len(looks) == 2
-    assert b.report(START + 1, Looked(looks[0].host, Outcome.GOOD, 0.5)) == []
-    orders = b.report(START + 2, Looked(looks[1].host, Outcome.GOOD, 0.2))
+    assert b.report(START + 1, Looked(looks[0].host, Outcome.GOOD, Report(0.5))) == []
+    orders = b.report(START + 2, Looked(looks[1].host, Outcome.GOOD, Report(0.2)))
     assert [(type(o), o.dial, o.host) for o in orders] == [(Connect, 0, looks[1].host)]
 
 
@@ -75,7 +75,7 @@
     for i in range(10):
         b.resume(START - 60000, i, 0, -1, 0, 10.0)
     b.tick(START)
-    orders = b.report(START, Looked(0, Outcome.GOOD, 1.5))
+    orders = b.report(START, Looked(0, Outcome.GOOD, Report(1.5)))
     assert orders and {type(order) for order in orders} == {SendAway}
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure
 
 from caperdeck.core.facade import Looked
-from caperdeck.core.model import HostState, Outcome
+from caperdeck.core.model import HostState, Outcome, Report
 from caperdeck.state.addresses import Address
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.discovery import SILENT, Discovery, _WatchBody
@@ -358,16 +358,17 @@
     return conn
 
 
-@pytest.mark.parametrize("answer, outcome, load", [
-    (b"PONG util=0.4,x0=0.61", Outcome.GOOD, 0.61), (b"PONG", Outcome.GOOD, None),
-    (b"ERR", Outcome.ERROR, None), (b"NO", Outcome.ERROR, None),
+@pytest.mark.parametrize("answer, outcome, load, held", [
+    (b"PONG util=0.4,active=80.5,x0=0.61", Outcome.GOOD, 0.61, 80.5), (b"PONG", Outcome.GOOD, None, None),
+    (b"ERR", Outcome.ERROR, None, None), (b"NO", Outcome.ERROR, None, None),
 ])  # fmt: skip
-def test_a_probe_goes_on_on_one_connection(probes, answer, outcome, load):
+def test_a_probe_goes_on_on_one_connection(probes, answer, outcome, load, held):
     pool, told = probes
     conn = probe_up(pool)
     conn.dataReceived(answer + b"\r\n")
     pool.look(3, Address("127.0.0.1", 9003))
-    assert conn.transport.lines() == [b"STATS", b"STATS"] and told == [Looked(3, outcome, load)]
+    assert conn.transport.lines() == [b"STATS", b"STATS"]
+    assert told == [Looked(3, outcome, Report(load, None, held))]
 
 
 def test_a_probe_that_fails_is_told_once_and_dialed_anew(probes):
