--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -623,19 +623,19 @@
         # Danger: the report may be older than the last moves, whose load would be moved twice.
         if figure <= limit or now - self.acted_at[h] < settle:
             return
-        self.acted_at[h], room = now, self.part
-        loads = sorted([(-self._forecast(now, s), s.id, s) for s in self.standing[h].values()])
-        left = (limit - figure) / figure * sum(load for load, _, _ in loads)
+        self.acted_at[h] = now
+        loads = [(self._forecast(now, s), s.id, s) for s in self.standing[h].values()]
+        left = (figure - limit) / figure * sum(load for load, _, _ in loads)
         # Danger: with nowhere better to go, moved connections come back to hosts as full; past full load,
         # where nobody is served, they are moved all the same and refused until there is room.
-        for minus, sid, s in loads:
+        room = self.part
+        for load, sid, s in sorted(loads, key=lambda x: (-x[0], x[1])):
             if left <= 0:
                 break
-            if now - s.stands >= MOVE_AGE and ((load := -minus) <= room or over):
-                # Danger: many nodes with few connections each would clear a host by rounding their share up;
-                # and a host past full load would wait for a lot while lighter connections fit the share.
-                if load > left and (sid != loads[-1][1] or self._chance() * load > left):
-                    continue
+            if now - s.stands >= MOVE_AGE and (load <= room or over):
+                # Danger: many nodes with few connections each would clear a host by rounding their share up.
+                if load > left and self._chance() * load > left:
+                    break
                 left -= load
                 room -= load
                 self._add(now, h, -load)
