What was written to a client goes out before its connection is reset

Checked: the log has its host's UP and, 1 ms later, host-reset; the client's side was then aborted in the same turn of the reactor, with UP still in the transport's buffer. A probe on loopback: without a flush the client reads a reset, with it first UP, then the reset. At fault: wire/client.py, abort. Ruled out: the host's side, the stop, sockets.

--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -76,6 +76,8 @@
     def abort(self) -> None:
         self.closing = True
         self.transport.unregisterProducer()
+        # Danger: a reset drops what has not gone out yet; a host that breaks just after its UP would lose it.
+        self.transport.doWrite()
         self.transport.abortConnection()
 
     def readConnectionLost(self) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -83,6 +83,7 @@
     """A transport that keeps what is written and how it was ended."""
 
     broken = False  # what the peer did before the head went out
+    gone_out = 0  # bytes that a reset can no longer drop
 
     def setTcpNoDelay(self, on):
         pass
@@ -99,6 +100,9 @@
     def unregisterProducer(self):
         self.producer = None
 
+    def doWrite(self):
+        self.gone_out = len(self.value())
+
     def loseWriteConnection(self):
         self.disconnecting = True
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -131,6 +131,15 @@
     assert reasons(log) == [f"client-{how}", f"host-{how}"]
 
 
+def test_the_answer_goes_out_though_its_host_breaks_at_once():
+    d = desk()
+    client = connect(d, OPEN)
+    host = accept(d)
+    host.dataReceived(b"UP r1\r\n")
+    lost(host, clean=False)
+    assert client.transport.ended == "reset" and client.transport.gone_out == len(b"UP r1\r\n")
+
+
 def test_a_client_that_leaves_takes_its_dial_with_it(log):
     d = desk()
     client = connect(d, OPEN)
