Looks at full hosts are bounded for all nodes together; a few light sessions may tell 0

At fault: the looks, which every node took once a second at each full host of 86, past what a host answers; and a figure of 0 from new hosts that hold a few light sessions was not believed.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -33,9 +33,11 @@
 PROBE_EVERY = 2000.0  # hosts with own connections, as far as the sessions taken pay for it
 ALL_LOOKS = 3.0  # probes of a host in that time by all nodes together that no session has to pay for
 FRESH = 1000.0  # a candidate whose figure is older is looked at first
+FULL_LOOKS = 2.0  # in that time, by all nodes together, at a host that is full by its figure
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
 LOOK_WAIT = 0.25  # of the handshake target: so long a session waits for its candidates' figures
 LOOKS = 3  # so often at the most
+NOT_MEASURED = 0.2  # of full load by its connections: a figure of 0 is none yet
 FIGURE_LIFE = 7000.0  # an older figure says nothing
 PILE_LIFE = 1500.0  # so long a note of work piled up holds
 DRAIN = 1000.0  # a pile is to be worked off in so long beside the load
@@ -139,12 +141,10 @@
         self.scarce = 0.0  # of the hosts, as far as seen, so many have no room
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.most_ill = False
-        self.mean_hint = 0.0
-        self.asked = 0  # sessions so far
+        self.mean_hint, self.asked = 0.0, 0  # over so many sessions so far
         self.mean_figure: float | None = None
         self.unit = 0.0  # load that fills a host of size 1, 0 while unknown
-        self.watch_wait = 250.0
-        self.watch_at = math.inf
+        self.watch_wait, self.watch_at = 250.0, math.inf
 
     def start(self) -> list[Action]:
         if self.set.subscribe:
@@ -293,8 +293,8 @@
                     return h
         return -1
 
-    def _old(self, h: int) -> bool:
-        return self.set.may_probe and self.now - self.seen_at[h] > FRESH
+    def _old(self, h: int, span: float = FRESH) -> bool:
+        return self.set.may_probe and self.now - self.seen_at[h] > span
 
     def _fit(self, s: _Session, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
@@ -316,8 +316,10 @@
             if self.set.cross_price:
                 yield ROOM_NEAR, self._drawn(self.near)
             yield room, self._drawn(self.running)
-        # Danger: a host nobody looks at stays full on paper, by an old figure, own sends or the mean.
-        yield math.inf, (h for h in self._drawn(self.running) if self._old(h))
+        # Danger: a host nobody looks at stays full on paper, by an old figure, own sends or the mean; many
+        # nodes that all look again would use up the probes that a host answers.
+        span = FRESH * max(self.set.nodes / FULL_LOOKS, 1.0)
+        yield math.inf, (h for h in self._drawn(self.running) if self._old(h, span))
 
     def _drawn(self, hosts: list[int]) -> Iterator[int]:
         """Up to DRAWS of the hosts, in random order; the list is not touched."""
@@ -345,8 +347,7 @@
         return self.figure[h] if now - self.figure_at[h] < FIGURE_LIFE else None
 
     def _pile(self, now: float, h: int) -> float:
-        """The load that working off a host's pile adds."""
-        return self.pile[h] / DRAIN if now - self.pile_at[h] < PILE_LIFE else 0.0
+        return self.pile[h] / DRAIN if now - self.pile_at[h] < PILE_LIFE else 0.0  # as load, to work it off
 
     def _survey(self, now: float) -> None:
         """The fleet as the reports show it: mean load, what fills a host of size 1, the own share of room."""
@@ -392,9 +393,7 @@
     # ---- send gate: every dial passes here, and each rule stands here and nowhere else
 
     def _passes(self, now: float, s: _Session, h: int) -> bool:
-        if not self._allowed(now, s, h):
-            return False
-        return self._warmth(now, h) >= 1 or self._cold_right(now, s, h)
+        return self._allowed(now, s, h) and (self._warmth(now, h) >= 1 or self._cold_right(now, s, h))
 
     def _allowed(self, now: float, s: _Session, h: int) -> bool:
         if s.answered or now >= s.deadline or s.out or len(s.dials) >= self.set.max_dials:
@@ -598,9 +597,11 @@
         return self._done()
 
     def _learn(self, now: float, h: int, report: Report) -> None:
+        figure, self.crowd[h] = report.load, report.held
         # Danger: a host that holds connections and tells no load yet has not measured it; it is not empty.
-        figure = None if report.held and not report.load else report.load
-        self.crowd[h] = report.held
+        full = NOT_MEASURED * self.unit * self.size[h]
+        if not figure and report.held and report.held * self.mean_hint >= full:
+            figure = None
         if figure is None and report.piled is not None:
             figure = report.piled / self.shortest
         if figure is None:
@@ -614,9 +615,8 @@
         self._relieve(now, h, figure, threshold, figure > FULL_LOAD, SETTLE)
 
     def _by_count(self, now: float, h: int) -> None:
-        """Without a figure: the connection count against the mean."""
-        mean = sum(self.held) / max(len(self.running), 1)
-        self._relieve(now, h, self.held[h], COUNT_TRIGGER * mean, False, SETTLE)
+        limit = COUNT_TRIGGER * sum(self.held) / max(len(self.running), 1)  # without a figure: the mean count
+        self._relieve(now, h, self.held[h], limit, False, SETTLE)
 
     def _relieve(self, now: float, h: int, figure: float, limit: float, over: bool, settle: float) -> None:
         """Past the limit, moves the highest forecasts off a host, up to the share of the own load there."""
