Past full load a lot that failed is drawn again with the next report

Ruled out: lighter ones in its place (tried, worse). At fault: decide._relieve, acted_at is set though nothing was moved. Now 1 s after a failed lot, past full load only.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -147,8 +147,7 @@
         self.watch_wait, self.watch_at = 250.0, math.inf
 
     def start(self) -> list[Action]:
-        if self.set.subscribe:
-            self.acts.append(Watch())
+        self.acts += [Watch()] * self.set.subscribe
         self.acts.append(Wake(TICK * (0.5 + self._chance()), TICK_TOKEN))
         return self._done()
 
@@ -451,8 +450,7 @@
         """One session, from its ask to its answer; a stream's end needs no decision."""
         target = self.set.listeners[s.listener].handshake_target
         while True:
-            h = yield from self._choose(s)
-            if h >= 0:
+            if (h := (yield from self._choose(s))) >= 0:
                 last = len(s.dials) + 1 >= self.set.max_dials
                 time_out = math.inf if last else FIRST_TIME_OUT * target * TIME_OUT_GROWTH ** len(s.dials)
                 result = yield Dial(s.id, h, min(self.now + time_out, s.deadline))
@@ -635,6 +633,8 @@
             if now - s.stands >= MOVE_AGE and (load <= room or over):
                 # Danger: many nodes with few connections each would clear a host by rounding their share up.
                 if load > left and self._chance() * load > left:
+                    # Danger: past full load nobody is served there; a lot that failed is drawn again soon.
+                    self.acted_at[h] -= (SETTLE - LANDING) * (over and room == self.part)
                     break
                 left -= load
                 room -= load
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -176,6 +176,17 @@
     assert 10 <= moved <= 50
 
 
+@pytest.mark.parametrize("figure, again", [(0.95, False), (1.3, True)])
+def test_past_full_load_a_lot_that_failed_is_drawn_again_with_the_next_report(figure, again):
+    n = node(3)
+    standing(n, 0, [1000.0, 999.0])
+    figures(n, [0.5, 0.1, 0.1])
+    n._chance = lambda: 1.0
+    assert n.probed(START + 60000, 0, Outcome.GOOD, Report(figure)) == []
+    n._chance = lambda: 0.0
+    assert bool(n.probed(START + 61100, 0, Outcome.GOOD, Report(figure))) is again
+
+
 def test_a_steep_rise_lowers_the_threshold():
     n = node(3)
     standing(n, 0, [1.0] * 80 + [8.0])
