At SIGTERM clients are moved late in the time that is left

Checked: the second node moves its clients from 0.45 s on, the first is not back until 1.7 s later, so for over a second no node takes new connections and who has been moved waits outside. Ruled out: room (hosts at 0.2 to 0.5), descriptors. At fault: lifecycle/service.py, move_some, which began as soon as new clients stopped.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -26,9 +26,11 @@
 BACKLOG = 4096
 SWEEP = 0.25  # seconds
 SERVE_ON = 450.0  # after SIGTERM, while clients still come
-LONGEST_STOP = 3000.0  # all are moved in the longest wait of a client, or in this if that is longer
+LONGEST_STOP = 3000.0  # the longest wait of a client, or this if that is longer, and
+STOP_AFTER = 200.0  # so much more, until when all are moved
+MOVING = 1200.0  # the last part of that, in which they are moved, evenly
 SHORT_EVERY = 1000.0  # the log says so often at the most that sockets are short
-LINGER = 300.0  # from the last end until the exit
+LINGER = 150.0  # from the last end until the exit
 
 
 def make_clock():
@@ -130,10 +132,14 @@
         self.stopped_at = self.clock()
         self.desk.stopping = True
         logger.info("stop sessions={}", len(self.desk.sessions.table))
-        self.reactor.callLater(SERVE_ON / MS, self.move_some)
+        # Danger: in a rolling restart the node before may not be back; who is moved early has nowhere to go.
+        self.reactor.callLater(max(self.stop_span() - MOVING, SERVE_ON) / MS, self.move_some)
+
+    def stop_span(self) -> float:
+        return min(max(self.config.limits.longest_wait, SERVE_ON), LONGEST_STOP) + STOP_AFTER
 
     def move_some(self) -> None:
-        last = self.stopped_at + min(max(self.config.limits.longest_wait, SERVE_ON), LONGEST_STOP)
+        last = self.stopped_at + self.stop_span()
         standing = self.desk.sessions.standing()
         left = last - self.clock()
         steps = max(int(left / 50.0), 1)
