Clients that do not wait or repeat an id, and figures that are none, are turned away

Checked: the desk held lines that came before UP and served the session; an id that is in use was served a second time; a client that says nothing was closed after 30 s unless sockets were short, 3 s are allowed; 'LOAD nan' entered every forecast, a hint under 0 the mean. At fault: wire/client.py lineReceived, wire/desk.py first_line, _told_load and IDLE, wire/heads.py.

--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -36,17 +36,23 @@
         self.table: dict[int, Session] = {}
         self.unanswered: dict[Session, None] = {}  # with a line that waits, the longest wait first
         self.made = 0
+        self.ids: set[str] = set()  # as clients gave them
+
+    def holds(self, name: str) -> bool:
+        return name in self.ids
 
     def new(self, head: Head, client: ClientConnection, now: float) -> Session:
         s = Session(self.made, head, client, now, now + head.wait)
         self.made += 1
         self.table[s.index] = s
+        self.ids.add(head.id)
         return s
 
     def drop(self, s: Session) -> None:
         s.over = True
         self.unanswered.pop(s, None)
         self.table.pop(s.index, None)
+        self.ids.discard(s.head.id)
 
     def line_from_client(self, s: Session, now: float) -> None:
         s.heard_at = now
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -25,7 +25,6 @@
         self.session: Session | None = None
         self.opened = 0.0
         self.closing = False
-        self.early: bytes | None = None
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -40,17 +39,8 @@
         elif self.session.up_at:
             self.desk.from_client(self.session, line)
         else:
-            # Danger: a client that does not wait would fill the memory; the rest stays in the kernel.
-            self.early = line
-            self.pauseProducing()
-
-    def stand(self) -> None:
-        """Passes on what came before the session stood."""
-        # Danger: the word that it stands may have brought the order to move it at once.
-        if self.early is not None and not self.closing:
-            line, self.early = self.early, None
-            self.desk.from_client(self.session, line)
-            self.resumeProducing()
+            # Danger: who does not wait for its answer sends commands by the hundred; none may reach a host.
+            self.desk.client_broke(self, "did-not-wait")
 
     def lineLengthExceeded(self, line: bytes) -> None:
         if not self.closing:
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -24,7 +24,7 @@
 from caperdeck.state.sessions import Session, Sessions
 
 from .client import ClientConnection
-from .heads import Head, HeadError, parse_head
+from .heads import Head, HeadError, parse_head, parse_load
 from .host import HostConnection
 from .lines import cancel
 from .probe import Probes
@@ -37,8 +37,9 @@
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
 AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
 STOOD_STILL = 1000.0  # without a sweep for so long the node had no time to read
-IDLE = 30000.0  # a client that has sent no line for so long is closed
+IDLE = 2000.0  # a client that has sent no first line for so long is closed
 IDLE_SHORT = 250.0  # the same while sockets are short
+WAITS = 10.0  # times the longest wait of any class, and a first line's wait is no wait
 
 
 def busy(back_off: float) -> bytes:
@@ -155,6 +156,12 @@
                 raise HeadError("unknown-class")
             if head.at is not None and head.at not in self.hosts.index:
                 raise HeadError("unknown-host")
+            # a connection that stood before the node started has all the time that the start takes
+            if head.at is None and head.wait > WAITS * max(self.limits.longest_wait, MS):
+                raise HeadError("bad-wait")
+            # Danger: one client's line with another's id would be told apart by nobody, hosts among them.
+            if self.sessions.holds(head.id):
+                raise HeadError("id-in-use")
         except HeadError as error:
             self._turn_away(client, b"ERR", str(error), line[:80])
             return
@@ -282,9 +289,10 @@
             self._end_dial(s, Outcome.WITHDRAWN if line == b"MOVE" else outcome)
 
     def _told_load(self, s: Session, line: bytes) -> None:
-        try:
-            self.report(Load(s.index, float(line[5:]) / MS))
-        except ValueError:
+        # Danger: a load that is no number, or is under 0, would stay in every sum that it enters.
+        if (load := parse_load(line[5:])) is not None:
+            self.report(Load(s.index, load / MS))
+        else:
             logger.warning("host uid={} reason=bad-load line={!r}", self.hosts.uid[s.host], line[:80])
 
     def _stand(self, s: Session, conn: HostConnection, line: bytes) -> None:
@@ -301,7 +309,6 @@
             listener = self.names.listeners[head.listener]
             customer, hints = self.names.customers.get(head.tenant, -1), self._hints(head)
             self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
-        client.stand()
 
     def host_gone(self, conn: HostConnection, reset: bool) -> None:
         """The host has ended its connection."""
--- a/caperdeck/wire/heads.py
+++ b/caperdeck/wire/heads.py
@@ -11,6 +11,10 @@
 from .lines import CRLF
 
 
+MOST = 1e6  # figures of a report, at or over this, are no counts or shares
+MOST_LOAD = 1e12  # the same of a session's load, in whatever unit of time
+
+
 class HeadError(ValueError):
     """A first line that cannot be served; its text is the reason code."""
 
@@ -58,7 +62,7 @@
         return line[start:stop].decode("utf-8", "replace")
 
     wait, load, listener = _number(text(b"d")), _number(text(b"h")), text(b"c")
-    if wait is None or listener is None or wait < 0:
+    if wait is None or listener is None or wait < 0 or not 0 <= (load or 0.0) < MOST_LOAD:
         raise HeadError("bad-line")
     start, stop = found[b"d"]
     name = line[5:id_end].decode("utf-8", "replace")
@@ -78,7 +82,7 @@
 
 
 def parse_report(text: bytes) -> dict[str, float]:
-    """A load report NAME=NUMBER,...; what is no number is left out."""
+    """A load report NAME=NUMBER,...; what is no number from 0 on is left out."""
     values = {}
     for part in text.split(b","):
         name, _, value = part.partition(b"=")
@@ -86,6 +90,15 @@
             number = float(value)
         except ValueError:
             continue
-        if math.isfinite(number):
+        if 0 <= number < MOST:
             values[name.strip().decode("utf-8", "replace")] = number
     return values
+
+
+def parse_load(text: bytes) -> float | None:
+    """A load in microseconds of work a second."""
+    try:
+        load = float(text)
+    except ValueError:
+        return None
+    return load if 0 <= load < MOST_LOAD else None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -128,6 +128,11 @@
 OPEN = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,t=acme,d=1200,h=0.01,g=5c0f"
 
 
+def opening(number):
+    """A first line with an id of its own."""
+    return OPEN.replace(b"9b1f", b"%04x" % number)
+
+
 def row(uid, state="Ready", port=9000, boot=0):
     return {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "east", "state": state, "boot_ms": boot}
 
@@ -166,7 +171,7 @@
 
 def up(d):
     """A client and the host's side of its session, which stands."""
-    client = connect(d, OPEN)
+    client = connect(d, opening(d.sessions.made))
     host = accept(d)
     host.dataReceived(b"UP r1\r\n")
     client.transport.clear()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,7 +2,7 @@
 
 import orjson
 import pytest
-from helpers import OPEN, Wire, accept, connect, desk, logged, lost, row, up
+from helpers import OPEN, Wire, accept, connect, desk, logged, lost, opening, row, up
 from twisted.internet.error import ConnectionRefusedError as Refused
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
@@ -59,7 +59,7 @@
 
 
 def test_what_is_no_number_in_a_load_report_is_left_out():
-    assert parse_report(b" x0=0.5,util=high,,queue=3,x1=inf") == {"x0": 0.5, "queue": 3.0}
+    assert parse_report(b" x0=0.5,util=high,,queue=3,x1=inf,a=-1,b=nan,c=1e300") == {"x0": 0.5, "queue": 3.0}
 
 
 # ---- clients
@@ -67,7 +67,8 @@
 
 @pytest.mark.parametrize("line, reason", [
     (OPEN.replace(b"c=chat", b"c=other"), "unknown-class"),
-    (OPEN + b",at=s-9", "unknown-host"),
+    (OPEN + b",at=s-9", "unknown-host"), (OPEN.replace(b"d=1200", b"d=1e300"), "bad-wait"),
+    (OPEN.replace(b"h=0.01", b"h=-1"), "bad-line"), (OPEN.replace(b"h=0.01", b"h=1e99"), "bad-line"),
     (OPEN + b",x=" + b"y" * 5000, "long-line"),
 ])  # fmt: skip
 def test_a_client_that_cannot_be_served_is_told_and_the_reason_logged(line, reason, log):
@@ -101,14 +102,20 @@
     assert reasons(log) == ["served"] and d.budget.sessions == 0 and not d.sessions.table
 
 
-def test_a_line_sent_before_the_host_answered_is_held_and_reading_stops():
+def test_a_client_that_does_not_wait_for_its_answer_never_reaches_a_host(log):
     d = desk()
-    client = connect(d, OPEN, b"early", b"second")
-    assert client.transport.producerState == "paused"
-    host = accept(d)
-    host.dataReceived(b"UP r1\r\n")
-    assert host.transport.lines()[1:] == [b"early", b"second"]
-    assert client.transport.producerState == "producing"
+    client = connect(d)
+    client.dataReceived(b"\r\n".join([OPEN] * 300) + b"\r\n")
+    assert client.transport.lines() == [b"ERR"] and reasons(log) == ["did-not-wait"]
+    assert accept(d).transport.lines() == [] and not d.sessions.table and d.budget.sessions == 0
+
+
+def test_the_id_of_another_clients_open_session_is_turned_away(log):
+    d = desk()
+    first, other = connect(d, OPEN), connect(d, OPEN)
+    assert (first.transport.lines(), other.transport.lines()) == ([], [b"ERR"])
+    lost(first)
+    assert connect(d, OPEN).transport.lines() == [] and reasons(log) == ["id-in-use", "client-left"]
 
 
 def test_a_side_that_does_not_read_stops_the_other():
@@ -155,7 +162,7 @@
 def test_a_client_that_says_nothing_is_closed_in_time():
     d = desk()
     client = connect(d)
-    d.reactor.advance(31)
+    d.reactor.advance(2.2)
     d.sweep()
     assert client.transport.ended == "end"
 
@@ -302,16 +309,18 @@
     assert not host.ended and not client.closing
 
 
-@pytest.mark.parametrize("line", [b"LOAD 1500", b"LOAD", b"LOAD much"])
+@pytest.mark.parametrize("line", [b"LOAD 1500", b"LOAD", b"LOAD much", b"LOAD nan", b"LOAD -9"])
 def test_a_load_note_is_passed_on_whatever_it_holds(line):
-    client, host = up(desk())
+    d = desk()
+    client, host = up(d)
     host.dataReceived(line + b"\r\n")
     assert client.transport.lines() == [line]
+    assert d.balancer._node.sessions[0].present == (1.5 if line == b"LOAD 1500" else None)
 
 
 def test_a_connection_that_stood_before_is_taken_up_at_its_host():
     d = desk()
-    client = connect(d, OPEN + b",at=s-1")
+    client = connect(d, OPEN.replace(b"d=1200", b"d=100000") + b",at=s-1")
     assert d.reactor.tcpClients[-1][1] == 9001
     d.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(Refused()))
     d.reactor.advance(0.3)
@@ -328,7 +337,7 @@
     d = desk(sockets=40)
     heard = []
     d.accepting = heard.append
-    clients = [connect(d, OPEN) for _ in range(40)]
+    clients = [connect(d, opening(i)) for i in range(40)]
     answers = [client.transport.lines() for client in clients]
     served = answers.index([b"BUSY 500"])
     assert 5 < served < 15 and answers[served:] == [[b"BUSY 500"]] * (40 - served)
