One end of a watch and one reading of a figure, where each stood twice

Read over once more: discovery.move_to ended the open watch with the lines of again, and heads.py read bounded figures in parse_report and parse_load with the same steps. Behaviour is as it was; no test changed.

--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -72,13 +72,17 @@
         # Danger: another discovery may count its versions anew, and would be asked for none of its changes.
         self.address, self.rev, self.wait = address, 0, AGAIN
         asked, self.asked = self.asked, None
-        body, self.body = self.body, None
+        self.leave()
         cancel(self.retry)
         if asked is not None:
             asked.cancel()
+        self.start()
+
+    def leave(self) -> None:
+        """Ends the watch that is open, if any; nothing that it still says counts."""
+        body, self.body = self.body, None
         if body is not None and body.transport is not None:
             body.transport.loseConnection()
-        self.start()
 
     def failed(self, asked: Any, failure: Any) -> None:
         if self.asked is asked:
@@ -110,9 +114,7 @@
         """Opens the watch anew a little later, unless that is on the way already."""
         if body is not self.body or self.retry is not None:
             return
-        self.body = None
-        if body is not None and body.transport is not None:
-            body.transport.loseConnection()
+        self.leave()
         self.retry = self.reactor.callLater(self.wait, self.start)
         self.wait = min(self.wait * 2, AGAIN_MOST)
 
--- a/caperdeck/wire/heads.py
+++ b/caperdeck/wire/heads.py
@@ -10,7 +10,6 @@
 
 from .lines import CRLF
 
-
 MOST = 1e6  # figures of a report, at or over this, are no counts or shares
 MOST_LOAD = 1e12  # the same of a session's load, in whatever unit of time
 
@@ -86,19 +85,20 @@
     values = {}
     for part in text.split(b","):
         name, _, value = part.partition(b"=")
-        try:
-            number = float(value)
-        except ValueError:
-            continue
-        if 0 <= number < MOST:
+        if (number := _figure(value, MOST)) is not None:
             values[name.strip().decode("utf-8", "replace")] = number
     return values
 
 
 def parse_load(text: bytes) -> float | None:
     """A load in microseconds of work a second."""
+    return _figure(text, MOST_LOAD)
+
+
+def _figure(text: bytes, most: float) -> float | None:
+    """A number from 0 on and under the most, or None."""
     try:
-        load = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return load if 0 <= load < MOST_LOAD else None
+    return number if 0 <= number < most else None
