Nodes ask discovery again in a drawn part of a span that doubles, not in step

All nodes lose their watch in one instant, asked again after exactly 0.1, 0.2, 0.4, 0.8 and 1 s (again() in wire/discovery.py), and so kept discovery's queue full of calls given up before their turn. Ruled out: the agent's silence (no such line), lists that could not be read (none).

Now a wait is drawn from a span of 0.1 s a node (0.2 to 4 s), doubled with each failure up to 16 s; the first call of a node that was given a list waits too, as nodes killed together start together. A refusal's text no longer counts as a word of discovery, which let hosts held to drain go.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -16,6 +16,7 @@
 from caperdeck.core.settings import MS
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
+from caperdeck.state.patience import Patience
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
 from caperdeck.wire.discovery import Discovery
@@ -54,7 +55,7 @@
         self.desk.accepting = self.accept
         self.discovery = Discovery(
             reactor, config.discovery, config.rev, self.desk.listed, self.desk.discovery_spoke,
-            self.complain,
+            self.complain, Patience(config.settings.seed, config.settings.nodes),
         )  # fmt: skip
         self.port = None
         self.accepts = True
@@ -68,7 +69,7 @@
         ):  # fmt: skip
             signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
         self.desk.listed(True, config.known)
-        self.discovery.start()
+        self.discovery.begin(self.desk.hosts.running() > 0)
         address, factory = config.listen, ClientFactory(self.desk)
         self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
         self.port.startListening()
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -10,11 +10,11 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
+from caperdeck.state.patience import Patience
+
 from .lines import cancel
 
 LONGEST_LIST = 16 << 20
-AGAIN = 0.1  # seconds until the watch is opened again, doubled up to
-AGAIN_MOST = 1.0
 SILENT = 5.0  # seconds without even an empty line after which the watch is opened anew
 
 
@@ -22,14 +22,16 @@
     delimiter = b"\n"
     MAX_LENGTH = LONGEST_LIST
 
-    def __init__(self, watch: Discovery) -> None:
+    def __init__(self, watch: Discovery, granted: bool = True) -> None:
         self.watch = watch
+        self.granted = granted
 
     def connectionMade(self) -> None:
         self.watch.body = self
 
     def lineReceived(self, line: bytes) -> None:
-        if self.watch.body is self:
+        # Danger: the text of a refusal is no word of the hosts; hosts held to drain would be let go by it.
+        if self.watch.body is self and self.granted:
             self.watch.line(line.strip())
 
     def lineLengthExceeded(self, line: bytes) -> None:
@@ -45,7 +47,7 @@
 
     def __init__(
         self, reactor: Any, address: str, rev: int, listed: Callable[[bool, Any], None],
-        spoke: Callable[[], None], complain: Callable[[str, str], None],
+        spoke: Callable[[], None], complain: Callable[[str, str], None], patience: Patience,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.address = address
@@ -56,10 +58,19 @@
         self.agent = Agent(reactor, connectTimeout=2.0, pool=HTTPConnectionPool(reactor, persistent=False))
         self.body: _WatchBody | None = None
         self.asked = None
-        self.wait = AGAIN
+        self.patience = patience
         self.silence = None
         self.retry = None
 
+    def begin(self, known: bool) -> None:
+        """The first watch; where the node was given a list, that holds until its turn comes."""
+        if not known:
+            self.start()
+            return
+        # Danger: nodes killed together start together, and discovery cannot take all their calls at once.
+        self.retry = self.reactor.callLater(self.patience.next(), self.start)
+        self.patience.heard()
+
     def start(self) -> None:
         self.retry = None
         self.heard()
@@ -70,7 +81,8 @@
     def move_to(self, address: str) -> None:
         """Watches another discovery from now on; the list last told holds until it speaks."""
         # Danger: another discovery may count its versions anew, and would be asked for none of its changes.
-        self.address, self.rev, self.wait = address, 0, AGAIN
+        self.address, self.rev = address, 0
+        self.patience.heard()
         asked, self.asked = self.asked, None
         self.leave()
         cancel(self.retry)
@@ -86,14 +98,14 @@
 
     def failed(self, asked: Any, failure: Any) -> None:
         if self.asked is asked:
-            if self.wait == AGAIN:  # once for each time that discovery is away
+            if self.patience.fresh:  # once for each time that discovery is away
                 self.complain("discovery-unreached", failure.getErrorMessage())
             self.again(None)
 
     def answered(self, response) -> None:
         if response.code != 200:
             self.complain("discovery-refused", f"discovery answered {response.code}")
-        response.deliverBody(_WatchBody(self))
+        response.deliverBody(_WatchBody(self, response.code == 200))
 
     def heard(self) -> None:
         """Something has come; the watch on silence starts anew."""
@@ -115,13 +127,13 @@
         if body is not self.body or self.retry is not None:
             return
         self.leave()
-        self.retry = self.reactor.callLater(self.wait, self.start)
-        self.wait = min(self.wait * 2, AGAIN_MOST)
+        cancel(self.silence)
+        self.retry = self.reactor.callLater(self.patience.next(), self.start)
 
     def line(self, line: bytes) -> None:
         self.heard()
         self.spoke()
-        self.wait = AGAIN
+        self.patience.heard()
         if not line:
             return
         try:
