A lost host is told by one line and one probe without an answer, for all its connections

Ruled out: probes, which saw the loss within 0.5 s of being sent, but for new sessions only; a late list (the hosts stay on it).

Now a host from which nothing has come for 0.3 s after a line is probed, and without an answer to that all its connections at this node are moved. Any line or answer, also an error, shows that it lives.

--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -98,6 +98,7 @@
     rows, limits = setup["listeners"], setup["limits"]
     return Limits(
         connect_time_out=limits.get("dialTimeout", 0.25) * MS,
+        probes=bool(limits.get("mayProbe", False)),
         reports=(setup.get("report") or {}).get("how") != "silent",
         max_back_off=limits.get("maxRetryAfter", 0.0) * MS if limits.get("retryAfter") else 0.0,
         longest_wait=max(row.get("hardLimit", 0.0) for row in rows) * MS,
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -26,6 +26,7 @@
         self.state: list[HostState] = []
         self.entry: list[Entry | None] = []  # as last listed
         self.sent_away: list[float] = []  # when a client was last sent away by the host itself
+        self.spoke_at: list[float] = []  # when anything last came from the host
         self.held: dict[int, None] = {}  # hosts held to drain though the list has not said so
 
     def running(self) -> int:
@@ -64,6 +65,7 @@
             self.state.append(HostState.GONE)
             self.entry.append(None)
             self.sent_away.append(-math.inf)
+            self.spoke_at.append(-math.inf)
         zone = row.get("az")
         zone = self.zones.get(zone, -1) if isinstance(zone, str) else -1
         mark = zlib.crc32(uid.encode())
--- a/caperdeck/state/limits.py
+++ b/caperdeck/state/limits.py
@@ -8,6 +8,7 @@
 @dataclass(frozen=True, slots=True)
 class Limits:
     connect_time_out: float
+    probes: bool  # hosts may be probed
     reports: bool  # hosts answer STATS
     max_back_off: float  # 0 where clients are told none
     longest_wait: float  # of any client
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -34,6 +34,7 @@
 AGAIN = 200.0  # until a connection that stood before is tried again at its host
 RESUME_TIME_OUT = 3000.0  # for one such try
 SILENCE = 2000.0  # a host that has brought nothing back for so long is given up
+SUSPECT = 300.0  # one that has brought nothing back for so long, on any connection, is probed
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
 AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
 STOOD_STILL = 1000.0  # without a sweep for so long the node had no time to read
@@ -273,6 +274,7 @@
 
     def from_host(self, conn: HostConnection, line: bytes) -> None:
         s = conn.session
+        self.hosts.spoke_at[s.host] = self.clock()
         if s.up_at:
             self.sessions.line_from_host(s)
             s.client.pass_on(line)
@@ -367,7 +369,13 @@
         uid = self.hosts.uid[news.host]
         told = news.told
         logger.debug("look uid={} outcome={} load={} held={}", uid, news.outcome.name, told.load, told.held)
+        if news.outcome in (Outcome.GOOD, Outcome.ERROR):
+            self.hosts.spoke_at[news.host] = self.clock()
         self.report(news)
+        if self._suspect(news.host):
+            for s in self.sessions.standing():
+                if s.host == news.host:
+                    self.move(s, "host-silent", Outcome.RESET)
 
     def listed(self, whole: bool, rows: Any) -> None:
         entries = self.hosts.take(whole, rows, self.complain_entry)
@@ -394,6 +402,15 @@
     def complain_entry(self, text: str) -> None:
         logger.warning("roster reason=bad-entry {}", text)
 
+    def _suspect(self, host: int) -> bool:
+        """Whether a line to the host has waited too long and nothing at all has come from it since."""
+        waiting = self.sessions.silent(self.clock() - SUSPECT)
+        return any(s.host == host and self._unheard(s) for s in waiting)
+
+    def _unheard(self, s: Session) -> bool:
+        # a host held up by a client that does not read is not silent
+        return not s.conn.paused and self.hosts.spoke_at[s.host] <= s.asked_at
+
     # ---- housekeeping
 
     def sweep(self) -> None:
@@ -404,9 +421,13 @@
             self._mind_silence(now)
             # Danger: a machine that vanished says nothing and its connections stay open.
             for s in self.sessions.silent(now - SILENCE):
-                # a host held up by a client that does not read is not silent
                 if not s.conn.paused:
                     self.move(s, "host-silent", Outcome.RESET)
+            # Danger: found out by each connection for itself, a lost zone keeps its clients waiting for
+            # seconds; one line and one probe without an answer tell it for all connections of the host.
+            if self.limits.probes:
+                for host in {s.host: None for s in self.sessions.silent(now - SUSPECT) if self._unheard(s)}:
+                    self.probes.look(host, self.hosts.address[host])
         # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
         if now - self.searched_at > self.limits.idle / 10:
             self.searched_at = now
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -261,6 +261,26 @@
     assert reasons(log) == ["host-silent"]
 
 
+@pytest.mark.parametrize("alive", ["nothing", "its probe", "another line"])
+def test_a_host_that_answers_neither_line_nor_probe_loses_all_its_clients_at_once(alive, log):
+    # Danger: when a zone is lost, each connection found it out for itself, 2 s after its client's next line.
+    d = desk(hosts=1, mayProbe=True)
+    d.balancer.report(d.clock(), Looked(0, Outcome.GOOD, Report(0.2)))
+    pairs = [up(d) for _ in range(3)]
+    pairs[0][0].dataReceived(b"one\r\n")
+    sweeps(d, 0.5)
+    assert d.probes.open[0].waits is not None and "end" not in "".join(log)
+    if alive == "its probe":
+        d.probes.open[0].makeConnection(Wire())
+        d.probes.open[0].dataReceived(b"PONG x0=0.2\r\n")
+    elif alive == "another line":
+        pairs[1][1].dataReceived(b"two\r\n")
+    sweeps(d, 0.75)
+    gone = alive == "nothing"
+    assert [host.transport.ended == "reset" for _, host in pairs] == [gone] * 3
+    assert reasons(log) == ["host-silent"] * 3 * gone
+
+
 def test_a_client_whose_machine_vanished_is_let_go_in_time(log):
     d = desk(hosts=1)
     client, host = up(d)
