A node that has just started knows its part of the room before its first tick

The part was infinite until the first tick (_survey in core/decide.py); each node alone does no harm by that. And 1,866 failed probes in one second: hosts that drain answer a probe with an error, which left them unseen, so every waiting session looked at them again and used up its looks. Ruled out: the cold budgets (filled as they allow), a cap on probes (the same hosts answered 38 others in that second).

The first looks now make a survey, and a host whose look failed is not looked at for a second. The rise of a figure is taken over a second at the least: two reports 50 ms apart made noise a steep rise.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -115,6 +115,7 @@
         self.crowd: list[float | None] = []  # connections that it holds for all nodes, as last told
         self.seen_at: list[float] = []  # the last answer to a probe
         self.lookers: list[list[int]] = []  # sessions that wait for the host's figure
+        self.unseen: list[float] = []  # until when it is not looked at again, as the last look failed
         self.probe_out: list[float] = []  # when the probe that is out was sent, 0 if none is
         self.pile: list[float] = []  # work piled up, as last noted, and when
         self.pile_at: list[float] = []
@@ -191,12 +192,13 @@
                 (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
                 (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
                 (self.lookers, []), (self.tokens, 0.0), (self.tokens_at, now), (self.crowd, None),
+                (self.unseen, 0.0),
             ):  # fmt: skip
                 array.append(blank)
         if e.state is HostState.RUNNING and (self.state[h] is HostState.GONE or e.born > self.born[h]):
             # Danger: a restarted process looks like the old one; what was known of that one is void.
             self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
-            self.seen_at[h], self.probe_out[h] = -math.inf, 0.0
+            self.seen_at[h], self.probe_out[h], self.unseen[h] = -math.inf, 0.0, 0.0
             self.tokens[h], self.tokens_at[h] = 0.0, now
         # a listed size that is lowered by what the host holds says little of the host's own
         self.size[h] = e.size or 1.0 if self.set.sizes_stand else 1.0
@@ -285,6 +287,11 @@
                         return -1
                     looks += 1
                     yield [Probe(h) for h in old]
+                    # Danger: nodes that start together know no part yet, and would fill all room at once.
+                    if not self.unit:
+                        self._survey(self.now)
+                    if self.spare <= 0:
+                        return -1
                     pair = [h for h in pair if not self._old(h) and self._fit(s, h, after)]
                 if len(pair) == 2 and self._load(self.now, pair[1]) + margin < self._load(self.now, pair[0]):
                     pair.reverse()
@@ -298,6 +305,8 @@
     def _fit(self, s: _Session, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
         now = self.now
+        if now < self.unseen[h]:
+            return False
         return self._load(now, h) < room and self._well(now, h) and self._allowed(now, s, h)
 
     def _draws(self, s: _Session) -> Iterator[tuple[float, Iterator[int]]]:
@@ -562,6 +571,8 @@
         for h in sorted(self.mine, key=lambda h: (-age[h], h)):
             if age[h] < PROBE_EVERY or self.purse < 1:
                 break
+            if now < self.unseen[h]:
+                continue
             if not self.set.may_probe:
                 self.seen_at[h] = now
                 self._by_count(now, h)
@@ -584,6 +595,9 @@
                 self._learn(now, h, report)
                 self.purse += self.set.figures and self.figure[h] is None
         elif self.state[h] is HostState.RUNNING:
+            # Danger: a host that drains or is gone tells nothing and looks like the mean; each session that
+            # waits would look again at once, and all nodes together do so by the hundred.
+            self.unseen[h] = now + FRESH * (0.75 + self._chance() / 2)
             self._failed(now, h)
         waiting, self.lookers[h] = self.lookers[h], []
         for sid in waiting:
@@ -605,7 +619,7 @@
         if figure is None:
             self._by_count(now, h)
             return
-        last, span = self._figure(now, h), now - self.figure_at[h]
+        last, span = self._figure(now, h), max(now - self.figure_at[h], REPORT_LAG)
         rise = max(figure - last, 0.0) / span if last is not None and span > 0 else 0.0
         self._know(now, h, figure)
         figure += self._pile(now, h)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,5 +1,6 @@
 """Placement, forecasts, probes and moves."""
 
+import zlib
 from dataclasses import replace
 
 import pytest
@@ -301,3 +302,30 @@
     n.unit, n.mean_hint = 1000.0, 10.0
     n.probed(START, 0, Outcome.GOOD, Report(0.0, None, 3.0))
     assert n.figure[0] == 0.0  # a few light ones only
+
+
+def test_a_host_whose_look_failed_is_not_looked_at_again_at_once():
+    # Danger: a host that drains answers no probe; sessions that wait all look again, by the hundred.
+    n = node(2, entries=[entry(0)])
+    n.seen_at = [-1e9]
+    looks = n.ask(START, ask(1))
+    assert Probe(0) in looks
+    n.probed(START + 1, 0, Outcome.ERROR, Report())
+    later = [n.bell(START + t, 1) for t in (101.0, 202.0)] + [n.ask(START + 300, ask(2))]
+    assert not any(isinstance(a, Probe) for acts in later for a in acts)
+    assert Probe(0) in n.ask(START + 1500, ask(3))
+
+
+def test_nodes_that_start_together_do_not_fill_the_room_before_their_first_tick():
+    # Danger: a node that has just started knows no part of the room, and 28 of them at once sent without any.
+    taken = 0
+    for seed in range(28):
+        n = node(4, nodes=40, seed=zlib.crc32(b"%d" % seed))
+        n.seen_at = [-1e9] * 4
+        for i in range(60):
+            acts = n.ask(START + i, ask(i))
+            for h in [a.host for a in acts if isinstance(a, Probe)]:
+                acts = acts + n.probed(START + i, h, Outcome.GOOD, Report(0.4, None, 160.0))
+            taken += len(dials(acts))
+    # 400 connections fill a host; 140 fit into each, and what clients' unevenness allows
+    assert taken < 4 * 140 * 1.5
