Where few hosts have room all nodes are held to draw the same one

Own dials since a report counted for the root of the nodes (_load in core/decide.py): right where each node draws other hosts, six times too few where one or two have room and all draw those. And 400 to 600 refusals a second while only cold hosts had room, each of which filled just as its budget allows.

The count now goes from the root to all nodes as the share of hosts without room goes from 0 to 1.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -56,7 +56,7 @@
 FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
 CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
-COLD_PART = 0.6  # of a cold host's budget, for all nodes' parts together
+COLD_PART = 0.75  # of a cold host's budget, for all nodes' parts together
 UNEVEN = 1.5  # times its even share of the fleet's room a node may fill: clients come unevenly
 UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
 SLACK = 1.0  # a bell may ring so much early by the rounding of its time
@@ -386,6 +386,8 @@
             self.part = self.unit * self.whole_size * share * sum(rooms)
             self.spare = min(self.spare + self.part * TICK / REPORT_LAG, self.part)
         self.scarce = sum(r == 0 for r in rooms) / len(rooms)
+        # Danger: the fewer hosts have room, the more nodes draw the same one and fill it many times over.
+        self.alike = self.set.nodes ** (0.5 + 0.5 * self.scarce)
 
     def _know(self, now: float, h: int, figure: float) -> None:
         self.figure[h], self.figure_at[h] = figure, now
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -329,3 +329,15 @@
             taken += len(dials(acts))
     # 400 connections fill a host; 140 fit into each, and what clients' unevenness allows
     assert taken < 4 * 140 * 1.5
+
+
+@pytest.mark.parametrize("others", [0.3, 0.9])
+def test_where_few_hosts_have_room_all_nodes_are_held_to_draw_the_same(others):
+    # Danger: 40 nodes see one host with room; each counting for the root of them fills it six times over.
+    n = node(4, nodes=40)
+    standing(n, 0, [10.0] * 10)
+    figures(n, [0.3, others, others, others])
+    before = n._load(START, 0)
+    n._add(START, 0, 10.0)
+    rise = (n._load(START, 0) - before) * n.unit / 10.0
+    assert rise == pytest.approx(40**0.5 if others < ROOM else 40**0.875)
