--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -14,7 +14,7 @@
 
 from .model import (
     NEVER_RAN, Action, Ask, Dial, Effect, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report,
-    RosterScope, Scope, Settings, TearDown, Tell, Wake, Watch, Withdraw,
+    RosterScope, Scope, Settings, TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
 
 # ---- constants (milliseconds, or shares of full load)
@@ -34,8 +34,6 @@
 ALL_LOOKS = 3.0  # probes of a host in that time by all nodes together that no session has to pay for
 FRESH = 1000.0  # a candidate whose figure is older is looked at first
 FULL_LOOKS = 2.0  # in that time, by all nodes together, at a host that is full by its figure
-TELL_EVERY = 500.0  # what another node told of a host so recently is not told again
-ASKERS = 4.0  # of all nodes that hear one another so many, at the most, ask a host in one tick
 PROBE_LOST = 3000.0  # a probe unanswered for so long is held to be lost
 LOOK_WAIT = 0.25  # of the handshake target: so long a session waits for its candidates' figures
 LOOKS = 3  # so often at the most
@@ -116,7 +114,6 @@
         self.figure_at: list[float] = []
         self.crowd: list[float | None] = []  # connections that it holds for all nodes, as last told
         self.seen_at: list[float] = []  # the last answer to a probe
-        self.told_at: list[float] = []  # the last word of another node, or to all of them
         self.lookers: list[list[int]] = []  # sessions that wait for the host's figure
         self.unseen: list[float] = []  # until when it is not looked at again, as the last look failed
         self.probe_out: list[float] = []  # when the probe that is out was sent, 0 if none is
@@ -195,7 +192,7 @@
                 (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
                 (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
                 (self.lookers, []), (self.tokens, 0.0), (self.tokens_at, now), (self.crowd, None),
-                (self.unseen, 0.0), (self.told_at, -math.inf),
+                (self.unseen, 0.0),
             ):  # fmt: skip
                 array.append(blank)
         if e.state is HostState.RUNNING and (self.state[h] is HostState.GONE or e.born > self.born[h]):
@@ -578,9 +575,6 @@
                 break
             if now < self.unseen[h]:
                 continue
-            # Danger: all nodes have heard of the host at one time, and would all ask again at one time.
-            if self.set.may_tell and self._chance() * self.set.nodes >= ASKERS:
-                continue
             if not self.set.may_probe:
                 self.seen_at[h] = now
                 self._by_count(now, h)
@@ -602,29 +596,11 @@
             if self.state[h] is HostState.RUNNING:
                 self._learn(now, h, report)
                 self.purse += self.set.figures and self.figure[h] is None
-                # Danger: nodes that look in one instant would each tell all the others the same.
-                if self.set.may_tell and report.load is not None and now - self.told_at[h] >= TELL_EVERY:
-                    self.told_at[h] = now
-                    self.acts.append(Tell(h, report))
         elif self.state[h] is HostState.RUNNING:
             # Danger: a host that drains or is gone tells nothing and looks like the mean; each session that
             # waits would look again at once, and all nodes together do so by the hundred.
             self.unseen[h] = now + FRESH * (0.75 + self._chance() / 2)
             self._failed(now, h)
-        self._seen(h)
-        return self._done()
-
-    def heard(self, now: float, h: int, report: Report) -> list[Action]:
-        """Another node has looked at the host; its word is as good as an own look that just came back."""
-        self.now = now
-        if self.state[h] is HostState.RUNNING:
-            self.seen_at[h] = self.told_at[h] = now
-            self._learn(now, h, report)
-            self._seen(h)
-        return self._done()
-
-    def _seen(self, h: int) -> None:
-        """Sessions that waited for the host's figure go on."""
         waiting, self.lookers[h] = self.lookers[h], []
         for sid in waiting:
             s = self.sessions.get(sid)
@@ -632,6 +608,7 @@
                 s.looking.discard(h)
                 if not s.looking and not s.answered and not s.out:
                     self._go_on(s, None)
+        return self._done()
 
     def _learn(self, now: float, h: int, report: Report) -> None:
         figure, self.crowd[h] = report.load, report.held
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -14,7 +14,7 @@
 from .decide import Node
 from .model import (
     Action, Ask, Dial, Entry, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Settings, TearDown,
-    Tell, Wake, Watch, Withdraw,
+    Wake, Watch, Withdraw,
 )  # fmt: skip
 
 
@@ -62,14 +62,7 @@
     host: int
 
 
-class Spread(NamedTuple):
-    """Tell all nodes what the host has told."""
-
-    host: int
-    told: Report
-
-
-Order = Connect | Abandon | Decline | GiveUp | SendAway | Look | Spread
+Order = Connect | Abandon | Decline | GiveUp | SendAway | Look
 
 
 # ---- news: what the caller has seen
@@ -111,13 +104,6 @@
     told: Report = Report()
 
 
-class Heard(NamedTuple):
-    """Another node has told what the host told it."""
-
-    host: int
-    told: Report
-
-
 class Listed(NamedTuple):
     """Discovery's list of hosts: all of it, or what changed."""
 
@@ -125,7 +111,7 @@
     entries: list[Entry]
 
 
-News = Up | Over | Left | Load | Looked | Heard | Listed
+News = Up | Over | Left | Load | Looked | Listed
 
 
 class Balancer:
@@ -185,8 +171,6 @@
                 return self._node.note(now, session, Note.LOAD, value)
             case Looked(host, outcome, told):
                 return self._node.probed(now, host, outcome, told)
-            case Heard(host, told):
-                return self._node.heard(now, host, told)
             case Listed(whole, entries):
                 scope = RosterScope.FULL if whole else RosterScope.CHANGES
                 return self._node.roster(now, scope, entries)
@@ -213,8 +197,6 @@
                 return SendAway(session)
             case Probe(host):
                 return Look(host)
-            case Tell(host, told):
-                return Spread(host, told)
             case Wake(after, token):
                 self._rung += 1
                 heapq.heappush(self._bells, (now + after, self._rung, token))
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -81,7 +81,6 @@
     max_dials: int
     may_withdraw: bool
     may_probe: bool
-    may_tell: bool  # nodes may send one another messages
     figures: bool  # hosts tell load or work piled up when probed
     back_off: bool
     max_back_off: float
@@ -158,13 +157,6 @@
     host: int
 
 
-class Tell(NamedTuple):
-    """Tells all nodes what a probe of the host has brought."""
-
-    host: int
-    report: Report
-
-
 class Wake(NamedTuple):
     """Asks for a bell with this token after the given time."""
 
@@ -176,4 +168,4 @@
     """Asks discovery for changes from now on."""
 
 
-Action = Dial | Withdraw | Refuse | TearDown | Move | Probe | Tell | Wake | Watch
+Action = Dial | Withdraw | Refuse | TearDown | Move | Probe | Wake | Watch
--- a/caperdeck/core/settings.py
+++ b/caperdeck/core/settings.py
@@ -64,7 +64,6 @@
         max_dials=int(need(limits, "mostDials", "limits.")),
         may_withdraw=bool(limits.get("cancel", False)),
         may_probe=bool(limits.get("mayProbe", False)),
-        may_tell=bool(limits.get("peers", False)),
         figures=not {"x0", "x1"}.isdisjoint((setup.get("report") or {}).get("names") or ()),
         back_off=bool(limits.get("retryAfter", False)),
         max_back_off=limits.get("maxRetryAfter", 0.0) * MS,
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -4,7 +4,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -31,9 +31,6 @@
     sockets: int
     rev: int
     known: list
-    peer_listen: Address | None
-    peers: frozenset[Address]
-    peers_all: Address | None
     settings: Settings
     names: Names
     limits: Limits
@@ -84,11 +81,6 @@
         raise SettingsError(f"limits.sockets is {sockets}, at least {LEAST_SOCKETS} are needed")
     discovery = need(raw, "discovery", "")
     parse_address(discovery)
-    settings = decode_settings(int(str(raw.get("seed", "0")), 16), setup)
-    peer_listen, everyone = (_address(raw.get(key)) for key in ("peer_listen", "peers_all"))
-    peers = frozenset(parse_address(x) for x in raw.get("peers") or [])
-    if not (peer_listen and everyone and peers):
-        settings = replace(settings, may_tell=False)
     return Config(
         name=str(raw.get("name")),
         listen=parse_address(need(raw, "listen", "")),
@@ -96,19 +88,12 @@
         sockets=sockets,
         rev=int(known.get("rev", 0)),
         known=known.get("targets") or [],
-        peer_listen=peer_listen,
-        peers=peers,
-        peers_all=everyone,
-        settings=settings,
+        settings=decode_settings(int(str(raw.get("seed", "0")), 16), setup),
         names=decode_names(setup),
         limits=decode_limits(setup),
     )
 
 
-def _address(text: object) -> Address | None:
-    return None if text is None else parse_address(text)
-
-
 def decode_limits(setup: dict[str, Any]) -> Limits:
     rows, limits = setup["listeners"], setup["limits"]
     return Limits(
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from loguru import logger
-from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from caperdeck.core.facade import Balancer
@@ -21,7 +20,6 @@
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
 from caperdeck.wire.discovery import Discovery
-from caperdeck.wire.peers import Peers
 
 from .config import Config, ConfigError
 from .logs import Sink, one_line
@@ -33,7 +31,6 @@
 STOP_AFTER = 200.0  # so much more, until when all are moved
 MOVING = 1200.0  # the last part of that, in which they are moved, evenly
 SHORT_EVERY = 1000.0  # the log says so often at the most that sockets are short
-STAYS = ("name", "listen", "settings", "names", "limits", "peer_listen", "peers", "peers_all")
 LINGER = 150.0  # from the last end until the exit
 
 
@@ -76,7 +73,6 @@
         address, factory = config.listen, ClientFactory(self.desk)
         self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
         self.port.startListening()
-        self.listen_to_peers()
         self.keep_sweeping()
         self.desk.budget.used = open_descriptors() + 4
         gc.collect()
@@ -84,20 +80,6 @@
         logger.info("start node={} listen={}:{} hosts={} sockets={}", config.name, *config.listen,
                     self.desk.hosts.running(), config.sockets)  # fmt: skip
 
-    def listen_to_peers(self) -> None:
-        config = self.config
-        if not config.settings.may_tell:
-            return
-        peers = Peers(self.clock, config.peers, config.peers_all, self.desk.heard)
-        host, port = config.peer_listen
-        try:
-            self.reactor.listenUDP(port, peers, interface=host)
-        except CannotListenError as error:
-            # Danger: a node that hears no other one can still serve; it only looks for itself.
-            logger.error("peer reason=cannot-listen {}", error)
-            return
-        self.desk.tell = peers.tell
-
     def complain(self, reason: str, text: str) -> None:
         logger.warning("discovery reason={} {}", reason, text)
 
@@ -133,7 +115,8 @@
             logger.error("reload reason=unusable {}", error)
             return
         old = self.config
-        kept = [key for key in STAYS if getattr(new, key) != getattr(old, key)]
+        kept = [key for key in ("name", "listen", "settings", "names", "limits")
+                if getattr(new, key) != getattr(old, key)]  # fmt: skip
         self.config = replace(old, discovery=new.discovery, sockets=new.sockets)
         self.desk.budget.resize(new.sockets)
         if new.discovery != old.discovery:
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import base64
 import zlib
 from typing import Any
 
 from caperdeck.core.model import (
     Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, RosterScope, TearDown,
-    Tell, Wake, Watch, Withdraw,
+    Wake, Watch, Withdraw,
 )  # fmt: skip
 from caperdeck.core.settings import MS, decode_names
-from caperdeck.core.tell import pack
 
 STATES = {"Running": HostState.RUNNING, "Stopping": HostState.DRAINING, "Deleted": HostState.GONE}
 ROSTERS = {
@@ -51,7 +49,6 @@
         self.names = decode_names(setup)
         self.hosts: dict[str, int] = {}
         self.host_names: list[str] = []
-        self.marks: dict[int, int] = {}  # hosts by their marks
         self.sessions: dict[str, int] = {}
         self.session_names: list[str | None] = []
 
@@ -60,7 +57,6 @@
         if index is None:
             index = self.hosts[name] = len(self.host_names)
             self.host_names.append(name)
-            self.marks[zlib.crc32(name.encode())] = index
         return index
 
     def known_host(self, name: Any) -> int:
@@ -128,9 +124,6 @@
             return ["evict", door.session_names[session]]
         case Probe(host):
             return ["poll", door.host_names[host]]
-        case Tell(host, report):
-            word = pack(zlib.crc32(door.host_names[host].encode()), report)
-            return ["broadcastTo", "all", base64.b64encode(word).decode()]
         case Wake(after, token):
             return ["setAlarm", round(after / MS, 6), str(token)]
         case Watch():
--- a/caperdeck/simwire/host.py
+++ b/caperdeck/simwire/host.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import base64
 from typing import Any
 
 from caperdeck.core.decide import Node
 from caperdeck.core.model import Action
 from caperdeck.core.settings import MS, SettingsError, decode_report, decode_settings
-from caperdeck.core.tell import unpack
 
 from . import codec
 from .codec import Door, WireError
@@ -71,9 +69,7 @@
         return self.node.probed(now, self.door.known_host(v[0]), codec.decode_outcome(v[1]), report)
 
     def message(self, now: float, v: list) -> list[Action]:
-        mark, report = unpack(base64.b64decode(v[1]))
-        host = self.door.marks.get(mark)
-        return [] if host is None else self.node.heard(now, host, report)
+        return []
 
 
 EVENTS = {
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -21,7 +21,6 @@
     def __init__(self, zones: dict[str, int]) -> None:
         self.zones = zones
         self.index: dict[str, int] = {}
-        self.marks: dict[int, int] = {}  # indices by the marks that all nodes have in common
         self.uid: list[str] = []
         self.address: list[Address | None] = []
         self.state: list[HostState] = []
@@ -62,7 +61,6 @@
         if h is None:
             h = self.index[uid] = len(self.uid)
             self.uid.append(uid)
-            self.marks[zlib.crc32(uid.encode())] = h
             self.address.append(None)
             self.state.append(HostState.GONE)
             self.entry.append(None)
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -13,10 +13,10 @@
 from loguru import logger
 
 from caperdeck.core.facade import (
-    Abandon, Balancer, Connect, Decline, GiveUp, Heard, Left, Listed, Load, Look, Looked, News, Order,
-    Over, SendAway, Spread, Up,
+    Abandon, Balancer, Connect, Decline, GiveUp, Left, Listed, Load, Look, Looked, News, Order, Over,
+    SendAway, Up,
 )  # fmt: skip
-from caperdeck.core.model import HostState, Outcome, Report
+from caperdeck.core.model import HostState, Outcome
 from caperdeck.core.settings import MS, Names
 from caperdeck.state.budget import SocketBudget
 from caperdeck.state.hosts import Hosts
@@ -67,7 +67,6 @@
         self.searched_at = clock()  # for clients that fell silent
         self.stopping = False
         self.accepting: Callable[[bool], None] = lambda on: None
-        self.tell: Callable[[int, Report], None] = lambda mark, report: None
         self.orders: deque[Order] = deque()
         self.at_work = False
         self.bell = None
@@ -110,9 +109,6 @@
         if isinstance(order, Look):
             self.probes.look(order.host, self.hosts.address[order.host])
             return
-        if isinstance(order, Spread):
-            self.tell(self.hosts.entry[order.host].mark, order.told)
-            return
         s = self.sessions.table.get(order.session)
         if s is None:
             return
@@ -381,12 +377,6 @@
                 if s.host == news.host:
                     self.move(s, "host-silent", Outcome.RESET)
 
-    def heard(self, mark: int, report: Report) -> None:
-        """Another node has looked at a host; one that this node has not been told of is passed over."""
-        host = self.hosts.marks.get(mark)
-        if host is not None:
-            self.report(Heard(host, report))
-
     def listed(self, whole: bool, rows: Any) -> None:
         entries = self.hosts.take(whole, rows, self.complain_entry)
         self.budget.probes = self.hosts.running()
