The first call for the list waits for nobody

Replayed with logs: eleven nodes restarted at 11.26 s with the list of 5.6 s, nine hosts of it gone since 8.1 to 9.4 s, made their first call at 11.8 to 15.7 s (Discovery.begin, drawn out of 4 s). A node counts as told from its start on.

The first call is made at once again; later ones stay drawn.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -69,7 +69,7 @@
         ):  # fmt: skip
             signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
         self.desk.listed(True, config.known)
-        self.discovery.begin(self.desk.hosts.running() > 0)
+        self.discovery.start()
         address, factory = config.listen, ClientFactory(self.desk)
         self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
         self.port.startListening()
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -63,16 +63,9 @@
         self.silence = None
         self.retry = None
 
-    def begin(self, known: bool) -> None:
-        """The first watch; where the node was given a list, that holds until its turn comes."""
-        if not known:
-            self.start()
-            return
-        # Danger: nodes killed together start together, and discovery cannot take all their calls at once.
-        self.retry = self.reactor.callLater(self.patience.next(), self.start)
-        self.patience.heard()
-
     def start(self) -> None:
+        # Danger: the list that a node is given at its start is old, and hosts gone since may be sent nothing;
+        # so the first call waits for nobody, though nodes killed together then ask together.
         self.retry = None
         self.heard()
         url = f"http://{self.address}/discovery/hosts?watch=1&from={self.rev}".encode()
