A node that has just started has no part of the room before its first tick again

Logs by the second: after the second restart 240 to 320 refusals a second at the one node that is back and has to take what both held; its part, known from its first look on, is three quarters of a room that hosts still full by an old figure hardly show. Ruled out: SIGHUP and the waits for discovery (both nodes had their lists), what fills a host judged by the first session alone (judged anew as more come: 0.60, 0.70).

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -287,11 +287,6 @@
                         return -1
                     looks += 1
                     yield [Probe(h) for h in old]
-                    # Danger: nodes that start together know no part yet, and would fill all room at once.
-                    if not self.unit:
-                        self._survey(self.now)
-                    if self.spare <= 0:
-                        return -1
                     pair = [h for h in pair if not self._old(h) and self._fit(s, h, after)]
                 if len(pair) == 2 and self._load(self.now, pair[1]) + margin < self._load(self.now, pair[0]):
                     pair.reverse()
