--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -559,3 +559,20 @@
     d.listed(True, [row("s-0"), {"uid": "s-1", "state": "Rea"}] + [{"uid": f"x-{i}"} for i in range(50)])
     assert [s.name for s in d.hosts.state] == ["RUNNING", "RUNNING", "GONE"] and d.hosts.running() == 2
     assert sum("bad-entry" in line for line in log) == 6  # five named, the others counted
+
+
+@pytest.mark.parametrize("line", [
+    b"\xff" * 50, b"OPEN", b"OPEN x y d=nan,c=chat", opening(1) + b",c=none", b"G" * 5000,
+])  # fmt: skip
+def test_rubbish_by_hundreds_at_a_node_that_has_just_started_leaves_it_to_its_clients(line, log):
+    # Danger: after a mass restart all rubbish comes to few nodes at once, with the clients that come again.
+    d = desk(hosts=2, sockets=512)
+    rubbish = [connect(d, line) for _ in range(300)]
+    assert all(client.closing for client in rubbish)
+    assert all(client.transport.lines()[0].startswith((b"ERR", b"BUSY")) for client in rubbish)
+    assert len(reasons(log)) == 300 and not d.sessions.table and not d.reactor.tcpClients
+    for client in rubbish:
+        lost(client)
+    client, host = up(d)
+    client.dataReceived(b"one\r\n")
+    assert host.transport.lines() == [b"one"]
