Lost hosts are looked for only after a probe without an answer; patience without a tolerance

Found on reading the whole change once more: each answered probe searched the waiting lines for its host, which its answer had just cleared; and a span that is only ever assigned was compared with a tolerance. Behaviour stays.

--- a/caperdeck/state/patience.py
+++ b/caperdeck/state/patience.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import zlib
 
 CALL = 0.1  # seconds in which discovery should be able to take one node's call
@@ -35,4 +34,4 @@
     @property
     def fresh(self) -> bool:
         """Nothing has failed since something was heard."""
-        return math.isclose(self.span, self.first)
+        return self.span == self.first
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -369,10 +369,11 @@
         uid = self.hosts.uid[news.host]
         told = news.told
         logger.debug("look uid={} outcome={} load={} held={}", uid, news.outcome.name, told.load, told.held)
-        if news.outcome in (Outcome.GOOD, Outcome.ERROR):
+        alive = news.outcome in (Outcome.GOOD, Outcome.ERROR)
+        if alive:
             self.hosts.spoke_at[news.host] = self.clock()
         self.report(news)
-        if self._suspect(news.host):
+        if not alive and self._suspect(news.host):
             for s in self.sessions.standing():
                 if s.host == news.host:
                     self.move(s, "host-silent", Outcome.RESET)
