A spoilt row of the whole list keeps its host in the state that it has

Found on reading the change again: a host that had left the list was last entered as ready, and a spoilt row that named it gave the module that entry, while the network code held it to be gone. The entry now carries the state that the host has; the test's last line fails without it.

--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -56,10 +56,11 @@
         return entries
 
     def _kept(self, row: object) -> Entry | None:
-        """The last entry of a known host whose row is broken."""
+        """The entry of a known host whose row is broken, in the state that it has."""
         uid = row.get("uid") if isinstance(row, dict) else None
         h = self.index.get(uid) if isinstance(uid, str) else None
-        return None if h is None else self.entry[h]
+        # Danger: a host that has left the list since was last listed as ready, and would be so again.
+        return None if h is None else self.entry[h]._replace(state=self.state[h])
 
     def _entry(self, row: object) -> Entry:
         if not isinstance(row, dict) or not isinstance(row.get("uid"), str) or not row["uid"]:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -559,6 +559,8 @@
     d.listed(True, [row("s-0"), {"uid": "s-1", "state": "Rea"}] + [{"uid": f"x-{i}"} for i in range(50)])
     assert [s.name for s in d.hosts.state] == ["RUNNING", "RUNNING", "GONE"] and d.hosts.running() == 2
     assert sum("bad-entry" in line for line in log) == 6  # five named, the others counted
+    d.listed(True, [row("s-0"), {"uid": "s-2", "state": "Rea"}])
+    assert d.hosts.state[2].name == "GONE" and d.balancer._node.state[2].name == "GONE"
 
 
 @pytest.mark.parametrize("line", [
