--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import math
-import zlib
 from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 
+from .chance import chance
 from .model import (
     NEVER_RAN, Action, Ask, Dial, Effect, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report,
     RosterScope, Scope, Settings, TearDown, Wake, Watch, Withdraw,
@@ -154,7 +154,7 @@
 
     def _chance(self) -> float:
         self.draws += 1
-        return zlib.crc32(self.draws.to_bytes(8, "little"), self.set.seed & 0xFFFFFFFF) / 2**32
+        return chance(self.set.seed, self.draws)
 
     def _done(self) -> list[Action]:
         acts, self.acts = self.acts, []
@@ -300,9 +300,8 @@
     def _fit(self, s: _Session, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
         now = self.now
-        if now < self.unseen[h]:
-            return False
-        return self._load(now, h) < room and self._well(now, h) and self._allowed(now, s, h)
+        seen = now >= self.unseen[h]
+        return seen and self._load(now, h) < room and self._well(now, h) and self._allowed(now, s, h)
 
     def _draws(self, s: _Session) -> Iterator[tuple[float, Iterator[int]]]:
         """Levels to be under and hosts as drawn; the own zone first where leaving it has a price."""
@@ -617,7 +616,7 @@
             self._by_count(now, h)
             return
         last, span = self._figure(now, h), max(now - self.figure_at[h], REPORT_LAG)
-        rise = max(figure - last, 0.0) / span if last is not None and span > 0 else 0.0
+        rise = max(figure - last, 0.0) / span if last is not None else 0.0
         self._know(now, h, figure)
         figure += self._pile(now, h)
         threshold = max(min(TRIGGER, FULL_LOAD - rise * LANDING), TRIGGER_LEAST)
--- a/caperdeck/state/patience.py
+++ b/caperdeck/state/patience.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import zlib
+from caperdeck.core.chance import chance
 
 CALL = 0.1  # seconds in which discovery should be able to take one node's call
 LEAST = 0.2  # seconds; the span of the first wait is at least this
@@ -25,8 +25,7 @@
         # that it answers only after they were given up, and none of them ever gets the list.
         span, self.span = self.span, min(self.span * 2, LONGEST)
         self.draws += 1
-        chance = zlib.crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 2**32
-        return span * chance
+        return span * chance(self.seed, self.draws)
 
     def heard(self) -> None:
         self.span = self.first
