A second address answers readyz and telemetry; figures counted where a thing happens once

Change: caperdeck/ops with a table of calls, a bounded LineReceiver on reserved descriptors, counters in the desk at the one final answer and at the head written whole; gauges read off the tables. Ruled out: that resumed connections count otherwise than new ones (they count as fulfilled and relayed).

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -239,6 +239,9 @@
         # Danger: an error that most hosts show says nothing about one of them.
         return self.ill[h] < ILL or self.most_ill or (now >= self.shunned[h] and not self.dialing[h])
 
+    def avoids(self, now: float, h: int) -> bool:
+        return self.state[h] is HostState.RUNNING and not self._well(now, h)
+
     # ---- forecasts
 
     def note(self, now: float, sid: int, kind: Note, value: float) -> list[Action]:
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -155,6 +155,10 @@
     def report(self, now: float, news: News) -> list[Order]:
         return self._orders(now, self._event(now, news))
 
+    def avoids(self, now: float, host: int) -> bool:
+        """Whether a listed host is sent nothing now by this node's choice; changes nothing."""
+        return self._node.avoids(now, host)
+
     def _event(self, now: float, news: News) -> list[Action]:
         match news:
             case Up(session):
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -34,6 +34,8 @@
     settings: Settings
     names: Names
     limits: Limits
+    admin: Address | None  # the second address
+    scratch: str | None  # a folder that a successor sees too
 
 
 def load_config(environment: Mapping[str, str], path: str | None = None) -> Config:
@@ -53,10 +55,10 @@
         raise ConfigError(f"configuration {path} is no JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"configuration {path} is no JSON object")
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen", "discovery", "admin_addr"):
         raw.setdefault(key, environment.get(f"EDGE_{key.upper()}"))
     try:
-        return decode_config(raw)
+        return decode_config(raw, environment.get("TMPDIR") or None)
     except (SettingsError, AddressError) as error:
         raise ConfigError(f"configuration {path}: {error}") from None
     except (TypeError, ValueError, AttributeError, KeyError, OverflowError) as error:
@@ -72,7 +74,7 @@
     return load_config(environment, path)
 
 
-def decode_config(raw: dict[str, Any]) -> Config:
+def decode_config(raw: dict[str, Any], scratch: str | None = None) -> Config:
     setup = need(raw, "settings", "")
     need(setup, "limits", "settings.")
     known = raw.get("known") or {}
@@ -91,6 +93,8 @@
         settings=decode_settings(int(str(raw.get("seed", "0")), 16), setup),
         names=decode_names(setup),
         limits=decode_limits(setup),
+        admin=parse_address(raw["admin_addr"]) if raw.get("admin_addr") else None,
+        scratch=scratch,
     )
 
 
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -14,6 +14,8 @@
 
 from caperdeck.core.facade import Balancer
 from caperdeck.core.settings import MS
+from caperdeck.ops.calls import CallError, Calls, Then, yes
+from caperdeck.ops.front import RESERVED, Front
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.patience import Patience
@@ -58,6 +60,9 @@
             self.complain, Patience(config.settings.seed, config.settings.nodes),
         )  # fmt: skip
         self.port = None
+        self.calls = Calls()
+        self.calls.add("readyz", 0, self.readyz)
+        self.calls.add("telemetry", 0, self.telemetry)
         self.accepts = True
         self.short_at = 0.0  # when the log last said that sockets are short
         self.stopped_at = 0.0
@@ -74,7 +79,9 @@
         self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
         self.port.startListening()
         self.keep_sweeping()
-        self.desk.budget.used = open_descriptors() + 4
+        if config.admin is not None:
+            Front(self.reactor, self.calls).listen(config.admin)
+        self.desk.budget.used = open_descriptors() + 4 + RESERVED * (config.admin is not None)
         gc.collect()
         gc.freeze()
         logger.info("start node={} listen={}:{} hosts={} sockets={}", config.name, *config.listen,
@@ -104,6 +111,16 @@
                 self.short_at = self.clock()
                 logger.warning("accept reason=no-sockets open={}", self.desk.budget.clients)
 
+    # ---- calls to the second address
+
+    def readyz(self, then: Then) -> None:
+        if self.port is None or self.stopped_at:
+            raise CallError("stopping" if self.stopped_at else "starting")
+        then(yes())
+
+    def telemetry(self, then: Then) -> None:
+        then([*self.desk.figures.lines(self.desk.gauges()), "--"])
+
     # ---- a new configuration
 
     def reload(self) -> None:
@@ -112,8 +129,10 @@
             new = self.reread()
         except ConfigError as error:
             # Danger: half a file, or one for another program, must not end a node that serves.
+            self.desk.figures.invalid += 1
             logger.error("reload reason=unusable {}", error)
             return
+        self.desk.figures.accepted += 1
         old = self.config
         kept = [key for key in ("name", "listen", "settings", "names", "limits")
                 if getattr(new, key) != getattr(old, key)]  # fmt: skip
--- /dev/null
+++ b/caperdeck/ops/__init__.py
@@ -0,0 +1,1 @@
+"""Daily service: the second address, its figures, hosts taken out by hand, upgrades."""
--- /dev/null
+++ b/caperdeck/ops/front.py
@@ -0,0 +1,120 @@
+"""The second address on sockets: one call a connection, answered in lines and closed."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from loguru import logger
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import ServerFactory
+from twisted.internet.tcp import Port
+from zope.interface import implementer
+
+from caperdeck.state.addresses import Address
+from caperdeck.wire.lines import LineConnection, cancel
+
+from .calls import Answer, Calls, no
+
+LONGEST_CALL = 512
+MOST_CALLERS = 24  # open at once, of the descriptors set apart for them
+RESERVED = MOST_CALLERS + 8  # descriptors: with the address itself and what an answer opens
+PATIENCE = 5.0  # seconds that a caller may take over its call and over reading the answer
+LATE = 400.0  # an answer that took longer is logged, milliseconds
+BACKLOG = 256
+
+
+@implementer(IHalfCloseableProtocol)
+class Caller(LineConnection):
+    delimiter = b"\n"
+    MAX_LENGTH = LONGEST_CALL
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+        self.called = False  # a whole call has come; nothing more is read
+        self.answered = self.ended = False  # the answer is written; the caller has ended its side
+        self.timer: Any = None
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.timer = self.front.reactor.callLater(PATIENCE, self.transport.abortConnection)
+        self.front.came(self)
+
+    def lineReceived(self, line: bytes) -> None:
+        if not self.called:
+            self.called = True
+            at, verb = self.front.reactor.seconds(), line[:20]
+            self.front.calls.call(line.removesuffix(b"\r"), lambda answer: self.answer(answer, verb, at))
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        if not self.called:
+            self.called = True
+            self.answer(no("long-line"), b"", self.front.reactor.seconds())
+
+    def answer(self, lines: Answer, verb: bytes, at: float) -> None:
+        took = (self.front.reactor.seconds() - at) * 1000
+        if took > LATE:
+            logger.warning("call verb={!r} reason=late ms={:.0f}", verb, took)
+        if not self.connected or self.answered:
+            return
+        self.answered = True
+        self.transport.writeSequence([line.encode() + b"\r\n" for line in lines])
+        if self.ended:
+            self.transport.loseConnection()
+        else:
+            # Danger: closed with bytes of the caller unread, the kernel resets it and the answer is lost.
+            self.transport.loseWriteConnection()
+            self.linger(self.front.reactor)
+
+    def readConnectionLost(self) -> None:
+        """The caller has ended its side, and may still read."""
+        self.ended = True
+        if self.answered or not self.called:
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        """The answer has gone out."""
+
+    def connectionLost(self, reason) -> None:
+        cancel(self.timer)
+        cancel(self.lingers)
+        self.front.left(self)
+
+
+class AdminPort(Port):
+    """Takes no more callers at once than there may be; the rest waits in the kernel for a moment."""
+
+    @property
+    def numberAccepts(self) -> int:
+        return max(MOST_CALLERS - len(self.factory.open), 1)
+
+    @numberAccepts.setter
+    def numberAccepts(self, wanted: int) -> None:
+        pass
+
+
+class Front(ServerFactory):
+    noisy = False
+
+    def __init__(self, reactor: Any, calls: Calls) -> None:
+        self.reactor = reactor
+        self.calls = calls
+        self.open: dict[Caller, None] = {}  # the longest open first
+
+    def listen(self, address: Address) -> Port:
+        port = AdminPort(address.port, self, BACKLOG, address.host, self.reactor)
+        port.startListening()
+        return port
+
+    def buildProtocol(self, addr) -> Caller:
+        return Caller(self)
+
+    def came(self, caller: Caller) -> None:
+        self.open[caller] = None
+        # Danger: callers that send nothing, or half a call, and stay would stand before the whole calls.
+        while len(self.open) > MOST_CALLERS:
+            idle = next((c for c in self.open if not c.called), None) or next(iter(self.open))
+            del self.open[idle]
+            idle.transport.abortConnection()
+
+    def left(self, caller: Caller) -> None:
+        self.open.pop(caller, None)
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -33,6 +33,9 @@
     def running(self) -> int:
         return sum(state is HostState.RUNNING for state in self.state)
 
+    def listed(self) -> list[int]:
+        return [h for h, state in enumerate(self.state) if state is not HostState.GONE]
+
     def take(self, whole: bool, rows: object, complain: Callable[[str], None]) -> list[Entry]:
         """The entries of one list or change; a row that is broken is complained of and left out."""
         entries, broken = [], 0
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -18,6 +18,7 @@
 )  # fmt: skip
 from caperdeck.core.model import HostState, Outcome
 from caperdeck.core.settings import MS, Names
+from caperdeck.ops.figures import Figures, Status
 from caperdeck.state.budget import SocketBudget
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.limits import Limits
@@ -60,6 +61,8 @@
         self.hosts = hosts
         self.budget = budget
         self.sessions = Sessions()
+        self.figures = Figures()
+        self.figures.know(names.listeners)
         self.probes = Probes(reactor, limits.reports, 2 * limits.connect_time_out, self.looked)
         self.idle: dict[ClientConnection, None] = {}  # without a first line, the oldest first
         self.told_at = clock()  # when discovery last said anything
@@ -118,7 +121,7 @@
             case Abandon():
                 self._end_dial(s, Outcome.WITHDRAWN)
             case Decline(_, back_off):
-                self._answer(s, busy(back_off), "refused")
+                self._answer(s, busy(back_off), "refused", Status.THROTTLED)
             case GiveUp():
                 self._answer(s, b"ERR", "failed")
             case SendAway():
@@ -150,6 +153,7 @@
                 client.pass_on(b"PONG")
             return
         self.idle.pop(client, None)
+        head = None
         try:
             head = parse_head(line)
             listener = self.names.listeners.get(head.listener)
@@ -164,10 +168,13 @@
             if self.sessions.holds(head.id):
                 raise HeadError("id-in-use")
         except HeadError as error:
+            if head is not None:
+                self.figures.answered(head.listener, Status.FAULTED)
             self._turn_away(client, b"ERR", str(error), line[:80])
             return
         if not self.budget.may_serve():
             back_off = min(FULL_BACK_OFF, self.limits.max_back_off)
+            self.figures.answered(head.listener, Status.THROTTLED)
             self._turn_away(client, busy(back_off), "no-sockets", b"")
             return
         self.budget.sessions += 1
@@ -203,6 +210,8 @@
         if s is None:
             self._turn_away(client, b"ERR", reason, b"")
         elif not s.over:
+            if not s.up_at:
+                self.figures.answered(s.head.listener, Status.FAULTED)
             self._lose_client(s, reason, reset=False)
             client.close(None if s.up_at else b"ERR")
 
@@ -243,6 +252,8 @@
         wait = max(int(conn.until - self.clock()), 1)
         if not may_send or not conn.send_head(s.head.pieces(wait)):
             self._end_dial(s, Outcome.UNREACHED)
+        else:
+            self.figures.relayed += 1
 
     def dial_failed(self, conn: HostConnection) -> None:
         self._end_dial(conn.session, Outcome.UNREACHED)
@@ -303,6 +314,7 @@
         client, head = s.client, s.head
         logger.debug("up id={} host={} class={}", head.id, self.hosts.uid[s.host], head.listener)
         client.pass_on(line)
+        self.figures.answered(head.listener, Status.FULFILLED)
         client.transport.registerProducer(conn, True)
         conn.transport.registerProducer(client, True)
         if head.at is None:
@@ -336,8 +348,9 @@
 
     # ---- ends
 
-    def _answer(self, s: Session, line: bytes, reason: str) -> None:
+    def _answer(self, s: Session, line: bytes, reason: str, status: Status = Status.FAULTED) -> None:
         """The final answer to a client whose session does not come to stand."""
+        self.figures.answered(s.head.listener, status)
         self._end(s, reason)
         self._hang_up(s, reset=False)
         s.client.close(line)
@@ -363,6 +376,15 @@
             now - s.up_at if s.up_at else 0,
         )  # fmt: skip
 
+    # ---- figures
+
+    def gauges(self) -> dict[str, int]:
+        listed, now = self.hosts.listed(), self.clock()
+        return {
+            "open_requests": len(self.sessions.table), "registry_entries": len(listed),
+            "out_of_rotation": sum(self.balancer.avoids(now, h) for h in listed),
+        }  # fmt: skip
+
     # ---- the roster and probes
 
     def looked(self, news: Looked) -> None:
