Hosts are taken out by hand and called back; the ban is a state of the decision module

Need: from the yes to the call back nothing new may go to a host, whatever discovery says in between. Change: Node.ban beside the roster's state, the last check before a head asks the module, bans by uid in a file renamed whole before the yes. A host called back counts as cold and stands in each pair until it has taken a session. Standing sessions are moved off by 0.4 a tick as far as there is room.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -33,14 +33,19 @@
 
 def serve(config: Config, level: str, path: str | None) -> int:
     from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
 
     from caperdeck.lifecycle.logs import start_logging
     from caperdeck.lifecycle.service import Service
+    from caperdeck.ops.bans import BansError
 
     service = Service(reactor, config, start_logging(level), lambda: reload_config(os.environ, path))
     try:
         service.start()
-    except OSError as error:
+    except BansError as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return 2
+    except (OSError, CannotListenError) as error:
         print(f"caperdeck: cannot listen: {error}", file=sys.stderr)
         return 1
     reactor.run(installSignalHandlers=False)
--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -9,12 +9,12 @@
 import math
 from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
-from itertools import islice
+from itertools import chain, islice
 
 from .chance import chance
 from .model import (
-    NEVER_RAN, Action, Ask, Dial, Effect, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report,
-    RosterScope, Scope, Settings, TearDown, Wake, Watch, Withdraw,
+    NEVER_RAN, Action, Ask, Dial, Effect, Entry, HostState, Listener, Move, Note, Outcome, Probe, Refuse,
+    Report, RosterScope, Scope, Settings, TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
 
 # ---- constants (milliseconds, or shares of full load)
@@ -56,6 +56,7 @@
 FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
 CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
+EMPTYING = 0.4  # of what stands on a host taken out by hand is moved off each tick, as far as there is room
 COLD_PART = 0.75  # of a cold host's budget, for all nodes' parts together
 UNEVEN = 1.5  # times its even share of the fleet's room a node may fill: clients come unevenly
 UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
@@ -73,7 +74,8 @@
 @dataclass(slots=True, eq=False)
 class _Session:
     id: int
-    listener: int
+    listener: Listener  # of the settings under which it came, as is
+    most_dials: int
     asked: float
     deadline: float
     usual: float | None  # the usual-load hint
@@ -95,13 +97,12 @@
     """One balancer's decisions. It knows only what its own events have told it."""
 
     def __init__(self, settings: Settings, now: float) -> None:
-        self.set = settings
-        self.now = now
-        self.draws = 0
+        self.now, self.draws = now, 0
         self.acts: list[Action] = []
         self.sessions: dict[int, _Session] = {}
         # hosts: parallel arrays under the host's index
-        self.state: list[HostState] = []
+        self.listed: list[HostState] = []  # as the roster has it
+        self.state: list[HostState] = []  # as it counts: one taken out by hand counts as draining
         self.size: list[float] = []
         self.zone: list[int] = []
         self.mark: list[int] = []
@@ -126,32 +127,38 @@
         self.shunned: list[float] = []  # until when
         self.tokens: list[float] = []  # own part of a cold host's budget saved, in load, and when
         self.tokens_at: list[float] = []
-        most = max(c.utility for c in settings.listeners) or 1.0
-        self.lesser = [LESSER * (1 - c.utility / most) for c in settings.listeners]
-        self.shortest = min(c.message_target for c in settings.listeners)
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
         self.running: list[int] = []
         self.near: list[int] = []  # of these the ones in the own zone
         self.mine: dict[int, None] = {}  # hosts with own standing connections
         self.known: dict[int, None] = {}  # hosts with a figure that is not too old, oldest first
         self.ailing: dict[int, None] = {}  # hosts that look ill
-        self.whole_size = 0.0
+        self.banned: dict[int, float] = {}  # hosts taken out by hand, since when
+        self.back: dict[int, None] = {}  # hosts called back that have taken no session since
+        self.whole_size, self.most_ill = 0.0, False
         self.purse = 0.0  # probes that the sessions taken allow
         self.part = math.inf  # the own part of the fleet's room, whole and
         self.spare = math.inf  # not yet taken
         self.scarce = 0.0  # of the hosts, as far as seen, so many have no room
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
-        self.most_ill = False
         self.mean_hint, self.asked = 0.0, 0  # over so many sessions so far
         self.mean_figure: float | None = None
         self.unit = 0.0  # load that fills a host of size 1, 0 while unknown
         self.watch_wait, self.watch_at = 250.0, math.inf
+        self.retune(now, settings)
 
     def start(self) -> list[Action]:
-        self.acts += [Watch()] * self.set.subscribe
-        self.acts.append(Wake(TICK * (0.5 + self._chance()), TICK_TOKEN))
+        self.acts += [Watch()] * self.set.subscribe + [Wake(TICK * (0.5 + self._chance()), TICK_TOKEN)]
         return self._done()
 
+    def retune(self, now: float, settings: Settings) -> list[Action]:
+        """Other settings from now on; a session keeps the listener and the dials that it began with."""
+        self.set = settings
+        self.most_utility = max(c.utility for c in settings.listeners) or 1.0
+        self.shortest = min(c.message_target for c in settings.listeners)
+        self._recount()
+        return []
+
     def _chance(self) -> float:
         self.draws += 1
         return chance(self.set.seed, self.draws)
@@ -172,21 +179,38 @@
         self.watch_wait = 250.0
         if scope is not RosterScope.CHANGES:
             for h in set(range(len(self.state))).difference(e.host for e in entries):
-                self.state[h] = HostState.GONE
+                self.listed[h] = HostState.GONE
         for e in entries:
             self._enter(now, e)
+        self._recount()
+        return self._done()
+
+    def ban(self, now: float, h: int, out: bool) -> list[Action]:
+        """By hand: nothing new to the host from now until it is called back, whatever the roster says."""
+        self._grow(now, h)
+        since = self.banned.pop(h, None)
+        if out:
+            self.banned[h] = now if since is None else since
+        elif since is not None:
+            # Danger: it was restarted meanwhile, and the roster that tells may come late; it counts as cold.
+            self.born[h] = self.born[h] if self.born[h] > since else now
+            self._forget(now, h)
+            self.back[h] = None
+        self._recount()
+        return []
+
+    def _recount(self) -> None:
+        away, here = HostState.DRAINING, HostState.RUNNING
+        self.state = [away if x is here and h in self.banned else x for h, x in enumerate(self.listed)]
         running = [h for h, state in enumerate(self.state) if state is HostState.RUNNING]
+        self.near = [h for h in running if self.zone[h] == self.set.zone]
         if running != self.running:
-            self.running, self.orders = running, {}
-            self.near = [h for h in running if self.zone[h] == self.set.zone]
-            self.whole_size = sum(self.size[h] for h in running)
-        return self._done()
+            self.running, self.orders, self.whole_size = running, {}, sum(self.size[h] for h in running)
 
-    def _enter(self, now: float, e: Entry) -> None:
-        h = e.host
-        while len(self.state) <= h:
+    def _grow(self, now: float, h: int) -> None:
+        while len(self.listed) <= h:
             for array, blank in (
-                (self.state, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
+                (self.listed, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
                 (self.mark, 0), (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}),
                 (self.added, []), (self.extra, 0.0), (self.pile, 0.0), (self.pile_at, -math.inf),
                 (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
@@ -195,15 +219,22 @@
                 (self.unseen, 0.0),
             ):  # fmt: skip
                 array.append(blank)
-        if e.state is HostState.RUNNING and (self.state[h] is HostState.GONE or e.born > self.born[h]):
-            # Danger: a restarted process looks like the old one; what was known of that one is void.
-            self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
-            self.seen_at[h], self.probe_out[h], self.unseen[h] = -math.inf, 0.0, 0.0
-            self.tokens[h], self.tokens_at[h] = 0.0, now
+
+    def _enter(self, now: float, e: Entry) -> None:
+        h = e.host
+        self._grow(now, h)
+        if e.state is HostState.RUNNING and (self.listed[h] is HostState.GONE or e.born > self.born[h]):
+            self._forget(now, h)
         # a listed size that is lowered by what the host holds says little of the host's own
         self.size[h] = e.size or 1.0 if self.set.sizes_stand else 1.0
-        self.state[h], self.zone[h], self.cell[h], self.born[h] = e.state, e.zone, e.cell, e.born
-        self.mark[h] = e.mark
+        self.listed[h], self.zone[h], self.cell[h], self.mark[h] = e.state, e.zone, e.cell, e.mark
+        self.born[h] = max(e.born, self.born[h])
+
+    def _forget(self, now: float, h: int) -> None:
+        # Danger: a restarted process looks like the old one; what was known of that one is void.
+        self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
+        self.seen_at[h], self.probe_out[h], self.unseen[h] = -math.inf, 0.0, 0.0
+        self.tokens[h], self.tokens_at[h] = 0.0, now
 
     def _warmth(self, now: float, h: int) -> float:
         """The least share of its capacity that a host has now."""
@@ -240,7 +271,7 @@
         return self.ill[h] < ILL or self.most_ill or (now >= self.shunned[h] and not self.dialing[h])
 
     def avoids(self, now: float, h: int) -> bool:
-        return self.state[h] is HostState.RUNNING and not self._well(now, h)
+        return h in self.banned or self.state[h] is HostState.RUNNING and not self._well(now, h)
 
     # ---- forecasts
 
@@ -248,12 +279,11 @@
         self.now = now
         if (s := self.sessions.get(sid)) is None:
             return []
-        if kind is Note.MESSAGE_DELAY:
-            if s.stands is not None:
-                self._piled(now, s.dials[-1].host, value)
-        else:
+        if kind is not Note.MESSAGE_DELAY:
             s.smooth = value if s.present is None and s.usual is None else self._forecast(now, s)
             s.present, s.noted = value, now
+        elif s.stands is not None:
+            self._piled(now, s.dials[-1].host, value)
         return self._done()
 
     def _piled(self, now: float, h: int, pile: float) -> None:
@@ -284,6 +314,8 @@
         looks, after, margin = 0, math.inf, 0.0 if s.group is None else GROUP_MARGIN
         for room, draw in self._draws(s):
             after = min(after, room)
+            # Danger: where sessions are few, a host that was called back would wait long to be drawn.
+            draw = chain([h for h in self.back if h not in self.banned], draw)
             while pair := list(islice((h for h in draw if self._fit(s, h, room)), 2)):
                 if old := [h for h in pair if self._old(h)]:
                     if looks == LOOKS:
@@ -302,14 +334,13 @@
 
     def _fit(self, s: _Session, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        now = self.now
-        seen = now >= self.unseen[h]
-        return seen and self._load(now, h) < room and self._well(now, h) and self._allowed(now, s, h)
+        fit = self.now >= self.unseen[h] and self._load(self.now, h) < room
+        return fit and self._well(self.now, h) and self._allowed(self.now, s, h)
 
     def _draws(self, s: _Session) -> Iterator[tuple[float, Iterator[int]]]:
         """Levels to be under and hosts as drawn; the own zone first where leaving it has a price."""
         # the fewer hosts have room, the more of it is kept for the sessions of the highest utility
-        room = ROOM - self.lesser[s.listener] * self.scarce
+        room = ROOM - LESSER * max(1 - s.listener.utility / self.most_utility, 0.0) * self.scarce
         if s.group is not None:
             # every host that holds one of a group pays for the group: all nodes draw the same two for it
             if s.group not in self.orders:
@@ -403,12 +434,10 @@
         return self._allowed(now, s, h) and (self._warmth(now, h) >= 1 or self._cold_right(now, s, h))
 
     def _allowed(self, now: float, s: _Session, h: int) -> bool:
-        if s.answered or now >= s.deadline or s.out or len(s.dials) >= self.set.max_dials:
-            return False
-        if self.state[h] is not HostState.RUNNING:
+        over = s.answered or s.out or now >= s.deadline or len(s.dials) >= s.most_dials
+        if over or self.state[h] is not HostState.RUNNING:
             return False
-        listener = self.set.listeners[s.listener]
-        ran = next((d for d in s.dials if d.may_have_run), None)
+        ran, listener = next((d for d in s.dials if d.may_have_run), None), s.listener
         if ran is not None and listener.effect is not Effect.REPEATABLE:
             if listener.effect is Effect.ONCE_ONLY or now - ran.at >= listener.memory_span:
                 return False
@@ -417,8 +446,8 @@
         return True
 
     def _may_refuse(self, s: _Session) -> bool:
-        c = self.set.listeners[s.listener]
-        harmless = c.effect is Effect.REPEATABLE or c.effect is Effect.REFERENCED and c.scope is Scope.ALL
+        kind = s.listener.effect, s.listener.scope
+        harmless = kind[0] is Effect.REPEATABLE or kind == (Effect.REFERENCED, Scope.ALL)
         return harmless or not any(d.may_have_run for d in s.dials)
 
     # ---- sessions
@@ -433,33 +462,31 @@
     def taken_over(self, now: float, a: Ask, h: int) -> list[Action]:
         """A connection that stood before this node started; its dial 0 counts as made."""
         s = self._new(now, a)
-        s.stands, s.out, s.answered = now - MOVE_AGE, True, True
         s.dials.append(_Sent(h, now))
         self.held[h] += 1
-        self._stand(s, h)
+        self._stand(s, now - MOVE_AGE)
         return []
 
-    def _stand(self, s: _Session, h: int) -> None:
-        self.standing[h][s.id] = s
-        self.mine[h] = None
+    def _stand(self, s: _Session, since: float) -> None:
+        h = s.dials[-1].host
+        s.stands, s.out, s.answered, self.standing[h][s.id], self.mine[h] = since, True, True, s, None
 
     def _new(self, now: float, a: Ask) -> _Session:
         load = 1.0 if a.load is None else a.load
         self.asked += 1
         self.mean_hint += (load - self.mean_hint) * max(0.02, 1 / self.asked)
-        weight = max(load, self.mean_hint)
-        s = _Session(a.session, a.listener, now, now + a.left, a.load, weight, a.group)
-        s.smooth = a.load or 0.0
         self.purse += 1
-        self.sessions[s.id] = s
+        s = self.sessions[a.session] = _Session(
+            a.session, self.set.listeners[a.listener], self.set.max_dials, now, now + a.left, a.load,
+            max(load, self.mean_hint), a.group, smooth=a.load or 0.0)  # fmt: skip
         return s
 
     def _session(self, s: _Session) -> Generator[Action | list[Probe], Outcome | None, None]:
         """One session, from its ask to its answer; a stream's end needs no decision."""
-        target = self.set.listeners[s.listener].handshake_target
+        target = s.listener.handshake_target
         while True:
             if (h := (yield from self._choose(s))) >= 0:
-                last = len(s.dials) + 1 >= self.set.max_dials
+                last = len(s.dials) + 1 >= s.most_dials
                 time_out = math.inf if last else FIRST_TIME_OUT * target * TIME_OUT_GROWTH ** len(s.dials)
                 result = yield Dial(s.id, h, min(self.now + time_out, s.deadline))
                 s.dials[-1].may_have_run = result not in NEVER_RAN
@@ -484,7 +511,7 @@
             for (h,) in act:
                 self._probe(self.now, h)
                 self.lookers[h].append(s.id)
-            wait = LOOK_WAIT * self.set.listeners[s.listener].handshake_target
+            wait = LOOK_WAIT * s.listener.handshake_target
             # Danger: a client with little time left would go unanswered while its node looks.
             act = Wake(min(wait, (s.deadline - self.now) / 2), s.id)
         self.acts.append(act)
@@ -505,11 +532,11 @@
     def stands(self, now: float, sid: int) -> list[Action]:
         if (s := self.sessions.get(sid)) is None or not s.out or s.stands is not None:
             return []
+        self._stand(s, now)
         h = s.dials[-1].host
-        s.stands, s.answered = now, True
         self.dialing[h] -= 1
-        self._stand(s, h)
         self.ill[h] /= 2
+        self.back.pop(h, None)
         return []
 
     def outcome(self, now: float, sid: int, dial: int, result: Outcome, last: bool) -> list[Action]:
@@ -522,9 +549,10 @@
         self.dialing[h] -= s.stands is None
         if self.standing[h].pop(sid, None) and not self.standing[h]:
             del self.mine[h]
-        if result in FAILURES and self.state[h] is HostState.RUNNING:
+        running = self.state[h] is HostState.RUNNING
+        if running and result in FAILURES:
             self._failed(now, h)
-        if result in CROWDED and self.state[h] is HostState.RUNNING:
+        if running and result in CROWDED:
             self._know(now, h, max(self._figure(now, h) or 0.0, FULL_LOAD))  # until the next report
         if last or s.answered:
             s.answered = True
@@ -547,11 +575,9 @@
         self.now = now
         if token == TICK_TOKEN:
             self._tick(now)
-        else:
-            s = self.sessions.get(token)
-            if s is not None and not s.answered and not s.out and now >= s.wakes:
-                s.looking.clear()
-                self._go_on(s, None)
+        elif (s := self.sessions.get(token)) and not s.answered and not s.out and now >= s.wakes:
+            s.looking.clear()
+            self._go_on(s, None)
         return self._done()
 
     # ---- probes and moves
@@ -562,20 +588,21 @@
             self.watch_at = math.inf
             self.acts.append(Watch())
         self._survey(now)
+        for h in self.banned:
+            # Danger: it is about to be restarted, which breaks at once whatever still stands there.
+            self._relieve(now, h, FULL_LOAD, FULL_LOAD - EMPTYING, False, TICK - SLACK)
         rate = max(ALL_LOOKS * len(self.mine) / self.set.nodes, 1.0) / PROBE_EVERY
         self.purse = min(self.purse + TICK * rate, len(self.mine) + 1)
         # Danger: an overfilled host goes unseen where few sessions pay, or while it has told no figure yet.
-        told = zip(self.seen_at, self.figure, strict=True)
-        age = [now - t + PROBE_EVERY * (self.set.figures and f is None) for t, f in told]
+        lack = PROBE_EVERY * self.set.figures
+        age = [now - t + lack * (f is None) for t, f in zip(self.seen_at, self.figure, strict=True)]
         for h in sorted(self.mine, key=lambda h: (-age[h], h)):
             if age[h] < PROBE_EVERY or self.purse < 1:
                 break
-            if now < self.unseen[h]:
-                continue
             if not self.set.may_probe:
                 self.seen_at[h] = now
                 self._by_count(now, h)
-            elif self.state[h] is HostState.RUNNING and self._probe(now, h):
+            elif now >= self.unseen[h] and self.state[h] is HostState.RUNNING and self._probe(now, h):
                 self.purse -= 1
 
     def _probe(self, now: float, h: int) -> bool:
@@ -599,12 +626,11 @@
             self.unseen[h] = now + FRESH * (0.75 + self._chance() / 2)
             self._failed(now, h)
         waiting, self.lookers[h] = self.lookers[h], []
-        for sid in waiting:
-            s = self.sessions.get(sid)
-            if s is not None and h in s.looking:
-                s.looking.discard(h)
-                if not s.looking and not s.answered and not s.out:
-                    self._go_on(s, None)
+        for s in filter(None, map(self.sessions.get, waiting)):
+            looked = h in s.looking
+            s.looking.discard(h)
+            if looked and not s.looking and not s.answered and not s.out:
+                self._go_on(s, None)
         return self._done()
 
     def _learn(self, now: float, h: int, report: Report) -> None:
@@ -649,7 +675,6 @@
                     # Danger: past full load nobody is served there; a lot that failed is drawn again soon.
                     self.acted_at[h] -= (SETTLE - LANDING) * (over and room == self.part)
                     break
-                left -= load
-                room -= load
+                left, room = left - load, room - load
                 self._add(now, h, -load)
                 self.acts.append(Move(sid))
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -13,8 +13,8 @@
 
 from .decide import Node
 from .model import (
-    Action, Ask, Dial, Entry, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Settings, TearDown,
-    Wake, Watch, Withdraw,
+    Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Settings,
+    TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
 
 
@@ -111,7 +111,20 @@
     entries: list[Entry]
 
 
-News = Up | Over | Left | Load | Looked | Listed
+class Banned(NamedTuple):
+    """An operator has taken the host out, or lets it serve again: nothing new to it between the two."""
+
+    host: int
+    out: bool
+
+
+class Retuned(NamedTuple):
+    """Other settings hold from now on."""
+
+    settings: Settings
+
+
+News = Up | Over | Left | Load | Looked | Listed | Banned | Retuned
 
 
 class Balancer:
@@ -159,6 +172,10 @@
         """Whether a listed host is sent nothing now by this node's choice; changes nothing."""
         return self._node.avoids(now, host)
 
+    def may_send(self, host: int) -> bool:
+        """Whether a connection to the host that has come up may still be sent its first line."""
+        return self._node.state[host] is HostState.RUNNING
+
     def _event(self, now: float, news: News) -> list[Action]:
         match news:
             case Up(session):
@@ -178,6 +195,10 @@
             case Listed(whole, entries):
                 scope = RosterScope.FULL if whole else RosterScope.CHANGES
                 return self._node.roster(now, scope, entries)
+            case Banned(host, out):
+                return self._node.ban(now, host, out)
+            case Retuned(settings):
+                return self._node.retune(now, settings)
         raise TypeError(f"no news: {news!r}")
 
     def _orders(self, now: float, actions: list[Action]) -> list[Order]:
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -14,6 +14,7 @@
 
 from caperdeck.core.facade import Balancer
 from caperdeck.core.settings import MS
+from caperdeck.ops.bans import Bans, BansError
 from caperdeck.ops.calls import CallError, Calls, Then, yes
 from caperdeck.ops.front import RESERVED, Front
 from caperdeck.state.budget import SocketBudget, open_descriptors
@@ -63,6 +64,9 @@
         self.calls = Calls()
         self.calls.add("readyz", 0, self.readyz)
         self.calls.add("telemetry", 0, self.telemetry)
+        self.calls.add("exclude", 1, lambda uid, then: self.ban(uid, True, then))
+        self.calls.add("include", 1, lambda uid, then: self.ban(uid, False, then))
+        self.bans = Bans(config.scratch)
         self.accepts = True
         self.short_at = 0.0  # when the log last said that sockets are short
         self.stopped_at = 0.0
@@ -73,7 +77,10 @@
             (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
         ):  # fmt: skip
             signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
+        self.bans.load()
         self.desk.listed(True, config.known)
+        for uid in self.bans.uids:
+            self.desk.ban(uid, True)
         self.discovery.start()
         address, factory = config.listen, ClientFactory(self.desk)
         self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
@@ -118,6 +125,18 @@
             raise CallError("stopping" if self.stopped_at else "starting")
         then(yes())
 
+    def ban(self, uid: str, out: bool, then: Then) -> None:
+        """Takes a host out, or lets it serve again; in force when the yes goes out."""
+        if uid not in self.desk.hosts.index:
+            raise CallError("unknown-host")
+        try:
+            self.bans.keep(uid, out)
+        except BansError as error:
+            logger.error("call reason=bans-unwritable {}", error)
+            raise CallError("bans-unwritable") from None
+        self.desk.ban(uid, out)
+        then(yes())
+
     def telemetry(self, then: Then) -> None:
         then([*self.desk.figures.lines(self.desk.gauges()), "--"])
 
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -65,6 +65,19 @@
         # Danger: a host that has left the list since was last listed as ready, and would be so again.
         return None if h is None else self.entry[h]._replace(state=self.state[h])
 
+    def know(self, uid: str) -> int:
+        """The host's index, given out at the first sight."""
+        h = self.index.get(uid)
+        if h is None:
+            h = self.index[uid] = len(self.uid)
+            self.uid.append(uid)
+            self.address.append(None)
+            self.state.append(HostState.GONE)
+            self.entry.append(None)
+            self.sent_away.append(-math.inf)
+            self.spoke_at.append(-math.inf)
+        return h
+
     def _entry(self, row: object) -> Entry:
         if not isinstance(row, dict) or not isinstance(row.get("uid"), str) or not row["uid"]:
             raise EntryError(f"an entry needs a uid: {row!r:.200}")
@@ -75,15 +88,7 @@
         if not all(isinstance(x, (int, float)) for x in (size, cell, born)) or size < 0:
             raise EntryError(f"host {uid} has a figure that is no number, or a size under 0")
         address = self._address(uid, row)
-        h = self.index.get(uid)
-        if h is None:
-            h = self.index[uid] = len(self.uid)
-            self.uid.append(uid)
-            self.address.append(None)
-            self.state.append(HostState.GONE)
-            self.entry.append(None)
-            self.sent_away.append(-math.inf)
-            self.spoke_at.append(-math.inf)
+        h = self.know(uid)
         zone = row.get("az")
         zone = self.zones.get(zone, -1) if isinstance(zone, str) else -1
         mark = zlib.crc32(uid.encode())
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from caperdeck.core.facade import (
-    Abandon, Balancer, Connect, Decline, GiveUp, Left, Listed, Load, Look, Looked, News, Order, Over,
+    Abandon, Balancer, Banned, Connect, Decline, GiveUp, Left, Listed, Load, Look, Looked, News, Order, Over,
     SendAway, Up,
 )  # fmt: skip
 from caperdeck.core.model import HostState, Outcome
@@ -247,8 +247,8 @@
     def dial_open(self, conn: HostConnection) -> None:
         """The connection is up; the one place where a head goes out."""
         s = conn.session
-        # Danger: a host may have begun to drain while the connection came up.
-        may_send = self.hosts.state[s.host] is HostState.RUNNING or s.head.at is not None
+        # Danger: a host may have begun to drain, or been taken out, while the connection came up.
+        may_send = s.head.at is not None or self.balancer.may_send(s.host)
         wait = max(int(conn.until - self.clock()), 1)
         if not may_send or not conn.send_head(s.head.pieces(wait)):
             self._end_dial(s, Outcome.UNREACHED)
@@ -400,6 +400,11 @@
                 if s.host == news.host:
                     self.move(s, "host-silent", Outcome.RESET)
 
+    def ban(self, uid: str, out: bool) -> None:
+        """An operator takes a host out, or lets it serve again."""
+        self.report(Banned(self.hosts.know(uid), out))
+        logger.info("roster reason={} uids={}", "taken-out" if out else "called-back", uid)
+
     def listed(self, whole: bool, rows: Any) -> None:
         entries = self.hosts.take(whole, rows, self.complain_entry)
         self.budget.probes = self.hosts.running()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,6 @@
 """Builds a node and its fleet, or a desk and its connections, directly."""
 
+import json
 from contextlib import contextmanager
 
 from loguru import logger
@@ -11,7 +12,9 @@
 from caperdeck.core.facade import Balancer
 from caperdeck.core.model import Ask, Dial, Effect, Entry, HostState, Listener, RosterScope, Scope, Settings
 from caperdeck.core.settings import decode_names, decode_settings
-from caperdeck.lifecycle.config import decode_limits
+from caperdeck.lifecycle.config import decode_limits, load_config, reload_config
+from caperdeck.lifecycle.logs import Sink
+from caperdeck.lifecycle.service import Service
 from caperdeck.state.budget import SocketBudget
 from caperdeck.state.hosts import Hosts
 from caperdeck.wire.client import ClientConnection
@@ -153,6 +156,25 @@
     return d
 
 
+CONFIG = {
+    "name": "n1", "listen": "127.0.0.1:9000", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+    "limits": {"sockets": 256}, "known": {"rev": 41, "all": True, "targets": [row("s-0")]}, "settings": SETUP,
+}  # fmt: skip
+
+
+def write(path, value):
+    path.write_text(value if isinstance(value, str) else json.dumps(value))
+    return {"EDGE_CONFIG": str(path)}
+
+
+def service_over(d, folder, **changes):
+    """A service whose desk is this one; its file and what it leaves to a successor lie in the folder."""
+    environment = write(folder / "c", CONFIG | changes) | {"TMPDIR": str(folder)}
+    service = Service(d.reactor, load_config(environment), Sink(2), lambda: reload_config(environment))
+    service.desk, service.clock = d, d.clock
+    return service
+
+
 def connect(d, *lines):
     """A client's connection to the desk that has sent these lines."""
     client = ClientConnection(d)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 
 import pytest
-from helpers import OPEN, SETUP, START, connect, desk, logged, row, settings, up
+from helpers import CONFIG, OPEN, SETUP, START, connect, desk, logged, row, settings, up, write
 
 from caperdeck.core.facade import Balancer, Connect, Decline, Left, Listed, Look, Looked, Over, SendAway, Up
 from caperdeck.core.model import Entry, HostState, Outcome, Report
@@ -20,17 +20,6 @@
 from caperdeck.lifecycle.service import Service
 from caperdeck.state.addresses import Address
 
-CONFIG = {
-    "name": "n1", "listen": "127.0.0.1:9000", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
-    "limits": {"sockets": 256}, "known": {"rev": 41, "all": True, "targets": [row("s-0")]}, "settings": SETUP,
-}  # fmt: skip
-
-
-def write(path, value):
-    path.write_text(value if isinstance(value, str) else json.dumps(value))
-    return {"EDGE_CONFIG": str(path)}
-
-
 # ---- the facade
 
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -1,8 +1,14 @@
 """The second address: calls, callers, figures."""
 
 import pytest
-from helpers import OPEN, Wire, accept, connect, desk, lost, opening, up
+from helpers import (
+    OPEN, START, Wire, accept, ask, connect, desk, dials, entry, figures, lost, node, opening, row,
+    service_over, standing, up,
+)  # fmt: skip
 
+from caperdeck.core.decide import TICK_TOKEN
+from caperdeck.core.model import Move, Outcome, Probe, Refuse, Report, RosterScope
+from caperdeck.ops.bans import FILE, Bans, BansError
 from caperdeck.ops.calls import Calls, yes
 from caperdeck.ops.figures import Figures, Status
 from caperdeck.ops.front import MOST_CALLERS, Front
@@ -130,3 +136,131 @@
     assert 'app_operations_total{priority="a",status="fulfilled"} 1' in lines
     assert 'app_operations_total{priority="b\\"\\\\",status="throttled"} 0' in lines
     assert "app_open_requests 14" in lines and "app_relayed_total 0" in lines
+
+
+# ---- hosts taken out by hand
+
+
+def hands(tmp_path, hosts=2):
+    """A service over a desk in memory, with its table of calls."""
+    d = desk(hosts=hosts)
+    return d, service_over(d, tmp_path)
+
+
+def say(service, line):
+    said = []
+    service.calls.call(line, said.append)
+    return said[0][0]
+
+
+def test_a_ban_holds_from_the_yes_on_for_dials_that_are_still_coming_up(tmp_path):
+    d, service = hands(tmp_path, hosts=1)
+    client = connect(d, OPEN)
+    assert say(service, b"exclude s-0") == "ACK"
+    conn = accept(d)
+    assert conn.transport.lines() == [] and d.figures.relayed == 0
+    d.reactor.pump([0.1] * 12)
+    assert client.transport.lines()[0].startswith(b"BUSY") and d.gauges()["out_of_rotation"] == 1
+
+
+@pytest.mark.parametrize("line, answer", [
+    (b"exclude s-9", "NAK unknown-host"), (b"include s-9", "NAK unknown-host"), (b"include s-0", "ACK"),
+])  # fmt: skip
+def test_a_host_that_was_never_listed_is_owed_a_no(tmp_path, line, answer):
+    _, service = hands(tmp_path)
+    assert say(service, line) == answer
+
+
+@pytest.mark.parametrize("news", [
+    [row("s-0")], [row("s-0", boot=int(START) + 50)], [row("s-0", "Terminating")], [row("s-0", "Gone")],
+])  # fmt: skip
+def test_whatever_discovery_says_a_ban_stands_until_one_call_back(tmp_path, news):
+    d, service = hands(tmp_path)
+    for _ in range(3):
+        assert say(service, b"exclude s-0") == "ACK"
+    d.listed(False, news)
+    d.listed(False, [row("s-0")])
+    for _ in range(12):
+        connect(d, opening(d.sessions.made))
+    assert {port for _, port, *_ in d.reactor.tcpClients} == {9001}
+    assert say(service, b"include s-0") == "ACK" and d.balancer.may_send(0)
+    assert d.gauges()["out_of_rotation"] == 0
+
+
+def test_a_call_back_gives_what_the_list_says_then(tmp_path):
+    d, service = hands(tmp_path)
+    say(service, b"exclude s-0")
+    d.listed(False, [row("s-0", "Terminating")])
+    say(service, b"include s-0")
+    assert not d.balancer.may_send(0)
+
+
+def test_bans_outlive_the_process_and_a_call_back_too(tmp_path):
+    d, service = hands(tmp_path)
+    say(service, b"exclude s-0")
+    say(service, b"exclude s-1")
+    say(service, b"include s-1")
+    later = Bans(str(tmp_path))
+    later.load()
+    assert list(later.uids) == ["s-0"] and [p.name for p in tmp_path.glob("*bans*")] == [FILE]
+
+
+def test_a_ban_that_cannot_be_written_is_refused_and_changes_nothing(tmp_path):
+    d, service = hands(tmp_path)
+    service.bans.path = str(tmp_path / "no" / "folder")
+    assert say(service, b"exclude s-0") == "NAK bans-unwritable"
+    assert d.balancer.may_send(0) and not service.bans.uids
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"s-0": 1}', '["s-0", 7]', '["s-0"'])
+def test_damaged_bans_are_named_and_not_half_read(tmp_path, text):
+    (tmp_path / FILE).write_text(text)
+    with pytest.raises(BansError, match=FILE):
+        Bans(str(tmp_path)).load()
+
+
+def test_a_host_called_back_is_cold_and_the_next_session_tries_it():
+    n = node(12)
+    figures(n, [0.2] * 12)
+    n.ban(START, 5, True)
+    assert 5 not in {dials(n.ask(START, ask(i)))[0].host for i in range(30)}
+    n.ban(START + 2000, 5, False)
+    assert n._warmth(START + 2000, 5) == pytest.approx(0.3)
+    acts = [a for i in range(30, 40) for a in n.ask(START + 2100, ask(i))]
+    assert Probe(5) in acts
+    n.probed(START + 2100, 5, Outcome.GOOD, Report(0.0))
+    n.unit = 10000.0
+    sent = dials(n.ask(START + 2900, ask(40, load=1.0)))
+    assert [a.host for a in sent] == [5]
+    n.stands(START + 2910, 40)
+    assert not n.back
+
+
+@pytest.mark.parametrize("listed_born, born", [(0.0, 2000.0), (500.0, 2000.0), (1500.0, 1500.0)])
+def test_a_host_called_back_is_as_old_as_its_latest_restart_or_the_call(listed_born, born):
+    n = node(2)
+    n.ban(START + 1000, 0, True)
+    n.roster(START + 1600, RosterScope.CHANGES, [entry(0, born=START + listed_born if listed_born else 0.0)])
+    n.ban(START + 2000, 0, False)
+    assert n.born[0] == START + born
+    n.roster(START + 2100, RosterScope.CHANGES, [entry(0)])
+    assert n.born[0] == START + born
+
+
+def test_what_stands_on_a_host_taken_out_is_moved_off_in_parts():
+    n = node(3)
+    standing(n, 0, [10.0] * 20)
+    standing(n, 1, [10.0] * 20, first=200)
+    figures(n, [0.3, 0.3, 0.1])
+    n.ban(START, 0, True)
+    moved = [sum(isinstance(a, Move) for a in n.bell(START + 500 * i, TICK_TOKEN)) for i in range(1, 4)]
+    assert 0 < moved[0] < 12 and moved[1] > 0
+
+
+def test_with_every_host_taken_out_a_session_is_refused_with_a_back_off():
+    n = node(2, may_probe=False)
+    for h in range(2):
+        n.ban(START, h, True)
+    n.ask(START, ask(1, left=50.0))
+    acts = n.ask(START, ask(2, left=50.0))
+    assert isinstance(acts[-1], Refuse) and acts[-1].back_off > 0
