SIGHUP puts the whole file in force or none of it; sessions keep their listener and dials

Need: classes come and go, effects and attempts change under load; broken files must change nothing. Change: numbers are checked for being finite numbers, deadlines, targets and attempts for being over 0, class names for being told once; a file that lacks a key of the one in force is turned down; names, limits and the module's settings change in one step, a session holds its Listener and its dial limit.

--- a/caperdeck/core/settings.py
+++ b/caperdeck/core/settings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from dataclasses import dataclass
 from typing import Any
@@ -30,6 +31,21 @@
     return table[key]
 
 
+def figure(
+    table: Any, key: str, where: str, default: float | None = None, over: float = -math.inf,
+) -> float:  # fmt: skip
+    """A finite number of the table, over the bound; with a default it may be absent."""
+    if default is not None and isinstance(table, dict) and key not in table:
+        return default
+    value = need(table, key, where)
+    # Danger: true counts as 1 elsewhere, and a deadline that is no number would be waited for without end.
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+        raise SettingsError(f"setting {where}{key} is no number: {value!r:.50}")
+    if value <= over:
+        raise SettingsError(f"setting {where}{key} is {value}, not over {over:g}")
+    return value
+
+
 def _choice(table: dict, value: Any, what: str) -> Any:
     if not isinstance(value, str) or value not in table:
         raise SettingsError(f"unknown {what} {value!r}")
@@ -46,34 +62,37 @@
     listeners = []
     for i, row in enumerate(rows):
         where = f"listeners[{i}]."
-        target = need(row, "handshakeTarget", where) * MS
+        target = figure(row, "handshakeTarget", where, over=0.0) * MS
         listeners.append(Listener(
             effect=_choice(EFFECTS, need(row, "effect", where), "effect"),
             scope=_choice(SCOPES, row.get("group") or "all", "group"),
-            memory_span=row.get("memorySpan", 0.0) * MS,
+            memory_span=figure(row, "memorySpan", where, 0.0) * MS,
             handshake_target=target,
             message_target=aims[i] * MS if i < len(aims) else target,
-            utility=row.get("utility", 1.0),
+            utility=figure(row, "utility", where, 1.0),
         ))  # fmt: skip
     zones = setup.get("dcs", [])
+    attempts = figure(limits, "mostDials", "limits.", over=0.0)
+    if attempts != int(attempts):
+        raise SettingsError(f"setting limits.mostDials is no whole number: {attempts}")
     return Settings(
         seed=seed,
-        nodes=max(int(need(setup, "fleetSize", "")), 1),
+        nodes=max(int(figure(setup, "fleetSize", "")), 1),
         zone=zones.index(setup["locality"]) if setup.get("locality") in zones else 0,
         listeners=tuple(listeners),
-        max_dials=int(need(limits, "mostDials", "limits.")),
+        max_dials=int(attempts),
         may_withdraw=bool(limits.get("cancel", False)),
         may_probe=bool(limits.get("mayProbe", False)),
         figures=not {"x0", "x1"}.isdisjoint((setup.get("report") or {}).get("names") or ()),
         back_off=bool(limits.get("retryAfter", False)),
-        max_back_off=limits.get("maxRetryAfter", 0.0) * MS,
-        cold_from=need(rules, "coldFrom", "invariants."),
-        warm_after=need(rules, "warmAfter", "invariants.") * MS,
-        fall_multiple=need(rules, "fallMultiple", "invariants."),
-        fall_span=need(rules, "fall", "invariants.") * MS,
+        max_back_off=figure(limits, "maxRetryAfter", "limits.", 0.0) * MS,
+        cold_from=figure(rules, "coldFrom", "invariants."),
+        warm_after=figure(rules, "warmAfter", "invariants.") * MS,
+        fall_multiple=figure(rules, "fallMultiple", "invariants."),
+        fall_span=figure(rules, "fall", "invariants.") * MS,
         subscribe=setup.get("discovery") == "subscribe",
-        ask_every=rules.get("askEvery", 10.0) * MS,
-        cross_price=setup.get("prices", {}).get("crossZone", 0.0),
+        ask_every=figure(rules, "askEvery", "invariants.", 10.0) * MS,
+        cross_price=figure(setup.get("prices", {}), "crossZone", "prices.", 0.0),
         sizes_stand=setup.get("weights") in ("nominal", "rough"),
     )
 
@@ -93,8 +112,11 @@
 
 
 def decode_names(setup: dict) -> Names:
+    listeners = {need(row, "name", f"listeners[{i}]."): i for i, row in enumerate(setup["listeners"])}
+    if len(listeners) < len(setup["listeners"]) or not all(isinstance(name, str) for name in listeners):
+        raise SettingsError("setting listeners has a name twice, or one that is no text")
     return Names(
-        listeners={row["name"]: i for i, row in enumerate(setup["listeners"])},
+        listeners=listeners,
         customers={row["name"]: i for i, row in enumerate(setup.get("projects") or [])},
         zones={name: i for i, name in enumerate(setup.get("dcs") or [])},
         groups=bool(setup.get("specifics", {}).get("groups", False)),
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -10,7 +10,9 @@
 import orjson
 
 from caperdeck.core.model import Settings
-from caperdeck.core.settings import MS, Names, SettingsError, decode_names, decode_settings, need
+from caperdeck.core.settings import (
+    MS, Names, SettingsError, decode_names, decode_settings, figure, need,
+)  # fmt: skip
 from caperdeck.state.addresses import Address, AddressError, parse_address
 from caperdeck.state.limits import Limits
 
@@ -36,6 +38,7 @@
     limits: Limits
     admin: Address | None  # the second address
     scratch: str | None  # a folder that a successor sees too
+    keys: frozenset[str]  # that the file has, but for those of hosts
 
 
 def load_config(environment: Mapping[str, str], path: str | None = None) -> Config:
@@ -74,6 +77,25 @@
     return load_config(environment, path)
 
 
+def check_kept(old: Config, new: Config) -> None:
+    """A file in the place of another has all keys of that one."""
+    # Danger: most keys have a default, and a file that was cut short would fall back on them in silence.
+    if lost := sorted(old.keys - new.keys):
+        raise ConfigError(f"configuration: {', '.join(lost[:5])} missing, and in the one in force")
+
+
+def keys_of(value: Any, path: str = "") -> frozenset[str]:
+    """The dotted paths of all keys; of the rows of a list those that every row has."""
+    if isinstance(value, dict):
+        return frozenset().union(*(
+            {path + key} | (keys_of(below, f"{path}{key}.") if key != "known" else set())
+            for key, below in value.items()
+        ))  # fmt: skip
+    if isinstance(value, list) and value:
+        return frozenset.intersection(*(keys_of(row, path) for row in value))
+    return frozenset()
+
+
 def decode_config(raw: dict[str, Any], scratch: str | None = None) -> Config:
     setup = need(raw, "settings", "")
     need(setup, "limits", "settings.")
@@ -95,16 +117,19 @@
         limits=decode_limits(setup),
         admin=parse_address(raw["admin_addr"]) if raw.get("admin_addr") else None,
         scratch=scratch,
+        keys=keys_of(raw),
     )
 
 
 def decode_limits(setup: dict[str, Any]) -> Limits:
     rows, limits = setup["listeners"], setup["limits"]
+    max_back_off = figure(limits, "maxRetryAfter", "limits.", 0.0) * MS
     return Limits(
-        connect_time_out=limits.get("dialTimeout", 0.25) * MS,
+        connect_time_out=figure(limits, "dialTimeout", "limits.", 0.25, over=0.0) * MS,
         probes=bool(limits.get("mayProbe", False)),
         reports=(setup.get("report") or {}).get("how") != "silent",
-        max_back_off=limits.get("maxRetryAfter", 0.0) * MS if limits.get("retryAfter") else 0.0,
-        longest_wait=max(row.get("hardLimit", 0.0) for row in rows) * MS,
-        idle=max(limits.get("connIdle", LEAST_IDLE), LEAST_IDLE) * MS,
+        max_back_off=max_back_off if limits.get("retryAfter") else 0.0,
+        longest_wait=MS * max(
+            figure(row, "hardLimit", f"listeners[{i}].", over=0.0) for i, row in enumerate(rows)),
+        idle=max(figure(limits, "connIdle", "limits.", LEAST_IDLE), LEAST_IDLE) * MS,
     )
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -24,7 +24,7 @@
 from caperdeck.wire.desk import Desk
 from caperdeck.wire.discovery import Discovery
 
-from .config import Config, ConfigError
+from .config import Config, ConfigError, check_kept
 from .logs import Sink, one_line
 
 BACKLOG = 4096
@@ -143,24 +143,30 @@
     # ---- a new configuration
 
     def reload(self) -> None:
-        """Takes the file's new discovery and limits; what needs a restart is named and stays as it is."""
+        """Takes the file whole or not at all; what needs a restart is named and stays as it is."""
+        old = self.config
         try:
             new = self.reread()
+            check_kept(old, new)
         except ConfigError as error:
             # Danger: half a file, or one for another program, must not end a node that serves.
             self.desk.figures.invalid += 1
             logger.error("reload reason=unusable {}", error)
             return
         self.desk.figures.accepted += 1
-        old = self.config
-        kept = [key for key in ("name", "listen", "settings", "names", "limits")
-                if getattr(new, key) != getattr(old, key)]  # fmt: skip
-        self.config = replace(old, discovery=new.discovery, sockets=new.sockets)
+        kept = [key for key in ("name", "listen", "admin") if getattr(new, key) != getattr(old, key)]
+        kept += ["dcs"] * (new.names.zones != old.names.zones)
+        self.config = new = replace(
+            new, name=old.name, listen=old.listen, admin=old.admin,
+            names=replace(new.names, zones=old.names.zones),
+            settings=replace(new.settings, seed=old.settings.seed, zone=old.settings.zone),
+        )  # fmt: skip
         self.desk.budget.resize(new.sockets)
+        self.desk.retune(new.settings, new.names, new.limits)
         if new.discovery != old.discovery:
             self.discovery.move_to(new.discovery)
-        logger.info("reload discovery={} sockets={} kept={}", new.discovery, new.sockets,
-                    ",".join(kept) or "-")  # fmt: skip
+        logger.info("reload discovery={} sockets={} classes={} kept={}", new.discovery, new.sockets,
+                    ",".join(new.names.listeners), ",".join(kept) or "-")  # fmt: skip
 
     # ---- the stop
 
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -14,9 +14,9 @@
 
 from caperdeck.core.facade import (
     Abandon, Balancer, Banned, Connect, Decline, GiveUp, Left, Listed, Load, Look, Looked, News, Order, Over,
-    SendAway, Up,
+    Retuned, SendAway, Up,
 )  # fmt: skip
-from caperdeck.core.model import HostState, Outcome
+from caperdeck.core.model import HostState, Outcome, Settings
 from caperdeck.core.settings import MS, Names
 from caperdeck.ops.figures import Figures, Status
 from caperdeck.state.budget import SocketBudget
@@ -320,7 +320,8 @@
         if head.at is None:
             self.report(Up(s.index))
         else:
-            listener = self.names.listeners[head.listener]
+            # Danger: its class may have been dropped since; of one that stands no more is asked of it.
+            listener = self.names.listeners.get(head.listener, -1)
             customer, hints = self.names.customers.get(head.tenant, -1), self._hints(head)
             self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
 
@@ -376,7 +377,14 @@
             now - s.up_at if s.up_at else 0,
         )  # fmt: skip
 
-    # ---- figures
+    # ---- other settings, figures
+
+    def retune(self, settings: Settings, names: Names, limits: Limits) -> None:
+        """All of them in one step; sessions keep what they began under."""
+        self.names, self.limits = names, limits
+        self.figures.know(names.listeners)
+        self.probes.retune(limits.reports, 2 * limits.connect_time_out)
+        self.report(Retuned(settings))
 
     def gauges(self) -> dict[str, int]:
         listed, now = self.hosts.listed(), self.clock()
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -86,11 +86,14 @@
 
     def __init__(self, reactor: Any, reports: bool, time_out: float, told: Callable[[Looked], None]) -> None:
         self.reactor = reactor
-        self.question = b"STATS" if reports else b"PING"
-        self.time_out = time_out
+        self.retune(reports, time_out)
         self.told = told
         self.open: dict[int, ProbeConnection] = {}
 
+    def retune(self, reports: bool, time_out: float) -> None:
+        self.question = b"STATS" if reports else b"PING"
+        self.time_out = time_out
+
     def look(self, host: int, address: Address | None) -> None:
         conn = self.open.get(host)
         if conn is not None and conn.address != address:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -11,7 +11,9 @@
 from dataclasses import replace
 
 import pytest
-from helpers import CONFIG, OPEN, SETUP, START, connect, desk, logged, row, settings, up, write
+from helpers import (
+    CONFIG, OPEN, SETUP, START, accept, connect, desk, logged, row, service_over, settings, up, write,
+)  # fmt: skip
 
 from caperdeck.core.facade import Balancer, Connect, Decline, Left, Listed, Look, Looked, Over, SendAway, Up
 from caperdeck.core.model import Entry, HostState, Outcome, Report
@@ -150,6 +152,68 @@
     assert not d.reactor.tcpClients and [line for line in log if "reload reason=unusable" in line]
 
 
+ROW = SETUP["listeners"][0]
+
+
+def classes(*rows, **limits):
+    """A file with these classes."""
+    return CONFIG | {"settings": SETUP | {"listeners": list(rows), "limits": SETUP["limits"] | limits}}
+
+
+def test_an_added_class_has_its_own_rules_and_a_dropped_one_lives_on_in_its_sessions(tmp_path):
+    d = desk(hosts=1)
+    service = service_over(d, tmp_path)
+    old, host = up(d)
+    waiting = connect(d, OPEN.replace(b"9b1f", b"aaaa"))
+    once = ROW | {"name": "once", "effect": "at_most_once"}
+    write(tmp_path / "c", classes(once, mostDials=1))
+    service.reload()
+    assert connect(d, OPEN.replace(b"9b1f", b"bbbb")).transport.lines() == [b"ERR"]
+    accept(d).dataReceived(b"ERR\r\n")  # the class of the one that waits was repeatable, with three dials
+    assert not waiting.transport.lines() and len(d.reactor.tcpClients) == 3
+    new = connect(d, OPEN.replace(b"9b1f", b"cccc").replace(b"c=chat", b"c=once"))
+    accept(d).dataReceived(b"ERR\r\n")
+    assert new.transport.lines() == [b"ERR"]
+    old.dataReceived(b"one\r\n")
+    assert host.transport.lines() == [b"one"]
+    assert d.figures.operations == {"chat": [1, 0, 1], "once": [0, 0, 1]} and d.figures.accepted == 1
+
+
+def test_a_connection_taken_up_after_its_class_was_dropped_stands_all_the_same(tmp_path):
+    d = desk(hosts=1)
+    service = service_over(d, tmp_path)
+    client = connect(d, OPEN + b",at=s-0")
+    write(tmp_path / "c", classes(ROW | {"name": "other"}))
+    service.reload()
+    accept(d).dataReceived(b"UP r1\r\n")
+    assert client.transport.lines() == [b"UP r1"]
+
+
+LONG = json.dumps(CONFIG)
+
+
+@pytest.mark.parametrize("text", [
+    LONG[: len(LONG) // 2], {k: v for k, v in CONFIG.items() if k != "limits"}, classes(ROW, mostDials=0),
+    classes(ROW, mostDials=True), classes(ROW, mostDials=1.5), classes(ROW | {"hardLimit": 0}),
+    classes(ROW | {"hardLimit": -1}), classes(ROW | {"handshakeTarget": 0}),
+    classes(ROW | {"hardLimit": "1.2"}),
+    classes({k: v for k, v in ROW.items() if k != "hardLimit"}), classes(ROW, ROW), classes(),
+    CONFIG | {"settings": SETUP | {"invariants": SETUP["invariants"] | {"fall": None}}},
+    CONFIG | {"settings": {k: v for k, v in SETUP.items() if k != "projects"}},
+    CONFIG | {"settings": SETUP | {"limits": {"mostDials": 3}}},
+])  # fmt: skip
+def test_a_broken_file_changes_nothing_and_is_counted(tmp_path, text):
+    d = desk()
+    service = service_over(d, tmp_path)
+    before = service.config, d.names, d.limits, d.balancer._node.set
+    write(tmp_path / "c", text)
+    with logged() as log:
+        service.reload()
+    assert before == (service.config, d.names, d.limits, d.balancer._node.set)
+    assert (d.figures.accepted, d.figures.invalid) == (0, 1)
+    assert any("reload reason=unusable" in x for x in log)
+
+
 # ---- the stop
 
 
