An upgrade hands on the listening socket, roster, bans and standing connections

Change: a Unix socket under TMPDIR between the two (ops/link.py), what they say and when (ops/succession.py), connections put into packets with their descriptors (ops/handover.py); bans given to either are in force at both before the yes; descriptors of both under one limit.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -49,7 +49,7 @@
         print(f"caperdeck: cannot listen: {error}", file=sys.stderr)
         return 1
     reactor.run(installSignalHandlers=False)
-    return 0
+    return service.exit_code
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
+import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
 
 from loguru import logger
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from caperdeck.core.facade import Balancer
@@ -17,12 +20,16 @@
 from caperdeck.ops.bans import Bans, BansError
 from caperdeck.ops.calls import CallError, Calls, Then, yes
 from caperdeck.ops.front import RESERVED, Front
+from caperdeck.ops.handover import let_go, may_go, packet, take_up
+from caperdeck.ops.link import Doorbell, Link, reach
+from caperdeck.ops.succession import Incumbent, Successor
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.patience import Patience
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
 from caperdeck.wire.discovery import Discovery
+from caperdeck.wire.heads import HeadError
 
 from .config import Config, ConfigError, check_kept
 from .logs import Sink, one_line
@@ -57,7 +64,7 @@
         )  # fmt: skip
         self.desk.accepting = self.accept
         self.discovery = Discovery(
-            reactor, config.discovery, config.rev, self.desk.listed, self.desk.discovery_spoke,
+            reactor, config.discovery, config.rev, self.desk.listed, self.discovery_spoke,
             self.complain, Patience(config.settings.seed, config.settings.nodes),
         )  # fmt: skip
         self.port = None
@@ -69,7 +76,12 @@
         self.bans = Bans(config.scratch)
         self.accepts = True
         self.short_at = 0.0  # when the log last said that sockets are short
+        self.exit_code = 0
         self.stopped_at = 0.0
+        self.left = False
+        self.takes = False  # this process accepts clients
+        self.succession: Incumbent | Successor | None = None
+        self.doorbell: Doorbell | None = None
 
     def start(self) -> None:
         config = self.config
@@ -77,23 +89,161 @@
             (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
         ):  # fmt: skip
             signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
-        self.bans.load()
-        self.desk.listed(True, config.known)
-        for uid in self.bans.uids:
-            self.desk.ban(uid, True)
-        self.discovery.start()
-        address, factory = config.listen, ClientFactory(self.desk)
-        self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
-        self.port.startListening()
-        self.keep_sweeping()
+        before = reach(config.scratch) if config.scratch else None
+        if before is None:
+            self.know(True, config.known)
+            self.discovery.start()
+            self.listen()
+        else:
+            self.succession = Successor(self.reactor, Link(self.reactor, before), self)
         if config.admin is not None:
             Front(self.reactor, self.calls).listen(config.admin)
-        self.desk.budget.used = open_descriptors() + 4 + RESERVED * (config.admin is not None)
+        self.keep_sweeping()
+        self.desk.budget.used = open_descriptors() + 8 + RESERVED * (config.admin is not None)
         gc.collect()
         gc.freeze()
+        if before is None:
+            self.begin()
+
+    def know(self, load: bool, rows: list, uids: Iterable[str] = ()) -> None:
+        """Takes in a list of hosts and the bans, before anything is sent."""
+        if load:
+            self.bans.load()
+        else:
+            self.bans.replace(uids)
+        self.desk.listed(True, rows)
+        for uid in self.bans.uids:
+            self.desk.ban(uid, True)
+
+    def listen(self, fd: int = -1) -> None:
+        """Opens the clients' port, or goes on with one that was handed on; accepts nobody yet."""
+        address, factory = self.config.listen, ClientFactory(self.desk)
+        if fd < 0:
+            self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
+        else:
+            self.port = ClientPort._fromListeningDescriptor(self.reactor, fd, socket.AF_INET, factory)
+            os.close(fd)
+        self.port.startListening()
+        self.port.stopReading()
+
+    def begin(self) -> None:
+        """From now on this process takes clients, and can be succeeded."""
+        config = self.config
+        self.takes = True
+        self.port.startReading()
+        self.ring()
         logger.info("start node={} listen={}:{} hosts={} sockets={}", config.name, *config.listen,
                     self.desk.hosts.running(), config.sockets)  # fmt: skip
 
+    def discovery_spoke(self) -> None:
+        self.desk.discovery_spoke()
+        if isinstance(self.succession, Successor):
+            self.reactor.callLater(0, self.succession.listed)
+
+    # ---- an upgrade: what each side of it asks of this process
+
+    def ring(self) -> None:
+        """Lets a successor find this process."""
+        if self.config.scratch is None:
+            return
+        try:
+            self.doorbell = Doorbell(self.reactor, self.config.scratch, self.rung)
+        except OSError as error:
+            logger.warning("upgrade reason=no-doorbell {}", error)
+
+    def rung(self, sock: socket.socket) -> None:
+        link = Link(self.reactor, sock)
+        if self.succession is not None and self.succession.open:
+            link.send({"say": "no", "reason": "another process is taking over"})
+            self.reactor.callLater(1.0, link.close)
+            return
+        self.succession = Incumbent(self.reactor, link, self)
+
+    def identity(self) -> list[str]:
+        return [self.config.name, "{}:{}".format(*self.config.listen)]
+
+    def tell_state(self) -> tuple[list[dict], dict, list[int]]:
+        state = {"rev": self.discovery.rev, "bans": list(self.bans.uids), "told_at": self.desk.told_at}
+        return self.desk.hosts.rows(), state, [self.port.fileno()]
+
+    def take_state(self, rows: list, state: dict, fds: list[int]) -> None:
+        self.know(False, rows, state["bans"])
+        hosts = self.desk.hosts
+        for row in rows:
+            hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
+        self.desk.told_at, self.discovery.rev = state["told_at"], state["rev"]
+        self.listen(fds[0])
+        self.discovery.start()
+
+    def stop_taking(self) -> None:
+        logger.info("upgrade reason=given sessions={}", len(self.desk.sessions.table))
+        self.takes = False
+        self.port.stopReading()
+        if self.doorbell is not None:
+            self.doorbell.close()
+
+    def take_again(self) -> None:
+        logger.error("upgrade reason=successor-lost sessions={}", len(self.desk.sessions.table))
+        self.takes = True
+        if not self.stopped_at:
+            self.accept(self.desk.budget.may_accept())
+            self.ring()
+
+    def hand_on(self, most: int) -> bool:
+        """Hands some of what stands on; True once nothing is left here."""
+        for s in [s for s in self.desk.sessions.standing() if may_go(s)][:most]:
+            message, fds = packet(self.desk, s)
+            if not self.succession.link.offer(message, fds):
+                break
+            client, conn = s.client, s.conn
+            self.desk.handed_on(s)
+            let_go(client)
+            let_go(conn)
+        return not self.desk.sessions.table and not self.desk.budget.clients
+
+    def held(self) -> int:
+        return open_descriptors()
+
+    def done(self) -> None:
+        logger.info("upgrade reason=handed-on")
+        self.exit()
+
+    def take_session(self, message: dict, fds: list[int]) -> None:
+        try:
+            taken = take_up(self.desk, message, fds)
+        except (HeadError, KeyError, TypeError, ValueError, OSError) as error:
+            logger.error("upgrade reason=bad-session {!r}", error)
+            return
+        if not taken:
+            logger.info("upgrade reason=side-gone line={!r}", message["line"][:40])
+
+    def others_hold(self, descriptors: int) -> None:
+        self.desk.budget.elsewhere = descriptors
+
+    def begin_alone(self) -> None:
+        """The process before has gone, or never answered."""
+        logger.warning("upgrade reason=alone")
+        try:
+            if self.port is None:
+                self.know(True, self.config.known)
+                self.discovery.start()
+                self.listen()
+        except (BansError, CannotListenError) as error:
+            self.refused(str(error))
+            return
+        self.begin()
+
+    def refused(self, reason: str) -> None:
+        logger.error("upgrade reason=refused {}", reason)
+        self.sink.flush()
+        self.exit_code = 1
+        self.reactor.stop()
+
+    def banned(self, uid: str, out: bool) -> None:
+        """The other process was told so."""
+        self.bans.note(uid, out)
+        self.desk.ban(uid, out)
+
     def complain(self, reason: str, text: str) -> None:
         logger.warning("discovery reason={} {}", reason, text)
 
@@ -113,6 +263,8 @@
         """Takes new clients in, or leaves them to the kernel while sockets are short."""
         if on is not self.accepts and self.port is not None:
             self.accepts = on
+            if not self.takes:
+                return
             (self.port.startReading if on else self.port.stopReading)()
             if not on and self.clock() - self.short_at > SHORT_EVERY:
                 self.short_at = self.clock()
@@ -121,8 +273,8 @@
     # ---- calls to the second address
 
     def readyz(self, then: Then) -> None:
-        if self.port is None or self.stopped_at:
-            raise CallError("stopping" if self.stopped_at else "starting")
+        if not self.takes or self.stopped_at:
+            raise CallError("stopping" if self.stopped_at else "not-taking-clients")
         then(yes())
 
     def ban(self, uid: str, out: bool, then: Then) -> None:
@@ -135,7 +287,10 @@
             logger.error("call reason=bans-unwritable {}", error)
             raise CallError("bans-unwritable") from None
         self.desk.ban(uid, out)
-        then(yes())
+        if self.succession is None:
+            then(yes())
+        else:
+            self.succession.tell_ban(uid, out, lambda: then(yes()))
 
     def telemetry(self, then: Then) -> None:
         then([*self.desk.figures.lines(self.desk.gauges()), "--"])
@@ -197,6 +352,11 @@
             self.reactor.callLater(LINGER / MS, self.exit)
 
     def exit(self) -> None:
-        logger.info("exit ms={:.0f}", self.clock() - self.stopped_at)
+        if self.left:
+            return
+        self.left = True
+        if self.succession is not None:
+            self.succession.end()
+        logger.info("exit ms={:.0f}", self.clock() - self.stopped_at if self.stopped_at else 0)
         self.sink.flush()
         self.reactor.stop()
--- a/caperdeck/ops/bans.py
+++ b/caperdeck/ops/bans.py
@@ -43,6 +43,12 @@
             self._write(uids)
             self.uids = dict.fromkeys(uids)
 
+    def note(self, uid: str, banned: bool) -> None:
+        """Another process of this node has kept it."""
+        self.uids.pop(uid, None)
+        if banned:
+            self.uids[uid] = None
+
     def replace(self, uids: Iterable[str]) -> None:
         self.uids = dict.fromkeys(uids)
         self._write(list(self.uids))
--- /dev/null
+++ b/caperdeck/ops/handover.py
@@ -0,0 +1,103 @@
+"""A standing connection put into a packet with its two descriptors, and taken up from one."""
+
+from __future__ import annotations
+
+import os
+import socket
+from typing import TYPE_CHECKING, Any
+
+from caperdeck.wire.client import ClientConnection
+from caperdeck.wire.heads import parse_head
+from caperdeck.wire.host import HostConnection
+from caperdeck.wire.lines import OneConnection
+
+if TYPE_CHECKING:
+    from caperdeck.state.sessions import Session
+    from caperdeck.wire.desk import Desk
+
+MOST_BUFFERED = 32 << 10  # bytes of a connection; one that holds more is handed on once they have gone
+
+
+def text(data: bytes) -> str:
+    return data.decode("latin-1")
+
+
+def unsent(transport: Any) -> bytes:
+    """What has been written to the transport and has not gone out yet."""
+    return b"".join((bytes(transport.dataBuffer)[transport.offset :], *transport._tempDataBuffer))
+
+
+def may_go(s: Session) -> bool:
+    """Stands whole: both sides are open and nothing of its end is on the way."""
+    client, conn = s.client, s.conn
+    if not s.up_at or s.over or client.closing or conn is None or conn.ended or conn.farewell:
+        return False
+    if not client.connected or not conn.connected:
+        return False
+    held = (client._buffer, conn._buffer, unsent(client.transport), unsent(conn.transport))
+    return max(map(len, held)) <= MOST_BUFFERED
+
+
+def packet(desk: Desk, s: Session) -> tuple[dict[str, Any], list[int]]:
+    client, conn = s.client, s.conn
+    message = {
+        "say": "session", "line": text(s.head.line), "host": desk.hosts.uid[s.host], "dial": s.dial,
+        "since": s.since, "deadline": s.deadline, "up_at": s.up_at, "heard_at": s.heard_at,
+        "asked": bool(s.asked_at),
+        "read": [text(client._buffer), text(conn._buffer)],
+        "unsent": [text(unsent(client.transport)), text(unsent(conn.transport))],
+    }  # fmt: skip
+    return message, [client.transport.fileno(), conn.transport.fileno()]
+
+
+def let_go(protocol: Any) -> None:
+    """Closes this process's descriptor of a connection that lives on in another one."""
+    transport = protocol.transport
+    transport.unregisterProducer()
+    transport.stopReading()
+    transport.stopWriting()
+    # Danger: the library would shut the connection down, at the other process too, when this one ends.
+    sock = transport.socket
+    del transport.socket
+    transport.connected, transport.disconnected, protocol.connected = 0, 1, 0
+    sock.close()
+
+
+def alive(fd: int) -> bool:
+    with socket.socket(fileno=os.dup(fd)) as sock:
+        try:
+            sock.getpeername()
+        except OSError:
+            return False
+    return True
+
+
+def take_up(desk: Desk, message: dict[str, Any], fds: list[int]) -> bool:
+    """Goes on with a session that another process of this node has handed on; False if a side has gone."""
+    try:
+        if len(fds) != 2 or not all(map(alive, fds)):
+            return False
+        client = ClientConnection(desk)
+        adopt(desk, fds[0], client)
+        s = desk.sessions.new(parse_head(message["line"].encode("latin-1")), client, message["since"])
+        conn = HostConnection(desk, s, message["deadline"])
+        conn.taken_up = True
+        adopt(desk, fds[1], conn)
+        s.host, s.dial, s.conn = desk.hosts.know(message["host"]), message["dial"], conn
+        s.deadline, s.up_at, s.heard_at = message["deadline"], message["up_at"], message["heard_at"]
+        desk.took_up(s, message["asked"])
+    finally:
+        for fd in fds:
+            os.close(fd)
+    sides = (client, conn)
+    for side, data in zip(sides, message["unsent"], strict=True):
+        if data:
+            side.transport.write(data.encode("latin-1"))
+    for side, data in zip(sides, message["read"], strict=True):
+        if data:
+            side.dataReceived(data.encode("latin-1"))
+    return True
+
+
+def adopt(desk: Desk, fd: int, protocol: Any) -> None:
+    desk.reactor.adoptStreamConnection(fd, socket.AF_INET, OneConnection(protocol))
--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -20,6 +20,7 @@
         self.used = used  # open before anything was counted here
         self.probes = 0  # kept free, one for each host of the roster
         self.clients = 0
+        self.elsewhere = 0  # held by another process of this node
         self.sessions = 0  # each has a host's side, from its first line on
 
     def resize(self, limit: int) -> None:
@@ -29,7 +30,8 @@
     @property
     def left(self) -> int:
         """Descriptors that sessions may still take."""
-        return self.limit - self.reserve - self.used - self.probes - self.clients - self.sessions
+        held = self.used + self.elsewhere + self.probes + self.clients + self.sessions
+        return self.limit - self.reserve - held
 
     def may_serve(self) -> bool:
         return self.left > 0
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -97,6 +97,17 @@
         self.held.pop(h, None)
         return entry
 
+    def rows(self) -> list[dict]:
+        """The list as it holds now, in discovery's form, with the hosts that have left it."""
+        names, zones = {state: name for name, state in STATES.items()}, {i: z for z, i in self.zones.items()}
+        return [
+            {"uid": self.uid[e.host], "endpoint": "{}:{}".format(*self.address[e.host]),
+             "state": names[e.state if e.host in self.held else self.state[e.host]], "az": zones.get(e.zone),
+             "pod_group": e.cell, "capacity_hint": e.size, "boot_ms": e.born,
+             "sent_away": max(self.sent_away[e.host], 0.0)}
+            for e in self.entry if e is not None and self.address[e.host] is not None
+        ]  # fmt: skip
+
     def hold(self, since: float) -> list[Entry]:
         """While discovery is silent: entries of the hosts that have sent clients away, as if they drained.
 
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from twisted.internet.error import ConnectionDone
@@ -92,6 +94,16 @@
 class ClientPort(Port):
     """Accepts no more clients at once than there are descriptors for."""
 
+    # Danger: shut down where this process ends, the socket would listen no more at a successor that has it.
+    _shouldShutdown = False  # noqa: N815
+
+    def createInternetSocket(self) -> socket.socket:
+        sock = super().createInternetSocket()
+        # without it a successor that cannot be handed this socket could not listen beside it
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        return sock
+
     # Danger: the library takes a hundred in one go, and closes unanswered those that find no descriptor.
     @property
     def numberAccepts(self) -> int:
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -315,15 +315,44 @@
         logger.debug("up id={} host={} class={}", head.id, self.hosts.uid[s.host], head.listener)
         client.pass_on(line)
         self.figures.answered(head.listener, Status.FULFILLED)
-        client.transport.registerProducer(conn, True)
-        conn.transport.registerProducer(client, True)
+        self._join(client, conn)
         if head.at is None:
             self.report(Up(s.index))
         else:
-            # Danger: its class may have been dropped since; of one that stands no more is asked of it.
-            listener = self.names.listeners.get(head.listener, -1)
-            customer, hints = self.names.customers.get(head.tenant, -1), self._hints(head)
-            self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
+            self._resumed(s, now)
+
+    def _join(self, client: ClientConnection, conn: HostConnection) -> None:
+        """A side that does not read stops the other one."""
+        client.transport.registerProducer(conn, True)
+        conn.transport.registerProducer(client, True)
+
+    def _resumed(self, s: Session, now: float) -> None:
+        """The balancer learns of a session that stood before."""
+        head = s.head
+        # Danger: its class may have been dropped since; of one that stands no more is asked of it.
+        listener = self.names.listeners.get(head.listener, -1)
+        customer, hints = self.names.customers.get(head.tenant, -1), self._hints(head)
+        self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
+
+    def took_up(self, s: Session, asked: bool) -> None:
+        """A session that another process of this node has handed on goes on here."""
+        now = self.clock()
+        self.idle.pop(s.client, None)
+        s.client.session = s
+        self.budget.sessions += 1
+        if asked:
+            self.sessions.line_from_client(s, now)
+        self._join(s.client, s.conn)
+        self._resumed(s, now)
+
+    def handed_on(self, s: Session) -> None:
+        """Another process of this node has the session now; it has not ended."""
+        s.client.closing = s.conn.ended = True
+        s.conn = None
+        self.sessions.drop(s)
+        self.budget.sessions -= 1
+        self.budget.clients -= 1
+        self.report(Over(s.index, s.dial, Outcome.WITHDRAWN, True))
 
     def host_gone(self, conn: HostConnection, reset: bool) -> None:
         """The host has ended its connection."""
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -22,6 +22,7 @@
         self.desk = desk
         self.session = session
         self.sent = False  # the head's last byte has been written
+        self.taken_up = False  # it stood at another process of this node already
         self.until = until
         self.ended = False  # concluded; nothing that still comes counts
         self.farewell = b""  # BYE or MOVE, if the host said so
@@ -34,7 +35,7 @@
         self.transport.setTcpNoDelay(True)
         if self.ended:
             self.transport.abortConnection()
-        else:
+        elif not self.taken_up:
             self.desk.dial_open(self)
 
     def send_head(self, pieces: list[bytes | memoryview]) -> bool:
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,432 @@
+"""Two processes, one node: what they say to each other, what they hand on, and both as processes."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+from helpers import CONFIG, connect, desk, opening, row, service_over, up, write
+from twisted.internet.task import Clock
+
+from caperdeck.ops.link import FILE, Doorbell, Link, reach
+from caperdeck.ops.succession import BAN_WAIT, LIST_WAIT, VERSION, Incumbent, Successor
+
+WHO = [VERSION, "n1", "127.0.0.1:9000"]
+
+
+class Wired:
+    """A link in memory: what is sent waits until the test carries it over."""
+
+    def __init__(self):
+        self.sent, self.fds, self.open = [], [], True
+
+    def send(self, message, fds=()):
+        self.sent.append(message)
+        self.fds += fds
+
+    def offer(self, message, fds):
+        self.send(message, fds)
+        return True
+
+    def close(self):
+        self.open = False
+        self.broke()
+
+    def said(self):
+        sent, self.sent = self.sent, []
+        return [m["say"] for m in sent]
+
+
+class NodeStub:
+    """Writes down what its succession asks of it; hands three connections on, one a turn."""
+
+    def __init__(self):
+        self.did, self.left = [], 3
+
+    def identity(self):
+        return WHO[1:]
+
+    def tell_state(self):
+        return [row(f"s-{i}") for i in range(450)], {"rev": 7, "bans": ["s-1"]}, [5]
+
+    def hand_on(self, most):
+        self.left -= 1
+        return self.left < 0
+
+    def held(self):
+        return 40 + self.left
+
+    def __getattr__(self, name):
+        return lambda *args: self.did.append((name, *args))
+
+
+def sides():
+    clock, a, b, old, new = Clock(), Wired(), Wired(), NodeStub(), NodeStub()
+    incumbent, successor = Incumbent(clock, a, old), Successor(clock, b, new)
+
+    def carry():
+        while a.sent or b.sent:
+            for source, target in ((a, b), (b, a)):
+                sent, source.sent = source.sent, []
+                for message in sent:
+                    fds, source.fds = (source.fds, []) if message["say"] == "state" else ([], source.fds)
+                    target.received(json.loads(json.dumps(message)), fds)
+
+    return clock, incumbent, successor, old, new, carry
+
+
+def names(node):
+    return [what[0] for what in node.did if what[0] != "others_hold"]
+
+
+def test_the_port_is_given_only_once_the_successor_knows_the_list_and_then_at_one_moment():
+    clock, incumbent, successor, old, new, carry = sides()
+    successor.listed()
+    carry()
+    assert names(old) == [] and names(new) == ["take_state"]
+    _, rows, state, fds = new.did[0]
+    assert (len(rows), state["rev"], state["bans"], fds) == (450, 7, ["s-1"], [5])
+    successor.listed()
+    carry()
+    assert names(old) == ["stop_taking"] and names(new) == ["take_state", "begin"]
+    clock.pump([0.01] * 4)
+    carry()
+    assert names(old) == ["stop_taking", "done"] and ("others_hold", 42) in new.did
+
+
+def test_a_discovery_that_says_nothing_does_not_hold_the_upgrade_up():
+    clock, _, _, old, new, carry = sides()
+    carry()
+    clock.advance(LIST_WAIT)
+    carry()
+    assert "stop_taking" in names(old) and names(new)[-1] == "begin"
+
+
+def test_a_successor_that_dies_before_it_takes_leaves_everything_as_it_was():
+    _, incumbent, _, old, _, carry = sides()
+    carry()
+    incumbent.link.close()
+    assert names(old) == []
+
+
+def test_a_successor_that_dies_after_it_took_leaves_the_port_to_the_one_before():
+    clock, incumbent, successor, old, _, carry = sides()
+    carry()
+    successor.listed()
+    carry()
+    incumbent.link.close()
+    clock.pump([0.01] * 9)
+    assert names(old) == ["stop_taking", "take_again"]
+
+
+@pytest.mark.parametrize("when", ["unanswered", "known", "taken"])
+def test_where_the_one_before_goes_away_the_successor_begins_once_and_alone(when):
+    clock, incumbent, successor, _, new, carry = sides()
+    if when == "unanswered":
+        clock.advance(3)
+    else:
+        carry()
+        if when == "taken":
+            successor.listed()
+            carry()
+        successor.link.close()
+    clock.advance(5)
+    assert [n for n in names(new) if n.startswith("begin")] == ["begin" if when == "taken" else "begin_alone"]
+    assert new.did[-1] == ("others_hold", 0) or when != "taken"
+
+
+def test_another_node_or_version_is_turned_away():
+    clock, incumbent, _, _, new, carry = sides()
+    incumbent.received({"say": "hello", "who": [VERSION + 1, *WHO[1:]]}, [])
+    assert incumbent.link.said() == ["no"]
+
+
+@pytest.mark.parametrize("given_to", ["old", "new"])
+def test_a_ban_given_to_either_is_in_force_at_both_before_the_yes(given_to):
+    clock, incumbent, successor, old, new, carry = sides()
+    carry()
+    here, there = (incumbent, new) if given_to == "old" else (successor, old)
+    said = []
+    here.tell_ban("s-1", True, lambda: said.append(("banned", "s-1", True) in there.did))
+    assert not said
+    carry()
+    assert said == [True]
+
+
+def test_a_yes_does_not_wait_long_for_a_process_that_hangs_or_has_gone():
+    clock, incumbent, _, _, _, _ = sides()
+    said = []
+    incumbent.tell_ban("s-1", True, lambda: said.append(1))
+    clock.advance(BAN_WAIT)
+    assert said == [1]
+    incumbent.tell_ban("s-1", False, lambda: said.append(2))
+    incumbent.link.close()
+    incumbent.tell_ban("s-2", True, lambda: said.append(3))
+    clock.advance(BAN_WAIT)
+    assert said == [1, 2, 3]
+
+
+# ---- the link
+
+
+class Reactor(Clock):
+    def __init__(self):
+        super().__init__()
+        self.readers, self.writers = set(), set()
+        self.addReader, self.removeReader = self.readers.add, self.readers.discard
+        self.addWriter, self.removeWriter = self.writers.add, self.writers.discard
+
+
+def linked():
+    reactor, ends = Reactor(), socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    for end in ends:
+        end.setblocking(False)
+    return reactor, Link(reactor, ends[0]), Link(reactor, ends[1])
+
+
+def test_packets_come_whole_and_in_order_with_their_descriptors():
+    reactor, a, b = linked()
+    got = []
+    b.received = lambda message, fds: got.append((message["n"], len(fds), [os.close(fd) for fd in fds]))
+    a.send({"n": 1})
+    a.send({"n": 2}, [0, 1])
+    b.doRead()
+    assert [(n, count) for n, count, _ in got] == [(1, 0), (2, 2)]
+    a.close()
+    b.doRead()
+    assert not b.open and not reactor.readers
+
+
+def test_a_link_that_is_full_takes_no_connection_and_loses_no_word():
+    reactor, a, b = linked()
+    got = []
+    b.received = lambda message, fds: got.append(message["n"])
+    sent = 0
+    while a.offer({"n": sent, "x": "y" * 9000}, ()):
+        sent += 1
+    a.send({"n": sent})
+    assert sent > 3 and reactor.writers == {a} and not a.offer({"n": -1}, ())
+    b.doRead()
+    a.doWrite()
+    b.doRead()
+    assert got == list(range(sent + 1)) and not reactor.writers
+
+
+def test_what_is_no_packet_ends_the_link_and_keeps_no_descriptor():
+    _, a, b = linked()
+    before = len(os.listdir("/proc/self/fd"))
+    socket.send_fds(a.sock, [b"[]"], [0])
+    b.doRead()
+    assert not b.open and len(os.listdir("/proc/self/fd")) == before - 1
+
+
+def test_the_socket_of_a_killed_process_is_no_predecessor_and_is_replaced(tmp_path):
+    folder = tmp_path / ("deep" * 25)
+    folder.mkdir()
+    assert reach(str(folder)) is None
+    reactor = Reactor()
+    Doorbell(reactor, str(folder), None).sock.close()
+    assert (folder / FILE).exists() and reach(str(folder)) is None
+    rung = []
+    bell = Doorbell(reactor, str(folder), rung.append)
+    sock = reach(str(folder))
+    bell.doRead()
+    assert len(rung) == 1
+    for s in (sock, rung[0], bell.sock):
+        s.close()
+
+
+# ---- what each side does
+
+
+def test_bans_and_hosts_are_told_whole(tmp_path):
+    d = desk(hosts=2)
+    service = service_over(d, tmp_path)
+    d.listed(False, [row("s-1", "Terminating")])
+    service.calls.call(b"exclude s-0", lambda answer: None)
+    rows = {r["uid"]: r["state"] for r in d.hosts.rows()}
+    assert rows == {"s-0": "Ready", "s-1": "Terminating"}
+    later = desk(hosts=0)
+    successor = service_over(later, tmp_path)
+    successor.know(False, d.hosts.rows(), ["s-0"])
+    assert not later.balancer.may_send(later.hosts.index["s-0"])
+    assert not later.balancer.may_send(later.hosts.index["s-1"])
+
+
+def test_a_process_that_has_given_its_port_takes_nobody_and_is_not_ready(tmp_path):
+    d = desk(hosts=1)
+    service = service_over(d, tmp_path)
+    said = []
+    service.calls.call(b"readyz", said.append)
+    assert said == [["NAK not-taking-clients"]]
+    up(d)
+    connect(d, opening(77))
+    assert d.gauges()["open_requests"] == 2
+
+
+# ---- processes
+
+
+def serve_lines(answer):
+    """A listening socket; each line that comes is answered by what the function makes of it."""
+    server = socket.create_server(("127.0.0.1", 0))
+
+    def one(connection):
+        for line in connection.makefile("rb"):
+            if (said := answer(line)) is not None:
+                connection.sendall(said)
+
+    def loop():
+        while True:
+            connection, _ = server.accept()
+            threading.Thread(target=one, args=(connection,), daemon=True).start()
+
+    threading.Thread(target=loop, daemon=True).start()
+    return server.getsockname()[1]
+
+
+def at_host(line):
+    if line.startswith((b"STATS", b"PING")):
+        return b"PONG x0=0.2\r\n"
+    return b"UP r1\r\n" if line.startswith(b"OPEN") else line
+
+
+class Nodes:
+    """Processes of one node, and calls to them."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        (folder / "tmp").mkdir()
+        body = json.dumps({"rev": 42, "all": True,
+                           "targets": [row("s-0", port=serve_lines(at_host))]}).encode() + b"\n"  # fmt: skip
+        answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(body), body)
+        discovery = serve_lines(lambda line: answer if line.startswith(b"GET") else None)
+        self.port, *self.admin = free_ports(4)
+        self.config = CONFIG | {"listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
+                                "known": {"rev": 41, "targets": []}}  # fmt: skip
+        self.started = []
+
+    def start(self):
+        n, process = len(self.started), self.launch()
+        until(lambda: self.call(n, b"readyz") == [b"ACK"])
+        return process
+
+    def launch(self):
+        n = len(self.started)
+        config = self.config | {"admin_addr": f"127.0.0.1:{self.admin[n]}"}
+        environment = os.environ | write(self.folder / f"c{n}", config) | {"TMPDIR": str(self.folder / "tmp")}
+        process = subprocess.Popen([sys.executable, "-m", "caperdeck", "serve"], env=environment,
+                                   stderr=open(self.folder / f"log{n}", "wb"))  # noqa: SIM115
+        self.started.append(process)
+        return process
+
+    def call(self, n, line):
+        try:
+            with socket.create_connection(("127.0.0.1", self.admin[n]), 2) as sock:
+                sock.sendall(line + b"\r\n")
+                return sock.makefile("rb").read().split(b"\r\n")[:-1]
+        except OSError:
+            return []
+
+    def figure(self, n, name):
+        return next(int(line.split()[1]) for line in self.call(n, b"telemetry") if line.startswith(name))
+
+    def client(self, number):
+        sock = socket.create_connection(("127.0.0.1", self.port), 5)
+        sock.sendall(opening(number) + b"\r\n")
+        return sock, sock.makefile("rb")
+
+    def end(self):
+        for process in self.started:
+            process.kill()
+            process.wait()
+
+
+def free_ports(count):
+    servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [server.getsockname()[1] for server in servers]
+    for server in servers:
+        server.close()
+    return ports
+
+
+def until(true, seconds=10.0):
+    """Waits for what another process does."""
+    end = time.monotonic() + seconds
+    while not true():
+        assert time.monotonic() < end
+        time.sleep(0.02)
+
+
+@pytest.fixture
+def nodes(tmp_path):
+    nodes = Nodes(tmp_path)
+    yield nodes
+    nodes.end()
+
+
+def test_connections_live_on_through_two_upgrades_and_bans_too(nodes):
+    first = nodes.start()
+    clients = [nodes.client(i) for i in range(12)]
+    assert [lines.readline() for _, lines in clients] == [b"UP r1\r\n"] * 12
+    clients[0][0].sendall(b"half a li")
+    assert nodes.call(0, b"exclude s-0") == [b"ACK"]
+    second = nodes.start()
+    assert first.wait(5) == 0 and nodes.figure(1, b"app_open_requests") == 12
+    clients[0][0].sendall(b"ne\r\n")
+    assert clients[0][1].readline() == b"half a line\r\n"
+    refused, lines = nodes.client(50)
+    assert lines.readline().startswith(b"BUSY") and nodes.figure(1, b"app_out_of_rotation") == 1
+    third = nodes.start()
+    assert second.wait(5) == 0 and nodes.call(2, b"include s-0") == [b"ACK"]
+    for sock, lines in clients:
+        sock.sendall(b"still\r\n")
+        assert lines.readline() == b"still\r\n"
+    # it counts as cold now, and takes a session only once its budget has one saved up
+    until(lambda: nodes.client(51)[1].readline() == b"UP r1\r\n")
+    third.send_signal(signal.SIGTERM)
+    assert [lines.readline() for _, lines in clients] == [b"MOVE\r\n"] * 12
+    assert third.wait(5) == 0 and not list((nodes.folder / "tmp").glob("*.sock.*"))
+
+
+def test_no_connection_ends_at_the_door_while_processes_change(nodes):
+    nodes.start()
+    ends, stop = [], threading.Event()
+
+    def knock():
+        for number in range(1000, 9000):
+            if stop.is_set():
+                return
+            sock, lines = nodes.client(number)
+            ends.append(lines.readline())
+            sock.close()
+
+    knocker = threading.Thread(target=knock)
+    knocker.start()
+    for _ in range(2):
+        nodes.start()
+    stop.set()
+    knocker.join()
+    assert set(ends) == {b"UP r1\r\n"} and nodes.started[0].wait(5) == nodes.started[1].wait(5) == 0
+
+
+def test_a_successor_killed_after_it_took_over_leaves_the_port_to_nobody_but_the_next(nodes):
+    nodes.start()
+    second = nodes.start()
+    nodes.started[0].wait(5)
+    second.kill()
+    second.wait()
+    nodes.start()
+    _, lines = nodes.client(1)
+    assert lines.readline() == b"UP r1\r\n"
+
+
+def test_with_damaged_bans_and_nobody_to_ask_a_node_does_not_start(nodes):
+    (nodes.folder / "tmp" / "caperdeck-bans.json").write_text('["s-0"')
+    process = nodes.launch()
+    assert process.wait(10) == 2 and b"caperdeck-bans.json" in (nodes.folder / "log0").read_bytes()
