Nothing is moved off a host taken out while no room is known elsewhere

Need: a test with a single host lost its sessions after a ban: without any figure the part of the room is without bound, so all were moved with nowhere to go. Change: such moves wait for a known part.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -588,7 +588,7 @@
             self.watch_at = math.inf
             self.acts.append(Watch())
         self._survey(now)
-        for h in self.banned:
+        for h in self.banned if math.isfinite(self.part) else ():
             # Danger: it is about to be restarted, which breaks at once whatever still stands there.
             self._relieve(now, h, FULL_LOAD, FULL_LOAD - EMPTYING, False, TICK - SLACK)
         rate = max(ALL_LOOKS * len(self.mine) / self.set.nodes, 1.0) / PROBE_EVERY
