--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -264,3 +264,93 @@
     n.ask(START, ask(1, left=50.0))
     acts = n.ask(START, ask(2, left=50.0))
     assert isinstance(acts[-1], Refuse) and acts[-1].back_off > 0
+
+
+# ---- less room: pieces, quiet connections, clients that walk away
+
+
+def tables(d):
+    n = d.balancer._node
+    return (
+        len(d.sessions.table), len(d.sessions.ids), len(d.sessions.unanswered), len(d.idle), d.budget.clients,
+        d.budget.sessions, len(n.sessions), sum(n.held), sum(n.dialing), sum(map(len, n.standing)),
+        len(n.mine), len(d.balancer._dials), sum(map(len, n.lookers)),
+    )  # fmt: skip
+
+
+def nothing(d):
+    return connect(d), None
+
+
+def half_a_head(d):
+    client = connect(d)
+    client.dataReceived(opening(d.sessions.made)[:30])
+    return client, None
+
+
+def dialling(d):
+    client = connect(d, opening(d.sessions.made))
+    return client, None
+
+
+def head_sent(d):
+    client = connect(d, opening(d.sessions.made))
+    return client, accept(d)
+
+
+def half_an_up(d):
+    client, host = head_sent(d)
+    host.dataReceived(b"UP r")
+    return client, host
+
+
+def standing_quiet(d):
+    return up(d)
+
+
+def half_a_line(d):
+    client, host = up(d)
+    client.dataReceived(b"one\r\ntw")
+    host.dataReceived(b"MO")
+    return client, host
+
+
+@pytest.mark.parametrize("state", [
+    nothing, half_a_head, dialling, head_sent, half_an_up, standing_quiet, half_a_line,
+])  # fmt: skip
+@pytest.mark.parametrize("clean", [True, False])
+def test_clients_that_walk_away_in_any_state_leave_nothing_behind(state, clean):
+    d = desk(hosts=3)
+    start = tables(d)
+    for _ in range(100):
+        client, host = state(d)
+        if clean:
+            client.readConnectionLost()
+        lost(client, clean)
+        if host is not None and not host.ended:
+            lost(host)
+    d.reactor.pump([0.1] * 30)
+    assert tables(d) == start
+
+
+@pytest.mark.parametrize("cut", range(1, 9))
+def test_lines_cut_at_any_byte_are_passed_on_whole(cut):
+    d = desk(hosts=1)
+    client = connect(d)
+    line = OPEN + b"\r\n"
+    at = len(line) - cut
+    client.dataReceived(line[:at])
+    client.dataReceived(line[at:])
+    host = accept(d)
+    for piece in (b"UP r1\r\nMOVE\r\n"[:cut], b"UP r1\r\nMOVE\r\n"[cut:]):
+        host.dataReceived(piece)
+    lost(host)
+    assert client.transport.lines() == [b"UP r1", b"MOVE"] and client.transport.ended == "end"
+
+
+def test_a_move_of_the_nodes_own_never_falls_into_a_line(tmp_path):
+    d = desk(hosts=1)
+    client, host = up(d)
+    host.dataReceived(b"whole\r\nha")
+    d.move(next(iter(d.sessions.table.values())), "stop")
+    assert client.transport.value() == b"whole\r\nMOVE\r\n"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -430,3 +430,16 @@
     (nodes.folder / "tmp" / "caperdeck-bans.json").write_text('["s-0"')
     process = nodes.launch()
     assert process.wait(10) == 2 and b"caperdeck-bans.json" in (nodes.folder / "log0").read_bytes()
+
+
+def test_a_second_process_with_a_broken_file_ends_and_the_first_serves_on(nodes):
+    nodes.start()
+    sock, lines = nodes.client(1)
+    assert lines.readline() == b"UP r1\r\n"
+    whole, nodes.config = nodes.config, nodes.config | {"settings": {}}
+    assert nodes.launch().wait(10) == 2
+    nodes.config = whole | {"name": "another"}
+    assert nodes.launch().wait(10) == 1
+    assert nodes.call(0, b"readyz") == [b"ACK"] and nodes.client(2)[1].readline() == b"UP r1\r\n"
+    sock.sendall(b"still\r\n")
+    assert lines.readline() == b"still\r\n"
