--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -105,6 +105,7 @@
         raise SettingsError(f"limits.sockets is {sockets}, at least {LEAST_SOCKETS} are needed")
     discovery = need(raw, "discovery", "")
     parse_address(discovery)
+    admin = parse_address(raw["admin_addr"]) if raw.get("admin_addr") else None
     return Config(
         name=str(raw.get("name")),
         listen=parse_address(need(raw, "listen", "")),
@@ -115,8 +116,9 @@
         settings=decode_settings(int(str(raw.get("seed", "0")), 16), setup),
         names=decode_names(setup),
         limits=decode_limits(setup),
-        admin=parse_address(raw["admin_addr"]) if raw.get("admin_addr") else None,
-        scratch=scratch,
+        admin=admin,
+        # without a second address there are no bans and no upgrades, and nothing of them is looked for
+        scratch=scratch if admin else None,
         keys=keys_of(raw),
     )
 
--- a/caperdeck/ops/link.py
+++ b/caperdeck/ops/link.py
@@ -31,16 +31,24 @@
             self.fd = os.open(folder, os.O_PATH | os.O_DIRECTORY | os.O_CLOEXEC)
             self.folder = f"/proc/self/fd/{self.fd}"
 
-    def __str__(self) -> str:
+    def __enter__(self) -> str:
         return os.path.join(self.folder, FILE)
 
+    def __exit__(self, *_: object) -> None:
+        if self.fd >= 0:
+            os.close(self.fd)
+
 
 def reach(folder: str) -> socket.socket | None:
     """A connection to the process that serves, None where there is none."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    try:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    except OSError:
+        return None
     sock.setblocking(False)
     try:
-        sock.connect(str(Path(folder)))
+        with Path(folder) as path:
+            sock.connect(path)
     except OSError:
         sock.close()
         return None
@@ -53,17 +61,17 @@
 
     def __init__(self, reactor: Any, folder: str, rung: Callable[[socket.socket], None]) -> None:
         self.reactor, self.rung = reactor, rung
-        path = str(Path(folder))
-        beside = f"{path}.{os.getpid()}"
         self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         self.sock.setblocking(False)
-        # Danger: a process that was killed leaves its socket's file, on which nobody could bind again.
-        if os.path.exists(beside):
-            os.unlink(beside)
-        self.sock.bind(beside)
-        os.chmod(beside, 0o600)
-        self.sock.listen(4)
-        os.rename(beside, path)
+        with Path(folder) as path:
+            beside = f"{path}.{os.getpid()}"
+            # Danger: a process that was killed leaves its socket's file, on which nobody could bind again.
+            if os.path.exists(beside):
+                os.unlink(beside)
+            self.sock.bind(beside)
+            os.chmod(beside, 0o600)
+            self.sock.listen(4)
+            os.rename(beside, path)
         reactor.addReader(self)
 
     def fileno(self) -> int:
