--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -56,7 +56,6 @@
 FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
 CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
-EMPTYING = 0.4  # of what stands on a host taken out by hand is moved off each tick, as far as there is room
 COLD_PART = 0.75  # of a cold host's budget, for all nodes' parts together
 UNEVEN = 1.5  # times its even share of the fleet's room a node may fill: clients come unevenly
 UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
@@ -588,9 +587,6 @@
             self.watch_at = math.inf
             self.acts.append(Watch())
         self._survey(now)
-        for h in self.banned if math.isfinite(self.part) else ():
-            # Danger: it is about to be restarted, which breaks at once whatever still stands there.
-            self._relieve(now, h, FULL_LOAD, FULL_LOAD - EMPTYING, False, TICK - SLACK)
         rate = max(ALL_LOOKS * len(self.mine) / self.set.nodes, 1.0) / PROBE_EVERY
         self.purse = min(self.purse + TICK * rate, len(self.mine) + 1)
         # Danger: an overfilled host goes unseen where few sessions pay, or while it has told no figure yet.
