A host's cold budget goes by what it bore itself while warm, not by the mean of all hosts

Counted in the module: of 170 to 420 looks for a host in each half second all but 1 to 6 were turned away by the cold budget's lot, none by the part of the room. The budget was spent whole, but set by the mean of all hosts, half of what the large host bears; a small one was given more than its own. Change: Node.able, the load a host bore itself for its figure while warm, within half and twice the mean, for cold budgets and own dials since a report.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -59,6 +59,7 @@
 COLD_PART = 0.75  # of a cold host's budget, for all nodes' parts together
 UNEVEN = 1.5  # times its even share of the fleet's room a node may fill: clients come unevenly
 UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
+UNIT_SPAN = 2.0  # times as much or as little as the mean, at the most, is believed of one host
 SLACK = 1.0  # a bell may ring so much early by the rounding of its time
 TICK_TOKEN = -1
 
@@ -124,6 +125,7 @@
         self.extra: list[float] = []  # its sum
         self.ill: list[float] = []
         self.shunned: list[float] = []  # until when
+        self.able: list[float] = []  # load that fills it once warm, 0 while unknown
         self.tokens: list[float] = []  # own part of a cold host's budget saved, in load, and when
         self.tokens_at: list[float] = []
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
@@ -136,8 +138,7 @@
         self.back: dict[int, None] = {}  # hosts called back that have taken no session since
         self.whole_size, self.most_ill = 0.0, False
         self.purse = 0.0  # probes that the sessions taken allow
-        self.part = math.inf  # the own part of the fleet's room, whole and
-        self.spare = math.inf  # not yet taken
+        self.part = self.spare = math.inf  # the own part of the fleet's room, whole and not yet taken
         self.scarce = 0.0  # of the hosts, as far as seen, so many have no room
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.mean_hint, self.asked = 0.0, 0  # over so many sessions so far
@@ -147,8 +148,7 @@
         self.retune(now, settings)
 
     def start(self) -> list[Action]:
-        self.acts += [Watch()] * self.set.subscribe + [Wake(TICK * (0.5 + self._chance()), TICK_TOKEN)]
-        return self._done()
+        return [Watch()] * self.set.subscribe + [Wake(TICK * (0.5 + self._chance()), TICK_TOKEN)]
 
     def retune(self, now: float, settings: Settings) -> list[Action]:
         """Other settings from now on; a session keeps the listener and the dials that it began with."""
@@ -199,8 +199,7 @@
         return []
 
     def _recount(self) -> None:
-        away, here = HostState.DRAINING, HostState.RUNNING
-        self.state = [away if x is here and h in self.banned else x for h, x in enumerate(self.listed)]
+        self.state = [max(x, HostState(h in self.banned)) for h, x in enumerate(self.listed)]
         running = [h for h, state in enumerate(self.state) if state is HostState.RUNNING]
         self.near = [h for h in running if self.zone[h] == self.set.zone]
         if running != self.running:
@@ -215,7 +214,7 @@
                 (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
                 (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
                 (self.lookers, []), (self.tokens, 0.0), (self.tokens_at, now), (self.crowd, None),
-                (self.unseen, 0.0),
+                (self.unseen, 0.0), (self.able, 0.0),
             ):  # fmt: skip
                 array.append(blank)
 
@@ -245,7 +244,7 @@
     def _cold_right(self, now: float, s: _Session, h: int) -> bool:
         """Whether a session may go to a cold host, so that all nodes together keep the host's budget."""
         # a cold host takes new load no faster than would fill it over its warm-up
-        fill = self.unit * self.size[h] / self.set.warm_after or self.mean_hint / self.set.fall_span
+        fill = self._fills(h) / self.set.warm_after or self.mean_hint / self.set.fall_span
         budget = self.set.fall_multiple * self._warmth(now, h) * fill
         # Danger: where nodes are many a part is less than one connection, and all nodes sending the first one
         # would push the host over: the part saved then buys a chance, and a draw spends it either way.
@@ -370,7 +369,12 @@
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
         # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
-        return figure + self.alike * self.extra[h] / (self.unit * self.size[h]) if self.unit else figure
+        return figure + self.alike * self.extra[h] / self._fills(h) if self.unit else figure
+
+    def _fills(self, h: int) -> float:
+        """The load that fills a host once it is warm: by what it bore itself, if not far from the mean."""
+        mean = self.unit * self.size[h]
+        return min(max(self.able[h] or mean, mean / UNIT_SPAN), mean * UNIT_SPAN)
 
     def _count_load(self, h: int) -> float:
         """Without figures: own connections for the host's size, below every threshold; unused is the mean."""
@@ -399,9 +403,14 @@
         own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
         # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
         # while the others are away; what the hosts hold for all nodes says more where it is told.
-        told = [(self.crowd[h], f * self.size[h]) for f, h in known if self.crowd[h] is not None]
-        loads = (sum(own) + self.mean_hint) / (len(own) + 1) * sum(held for held, _ in told)
-        full = sum(load for _, load in told)
+        told = [(self.crowd[h], f * self.size[h], h) for f, h in known if self.crowd[h] is not None]
+        each = (sum(own) + self.mean_hint) / (len(own) + 1)
+        loads, full = each * sum(held for held, _, _ in told), sum(load for _, load, _ in told)
+        for held, load, h in told:
+            # Danger: by the mean of all a small host that starts cold would be sent what a large one bears.
+            if load >= NOT_MEASURED * self.size[h] and self._warmth(now, h) >= 1:
+                able = each * held * self.size[h] / load
+                self.able[h] += (able - self.able[h]) * (UNIT_SMOOTH if self.able[h] else 1.0)
         if not told:
             loads, full = self.set.nodes * sum(own), self.mean_figure * self.whole_size
         # Danger: a list may leave no host running while figures of the last ones are still known.
@@ -501,10 +510,7 @@
 
     def _go_on(self, s: _Session, result: Outcome | None) -> None:
         """Carries the session on to what it wants done next."""
-        try:
-            act = s.run.send(result)
-        except StopIteration:
-            return
+        act = s.run.send(result)
         if isinstance(act, list):
             s.looking = {probe.host for probe in act}
             for (h,) in act:
@@ -609,8 +615,7 @@
         return True
 
     def probed(self, now: float, h: int, result: Outcome, report: Report) -> list[Action]:
-        self.now = now
-        self.probe_out[h] = 0.0
+        self.now, self.probe_out[h] = now, 0.0
         if result is Outcome.GOOD:
             self.seen_at[h] = now
             if self.state[h] is HostState.RUNNING:
@@ -632,8 +637,7 @@
     def _learn(self, now: float, h: int, report: Report) -> None:
         figure, self.crowd[h] = report.load, report.held
         # Danger: a host that holds connections and tells no load yet has not measured it; it is not empty.
-        full = NOT_MEASURED * self.unit * self.size[h]
-        if not figure and report.held and report.held * self.mean_hint >= full:
+        if not figure and report.held and report.held * self.mean_hint >= NOT_MEASURED * self._fills(h):
             figure = None
         if figure is None and report.piled is not None:
             figure = report.piled / self.shortest
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -247,6 +247,31 @@
     assert n.born[0] == START + born
 
 
+@pytest.mark.parametrize("held", [40, 60, 20, 200])
+def test_a_host_that_starts_again_is_filled_by_what_it_bore_itself(held, figure=0.4):
+    n = node(4)
+    for h in range(4):
+        standing(n, h, [10.0] * 20, first=100 * h + 100)
+        n.probed(START, h, Outcome.GOOD, Report(figure, None, held if h == 0 else 40))
+    n._survey(START)
+    mean = n.unit
+    assert n._fills(1) == pytest.approx(10.0 * 40 / 0.4, rel=0.05)
+    assert n._fills(0) == pytest.approx(min(10.0 * held / 0.4, 2 * mean), rel=0.05)
+    assert n._fills(0) >= mean / 2
+    n.ban(START, 0, True)
+    n.ban(START + 3000, 0, False)
+    assert n._fills(0) == pytest.approx(min(10.0 * held / 0.4, 2 * mean), rel=0.05)
+
+
+def test_what_a_cold_host_bears_is_no_measure_of_it():
+    n = node(entries=[entry(0, born=START - 1000.0), entry(1)])
+    for h in range(2):
+        standing(n, h, [10.0] * 20, first=100 * h + 100)
+        n.probed(START, h, Outcome.GOOD, Report(0.4, None, 40))
+    n._survey(START)
+    assert not n.able[0] and n.able[1]
+
+
 def test_what_stands_on_a_host_taken_out_is_left_there():
     n = node(3)
     standing(n, 0, [10.0] * 20)
