A successor waits while its incumbent is busy, and takes nothing once it is to stop

A second upgrade while the first still hands on ended the new process; a SIGTERM before it took over would have given it a port to end with; a call before its list was answered no; one that was turned away began by itself while it ended. Change: busy is answered and asked again every 0.25 s, 24 times; a stop before the start of service ends at once; calls wait for the list; a successor turned away ends its link first.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -42,6 +42,8 @@
 MOVING = 1200.0  # the last part of that, in which they are moved, evenly
 SHORT_EVERY = 1000.0  # the log says so often at the most that sockets are short
 LINGER = 150.0  # from the last end until the exit
+ASK_EVERY = 0.25  # seconds until a successor asks again that found its incumbent busy
+MOST_ASKED = 24
 
 
 def make_clock():
@@ -80,6 +82,9 @@
         self.stopped_at = 0.0
         self.left = False
         self.takes = False  # this process accepts clients
+        self.knows = False  # it has the list of hosts and the bans
+        self.early: list[tuple[bytes, Then]] = []  # calls that wait until it does
+        self.asked = 0  # so often a successor has asked one that was busy
         self.succession: Incumbent | Successor | None = None
         self.doorbell: Doorbell | None = None
 
@@ -91,11 +96,11 @@
             signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
         before = reach(config.scratch) if config.scratch else None
         if before is None:
-            self.know(True, config.known)
+            self.know(config.known)
             self.discovery.start()
             self.listen()
         else:
-            self.succession = Successor(self.reactor, Link(self.reactor, before), self)
+            self.succeed(before)
         if config.admin is not None:
             Front(self.reactor, self.calls).listen(config.admin)
         self.keep_sweeping()
@@ -105,15 +110,19 @@
         if before is None:
             self.begin()
 
-    def know(self, load: bool, rows: list, uids: Iterable[str] = ()) -> None:
-        """Takes in a list of hosts and the bans, before anything is sent."""
-        if load:
+    def know(self, rows: list, uids: Iterable[str] | None = None) -> None:
+        """Takes in the hosts, and the bans, those of the file if none are given, before anything is sent."""
+        if uids is None:
             self.bans.load()
         else:
             self.bans.replace(uids)
         self.desk.listed(True, rows)
         for uid in self.bans.uids:
             self.desk.ban(uid, True)
+        self.knows = True
+        early, self.early = self.early, []
+        for line, then in early:
+            self.calls.call(line, then)
 
     def listen(self, fd: int = -1) -> None:
         """Opens the clients' port, or goes on with one that was handed on; accepts nobody yet."""
@@ -154,11 +163,28 @@
     def rung(self, sock: socket.socket) -> None:
         link = Link(self.reactor, sock)
         if self.succession is not None and self.succession.open:
-            link.send({"say": "no", "reason": "another process is taking over"})
+            # the upgrade before may still hand on, or another one be under way
+            link.send({"say": "busy"})
             self.reactor.callLater(1.0, link.close)
             return
         self.succession = Incumbent(self.reactor, link, self)
 
+    def succeed(self, before: socket.socket) -> None:
+        self.succession = Successor(self.reactor, Link(self.reactor, before), self)
+
+    def ask_again(self) -> None:
+        self.asked += 1
+        if self.asked > MOST_ASKED:
+            self.refused("another process is taking over")
+        else:
+            self.reactor.callLater(ASK_EVERY, self._reach_again)
+
+    def _reach_again(self) -> None:
+        if (before := reach(self.config.scratch)) is None:
+            self.begin_alone()
+        else:
+            self.succeed(before)
+
     def identity(self) -> list[str]:
         return [self.config.name, "{}:{}".format(*self.config.listen)]
 
@@ -167,7 +193,7 @@
         return self.desk.hosts.rows(), state, [self.port.fileno()]
 
     def take_state(self, rows: list, state: dict, fds: list[int]) -> None:
-        self.know(False, rows, state["bans"])
+        self.know(rows, state["bans"])
         hosts = self.desk.hosts
         for row in rows:
             hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
@@ -225,7 +251,7 @@
         logger.warning("upgrade reason=alone")
         try:
             if self.port is None:
-                self.know(True, self.config.known)
+                self.know(self.config.known)
                 self.discovery.start()
                 self.listen()
         except (BansError, CannotListenError) as error:
@@ -279,6 +305,10 @@
 
     def ban(self, uid: str, out: bool, then: Then) -> None:
         """Takes a host out, or lets it serve again; in force when the yes goes out."""
+        if not self.knows:
+            # Danger: a successor that has not been told of the hosts yet would deny one that is listed.
+            self.early.append((f"{'exclude' if out else 'include'} {uid}".encode(), then))
+            return
         if uid not in self.desk.hosts.index:
             raise CallError("unknown-host")
         try:
@@ -331,6 +361,10 @@
             return
         self.stopped_at = self.clock()
         self.desk.stopping = True
+        # Danger: a successor that ends must not take over a port and connections that it would end with it.
+        if not self.takes and isinstance(self.succession, Successor):
+            self.exit()
+            return
         logger.info("stop sessions={}", len(self.desk.sessions.table))
         # Danger: in a rolling restart the node before may not be back; who is moved early has nowhere to go.
         self.reactor.callLater(max(self.stop_span() - MOVING, SERVE_ON) / MS, self.move_some)
--- a/caperdeck/ops/succession.py
+++ b/caperdeck/ops/succession.py
@@ -36,6 +36,7 @@
     def begin(self) -> None: ...
     def begin_alone(self) -> None: ...
     def refused(self, reason: str) -> None: ...
+    def ask_again(self) -> None: ...
     def banned(self, uid: str, out: bool) -> None: ...
 
 
@@ -141,7 +142,13 @@
     def heard(self, say: Any, message: Message, fds: list[int]) -> None:
         if say == "no":
             self.timer.cancel()
+            self.end()
             self.node.refused(str(message.get("reason")))
+        elif say == "busy":
+            self.timer.cancel()
+            self.end()
+            self.link.close()
+            self.node.ask_again()
         elif say == "hosts":
             self.rows += message["rows"]
         elif say == "state":
