The upgrade has a module of its own; a port given and taken back is read again

Cause: read again, a process whose successor died asked for its port through a switch that thought it was still on, so it would never have accepted again; a test on the port shows it. Change: ops/upgrade.py holds this process's part in an upgrade, the service keeps start, reload and stop; taking clients is one method.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -12,7 +12,6 @@
 from typing import Any
 
 from loguru import logger
-from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from caperdeck.core.facade import Balancer
@@ -20,16 +19,13 @@
 from caperdeck.ops.bans import Bans, BansError
 from caperdeck.ops.calls import CallError, Calls, Then, yes
 from caperdeck.ops.front import RESERVED, Front
-from caperdeck.ops.handover import let_go, may_go, packet, take_up
-from caperdeck.ops.link import Doorbell, Link, reach
-from caperdeck.ops.succession import Incumbent, Successor
+from caperdeck.ops.upgrade import Upgrade
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.patience import Patience
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
 from caperdeck.wire.discovery import Discovery
-from caperdeck.wire.heads import HeadError
 
 from .config import Config, ConfigError, check_kept
 from .logs import Sink, one_line
@@ -42,8 +38,6 @@
 MOVING = 1200.0  # the last part of that, in which they are moved, evenly
 SHORT_EVERY = 1000.0  # the log says so often at the most that sockets are short
 LINGER = 150.0  # from the last end until the exit
-ASK_EVERY = 0.25  # seconds until a successor asks again that found its incumbent busy
-MOST_ASKED = 24
 
 
 def make_clock():
@@ -84,9 +78,7 @@
         self.takes = False  # this process accepts clients
         self.knows = False  # it has the list of hosts and the bans
         self.early: list[tuple[bytes, Then]] = []  # calls that wait until it does
-        self.asked = 0  # so often a successor has asked one that was busy
-        self.succession: Incumbent | Successor | None = None
-        self.doorbell: Doorbell | None = None
+        self.upgrade = Upgrade(reactor, self)
 
     def start(self) -> None:
         config = self.config
@@ -94,20 +86,18 @@
             (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
         ):  # fmt: skip
             signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
-        before = reach(config.scratch) if config.scratch else None
-        if before is None:
+        alone = not self.upgrade.succeed()
+        if alone:
             self.know(config.known)
             self.discovery.start()
             self.listen()
-        else:
-            self.succeed(before)
         if config.admin is not None:
             Front(self.reactor, self.calls).listen(config.admin)
         self.keep_sweeping()
         self.desk.budget.used = open_descriptors() + 8 + RESERVED * (config.admin is not None)
         gc.collect()
         gc.freeze()
-        if before is None:
+        if alone:
             self.begin()
 
     def know(self, rows: list, uids: Iterable[str] | None = None) -> None:
@@ -138,137 +128,19 @@
     def begin(self) -> None:
         """From now on this process takes clients, and can be succeeded."""
         config = self.config
-        self.takes = True
-        self.port.startReading()
-        self.ring()
+        self.take_clients()
+        self.upgrade.ring()
         logger.info("start node={} listen={}:{} hosts={} sockets={}", config.name, *config.listen,
                     self.desk.hosts.running(), config.sockets)  # fmt: skip
 
+    def take_clients(self) -> None:
+        self.takes = self.accepts = True
+        self.port.startReading()
+
     def discovery_spoke(self) -> None:
         self.desk.discovery_spoke()
-        if isinstance(self.succession, Successor):
-            self.reactor.callLater(0, self.succession.listed)
-
-    # ---- an upgrade: what each side of it asks of this process
-
-    def ring(self) -> None:
-        """Lets a successor find this process."""
-        if self.config.scratch is None:
-            return
-        try:
-            self.doorbell = Doorbell(self.reactor, self.config.scratch, self.rung)
-        except OSError as error:
-            logger.warning("upgrade reason=no-doorbell {}", error)
-
-    def rung(self, sock: socket.socket) -> None:
-        link = Link(self.reactor, sock)
-        if self.succession is not None and self.succession.open:
-            # the upgrade before may still hand on, or another one be under way
-            link.send({"say": "busy"})
-            self.reactor.callLater(1.0, link.close)
-            return
-        self.succession = Incumbent(self.reactor, link, self)
-
-    def succeed(self, before: socket.socket) -> None:
-        self.succession = Successor(self.reactor, Link(self.reactor, before), self)
-
-    def ask_again(self) -> None:
-        self.asked += 1
-        if self.asked > MOST_ASKED:
-            self.refused("another process is taking over")
-        else:
-            self.reactor.callLater(ASK_EVERY, self._reach_again)
-
-    def _reach_again(self) -> None:
-        if (before := reach(self.config.scratch)) is None:
-            self.begin_alone()
-        else:
-            self.succeed(before)
-
-    def identity(self) -> list[str]:
-        return [self.config.name, "{}:{}".format(*self.config.listen)]
-
-    def tell_state(self) -> tuple[list[dict], dict, list[int]]:
-        state = {"rev": self.discovery.rev, "bans": list(self.bans.uids), "told_at": self.desk.told_at}
-        return self.desk.hosts.rows(), state, [self.port.fileno()]
-
-    def take_state(self, rows: list, state: dict, fds: list[int]) -> None:
-        self.know(rows, state["bans"])
-        hosts = self.desk.hosts
-        for row in rows:
-            hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
-        self.desk.told_at, self.discovery.rev = state["told_at"], state["rev"]
-        self.listen(fds[0])
-        self.discovery.start()
-
-    def stop_taking(self) -> None:
-        logger.info("upgrade reason=given sessions={}", len(self.desk.sessions.table))
-        self.takes = False
-        self.port.stopReading()
-        if self.doorbell is not None:
-            self.doorbell.close()
-
-    def take_again(self) -> None:
-        logger.error("upgrade reason=successor-lost sessions={}", len(self.desk.sessions.table))
-        self.takes = True
-        if not self.stopped_at:
-            self.accept(self.desk.budget.may_accept())
-            self.ring()
-
-    def hand_on(self, most: int) -> bool:
-        """Hands some of what stands on; True once nothing is left here."""
-        for s in [s for s in self.desk.sessions.standing() if may_go(s)][:most]:
-            message, fds = packet(self.desk, s)
-            if not self.succession.link.offer(message, fds):
-                break
-            client, conn = s.client, s.conn
-            self.desk.handed_on(s)
-            let_go(client)
-            let_go(conn)
-        return not self.desk.sessions.table and not self.desk.budget.clients
-
-    def held(self) -> int:
-        return open_descriptors()
-
-    def done(self) -> None:
-        logger.info("upgrade reason=handed-on")
-        self.exit()
-
-    def take_session(self, message: dict, fds: list[int]) -> None:
-        try:
-            taken = take_up(self.desk, message, fds)
-        except (HeadError, KeyError, TypeError, ValueError, OSError) as error:
-            logger.error("upgrade reason=bad-session {!r}", error)
-            return
-        if not taken:
-            logger.info("upgrade reason=side-gone line={!r}", message["line"][:40])
-
-    def others_hold(self, descriptors: int) -> None:
-        self.desk.budget.elsewhere = descriptors
-
-    def begin_alone(self) -> None:
-        """The process before has gone, or never answered."""
-        logger.warning("upgrade reason=alone")
-        try:
-            if self.port is None:
-                self.know(self.config.known)
-                self.discovery.start()
-                self.listen()
-        except (BansError, CannotListenError) as error:
-            self.refused(str(error))
-            return
-        self.begin()
-
-    def refused(self, reason: str) -> None:
-        logger.error("upgrade reason=refused {}", reason)
-        self.sink.flush()
-        self.exit_code = 1
-        self.reactor.stop()
-
-    def banned(self, uid: str, out: bool) -> None:
-        """The other process was told so."""
-        self.bans.note(uid, out)
-        self.desk.ban(uid, out)
+        # what the line holds is taken in first
+        self.reactor.callLater(0, self.upgrade.listed)
 
     def complain(self, reason: str, text: str) -> None:
         logger.warning("discovery reason={} {}", reason, text)
@@ -317,10 +189,7 @@
             logger.error("call reason=bans-unwritable {}", error)
             raise CallError("bans-unwritable") from None
         self.desk.ban(uid, out)
-        if self.succession is None:
-            then(yes())
-        else:
-            self.succession.tell_ban(uid, out, lambda: then(yes()))
+        self.upgrade.tell_ban(uid, out, lambda: then(yes()))
 
     def telemetry(self, then: Then) -> None:
         then([*self.desk.figures.lines(self.desk.gauges()), "--"])
@@ -362,7 +231,7 @@
         self.stopped_at = self.clock()
         self.desk.stopping = True
         # Danger: a successor that ends must not take over a port and connections that it would end with it.
-        if not self.takes and isinstance(self.succession, Successor):
+        if not self.takes and self.upgrade.under_way:
             self.exit()
             return
         logger.info("stop sessions={}", len(self.desk.sessions.table))
@@ -385,12 +254,11 @@
         else:
             self.reactor.callLater(LINGER / MS, self.exit)
 
-    def exit(self) -> None:
+    def exit(self, code: int = 0) -> None:
         if self.left:
             return
-        self.left = True
-        if self.succession is not None:
-            self.succession.end()
+        self.left, self.exit_code = True, code
+        self.upgrade.end()
         logger.info("exit ms={:.0f}", self.clock() - self.stopped_at if self.stopped_at else 0)
         self.sink.flush()
         self.reactor.stop()
--- /dev/null
+++ b/caperdeck/ops/upgrade.py
@@ -0,0 +1,195 @@
+"""This process's part in an upgrade: the successor of one that serves, later the incumbent of the next.
+
+What is said and when stands in succession.py; here is what a node does at each word of it.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from loguru import logger
+from twisted.internet.error import CannotListenError
+
+from caperdeck.state.budget import open_descriptors
+from caperdeck.wire.heads import HeadError
+
+from .bans import BansError
+from .handover import let_go, may_go, packet, take_up
+from .link import Doorbell, Link, reach
+from .succession import Incumbent, Successor
+
+ASK_EVERY = 0.25  # seconds until a successor asks again that found its incumbent busy
+MOST_ASKED = 24
+
+
+class Node(Protocol):
+    """The node of this process."""
+
+    config: Any
+    desk: Any
+    discovery: Any
+    bans: Any
+    port: Any
+    takes: bool
+
+    def know(self, rows: list, uids: Iterable[str] | None = None) -> None: ...
+    def listen(self, fd: int = -1) -> None: ...
+    def begin(self) -> None: ...
+    def take_clients(self) -> None: ...
+    def exit(self, code: int = 0) -> None: ...
+
+
+class Upgrade:
+    def __init__(self, reactor: Any, node: Node) -> None:
+        self.reactor = reactor
+        self.node = node
+        self.side: Incumbent | Successor | None = None
+        self.doorbell: Doorbell | None = None
+        self.asked = 0  # so often one that was busy
+
+    @property
+    def under_way(self) -> bool:
+        return self.side is not None and self.side.open
+
+    def tell_ban(self, uid: str, out: bool, then: Callable[[], None]) -> None:
+        if self.side is None:
+            then()
+        else:
+            self.side.tell_ban(uid, out, then)
+
+    def listed(self) -> None:
+        """Discovery has spoken to this process."""
+        if isinstance(self.side, Successor):
+            self.side.listed()
+
+    def end(self) -> None:
+        if self.side is not None:
+            self.side.end()
+
+    def identity(self) -> list[str]:
+        return [self.node.config.name, "{}:{}".format(*self.node.config.listen)]
+
+    def banned(self, uid: str, out: bool) -> None:
+        """The other process was told so, and has kept it."""
+        self.node.bans.note(uid, out)
+        self.node.desk.ban(uid, out)
+
+    # ---- the incumbent
+
+    def ring(self) -> None:
+        """Lets a successor find this process."""
+        if self.node.config.scratch is None:
+            return
+        try:
+            self.doorbell = Doorbell(self.reactor, self.node.config.scratch, self.rung)
+        except OSError as error:
+            logger.warning("upgrade reason=no-doorbell {}", error)
+
+    def rung(self, sock: socket.socket) -> None:
+        link = Link(self.reactor, sock)
+        if self.under_way:
+            # the upgrade before may still hand on, or another one be under way
+            link.send({"say": "busy"})
+            self.reactor.callLater(1.0, link.close)
+            return
+        self.side = Incumbent(self.reactor, link, self)
+
+    def tell_state(self) -> tuple[list[dict], dict, list[int]]:
+        node = self.node
+        state = {"rev": node.discovery.rev, "bans": list(node.bans.uids), "told_at": node.desk.told_at}
+        return node.desk.hosts.rows(), state, [node.port.fileno()]
+
+    def stop_taking(self) -> None:
+        logger.info("upgrade reason=given sessions={}", len(self.node.desk.sessions.table))
+        self.node.takes = False
+        self.node.port.stopReading()
+        if self.doorbell is not None:
+            self.doorbell.close()
+
+    def take_again(self) -> None:
+        node = self.node
+        logger.error("upgrade reason=successor-lost sessions={}", len(node.desk.sessions.table))
+        node.take_clients()
+        self.ring()
+
+    def hand_on(self, most: int) -> bool:
+        """Hands some of what stands on; True once nothing is left here."""
+        desk = self.node.desk
+        for s in [s for s in desk.sessions.standing() if may_go(s)][:most]:
+            message, fds = packet(desk, s)
+            if not self.side.link.offer(message, fds):
+                break
+            client, conn = s.client, s.conn
+            desk.handed_on(s)
+            let_go(client)
+            let_go(conn)
+        return not desk.sessions.table and not desk.budget.clients
+
+    def held(self) -> int:
+        return open_descriptors()
+
+    def done(self) -> None:
+        logger.info("upgrade reason=handed-on")
+        self.node.exit()
+
+    # ---- the successor
+
+    def succeed(self) -> bool:
+        """Asks the process that serves, if there is one."""
+        scratch = self.node.config.scratch
+        before = reach(scratch) if scratch else None
+        if before is not None:
+            self.side = Successor(self.reactor, Link(self.reactor, before), self)
+        return before is not None
+
+    def ask_again(self) -> None:
+        self.asked += 1
+        if self.asked > MOST_ASKED:
+            self.refused("another process is taking over")
+        else:
+            self.reactor.callLater(ASK_EVERY, lambda: self.succeed() or self.begin_alone())
+
+    def take_state(self, rows: list, state: dict, fds: list[int]) -> None:
+        node = self.node
+        node.know(rows, state["bans"])
+        hosts = node.desk.hosts
+        for row in rows:
+            hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
+        node.desk.told_at, node.discovery.rev = state["told_at"], state["rev"]
+        node.listen(fds[0])
+        node.discovery.start()
+
+    def take_session(self, message: dict, fds: list[int]) -> None:
+        try:
+            taken = take_up(self.node.desk, message, fds)
+        except (HeadError, KeyError, TypeError, ValueError, OSError) as error:
+            logger.error("upgrade reason=bad-session {!r}", error)
+            return
+        if not taken:
+            logger.info("upgrade reason=side-gone line={!r}", message["line"][:40])
+
+    def others_hold(self, descriptors: int) -> None:
+        self.node.desk.budget.elsewhere = descriptors
+
+    def begin(self) -> None:
+        self.node.begin()
+
+    def begin_alone(self) -> None:
+        """The process before has gone, or never answered."""
+        node = self.node
+        logger.warning("upgrade reason=alone")
+        try:
+            if node.port is None:
+                node.know(node.config.known)
+                node.discovery.start()
+                node.listen()
+        except (BansError, CannotListenError) as error:
+            self.refused(str(error))
+            return
+        node.begin()
+
+    def refused(self, reason: str) -> None:
+        logger.error("upgrade reason=refused {}", reason)
+        self.node.exit(1)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -296,15 +296,43 @@
     assert said == [["ACK"], ["NAK unknown-host"]] and not d.balancer.may_send(0)
 
 
+class Port:
+    """Whether the clients' port is read, as last asked for."""
+
+    def __init__(self):
+        self.reads = True
+
+    def startReading(self):
+        self.reads = True
+
+    def stopReading(self):
+        self.reads = False
+
+
+def test_a_port_that_was_given_is_read_again_once_the_successor_has_gone(tmp_path):
+    d = desk(hosts=1)
+    service = service_over(d, tmp_path, admin_addr=None)
+    service.port = Port()
+    service.take_clients()
+    service.upgrade.stop_taking()
+    service.accept(False)
+    service.accept(True)
+    assert not service.port.reads and not service.takes
+    service.upgrade.take_again()
+    assert service.port.reads and service.takes
+    service.accept(False)
+    assert not service.port.reads
+
+
 def test_a_successor_that_is_stopped_before_it_took_over_takes_nothing(tmp_path):
     d = desk(hosts=1)
     service = service_over(d, tmp_path)
-    service.succession = Successor(d.reactor, Wired(), service)
+    service.upgrade.side = Successor(d.reactor, Wired(), service.upgrade)
     d.reactor.stop = lambda: d.reactor.callLater(0, ended.append, 1)
     ended = []
     service.stop()
     d.reactor.advance(0.01)
-    assert ended == [1] and not service.succession.open
+    assert ended == [1] and not service.upgrade.under_way
 
 
 # ---- processes
