Cold budgets by the mean load of those that stand; a successor is told what was learned

Two reasons: the mean load of all that ask had doubled (32 to 74 million), as refused clients ask again and again and the heavy ones most, and a draw is won by what is saved over that mean; after an upgrade what fills a host was learned anew from cold hosts, 1.2 for 3.1 billion. Ruled out: the part of the room (spare stayed full) and the ban (called back at 11.4 s). Change: the mean of what stands takes the place of the mean of what asks in the budget; cold hosts do not measure what fills a host; unit, means and each host's measure go to the successor with the roster.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -79,7 +79,6 @@
     asked: float
     deadline: float
     usual: float | None  # the usual-load hint
-    weight: float  # what it takes of a cold host's budget
     group: int | None
     dials: list[_Sent] = field(default_factory=list)
     out: bool = False  # a dial is out or a stream stands
@@ -141,7 +140,7 @@
         self.part = self.spare = math.inf  # the own part of the fleet's room, whole and not yet taken
         self.scarce = 0.0  # of the hosts, as far as seen, so many have no room
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
-        self.mean_hint, self.asked = 0.0, 0  # over so many sessions so far
+        self.mean_hint, self.asked, self.each = 0.0, 0, 0.0  # of all that asked, so many; of those that stand
         self.mean_figure: float | None = None
         self.unit = 0.0  # load that fills a host of size 1, 0 while unknown
         self.watch_wait, self.watch_at = 250.0, math.inf
@@ -251,9 +250,11 @@
         part = COLD_PART * budget / self.set.nodes
         saved = min(self.tokens[h] + part * (now - self.tokens_at[h]), part * self.set.fall_span)
         self.tokens[h], self.tokens_at[h] = min(saved, 0.0), now
-        if saved <= self._chance() * self.mean_hint:
+        # Danger: clients that are refused ask again and again, heavy ones most, and double the mean of all.
+        mean = self.each or self.mean_hint
+        if saved <= self._chance() * mean:
             return False
-        self.tokens[h] = max(saved, self.mean_hint) - s.weight
+        self.tokens[h] = max(saved, mean) - max(self._forecast(now, s), mean)
         return True
 
     def _failed(self, now: float, h: int) -> None:
@@ -403,13 +404,13 @@
         own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
         # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
         # while the others are away; what the hosts hold for all nodes says more where it is told.
-        told = [(self.crowd[h], f * self.size[h], h) for f, h in known if self.crowd[h] is not None]
-        each = (sum(own) + self.mean_hint) / (len(own) + 1)
-        loads, full = each * sum(held for held, _, _ in told), sum(load for _, load, _ in told)
-        for held, load, h in told:
+        told = [(f, h) for f, h in known if self.crowd[h] is not None and self._warmth(now, h) >= 1]
+        self.each = (sum(own) + self.mean_hint) / (len(own) + 1)
+        loads, full = self.each * sum(self.crowd[h] for _, h in told), sum(f * self.size[h] for f, h in told)
+        for f, h in told:
             # Danger: by the mean of all a small host that starts cold would be sent what a large one bears.
-            if load >= NOT_MEASURED * self.size[h] and self._warmth(now, h) >= 1:
-                able = each * held * self.size[h] / load
+            if f >= NOT_MEASURED:
+                able = self.each * self.crowd[h] / f
                 self.able[h] += (able - self.able[h]) * (UNIT_SMOOTH if self.able[h] else 1.0)
         if not told:
             loads, full = self.set.nodes * sum(own), self.mean_figure * self.whole_size
@@ -480,13 +481,12 @@
         s.stands, s.out, s.answered, self.standing[h][s.id], self.mine[h] = since, True, True, s, None
 
     def _new(self, now: float, a: Ask) -> _Session:
-        load = 1.0 if a.load is None else a.load
         self.asked += 1
-        self.mean_hint += (load - self.mean_hint) * max(0.02, 1 / self.asked)
+        self.mean_hint += ((1.0 if a.load is None else a.load) - self.mean_hint) * max(0.02, 1 / self.asked)
         self.purse += 1
         s = self.sessions[a.session] = _Session(
             a.session, self.set.listeners[a.listener], self.set.max_dials, now, now + a.left, a.load,
-            max(load, self.mean_hint), a.group, smooth=a.load or 0.0)  # fmt: skip
+            a.group, smooth=a.load or 0.0)  # fmt: skip
         return s
 
     def _session(self, s: _Session) -> Generator[Action | list[Probe], Outcome | None, None]:
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -9,7 +9,7 @@
 
 import heapq
 import math
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from .decide import Node
 from .model import (
@@ -172,6 +172,18 @@
         """Whether a listed host is sent nothing now by this node's choice; changes nothing."""
         return self._node.avoids(now, host)
 
+    def memory(self) -> dict[str, Any]:
+        """What is learned slowly, for another process of this node; hosts in the order of indices."""
+        n = self._node
+        return {"unit": n.unit, "mean": n.mean_hint, "asked": n.asked, "each": n.each, "able": list(n.able)}
+
+    def remember(self, memory: dict[str, Any], hosts: list[int]) -> None:
+        """The same at that process, with the indices that its hosts have there."""
+        n = self._node
+        n.unit, n.mean_hint, n.asked, n.each = (memory[key] for key in ("unit", "mean", "asked", "each"))
+        for h, able in zip(hosts, memory["able"], strict=True):
+            n.able[h] = able
+
     def may_send(self, host: int) -> bool:
         """Whether a connection to the host that has come up may still be sent its first line."""
         return self._node.state[host] is HostState.RUNNING
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -103,7 +103,10 @@
 
     def tell_state(self) -> tuple[list[dict], dict, list[int]]:
         node = self.node
-        state = {"rev": node.discovery.rev, "bans": list(node.bans.uids), "told_at": node.desk.told_at}
+        memory = node.desk.balancer.memory()
+        uids = node.desk.hosts.uid[: len(memory["able"])]
+        state = {"rev": node.discovery.rev, "bans": list(node.bans.uids), "told_at": node.desk.told_at,
+                 "memory": memory, "uids": uids}  # fmt: skip
         return node.desk.hosts.rows(), state, [node.port.fileno()]
 
     def stop_taking(self) -> None:
@@ -162,6 +165,8 @@
         hosts = node.desk.hosts
         for row in rows:
             hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
+        # Danger: a process that knows no host's measure yet takes the cold ones' for all, and starves them.
+        node.desk.remember(state["memory"], state["uids"])
         node.desk.told_at, node.discovery.rev = state["told_at"], state["rev"]
         node.listen(fds[0])
         node.discovery.start()
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -334,6 +334,13 @@
         customer, hints = self.names.customers.get(head.tenant, -1), self._hints(head)
         self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
 
+    def remember(self, memory: dict[str, Any], uids: list[str]) -> None:
+        """What another process of this node has learned of these hosts."""
+        known = [(self.hosts.index[uid], able) for uid, able in zip(uids, memory["able"], strict=True)
+                 if uid in self.hosts.index]  # fmt: skip
+        able = [able for _, able in known]
+        self.balancer.remember(memory | {"able": able}, [h for h, _ in known])
+
     def took_up(self, s: Session, asked: bool) -> None:
         """A session that another process of this node has handed on goes on here."""
         now = self.clock()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -272,6 +272,32 @@
     assert not n.able[0] and n.able[1]
 
 
+def test_a_cold_budget_goes_by_those_that_stand_not_by_those_that_ask_again():
+    n = node(4)
+    for h in range(4):
+        standing(n, h, [10.0] * 20, first=100 * h + 100)
+        n.probed(START, h, Outcome.GOOD, Report(0.4, None, 40))
+    n._survey(START)
+    for i in range(300):
+        n._new(START, ask(1000 + i, load=500.0))
+    n._survey(START)
+    n.roster(START, RosterScope.CHANGES, [entry(0, born=START)])
+    n.tokens[0] = 1000.0
+    assert n._cold_right(START + 900, n.sessions[100], 0)
+    saved = 0.75 * 2.5 * n._warmth(START + 900, 0) * n._fills(0) / 8000.0 / 3 * 1000.0
+    assert saved - n.tokens[0] < 60.0 and n.mean_hint > 300.0
+
+
+def test_a_successor_learns_what_the_one_before_knew_of_each_host():
+    d, later = desk(hosts=3), desk(hosts=0)
+    n = d.balancer._node
+    n.unit, n.each, n.able[1] = 4000.0, 25.0, 5000.0
+    later.listed(True, [row("s-2", port=9002), row("s-1", port=9001)])
+    later.remember(d.balancer.memory(), list(d.hosts.uid))
+    m = later.balancer._node
+    assert (m.unit, m.each, m.able[later.hosts.index["s-1"]]) == (4000.0, 25.0, 5000.0)
+
+
 def test_what_stands_on_a_host_taken_out_is_left_there():
     n = node(3)
     standing(n, 0, [10.0] * 20)
