Both ports are bounded and both answers ended by one piece of the wire code

Cause: read again, the second address had a copy of the clients' bounded accept and of the way a last line is sent out before the end, the comment on its danger included. Change: BoundedPort and end_sending in wire/lines.py serve clients and callers; each factory says how many it takes. No change in what is sent. Tests pass as they are.

--- a/caperdeck/ops/front.py
+++ b/caperdeck/ops/front.py
@@ -7,11 +7,10 @@
 from loguru import logger
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ServerFactory
-from twisted.internet.tcp import Port
 from zope.interface import implementer
 
 from caperdeck.state.addresses import Address
-from caperdeck.wire.lines import LineConnection, cancel
+from caperdeck.wire.lines import BoundedPort, LineConnection, cancel
 
 from .calls import Answer, Calls, no
 
@@ -61,9 +60,7 @@
         if self.ended:
             self.transport.loseConnection()
         else:
-            # Danger: closed with bytes of the caller unread, the kernel resets it and the answer is lost.
-            self.transport.loseWriteConnection()
-            self.linger(self.front.reactor)
+            self.end_sending(self.front.reactor)
 
     def readConnectionLost(self) -> None:
         """The caller has ended its side, and may still read."""
@@ -80,18 +77,6 @@
         self.front.left(self)
 
 
-class AdminPort(Port):
-    """Takes no more callers at once than there may be; the rest waits in the kernel for a moment."""
-
-    @property
-    def numberAccepts(self) -> int:
-        return max(MOST_CALLERS - len(self.factory.open), 1)
-
-    @numberAccepts.setter
-    def numberAccepts(self, wanted: int) -> None:
-        pass
-
-
 class Front(ServerFactory):
     noisy = False
 
@@ -100,11 +85,16 @@
         self.calls = calls
         self.open: dict[Caller, None] = {}  # the longest open first
 
-    def listen(self, address: Address) -> Port:
-        port = AdminPort(address.port, self, BACKLOG, address.host, self.reactor)
+    def listen(self, address: Address) -> BoundedPort:
+        port = BoundedPort(address.port, self, BACKLOG, address.host, self.reactor)
         port.startListening()
         return port
 
+    @property
+    def acceptable(self) -> int:
+        """Callers that there may still be; the rest waits in the kernel for a moment."""
+        return max(MOST_CALLERS - len(self.open), 1)
+
     def buildProtocol(self, addr) -> Caller:
         return Caller(self)
 
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -9,10 +9,9 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ServerFactory
-from twisted.internet.tcp import Port
 from zope.interface import implementer
 
-from .lines import LineConnection, cancel
+from .lines import BoundedPort, LineConnection, cancel
 
 if TYPE_CHECKING:
     from caperdeck.state.sessions import Session
@@ -59,9 +58,7 @@
         if not linger:
             self.transport.loseConnection()
             return
-        # Danger: closed with a line of the client unread, the kernel resets it and our last line is lost.
-        self.transport.loseWriteConnection()
-        self.linger(self.desk.reactor)
+        self.end_sending(self.desk.reactor)
         if self.paused:
             self.resumeProducing()
 
@@ -91,8 +88,8 @@
         self.desk.client_closed(self)
 
 
-class ClientPort(Port):
-    """Accepts no more clients at once than there are descriptors for."""
+class ClientPort(BoundedPort):
+    """The clients' port, which a successor may go on with or listen beside."""
 
     # Danger: shut down where this process ends, the socket would listen no more at a successor that has it.
     _shouldShutdown = False  # noqa: N815
@@ -104,15 +101,6 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         return sock
 
-    # Danger: the library takes a hundred in one go, and closes unanswered those that find no descriptor.
-    @property
-    def numberAccepts(self) -> int:
-        return self.factory.desk.budget.acceptable
-
-    @numberAccepts.setter
-    def numberAccepts(self, wanted: int) -> None:
-        pass
-
 
 class ClientFactory(ServerFactory):
     noisy = False
@@ -120,5 +108,9 @@
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
 
+    @property
+    def acceptable(self) -> int:
+        return self.desk.budget.acceptable
+
     def buildProtocol(self, addr) -> ClientConnection:
         return ClientConnection(self.desk)
--- a/caperdeck/wire/lines.py
+++ b/caperdeck/wire/lines.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory
+from twisted.internet.tcp import Port
 from twisted.protocols.basic import LineReceiver
 
 CRLF = b"\r\n"
@@ -29,10 +30,29 @@
     def linger(self, reactor: Any) -> None:
         self.lingers = reactor.callLater(LINGER, self.transport.abortConnection)
 
+    def end_sending(self, reactor: Any) -> None:
+        """Ends this side once all that was written has gone out, and waits a while for the other's end."""
+        # Danger: closed with a line of the other side unread, the kernel resets it and our last line is lost.
+        self.transport.loseWriteConnection()
+        self.linger(reactor)
+
     def stopProducing(self) -> None:
         """The other side of the session is gone; its own connectionLost sees to this one."""
 
 
+class BoundedPort(Port):
+    """Accepts no more connections at once than its factory says are `acceptable`."""
+
+    # Danger: the library takes a hundred in one go, and closes unanswered those that find no descriptor.
+    @property
+    def numberAccepts(self) -> int:
+        return self.factory.acceptable
+
+    @numberAccepts.setter
+    def numberAccepts(self, wanted: int) -> None:
+        pass
+
+
 class OneConnection(ClientFactory):
     """For one connection that the node opens; told by `failed` if it does not come up."""
 
