Tests share one set of stand-ins on loopback and one way to build a service

Cause: read again, the upgrade's tests had brought a second host, discovery, line server and port finder beside those of the lifecycle's tests, and a second builder of a service.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,8 @@
 """Builds a node and its fleet, or a desk and its connections, directly."""
 
 import json
+import socket
+import threading
 from contextlib import contextmanager
 
 from loguru import logger
@@ -204,3 +206,45 @@
 
 def lost(protocol, clean=True):
     protocol.connectionLost(Failure(ConnectionDone() if clean else ConnectionLost()))
+
+
+# ---- stand-ins on loopback
+
+
+def serve_lines(answer):
+    """A listening socket; each line that comes is answered by what the function makes of it."""
+    server = socket.create_server(("127.0.0.1", 0))
+
+    def one(connection):
+        for line in connection.makefile("rb"):
+            if (said := answer(line)) is not None:
+                connection.sendall(said)
+
+    def loop():
+        while True:
+            connection, _ = server.accept()
+            threading.Thread(target=one, args=(connection,), daemon=True).start()
+
+    threading.Thread(target=loop, daemon=True).start()
+    return server.getsockname()[1]
+
+
+def at_host(line):
+    if line.startswith((b"STATS", b"PING")):
+        return b"PONG x0=0.2\r\n"
+    return b"UP r1\r\n" if line.startswith(b"OPEN") else line
+
+
+def serve_list(*rows):
+    """A discovery that answers each watch with these hosts."""
+    body = json.dumps({"rev": 42, "all": True, "targets": rows}).encode() + b"\n"
+    answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(body), body)
+    return serve_lines(lambda line: answer if line.startswith(b"GET") else None)
+
+
+def free_ports(count):
+    servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [server.getsockname()[1] for server in servers]
+    for server in servers:
+        server.close()
+    return ports
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -6,20 +6,19 @@
 import socket
 import subprocess
 import sys
-import threading
 import time
 from dataclasses import replace
 
 import pytest
 from helpers import (
-    CONFIG, OPEN, SETUP, START, accept, connect, desk, logged, row, service_over, settings, up, write,
+    CONFIG, OPEN, SETUP, START, accept, at_host, connect, desk, free_ports, logged, row, serve_lines,
+    serve_list, service_over, settings, up, write,
 )  # fmt: skip
 
 from caperdeck.core.facade import Balancer, Connect, Decline, Left, Listed, Look, Looked, Over, SendAway, Up
 from caperdeck.core.model import Entry, HostState, Outcome, Report
-from caperdeck.lifecycle.config import ConfigError, load_config, reload_config
+from caperdeck.lifecycle.config import ConfigError, load_config
 from caperdeck.lifecycle.logs import MOST_WAITING, Sink
-from caperdeck.lifecycle.service import Service
 from caperdeck.state.addresses import Address
 
 # ---- the facade
@@ -115,15 +114,9 @@
 # ---- a new configuration
 
 
-def service_of(d, path):
-    environment = write(path, CONFIG)
-    return Service(d.reactor, load_config(environment), Sink(2), lambda: reload_config(environment))
-
-
 def test_another_discovery_and_other_limits_are_taken_while_sessions_stay(tmp_path):
     d = desk(hosts=1)
-    service = service_of(d, tmp_path / "c")
-    service.desk = d
+    service = service_over(d, tmp_path)
     client, host = up(d)
     service.discovery.start()
     write(tmp_path / "c", CONFIG | {"discovery": "127.0.0.2:8600", "limits": {"sockets": 512}, "name": "n2"})
@@ -139,7 +132,7 @@
 @pytest.mark.parametrize("text", ["", "{", "[]", json.dumps(CONFIG | {"discovery": "nowhere"}), None])
 def test_an_unusable_file_is_named_and_the_old_one_kept(tmp_path, text):
     d = desk()
-    service = service_of(d, tmp_path / "c")
+    service = service_over(d, tmp_path)
     before = service.config
     (tmp_path / "c").unlink()
     if text is None:
@@ -219,8 +212,7 @@
 
 def test_at_the_stop_every_session_is_moved_before_the_longest_wait_is_over(tmp_path):
     d = desk(hosts=1)
-    service = service_of(d, tmp_path / "c")
-    service.desk, service.clock = d, d.clock
+    service = service_over(d, tmp_path)
     service.stopped_at, d.stopping = d.clock(), True
     sessions = [up(d) for _ in range(20)]
     front = connect(d)
@@ -237,8 +229,7 @@
                                                   (9000, 2000, 3200)])  # fmt: skip
 def test_the_moves_of_a_stop_come_late_and_in_time(tmp_path, monkeypatch, longest, first, last):
     d = desk(hosts=1)
-    service = service_of(d, tmp_path / "c")
-    service.desk, service.clock = d, d.clock
+    service = service_over(d, tmp_path)
     service.config = replace(service.config, limits=replace(service.config.limits, longest_wait=longest))
     at, clients = [], [up(d)[0] for _ in range(20)]
     monkeypatch.setattr(d, "move", lambda s, reason: at.append(d.clock() - START) or d._end(s, reason))
@@ -249,7 +240,7 @@
 
 def test_sweeping_goes_on_after_a_fault(tmp_path, monkeypatch):
     d = desk()
-    service = service_of(d, tmp_path / "c")
+    service = service_over(d, tmp_path)
     swept = []
     monkeypatch.setattr(service, "sweep", lambda: swept.append(1) or 1 // (len(swept) - 1))
     service.keep_sweeping()
@@ -264,41 +255,9 @@
     return connection.makefile("rb")
 
 
-def stand_in(serve):
-    """A listening socket whose connections are each served on a thread of their own."""
-    server = socket.create_server(("127.0.0.1", 0))
-
-    def loop():
-        while True:
-            connection, _ = server.accept()
-            threading.Thread(target=serve, args=(connection,), daemon=True).start()
-
-    threading.Thread(target=loop, daemon=True).start()
-    return server.getsockname()[1]
-
-
-def host(connection):
-    for line in lines_of(connection):
-        if line.startswith((b"STATS", b"PING")):
-            connection.sendall(b"PONG x0=0.2\r\n")
-        else:
-            connection.sendall(b"UP r1\r\n" if line.startswith(b"OPEN") else line)
-
-
-def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
-
-
 def test_a_node_serves_and_moves_its_clients_at_sigterm(tmp_path):
-    def discovery(connection):
-        connection.recv(4096)
-        body = json.dumps({"rev": 42, "all": True, "targets": [row("s-0", port=host_port)]}).encode() + b"\n"
-        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        connection.sendall(b"%x\r\n%s\r\n" % (len(body), body))
-
-    host_port, port = stand_in(host), free_port()
-    config = CONFIG | {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{stand_in(discovery)}",
+    port, discovery = free_ports(1)[0], serve_list(row("s-0", port=serve_lines(at_host)))
+    config = CONFIG | {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}",
                        "known": {"rev": 41, "targets": []}}  # fmt: skip
     environment = os.environ | write(tmp_path / "c", config)
     command = [sys.executable, "-m", "caperdeck", "serve"]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,10 @@
 import time
 
 import pytest
-from helpers import CONFIG, connect, desk, opening, row, service_over, up, write
+from helpers import (
+    CONFIG, at_host, connect, desk, free_ports, opening, row, serve_lines, serve_list, service_over, up,
+    write,
+)  # fmt: skip
 from twisted.internet.task import Clock
 
 from caperdeck.ops.link import FILE, Doorbell, Link, reach
@@ -354,40 +357,13 @@
 # ---- processes
 
 
-def serve_lines(answer):
-    """A listening socket; each line that comes is answered by what the function makes of it."""
-    server = socket.create_server(("127.0.0.1", 0))
-
-    def one(connection):
-        for line in connection.makefile("rb"):
-            if (said := answer(line)) is not None:
-                connection.sendall(said)
-
-    def loop():
-        while True:
-            connection, _ = server.accept()
-            threading.Thread(target=one, args=(connection,), daemon=True).start()
-
-    threading.Thread(target=loop, daemon=True).start()
-    return server.getsockname()[1]
-
-
-def at_host(line):
-    if line.startswith((b"STATS", b"PING")):
-        return b"PONG x0=0.2\r\n"
-    return b"UP r1\r\n" if line.startswith(b"OPEN") else line
-
-
 class Nodes:
     """Processes of one node, and calls to them."""
 
     def __init__(self, folder):
         self.folder = folder
         (folder / "tmp").mkdir()
-        body = json.dumps({"rev": 42, "all": True,
-                           "targets": [row("s-0", port=serve_lines(at_host))]}).encode() + b"\n"  # fmt: skip
-        answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(body), body)
-        discovery = serve_lines(lambda line: answer if line.startswith(b"GET") else None)
+        discovery = serve_list(row("s-0", port=serve_lines(at_host)))
         self.port, *self.admin = free_ports(4)
         self.config = CONFIG | {"listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
                                 "known": {"rev": 41, "targets": []}}  # fmt: skip
@@ -429,14 +405,6 @@
             process.wait()
 
 
-def free_ports(count):
-    servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [server.getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-    return ports
-
-
 def until(true, seconds=30.0):
     """Waits for what another process does."""
     end = time.monotonic() + seconds
