Orders for sessions are carried out apart from the platform's lines; state imports no wire

Weighed: a desk that holds a carrier instead of being one; every caller would have had to name both, for no rule that moves.

--- /dev/null
+++ b/caperdeck/carry/__init__.py
@@ -0,0 +1,1 @@
+"""What carries out the balancer's orders for sessions, whatever the front speaks."""
--- a/caperdeck/ops/front.py
+++ b/caperdeck/ops/front.py
@@ -10,7 +10,8 @@
 from zope.interface import implementer
 
 from caperdeck.state.addresses import Address
-from caperdeck.wire.lines import BoundedPort, LineConnection, cancel
+from caperdeck.state.timers import cancel
+from caperdeck.wire.lines import BoundedPort, LineConnection
 
 from .calls import Answer, Calls, no
 
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -4,27 +4,69 @@
 
 from dataclasses import dataclass
 from itertools import takewhile
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
-if TYPE_CHECKING:
-    from twisted.internet.interfaces import IDelayedCall
+from caperdeck.core.model import Outcome
 
-    from caperdeck.wire.client import ClientConnection
-    from caperdeck.wire.heads import Head
-    from caperdeck.wire.host import HostConnection
+
+class Opening(Protocol):
+    """What a client said first, as its front has decoded it."""
+
+    id: str
+    listener: str
+    wait: float  # how long the client waits, in milliseconds
+    tenant: str | None
+    at: str | None  # the host at which the session stood before the node started
+
+
+class ClientSide(Protocol):
+    """A session's connection to its client."""
+
+    opened: float
+
+    def pass_on(self, line: bytes) -> None: ...
+
+    def close(self, last_line: bytes | None = None, linger: bool = True) -> None: ...
+
+    def abort(self) -> None: ...
+
+
+class HostSide(Protocol):
+    """A session's connection to a host, from the attempt at one on."""
+
+    session: Session
+    until: float  # the dial is given up then
+    sent: bool  # the first line has gone out whole
+    ended: bool  # concluded; nothing that still comes counts
+    paused: bool
+    farewell: tuple[Outcome, str] | None  # what the host's last word means, if it said one
+
+    def close(self, reset: bool) -> None: ...
+
+
+class Prober(Protocol):
+    """Where probes go out."""
+
+    open: dict[int, Any]  # by host
+
+    def look(self, host: int, address: Any) -> None: ...
+
+    def close(self, host: int) -> None: ...
+
+    def retune(self, reports: bool, time_out: float) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
 class Session:
     index: int
-    head: Head
-    client: ClientConnection
+    head: Opening
+    client: ClientSide
     since: float
     deadline: float
     host: int = -1
     dial: int = -1
-    conn: HostConnection | None = None  # the dial that is out, or the stream's host side
-    timer: IDelayedCall | None = None  # ends the dial that is out
+    conn: HostSide | None = None  # the dial that is out, or the stream's host side
+    timer: Any = None  # ends the dial that is out
     up_at: float = 0.0  # 0 until it stands
     heard_at: float = 0.0  # the client's last line
     asked_at: float = 0.0  # since when a client's line waits for one from the host; 0 if none does
@@ -41,7 +83,7 @@
     def holds(self, name: str) -> bool:
         return name in self.ids
 
-    def new(self, head: Head, client: ClientConnection, now: float) -> Session:
+    def new(self, head: Opening, client: ClientSide, now: float) -> Session:
         s = Session(self.made, head, client, now, now + head.wait)
         self.made += 1
         self.table[s.index] = s
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -11,7 +11,9 @@
 from twisted.internet.protocol import ServerFactory
 from zope.interface import implementer
 
-from .lines import BoundedPort, LineConnection, cancel
+from caperdeck.state.timers import cancel
+
+from .lines import BoundedPort, LineConnection
 
 if TYPE_CHECKING:
     from caperdeck.state.sessions import Session
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -1,150 +1,46 @@
-"""Where clients, hosts and the balancer meet: each session from its first line to its log line.
+"""The platform's lines between clients and hosts: each session from its first line to the host's answer.
 
-What a connection sees is reported to the balancer; the orders that come back are carried out here. Every
-client gets its one answer in `_answer` or by its host's own line, and every session ends in `_end`.
+What is done about a session is in the carrier; here is how it is said.
 """
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
 
-from caperdeck.core.facade import (
-    Abandon, Balancer, Banned, Connect, Decline, GiveUp, Left, Listed, Load, Look, Looked, News, Order, Over,
-    Retuned, SendAway, Up,
-)  # fmt: skip
-from caperdeck.core.model import HostState, Outcome, Settings
-from caperdeck.core.settings import MS, Names
-from caperdeck.ops.figures import Figures, Status
-from caperdeck.state.budget import SocketBudget
-from caperdeck.state.hosts import Hosts
-from caperdeck.state.limits import Limits
-from caperdeck.state.sessions import Session, Sessions
+from caperdeck.carry.carrier import Carrier
+from caperdeck.core.facade import Load, Up
+from caperdeck.core.model import Outcome
+from caperdeck.core.settings import MS
+from caperdeck.state.figures import Status
+from caperdeck.state.sessions import Session
+from caperdeck.state.timers import cancel
 
 from .client import ClientConnection
-from .heads import Head, HeadError, parse_head, parse_load
+from .heads import HeadError, parse_head, parse_load
 from .host import HostConnection
-from .lines import cancel
 from .probe import Probes
 
 ANSWER_MARGIN = 30.0  # a client's answer is out so long before it stops waiting
 FULL_BACK_OFF = 500.0  # for clients turned away because sockets are short
-AGAIN = 200.0  # until a connection that stood before is tried again at its host
-RESUME_TIME_OUT = 3000.0  # for one such try
-SILENCE = 2000.0  # a host that has brought nothing back for so long is given up
-SUSPECT = 300.0  # one that has brought nothing back for so long, on any connection, is probed
-SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
-AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
-STOOD_STILL = 1000.0  # without a sweep for so long the node had no time to read
-IDLE = 2000.0  # a client that has sent no first line for so long is closed
-IDLE_SHORT = 250.0  # the same while sockets are short
 WAITS = 10.0  # times the longest wait of any class, and a first line's wait is no wait
+FAREWELLS = {b"MOVE": (Outcome.WITHDRAWN, "host-moved"), b"BYE": (Outcome.GOOD, "served")}
 
 
-def busy(back_off: float) -> bytes:
-    return b"BUSY %d" % back_off if back_off >= 1 else b"BUSY"
+class Desk(Carrier):
+    moved, failed = b"MOVE", b"ERR"
 
+    def __init__(self, *parts: Any) -> None:
+        super().__init__(*parts)
+        limits = self.limits
+        self.probes = Probes(self.reactor, limits.reports, 2 * limits.connect_time_out, self.looked)
 
-class Desk:
-    def __init__(
-        self, reactor: Any, clock: Callable[[], float], balancer: Balancer, names: Names, limits: Limits,
-        hosts: Hosts, budget: SocketBudget,
-    ) -> None:  # fmt: skip
-        self.reactor = reactor
-        self.clock = clock
-        self.balancer = balancer
-        self.names = names
-        self.limits = limits
-        self.hosts = hosts
-        self.budget = budget
-        self.sessions = Sessions()
-        self.figures = Figures()
-        self.figures.know(names.listeners)
-        self.probes = Probes(reactor, limits.reports, 2 * limits.connect_time_out, self.looked)
-        self.idle: dict[ClientConnection, None] = {}  # without a first line, the oldest first
-        self.told_at = clock()  # when discovery last said anything
-        self.swept_at = clock()
-        self.searched_at = clock()  # for clients that fell silent
-        self.stopping = False
-        self.accepting: Callable[[bool], None] = lambda on: None
-        self.orders: deque[Order] = deque()
-        self.at_work = False
-        self.bell = None
-        self.bell_at = 0.0
-
-    # ---- the balancer
-
-    def report(self, news: News) -> None:
-        self.carry_out(self.balancer.report(self.clock(), news))
-
-    def carry_out(self, orders: list[Order]) -> None:
-        """Carries orders out, those that they bring about after them."""
-        self.orders += orders
-        if self.at_work:
-            return
-        self.at_work = True
-        try:
-            while self.orders:
-                self._carry_out(self.orders.popleft())
-        finally:
-            self.at_work = False
-        self._set_bell()
-
-    def _set_bell(self) -> None:
-        due, now = self.balancer.due, self.clock()
-        if self.bell is not None and self.bell.active():
-            if self.bell_at <= due:
-                return
-            self.bell.cancel()
-        self.bell_at = due
-        self.bell = self.reactor.callLater(max(due - now, 0.0) / MS, self._ring)
-
-    def _ring(self) -> None:
-        try:
-            self.carry_out(self.balancer.tick(self.clock()))
-        finally:
-            self._set_bell()
-
-    def _carry_out(self, order: Order) -> None:
-        if isinstance(order, Look):
-            self.probes.look(order.host, self.hosts.address[order.host])
-            return
-        s = self.sessions.table.get(order.session)
-        if s is None:
-            return
-        match order:
-            case Connect(_, dial, host, until):
-                self._dial(s, dial, host, until)
-            case Abandon():
-                self._end_dial(s, Outcome.WITHDRAWN)
-            case Decline(_, back_off):
-                self._answer(s, busy(back_off), "refused", Status.THROTTLED)
-            case GiveUp():
-                self._answer(s, b"ERR", "failed")
-            case SendAway():
-                self.move(s, "moved")
+    def busy(self, back_off: float) -> bytes:
+        return b"BUSY %d" % back_off if back_off >= 1 else b"BUSY"
 
     # ---- clients
 
-    def client_came(self, client: ClientConnection) -> None:
-        self.budget.clients += 1
-        self.idle[client] = None
-        if not self.budget.may_accept():
-            self.accepting(False)
-            self.close_idle(client.opened - IDLE_SHORT)
-
-    def client_closed(self, client: ClientConnection) -> None:
-        """Its descriptor is free again."""
-        self.budget.clients -= 1
-        if client in self.idle:
-            del self.idle[client]
-            logger.info("end reason=no-line ms={:.0f}", self.clock() - client.opened)
-        if self.budget.may_accept():
-            self.accepting(True)
-
     def first_line(self, client: ClientConnection, line: bytes) -> None:
         if line == b"PING":
             if self.stopping:
@@ -175,17 +71,18 @@
         if not self.budget.may_serve():
             back_off = min(FULL_BACK_OFF, self.limits.max_back_off)
             self.figures.answered(head.listener, Status.THROTTLED)
-            self._turn_away(client, busy(back_off), "no-sockets", b"")
+            self._turn_away(client, self.busy(back_off), "no-sockets", b"")
             return
         self.budget.sessions += 1
         s = client.session = self.sessions.new(head, client, self.clock())
         if head.at is not None:
-            self._resume(s)
+            self.resume(s)
             return
         left, customer = max(head.wait - ANSWER_MARGIN, 0.0), self.names.customers.get(head.tenant, -1)
-        self.carry_out(self.balancer.pick(s.since, s.index, listener, customer, left, *self._hints(head)))
+        self.carry_out(self.balancer.pick(s.since, s.index, listener, customer, left, *self.hints(s)))
 
-    def _hints(self, head: Head) -> tuple[float | None, int | None]:
+    def hints(self, s: Session) -> tuple[float | None, int | None]:
+        head = s.head
         load = None if head.load is None else head.load * MS
         return load, self.names.group(head.group)
 
@@ -197,13 +94,6 @@
         self.sessions.line_from_client(s, self.clock())
         s.conn.pass_on(line)
 
-    def client_gone(self, client: ClientConnection, reset: bool) -> None:
-        """The client has ended its connection."""
-        s = client.session
-        if s is not None and not s.over:
-            how = "client-reset" if reset else "client-closed"
-            self._lose_client(s, how if s.up_at else "client-left", reset)
-
     def client_broke(self, client: ClientConnection, reason: str) -> None:
         """The client has sent what cannot be passed on."""
         s = client.session
@@ -215,73 +105,16 @@
             self._lose_client(s, reason, reset=False)
             client.close(None if s.up_at else b"ERR")
 
-    def _lose_client(self, s: Session, reason: str, reset: bool) -> None:
-        """Nobody waits for the session any more: ends it, and its host's side in the same way."""
-        up, dialing = bool(s.up_at), s.conn is not None
-        self._end(s, reason)
-        self._hang_up(s, reset and up)
-        if s.head.at is not None and not up:
-            return  # the balancer has not heard of it yet
-        if not up:
-            self.report(Left(s.index))
-        if dialing:
-            self.report(Over(s.index, s.dial, Outcome.WITHDRAWN, True))
-
-    # ---- dials
-
-    def _dial(self, s: Session, dial: int, host: int, until: float) -> None:
-        s.host, s.dial = host, dial
-        s.conn = HostConnection(self, s, until)
-        wait = max(until - self.clock(), 0.0)
-        s.timer = self.reactor.callLater(wait / MS, self._late, s.conn)
-        s.conn.dial_to(self.hosts.address[host], min(self.limits.connect_time_out, wait + 1))
+    # ---- hosts
 
-    def _resume(self, s: Session) -> None:
-        """Takes up a connection that stood at its host before this node started."""
-        if s.over:
-            return
-        s.host, s.dial = self.hosts.index[s.head.at], 0
-        s.conn = HostConnection(self, s, s.deadline)
-        s.conn.dial_to(self.hosts.address[s.host], RESUME_TIME_OUT)
+    def open_host(self, s: Session, until: float, time_out: float) -> HostConnection:
+        conn = HostConnection(self, s, until)
+        conn.dial_to(self.hosts.address[s.host], time_out)
+        return conn
 
-    def dial_open(self, conn: HostConnection) -> None:
-        """The connection is up; the one place where a head goes out."""
-        s = conn.session
-        # Danger: a host may have begun to drain, or been taken out, while the connection came up.
-        may_send = s.head.at is not None or self.balancer.may_send(s.host)
+    def send_head(self, conn: HostConnection) -> bool:
         wait = max(int(conn.until - self.clock()), 1)
-        if not may_send or not conn.send_head(s.head.pieces(wait)):
-            self._end_dial(s, Outcome.UNREACHED)
-        else:
-            self.figures.relayed += 1
-
-    def dial_failed(self, conn: HostConnection) -> None:
-        self._end_dial(conn.session, Outcome.UNREACHED)
-
-    def _late(self, conn: HostConnection) -> None:
-        if not conn.ended:
-            self._end_dial(conn.session, Outcome.LATE if conn.sent else Outcome.UNREACHED)
-
-    def _end_dial(self, s: Session, outcome: Outcome) -> None:
-        """A dial that has not come to stand is over."""
-        if s.conn is None or s.up_at:
-            return
-        self._hang_up(s, reset=False)
-        if s.head.at is None:
-            self.report(Over(s.index, s.dial, outcome, False))
-        elif self.clock() + AGAIN < s.deadline:
-            self.reactor.callLater(AGAIN / MS, self._resume, s)
-        else:
-            self._answer(s, b"ERR", "host-lost")
-
-    def _hang_up(self, s: Session, reset: bool) -> None:
-        """Ends the host's side of a session."""
-        conn, s.conn = s.conn, None
-        cancel(s.timer)
-        if conn is not None and not conn.ended:
-            conn.close(reset)
-
-    # ---- hosts
+        return conn.send_head(conn.session.head.pieces(wait))
 
     def from_host(self, conn: HostConnection, line: bytes) -> None:
         s = conn.session
@@ -290,7 +123,7 @@
             self.sessions.line_from_host(s)
             s.client.pass_on(line)
             if line == b"MOVE" or line.startswith(b"BYE"):
-                conn.farewell = line
+                conn.farewell = FAREWELLS[line if line == b"MOVE" else b"BYE"]
                 if line == b"MOVE":
                     self.hosts.sent_away[s.host] = self.clock()
             elif line.startswith(b"LOAD "):
@@ -326,19 +159,6 @@
         client.transport.registerProducer(conn, True)
         conn.transport.registerProducer(client, True)
 
-    def _resumed(self, s: Session, now: float) -> None:
-        """The balancer learns of a session that stood before."""
-        head = s.head
-        # Danger: its class may have been dropped since; of one that stands no more is asked of it.
-        listener = self.names.listeners.get(head.listener, -1)
-        customer, hints = self.names.customers.get(head.tenant, -1), self._hints(head)
-        self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
-
-    def remember(self, memory: dict[str, Any], uids: list[str]) -> None:
-        """What another process of this node has learned of these hosts."""
-        index, told = self.hosts.index, zip(uids, memory["able"], strict=True)
-        self.balancer.remember(memory, {index[uid]: load for uid, load in told if uid in index})
-
     def took_up(self, s: Session, asked: bool) -> None:
         """A session that another process of this node has handed on goes on here."""
         now = self.clock()
@@ -349,167 +169,3 @@
             self.sessions.line_from_client(s, now)
         self._join(s.client, s.conn)
         self._resumed(s, now)
-
-    def handed_on(self, s: Session) -> None:
-        """Another process of this node has the session now; it has not ended."""
-        s.client.closing = s.conn.ended = True
-        s.conn = None
-        self.sessions.drop(s)
-        self.budget.sessions -= 1
-        self.budget.clients -= 1
-        self.report(Over(s.index, s.dial, Outcome.WITHDRAWN, True))
-
-    def host_gone(self, conn: HostConnection, reset: bool) -> None:
-        """The host has ended its connection."""
-        s = conn.session
-        if s.over or s.conn is not conn:
-            return
-        if not s.up_at:
-            self._end_dial(s, Outcome.RESET if conn.sent else Outcome.UNREACHED)
-            return
-        said = conn.farewell
-        if said:
-            outcome = Outcome.WITHDRAWN if said == b"MOVE" else Outcome.GOOD
-            self._end(s, "host-moved" if said == b"MOVE" else "served")
-        else:
-            outcome = Outcome.RESET
-            self._end(s, "host-reset" if reset else "host-closed")
-        s.conn = None
-        if reset and not said:
-            s.client.abort()
-        else:
-            s.client.close()
-        self.report(Over(s.index, s.dial, outcome, True))
-
-    # ---- ends
-
-    def _answer(self, s: Session, line: bytes, reason: str, status: Status = Status.FAULTED) -> None:
-        """The final answer to a client whose session does not come to stand."""
-        self.figures.answered(s.head.listener, status)
-        self._end(s, reason)
-        self._hang_up(s, reset=False)
-        s.client.close(line)
-
-    def move(self, s: Session, reason: str, outcome: Outcome = Outcome.WITHDRAWN) -> None:
-        """Tells the client of a standing session to come again; lines are whole, so it is between two."""
-        if not s.up_at or s.over:
-            return
-        self._end(s, reason)
-        self._hang_up(s, reset=outcome is Outcome.RESET)
-        s.client.close(b"MOVE")
-        self.report(Over(s.index, s.dial, outcome, True))
-
-    def _end(self, s: Session, reason: str) -> None:
-        """The one log line of a session."""
-        self.sessions.drop(s)
-        self.budget.sessions -= 1
-        now = self.clock()
-        host = self.hosts.uid[s.host] if s.host >= 0 else "-"
-        logger.info(
-            "end id={} reason={} class={} host={} dials={} ms={:.0f} up_ms={:.0f}",
-            s.head.id, reason, s.head.listener, host, s.dial + 1, now - s.since,
-            now - s.up_at if s.up_at else 0,
-        )  # fmt: skip
-
-    # ---- other settings, figures
-
-    def retune(self, settings: Settings, names: Names, limits: Limits) -> None:
-        """All of them in one step; sessions keep what they began under."""
-        self.names, self.limits = names, limits
-        self.figures.know(names.listeners)
-        self.probes.retune(limits.reports, 2 * limits.connect_time_out)
-        self.report(Retuned(settings))
-
-    def gauges(self) -> dict[str, int]:
-        listed, now = self.hosts.listed(), self.clock()
-        return {
-            "open_requests": len(self.sessions.table), "registry_entries": len(listed),
-            "out_of_rotation": sum(self.balancer.avoids(now, h) for h in listed),
-        }  # fmt: skip
-
-    # ---- the roster and probes
-
-    def looked(self, news: Looked) -> None:
-        uid = self.hosts.uid[news.host]
-        told = news.told
-        logger.debug("look uid={} outcome={} load={} held={}", uid, news.outcome.name, told.load, told.held)
-        alive = news.outcome in (Outcome.GOOD, Outcome.ERROR)
-        if alive:
-            self.hosts.spoke_at[news.host] = self.clock()
-        self.report(news)
-        if not alive and self._suspect(news.host):
-            for s in self.sessions.standing():
-                if s.host == news.host:
-                    self.move(s, "host-silent", Outcome.RESET)
-
-    def ban(self, uid: str, out: bool) -> None:
-        """An operator takes a host out, or lets it serve again."""
-        self.report(Banned(self.hosts.know(uid), out))
-        logger.info("roster reason={} uids={}", "taken-out" if out else "called-back", uid)
-
-    def listed(self, whole: bool, rows: Any) -> None:
-        entries = self.hosts.take(whole, rows, self.complain_entry)
-        self.budget.probes = self.hosts.running()
-        for host in list(self.probes.open):
-            if self.hosts.state[host] is HostState.GONE:
-                self.probes.close(host)
-        self.report(Listed(whole, entries))
-
-    def discovery_spoke(self) -> None:
-        """Anything at all has come from discovery."""
-        self.told_at = self.clock()
-        if self.hosts.held:
-            self.report(Listed(False, self.hosts.release()))
-
-    def _mind_silence(self, now: float) -> None:
-        # Danger: what a silent discovery has to tell counts as told all the same; a host that drains
-        # then shows it only by sending its clients away.
-        if now - self.told_at > SILENT_LIST and (entries := self.hosts.hold(now - AWAY_LIFE)):
-            uids = ",".join(self.hosts.uid[e.host] for e in entries)
-            logger.info("roster reason=held-to-drain uids={}", uids)
-            self.report(Listed(False, entries))
-
-    def complain_entry(self, text: str) -> None:
-        logger.warning("roster reason=bad-entry {}", text)
-
-    def _suspect(self, host: int) -> bool:
-        """Whether a line to the host has waited too long and nothing at all has come from it since."""
-        waiting = self.sessions.silent(self.clock() - SUSPECT)
-        return any(s.host == host and self._unheard(s) for s in waiting)
-
-    def _unheard(self, s: Session) -> bool:
-        # a host held up by a client that does not read is not silent
-        return not s.conn.paused and self.hosts.spoke_at[s.host] <= s.asked_at
-
-    # ---- housekeeping
-
-    def sweep(self) -> None:
-        now, last = self.clock(), self.swept_at
-        self.swept_at = now
-        # Danger: after the node itself stood still, what it has not read yet looks like silence.
-        if now - last < STOOD_STILL:
-            self._mind_silence(now)
-            # Danger: a machine that vanished says nothing and its connections stay open.
-            for s in self.sessions.silent(now - SILENCE):
-                if not s.conn.paused:
-                    self.move(s, "host-silent", Outcome.RESET)
-            # Danger: found out by each connection for itself, a lost zone keeps its clients waiting for
-            # seconds; one line and one probe without an answer tell it for all connections of the host.
-            if self.limits.probes:
-                for host in {s.host: None for s in self.sessions.silent(now - SUSPECT) if self._unheard(s)}:
-                    self.probes.look(host, self.hosts.address[host])
-        # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
-        if now - self.searched_at > self.limits.idle / 10:
-            self.searched_at = now
-            for s in self.sessions.standing():
-                if now - s.heard_at > self.limits.idle:
-                    self.move(s, "client-silent")
-        # Danger: clients that connect and say nothing would take every descriptor.
-        self.close_idle(now - (IDLE if self.budget.may_serve() else IDLE_SHORT))
-
-    def close_idle(self, before: float) -> None:
-        """Ends the clients that have come before that time and sent no first line."""
-        for client in list(self.idle):
-            if client.opened >= before:
-                break
-            client.close(linger=False)
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -14,8 +14,7 @@
 from zope.interface import implementer
 
 from caperdeck.state.patience import Patience
-
-from .lines import cancel
+from caperdeck.state.timers import cancel
 
 LONGEST_LIST = 16 << 20
 MOST_HOSTS = 10_000  # of one list
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -6,9 +6,11 @@
 
 from twisted.internet.error import ConnectionDone
 
+from caperdeck.core.model import Outcome
 from caperdeck.core.settings import MS
+from caperdeck.state.timers import cancel
 
-from .lines import LineConnection, OneConnection, cancel
+from .lines import LineConnection, OneConnection
 
 if TYPE_CHECKING:
     from caperdeck.state.addresses import Address
@@ -25,7 +27,7 @@
         self.taken_up = False  # it stood at another process of this node already
         self.until = until
         self.ended = False  # concluded; nothing that still comes counts
-        self.farewell = b""  # BYE or MOVE, if the host said so
+        self.farewell: tuple[Outcome, str] | None = None  # what its last word means, if it said one
         self.connector = None
 
     def dial_to(self, address: Address, time_out: float) -> None:
--- a/caperdeck/wire/lines.py
+++ b/caperdeck/wire/lines.py
@@ -13,12 +13,6 @@
 LINGER = 0.8  # seconds in which what was written last has to go out
 
 
-def cancel(call: Any) -> None:
-    """Takes a timer back that may have run already, or was never set."""
-    if call is not None and call.active():
-        call.cancel()
-
-
 class LineConnection(LineReceiver):
     delimiter = CRLF
     MAX_LENGTH = LONGEST_LINE
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -9,9 +9,10 @@
 from caperdeck.core.model import Outcome
 from caperdeck.core.settings import MS, decode_report
 from caperdeck.state.addresses import Address
+from caperdeck.state.timers import cancel
 
 from .heads import parse_report
-from .lines import LineConnection, OneConnection, cancel
+from .lines import LineConnection, OneConnection
 
 
 class ProbeConnection(LineConnection):
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -10,7 +10,7 @@
 from caperdeck.core.model import Move, Outcome, Refuse, Report, RosterScope
 from caperdeck.ops.bans import FILE, Bans, BansError
 from caperdeck.ops.calls import Calls, yes
-from caperdeck.ops.figures import Figures, Status
+from caperdeck.state.figures import Figures, Status
 from caperdeck.ops.front import MOST_CALLERS, Front
 
 # ---- calls
