A node that was away reads what came meanwhile before it decides, and holds its figures for old

Ruled out: the order of two ready sockets within one turn, as a head goes out a turn after the pick and is checked against the list again there.

Change: whoever reads the clock first after the housekeeping, due every 250 ms, is 250 ms late, finds out. From then on sessions, outcomes, heads and timers wait until a whole turn of the reactor has brought nothing more from discovery (one call at once where the watch broke, 500 ms at the most); after 1 s away figures, budgets, room and health are void. What is left of a client's wait counts from the start of the absence. Nothing branches on a jump of the clock alone: time that passes while the node waits never makes the housekeeping late.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from functools import partial
+from typing import Any, Protocol
 
 from loguru import logger
 
@@ -32,11 +34,29 @@
 SUSPECT = 300.0  # one that has brought nothing back for so long, on any connection, is probed
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
 AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
-STOOD_STILL = 1000.0  # without a sweep for so long the node had no time to read
+SWEEP = 250.0  # housekeeping is due so often
+OVERDUE = 250.0  # late by so much, the node was away
+FIGURES_LAST = 1000.0  # after so long away, what was known of hosts is void
+READ_TURNS = 2  # turns of the reactor of which one at least has read every socket that had something
+MOST_TURNS = 600  # and so many at the most, enough to read a full buffer of discovery's
+LIST_WAIT = 500.0  # for the list where discovery has to be asked anew
+CALL_AGAIN = 5.0  # between turns meanwhile
 IDLE = 2000.0  # a client that has sent no first line for so long is closed
 IDLE_SHORT = 250.0  # the same while sockets are short
 
 
+AT_ONCE = (Listed, Banned, Retuned)  # news that lead to nothing being sent
+
+
+class Source(Protocol):
+    """Where the list of hosts is read."""
+
+    reads: int  # how often anything of it has come
+    open: bool  # what comes can be read
+
+    def woke(self) -> None: ...
+
+
 class Carrier(ABC):
     """The sessions of one node between clients and hosts, whatever they speak."""
 
@@ -49,7 +69,7 @@
         hosts: Hosts, budget: SocketBudget,
     ) -> None:  # fmt: skip
         self.reactor = reactor
-        self.clock = clock
+        self.read_clock = clock
         self.balancer = balancer
         self.names = names
         self.limits = limits
@@ -60,7 +80,11 @@
         self.figures.know(names.listeners)
         self.idle: dict[ClientSide, None] = {}  # without a first line, the oldest first
         self.told_at = clock()  # when discovery last said anything
-        self.swept_at = clock()
+        self.source: Source | None = None
+        self.turn_at = math.inf  # a turn of the reactor has run since; without a sweep none is awaited
+        self.away = 0.0  # how old what is read now may be, while that is not all read yet
+        self.turns, self.reads, self.list_until = 0, 0, 0.0  # since the node was back
+        self.held: deque[Callable[[], None]] = deque()  # what waits until then, in the order it came
         self.searched_at = clock()  # for clients that fell silent
         self.stopping = False
         self.accepting: Callable[[bool], None] = lambda on: None
@@ -85,10 +109,58 @@
     def hints(self, s: Session) -> tuple[float | None, int | None]:
         """The load that the session's client guesses, and its group."""
 
+    # ---- away: stopped, starved, swapped out, in a long collection
+
+    def clock(self) -> float:
+        """The time; whoever reads it first after the node was away finds out here."""
+        now = self.read_clock()
+        if now - self.turn_at > SWEEP + OVERDUE:
+            self._back(now, now - self.turn_at)
+        return now
+
+    def _back(self, now: float, span: float) -> None:
+        # Danger: what came meanwhile lies in the sockets in no order: a session is read before the list that
+        # takes its host away, a timer runs out before the answer that it waits for.
+        logger.warning("away ms={:.0f} sessions={}", span, len(self.sessions.table))
+        again = bool(self.away)
+        self.away, self.turn_at, self.turns, self.list_until = self.away + span, now, 0, now + LIST_WAIT
+        if self.source is not None:
+            self.source.woke()
+            self.reads = self.source.reads
+        if not again:
+            self.reactor.callLater(0, self._read_on)
+
+    def _read_on(self) -> None:
+        """A turn later: whether all that came while the node was away has been read."""
+        now, source = self.clock(), self.source
+        self.turns += 1
+        shut = source is not None and not source.open and now < self.list_until
+        reads, self.reads = self.reads, source.reads if source is not None else 0
+        read = self.turns >= READ_TURNS and reads == self.reads and not shut
+        if not read and self.turns < MOST_TURNS:
+            self.reactor.callLater(CALL_AGAIN / MS if shut else 0, self._read_on)
+            return
+        if self.away >= FIGURES_LAST:
+            self.balancer.forget(now)
+        self.away, self.turn_at = 0.0, now
+        held, self.held = self.held, deque()
+        for do in held:
+            do()
+        self._ring()
+
+    def later(self, do: Callable[[], None]) -> bool:
+        """Whether the node has yet to read what came while it was away; then this is done after that."""
+        self.clock()
+        if self.away:
+            self.held.append(do)
+        return bool(self.away)
+
     # ---- the balancer
 
     def report(self, news: News) -> None:
-        self.carry_out(self.balancer.report(self.clock(), news))
+        # Danger: decided between two readings, a second dial would go by the first half of what came.
+        if isinstance(news, AT_ONCE) or not self.later(partial(self.report, news)):
+            self.carry_out(self.balancer.report(self.clock(), news))
 
     def carry_out(self, orders: list[Order]) -> None:
         """Carries orders out, those that they bring about after them."""
@@ -104,6 +176,8 @@
         self._set_bell()
 
     def _set_bell(self) -> None:
+        if self.away:
+            return
         due, now = self.balancer.due, self.clock()
         if self.bell is not None and self.bell.active():
             if self.bell_at <= due:
@@ -113,6 +187,9 @@
         self.bell = self.reactor.callLater(max(due - now, 0.0) / MS, self._ring)
 
     def _ring(self) -> None:
+        self.clock()
+        if self.away:
+            return
         try:
             self.carry_out(self.balancer.tick(self.clock()))
         finally:
@@ -192,6 +269,8 @@
     def dial_open(self, conn: HostSide) -> None:
         """The connection is up; the one place where a head goes out."""
         s = conn.session
+        if self.later(partial(self.dial_open, conn)) or conn.ended:
+            return
         # Danger: a host may have begun to drain, or been taken out, while the connection came up.
         may_send = s.head.at is not None or self.balancer.may_send(s.host)
         if not may_send or not self.send_head(conn):
@@ -203,7 +282,7 @@
         self._end_dial(conn.session, Outcome.UNREACHED)
 
     def _late(self, conn: HostSide) -> None:
-        if not conn.ended:
+        if not self.later(partial(self._late, conn)) and not conn.ended:
             self._end_dial(conn.session, Outcome.LATE if conn.sent else Outcome.UNREACHED)
 
     def _end_dial(self, s: Session, outcome: Outcome) -> None:
@@ -369,10 +448,10 @@
     # ---- housekeeping
 
     def sweep(self) -> None:
-        now, last = self.clock(), self.swept_at
-        self.swept_at = now
+        now = self.clock()
+        self.turn_at = now
         # Danger: after the node itself stood still, what it has not read yet looks like silence.
-        if now - last < STOOD_STILL:
+        if not self.away:
             self._mind_silence(now)
             # Danger: a machine that vanished says nothing and its connections stay open.
             for s in self.sessions.silent(now - SILENCE):
@@ -384,13 +463,14 @@
                 for host in {s.host: None for s in self.sessions.silent(now - SUSPECT) if self._unheard(s)}:
                     self.probes.look(host, self.hosts.address[host])
         # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
-        if now - self.searched_at > self.limits.idle / 10:
+        if not self.away and now - self.searched_at > self.limits.idle / 10:
             self.searched_at = now
             for s in self.sessions.standing():
                 if now - s.heard_at > self.limits.idle:
                     self.move(s, "client-silent")
         # Danger: clients that connect and say nothing would take every descriptor.
-        self.close_idle(now - (IDLE if self.budget.may_serve() else IDLE_SHORT))
+        if not self.away:
+            self.close_idle(now - (IDLE if self.budget.may_serve() else IDLE_SHORT))
 
     def close_idle(self, before: float) -> None:
         """Ends the clients that have come before that time and sent no first line."""
--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -205,6 +205,14 @@
         self.seen_at[h], self.probe_out[h], self.unseen[h] = -math.inf, 0.0, 0.0
         self.tokens[h], self.tokens_at[h] = 0.0, now
 
+    def forget(self, now: float) -> None:
+        """The node was away for longer than figures last."""
+        # Danger: its own absence looks like the hosts'; old budgets and room were taken by others meanwhile.
+        for h in range(len(self.state)):
+            self._forget(now, h)
+        self.known.clear()
+        self._survey(now)
+
     def _warmth(self, now: float, h: int) -> float:
         """The least share of its capacity that a host has now."""
         age = now - self.born[h]
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -168,6 +168,10 @@
     def report(self, now: float, news: News) -> list[Order]:
         return self._orders(now, self._event(now, news))
 
+    def forget(self, now: float) -> None:
+        """The caller was away for longer than figures last: what was known of the hosts is void."""
+        self._node.forget(now)
+
     def avoids(self, now: float, host: int) -> bool:
         """Whether a listed host is sent nothing now by this node's choice; changes nothing."""
         return self._node.avoids(now, host)
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -14,6 +14,7 @@
 from loguru import logger
 from twisted.internet.task import LoopingCall
 
+from caperdeck.carry.carrier import SWEEP
 from caperdeck.core.facade import Balancer
 from caperdeck.core.settings import MS
 from caperdeck.ops.bans import Bans, BansError
@@ -31,7 +32,6 @@
 from .logs import Sink, one_line
 
 BACKLOG = 4096
-SWEEP = 0.25  # seconds
 SERVE_ON = 450.0  # after SIGTERM, while clients still come
 LONGEST_STOP = 3000.0  # the longest wait of a client, or this if that is longer, and
 STOP_AFTER = 200.0  # so much more, until when all are moved
@@ -61,8 +61,9 @@
         self.desk.accepting = self.accept
         self.discovery = Discovery(
             reactor, config.discovery, config.rev, self.desk.listed, self.discovery_spoke,
-            self.complain, Patience(config.settings.seed, config.settings.nodes),
+            self.complain, Patience(config.settings.seed, config.settings.nodes), self.excused,
         )  # fmt: skip
+        self.desk.source = self.discovery
         self.port = None
         self.calls = Calls()
         self.calls.add("readyz", 0, self.readyz)
@@ -143,6 +144,10 @@
             # what the line holds is taken in first
             self.reactor.callLater(0, self.upgrade.listed)
 
+    def excused(self) -> bool:
+        self.desk.clock()
+        return bool(self.desk.away)
+
     def complain(self, reason: str, text: str) -> None:
         logger.warning("discovery reason={} {}", reason, text)
 
@@ -150,9 +155,10 @@
         # Danger: a loop that has failed once stays still, and nothing would find silent hosts any more.
         if failure is not None:
             logger.error("internal reason=exception {}", one_line(failure))
+        self.desk.turn_at = self.clock()
         loop = LoopingCall(self.sweep)
         loop.clock = self.reactor
-        loop.start(SWEEP, now=False).addErrback(self.keep_sweeping)
+        loop.start(SWEEP / MS, now=False).addErrback(self.keep_sweeping)
 
     def sweep(self) -> None:
         self.desk.sweep()
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 from loguru import logger
@@ -33,8 +34,8 @@
 
     def __init__(self, *parts: Any) -> None:
         super().__init__(*parts)
-        limits = self.limits
-        self.probes = Probes(self.reactor, limits.reports, 2 * limits.connect_time_out, self.looked)
+        reports, time_out = self.limits.reports, 2 * self.limits.connect_time_out
+        self.probes = Probes(self.reactor, reports, time_out, self.looked, self.later)
 
     def busy(self, back_off: float) -> bytes:
         return b"BUSY %d" % back_off if back_off >= 1 else b"BUSY"
@@ -74,12 +75,20 @@
             self._turn_away(client, self.busy(back_off), "no-sockets", b"")
             return
         self.budget.sessions += 1
-        s = client.session = self.sessions.new(head, client, self.clock())
+        now = self.clock()
+        # Danger: a line that lay there while the node was away has run down its client's wait unseen.
+        s = client.session = self.sessions.new(head, client, now - self.away)
         if head.at is not None:
             self.resume(s)
             return
-        left, customer = max(head.wait - ANSWER_MARGIN, 0.0), self.names.customers.get(head.tenant, -1)
-        self.carry_out(self.balancer.pick(s.since, s.index, listener, customer, left, *self.hints(s)))
+        self._pick(s, listener)
+
+    def _pick(self, s: Session, listener: int) -> None:
+        if self.later(partial(self._pick, s, listener)) or s.over:
+            return
+        head, now = s.head, self.clock()
+        left, customer = max(s.deadline - now - ANSWER_MARGIN, 0.0), self.names.customers.get(head.tenant, -1)
+        self.carry_out(self.balancer.pick(now, s.index, listener, customer, left, *self.hints(s)))
 
     def hints(self, s: Session) -> tuple[float | None, int | None]:
         head = s.head
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -19,6 +19,7 @@
 LONGEST_LIST = 16 << 20
 MOST_HOSTS = 10_000  # of one list
 CONNECT = 2.0  # seconds
+BACK = 0.02  # seconds until the watch is opened anew by a node that was away
 SILENT = 5.0  # seconds without even an empty line after which the watch is opened anew
 
 
@@ -46,6 +47,10 @@
     def connectionMade(self) -> None:
         self.watch.body = self
 
+    def dataReceived(self, data: bytes) -> None:
+        self.watch.reads += 1
+        super().dataReceived(data)
+
     def lineReceived(self, line: bytes) -> None:
         # Danger: the text of a refusal is no word of the hosts; hosts held to drain would be let go by it.
         if self.watch.body is self and self.granted:
@@ -65,6 +70,7 @@
     def __init__(
         self, reactor: Any, address: str, rev: int, listed: Callable[[bool, Any], None],
         spoke: Callable[[], None], complain: Callable[[str, str], None], patience: Patience,
+        excused: Callable[[], bool] = lambda: False,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.address = address
@@ -72,6 +78,7 @@
         self.listed = listed
         self.spoke = spoke  # called for each line, empty ones too
         self.complain = complain
+        self.excused = excused  # whether the node has yet to read what came while it was away
         pool = HTTPConnectionPool(reactor, persistent=False)
         self.agent = Agent.usingEndpointFactory(reactor, _ByAddress(reactor), pool)
         self.body: _WatchBody | None = None
@@ -79,6 +86,7 @@
         self.patience = patience
         self.silence = None
         self.retry = None
+        self.reads = 0  # how often anything of the list has come
 
     def start(self) -> None:
         # Danger: the list that a node is given at its start is old, and hosts gone since may be sent nothing;
@@ -89,6 +97,18 @@
         asked = self.asked = self.agent.request(b"GET", url, Headers({b"User-Agent": [b"caperdeck"]}))
         asked.addCallbacks(self.answered, lambda failure: self.failed(asked, failure))
 
+    @property
+    def open(self) -> bool:
+        return self.body is not None
+
+    def woke(self) -> None:
+        """The node was away: what lies in the socket is no silence, and a call that waits is due at once."""
+        if self.retry is not None and self.retry.active():
+            self.retry.cancel()
+            self.start()
+        elif self.silence is not None:
+            self.heard()
+
     def move_to(self, address: str) -> None:
         """Watches another discovery from now on; the list last told holds until it speaks."""
         # Danger: another discovery may count its versions anew, and would be asked for none of its changes.
@@ -126,6 +146,10 @@
             self.silence = self.reactor.callLater(SILENT, self.fell_silent)
 
     def fell_silent(self) -> None:
+        # Danger: after the node itself was away the timer runs out before what lies in the socket is read.
+        if self.excused():
+            self.heard()
+            return
         self.complain("discovery-silent", f"nothing from discovery for {SILENT} s")
         body = self.body
         if body is None:
@@ -139,7 +163,9 @@
             return
         self.leave()
         cancel(self.silence)
-        self.retry = self.reactor.callLater(self.patience.next(), self.start)
+        # Danger: what was told while the node was away counts as told, whether or not it still can read it.
+        wait = BACK if self.excused() else self.patience.next()
+        self.retry = self.reactor.callLater(wait, self.start)
 
     def line(self, line: bytes) -> None:
         self.heard()
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from caperdeck.core.facade import Looked
@@ -54,6 +55,12 @@
         self.end(Outcome.ERROR)
 
     def late(self) -> None:
+        if not self.pool.later(partial(self.ran_out, self.waits)):
+            self.ran_out(self.waits)
+
+    def ran_out(self, timer: Any) -> None:
+        if self.waits is not timer:
+            return  # the answer lay there already
         self.end(Outcome.LATE if self.sent else Outcome.UNREACHED)
 
     def conclude(self, outcome: Outcome, values: dict[str, float]) -> None:
@@ -85,10 +92,14 @@
 class Probes:
     """The probe connections, one a host."""
 
-    def __init__(self, reactor: Any, reports: bool, time_out: float, told: Callable[[Looked], None]) -> None:
+    def __init__(
+        self, reactor: Any, reports: bool, time_out: float, told: Callable[[Looked], None],
+        later: Callable[[Callable[[], None]], bool] = lambda do: False,
+    ) -> None:  # fmt: skip
         self.reactor = reactor
         self.retune(reports, time_out)
         self.told = told
+        self.later = later  # whether what is to be done waits until what lies in the sockets is read
         self.open: dict[int, ProbeConnection] = {}
 
     def retune(self, reports: bool, time_out: float) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -298,8 +298,9 @@
 def test_a_node_that_stood_still_itself_reads_before_it_judges():
     d = desk(hosts=1)
     client, host = up(d)
+    sweeps(d, 0.25)
     client.dataReceived(b"one\r\n")
-    d.reactor.advance(5.0)
+    d.reactor.rightNow += 5.0
     d.sweep()
     host.dataReceived(b"one\r\n")
     sweeps(d, 1.0)
@@ -578,3 +579,68 @@
     client, host = up(d)
     client.dataReceived(b"one\r\n")
     assert host.transport.lines() == [b"one"]
+
+
+def asleep(d, seconds):
+    """The node has swept, and is stopped for so long; nothing of it has run since."""
+    d.sweep()
+    d.reactor.rightNow += seconds
+
+
+def test_a_session_that_lay_there_beside_a_drain_is_placed_by_the_list():
+    d = desk(hosts=2)
+    asleep(d, 3.0)
+    connect(d, OPEN.replace(b"d=1200", b"d=9000"))
+    assert not d.reactor.tcpClients  # nothing is decided before all is read
+    d.listed(False, [row("s-0", "Terminating", 9000)])
+    d.reactor.advance(0)
+    assert [c[1] for c in d.reactor.tcpClients] == [9001]
+
+
+def test_what_is_left_of_a_wait_is_counted_from_the_sleep_on():
+    d = desk()
+    asleep(d, 3.0)
+    client = connect(d, OPEN)
+    d.reactor.advance(0)
+    assert client.transport.lines()[0].startswith(b"BUSY") and not d.reactor.tcpClients
+
+
+def test_a_head_whose_connection_came_up_in_the_sleep_waits_for_the_list():
+    d = desk(hosts=1)
+    connect(d, OPEN.replace(b"d=1200", b"d=9000"))
+    asleep(d, 0.9)
+    host = accept(d)
+    assert not host.transport.value()
+    d.listed(False, [row("s-0", "Terminating", 9000)])
+    d.reactor.advance(0)
+    assert not host.transport.value() and host.ended
+
+
+@pytest.mark.parametrize("open_, waits", [(True, 0.0), (False, 0.45)])
+def test_a_list_that_cannot_be_read_is_waited_for_and_not_without_end(open_, waits):
+    d = desk()
+    d.source = type("Source", (), {"open": open_, "reads": 0, "woke": lambda self: None})()
+    asleep(d, 3.0)
+    connect(d, OPEN.replace(b"d=1200", b"d=9000"))
+    d.reactor.advance(waits)
+    assert bool(d.reactor.tcpClients) is open_
+    d.reactor.pump([0.01] * 10)
+    assert d.reactor.tcpClients and not d.away
+
+
+def test_a_time_out_that_ran_out_in_the_sleep_yields_to_the_answer_beside_it():
+    d = desk(hosts=1)
+    client = connect(d, OPEN)
+    host = accept(d)
+    asleep(d, 2.0)
+    d._late(host)
+    host.dataReceived(b"UP r1\r\n")
+    d.reactor.advance(0)
+    assert client.transport.lines() == [b"UP r1"] and not host.ended
+
+
+def test_a_busy_turn_is_no_sleep():
+    d = desk()
+    asleep(d, 0.45)
+    connect(d, OPEN)
+    assert d.reactor.tcpClients and not d.away
