The same fleet in virtual time: stand-ins, links, faults, history and oracle over one clock

Need: every later piece is proven by several copies with faults between them, and no such test existed. Weighed: a relay in virtual time too (every connection twice over, half the speed) against links that the memory transports ask themselves; the links are one piece of code either way, and the relay will ask the same. The program's own service, discovery and wire code run as they are; only signals, the port and the log are left out. Service takes a clock, the collector is frozen by the command, not the service.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -48,6 +49,8 @@
     except (OSError, CannotListenError) as error:
         print(f"caperdeck: cannot listen: {error}", file=sys.stderr)
         return 1
+    gc.collect()
+    gc.freeze()
     reactor.run(installSignalHandlers=False)
     return service.exit_code
 
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -130,8 +130,8 @@
 class Balancer:
     """One node's decisions behind three calls."""
 
-    def __init__(self, settings: Settings, now: float) -> None:
-        self._node = Node(settings, now)
+    def __init__(self, settings: Settings, now: float, decides: type[Node] = Node) -> None:
+        self._node = decides(settings, now)
         self._bells: list[tuple[float, int, int]] = []
         self._dials: dict[int, int] = {}  # of each session without an answer, how many were made
         self._rung = 0
--- /dev/null
+++ b/caperdeck/lab/clients.py
@@ -0,0 +1,262 @@
+"""Stand-in clients: open-loop, each at its drawn moment, through a front that deals them out over the nodes.
+
+A client's times count from the moment it should have sent, so a slow fleet is not asked less.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import LineReceiver
+
+from caperdeck.core.chance import chance
+
+from .scenario import Scenario
+
+SPEAK = 2000.0  # a client sends a line so often
+IN_TIME = 1000.0  # a line that comes back in this time was served well
+MOST_BACK = 4000.0  # the longest back-off that a client honours
+
+
+class Client(LineReceiver):
+    MAX_LENGTH = 4096
+
+    def __init__(self, crowd: Clients, number: int, tries: int, load: float, ends: float) -> None:
+        self.crowd, self.number, self.tries, self.load, self.ends = crowd, number, tries, load, ends
+        self.id, self.node = crowd.name(), ""
+        self.asked = crowd.now()
+        self.answered, self.up, self.over = False, False, False
+        self.waits: Any = None
+        self.spoke: list[float] = []  # lines that no answer has come to yet
+        self.served, self.up_at = 0.0, 0.0
+
+    def connectionMade(self) -> None:
+        scenario = self.crowd.scenario
+        left = max(scenario.clients.wait - (self.crowd.now() - self.asked), 1.0)
+        head = f"OPEN {self.id} k{self.number} c=live,t=t,d={left:.0f},h={self.load / 1000:.5f},n={self.node}"
+        self.crowd.emit("ask", who=self.node, id=self.id, wait=round(left, 1))
+        self.sendLine(head.encode())
+        self.waits = self.crowd.reactor.callLater(left / 1000.0, self.give_up)
+
+    def connect_failed(self) -> None:
+        """The node is not there, or cut off; it has taken nothing."""
+        if not self.over:
+            self.over = True
+            self.crowd.refused(self, 0.0)
+
+    def give_up(self) -> None:
+        if not self.answered:
+            self.answer("none")
+            self.close()
+
+    def answer(self, what: str) -> None:
+        if self.answered:
+            self.crowd.emit("extra", who=self.node, id=self.id, what=what)
+            return
+        self.answered = True
+        if self.waits is not None and self.waits.active():
+            self.waits.cancel()
+        took = round(self.crowd.now() - self.asked, 1)
+        self.crowd.emit("answer", who=self.node, id=self.id, what=what, ms=took)
+
+    def lineReceived(self, line: bytes) -> None:
+        word = line.split(b" ", 1)[0]
+        if self.up:
+            self.heard(word)
+        elif self.answered:
+            self.answer(word.decode("utf-8", "replace").lower())
+        elif word == b"UP":
+            self.answer("up")
+            self.up, self.up_at = True, self.crowd.now()
+            self.speak()
+        else:
+            self.answer("busy" if word == b"BUSY" else "err")
+            if word == b"BUSY":
+                back = line.partition(b" ")[2]
+                self.crowd.refused(self, min(float(back) if back.isdigit() else 0.0, MOST_BACK))
+            else:
+                self.crowd.refused(self, 0.0)
+            self.over = True
+            self.transport.loseConnection()
+
+    def speak(self) -> None:
+        if self.over:
+            return
+        now = self.crowd.now()
+        if now >= self.ends:
+            self.finish("lived")
+            self.transport.loseConnection()
+            return
+        self.spoke.append(now)
+        self.sendLine(b"say")
+        self.waits = self.crowd.reactor.callLater(min(SPEAK, self.ends - now + 1) / 1000.0, self.speak)
+
+    def heard(self, word: bytes) -> None:
+        now = self.crowd.now()
+        if word == b"say":
+            if self.spoke:
+                self.well(now)
+        elif word in (b"MOVE", b"BYE"):
+            self.finish(word.decode().lower())
+            self.transport.loseConnection()
+            if word == b"MOVE":
+                self.crowd.again(self)
+        else:
+            self.answer(word.decode("utf-8", "replace").lower())
+
+    def well(self, now: float) -> None:
+        at = self.spoke.pop(0)
+        if now - at <= IN_TIME:
+            self.served += min(SPEAK, max(self.ends - at, 0.0))
+
+    def finish(self, how: str) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.waits is not None and self.waits.active():
+            self.waits.cancel()
+        lived = self.crowd.now() - self.up_at
+        self.crowd.emit(
+            "end", who=self.node, id=self.id, how=how, ms=round(lived, 1),
+            well=round(min(self.served, lived), 1),
+        )  # fmt: skip
+
+    def close(self) -> None:
+        self.over = True
+        if self.connected:
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason: Any) -> None:
+        if self.up and not self.over:
+            self.finish("broke")
+            self.crowd.again(self)
+        elif not self.over:
+            self.over = True
+            self.answer("closed")
+            self.crowd.refused(self, 0.0)
+        elif self.waits is not None and self.waits.active():
+            self.waits.cancel()
+
+
+class _Once(ClientFactory):
+    noisy = False
+
+    def __init__(self, client: Client) -> None:
+        self.client = client
+
+    def buildProtocol(self, addr: Any) -> Client:
+        return self.client
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self.client.connect_failed()
+
+
+class Clients:
+    """The crowd and the front: which node a client comes to, and when it comes again."""
+
+    def __init__(
+        self, reactor: Any, scenario: Scenario, seed: int, doors: dict[str, tuple[str, int]],
+        clock: Callable[[], float], emit: Callable[..., None],
+    ) -> None:  # fmt: skip
+        self.reactor, self.scenario, self.seed, self.doors = reactor, scenario, seed, doors
+        self.now, self.emit = clock, emit
+        self.draws, self.made, self.named = 0, 0, 0
+        self.out: dict[str, float] = {}  # nodes that the front leaves out, until when at the least
+        self.left_out: list[tuple[float, str]] = []  # when the front will notice that a node has died
+        weights = scenario.clients
+        self.weight = {n: 1.0 + (weights.uneven if i % 5 == 0 else 0.0) for i, n in enumerate(doors)}
+        self.ended = False
+        self.wanted = 0.0  # milliseconds of connection that were asked for
+
+    def chance(self) -> float:
+        self.draws += 1
+        return chance(self.seed, self.draws)
+
+    def between(self, span: tuple[float, float]) -> float:
+        return span[0] + (span[1] - span[0]) * self.chance()
+
+    def name(self) -> str:
+        self.named += 1
+        return f"{self.named:08x}"
+
+    def start(self) -> None:
+        self.next_at = self.now()
+        self.arrive()
+
+    def arrive(self) -> None:
+        """Every client that is due by now, late or not."""
+        now = self.now()
+        while self.next_at <= now and not self.ended:
+            self.come(self.next_at)
+            # exponential gaps, from an even draw
+            self.next_at += self._gap()
+        if not self.ended:
+            self.reactor.callLater(max(self.next_at - now, 0.0) / 1000.0, self.arrive)
+
+    def _gap(self) -> float:
+        return -math.log(max(1.0 - self.chance(), 1e-9)) * 1000.0 / self.scenario.clients.rate
+
+    def come(self, at: float) -> None:
+        table = self.scenario.clients
+        life, load = self.between(table.life) * 1000.0, self.between(table.load)
+        self.made += 1
+        rest = min(at + life, self.scenario.seconds * 1000.0) - at
+        self.wanted += rest
+        self.emit("wanted", ms=round(rest, 1))
+        self.connect(Client(self, self.made, 0, load, at + life))
+
+    def connect(self, client: Client) -> None:
+        if self.ended:
+            return
+        client.node = node = self.door()
+        if not node:
+            client.connect_failed()
+            return
+        host, port = self.doors[node]
+        wait = self.scenario.clients.wait / 1000.0
+        self.reactor.connectTCP(host, port, _Once(client), wait)
+
+    def door(self) -> str:
+        now = self.now()
+        while self.left_out and self.left_out[0][0] <= now:
+            self.out[heapq.heappop(self.left_out)[1]] = now
+        nodes = [n for n in self.doors if n not in self.out]
+        pick = self.chance() * sum(self.weight[n] for n in nodes)
+        for n in nodes:
+            pick -= self.weight[n]
+            if pick <= 0:
+                return n
+        return nodes[-1] if nodes else ""
+
+    def node_died(self, node: str) -> None:
+        heapq.heappush(self.left_out, (self.now() + self.between(self.scenario.clients.notice), node))
+
+    def node_ready(self, node: str) -> None:
+        self.left_out = [(at, n) for at, n in self.left_out if n != node]
+        heapq.heapify(self.left_out)
+        self.out.pop(node, None)
+
+    def refused(self, client: Client, back_off: float) -> None:
+        """The client comes again a few times, after the wait that it was told or one of its own."""
+        table, left = self.scenario.clients, client.ends - self.now()
+        if client.tries < table.retries and left > 0 and not self.ended:
+            wait = back_off or self.between((15.0, 120.0)) * 2**client.tries
+            again = Client(self, client.number, client.tries + 1, client.load, client.ends)
+            self.later(wait, again)
+
+    def again(self, client: Client) -> None:
+        """Its connection broke or was moved."""
+        if client.ends > self.now() and not self.ended:
+            again = Client(self, client.number, 0, client.load, client.ends)
+            self.later(self.between(self.scenario.clients.back), again)
+
+    def later(self, wait: float, client: Client) -> None:
+        client.asked = self.now() + wait
+        self.reactor.callLater(wait / 1000.0, self.connect, client)
+
+    def stop(self) -> None:
+        self.ended = True
--- /dev/null
+++ b/caperdeck/lab/faults.py
@@ -0,0 +1,218 @@
+"""What goes wrong when: a scenario's faults, set off by the time or by what was seen, for either driver.
+
+A driver is `Hands`: it says how a process is killed, stopped or started there. Nothing here counts on a
+machine's speed: a fault that waits for events sets in at the same event on a slow machine.
+"""
+
+from __future__ import annotations
+
+import fnmatch
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from .history import Event
+from .links import Links
+from .scenario import ON_LINKS, Fault, Scenario
+
+BACK = (500.0, 1500.0)  # until a killed process is started again where the fault does not say
+DUTY = 0.1  # seconds of one turn of a slowed process
+NOTICE = (1400.0, 4600.0)  # until discovery has noticed that a host died
+LONGEST_STOP = 4.0  # seconds from SIGTERM to SIGKILL
+
+
+class Hands(Protocol):
+    """What a driver does for a fault; parts go by name, times in seconds."""
+
+    links: Links
+
+    def later(self, wait: float, do: Callable[..., None], *args: Any) -> Any: ...
+
+    def kill(self, node: str) -> None: ...
+
+    def start(self, node: str) -> None: ...
+
+    def terminate(self, node: str) -> None: ...
+
+    def stop(self, node: str) -> None: ...
+
+    def wake(self, node: str) -> None: ...
+
+    def clock(self, node: str, offset: float, drift: float) -> None: ...
+
+    def reset(self, a: str, b: str) -> None: ...
+
+    def host(self, name: str, do: str, amount: float) -> None: ...
+
+    def hush(self, node: str, silent: bool) -> None: ...
+
+    def alive(self, node: str) -> bool: ...
+
+    def changed(self, a: str, b: str) -> None: ...
+
+
+class Timeline:
+    def __init__(self, scenario: Scenario, hands: Hands, emit: Callable[..., None]) -> None:
+        self.scenario, self.hands, self.emit = scenario, hands, emit
+        self.waiting = {i: f.after.count for i, f in enumerate(scenario.fault) if f.after is not None}
+        self.begun: set[str] = set()
+        self.ends: dict[int, list[str]] = {}
+        self.slowed: dict[str, int] = {}
+
+    def start(self) -> None:
+        for i, fault in enumerate(self.scenario.fault):
+            if fault.at is not None:
+                self.hands.later(fault.at + fault.wait, self.begin, i)
+
+    def saw(self, event: Event) -> None:
+        """Counts an event for the faults that wait for it."""
+        if not self.waiting or event["ev"] == "fault":
+            return
+        for i in list(self.waiting):
+            after = self.scenario.fault[i].after
+            if after.seen != event["ev"] or (after.within and after.within not in self.begun):
+                continue
+            names = (event.get("who", ""), event.get("to", ""))
+            if after.of != "*" and not any(fnmatch.fnmatchcase(n, after.of) for n in names):
+                continue
+            self.waiting[i] -= 1
+            if self.waiting[i] <= 0:
+                del self.waiting[i]
+                self.hands.later(self.scenario.fault[i].wait, self.begin, i)
+
+    # ---- one fault
+
+    def begin(self, i: int) -> None:
+        fault = self.scenario.fault[i]
+        self.begun.add(fault.name)
+        parts = self.ends[i] = self._parts(fault)
+        self._say(i, True, parts)
+        self._apply(fault, parts, True)
+        if fault.span is not None:
+            self.hands.later(fault.span, self.end, i)
+
+    def end(self, i: int) -> None:
+        fault, parts = self.scenario.fault[i], self.ends[i]
+        self._say(i, False, parts)
+        self._apply(fault, parts, False)
+
+    def _say(self, i: int, on: bool, parts: list[str]) -> None:
+        fault = self.scenario.fault[i]
+        to = self.scenario.matching(fault.to) if fault.do in ON_LINKS else []
+        self.emit("fault", number=i, do=fault.do, name=fault.name, on=on, of=parts, far=to)
+
+    def _parts(self, fault: Fault) -> list[str]:
+        if fault.do == "cut-zone":
+            zone = self.scenario.matching(f"zone:{fault.of}")
+            return [p for p in zone if p[0] in "nh"]
+        parts = self.scenario.matching(fault.of)
+        if fault.do in ("mass-kill", "mass-restart"):
+            nodes = [p for p in parts if p[0] == "n"]
+            order = sorted(nodes, key=lambda n: self.hands.links.chance())
+            return sorted(order[: max(round(fault.amount * len(nodes)), 1)], key=nodes.index)
+        return parts
+
+    def _apply(self, fault: Fault, parts: list[str], on: bool) -> None:
+        hands, do = self.hands, fault.do
+        if do in ON_LINKS:
+            self._on_links(fault, [(a, b) for a in parts for b in self.scenario.matching(fault.to)], on)
+        elif do == "cut-zone":
+            inside, others = set(parts), self.scenario.node_names() + self.scenario.host_names()
+            pairs = [(a, b) for a in parts for b in others if b not in inside]
+            self._cut(pairs + [(b, a) for a, b in pairs], on)
+        elif do == "discovery":
+            for n in (p for p in parts if p[0] in "nd"):
+                hands.hush(f"n{n[1:]}", on)
+        elif do == "clock" and on:
+            for n in (p for p in parts if p[0] == "n"):
+                hands.clock(n, fault.offset, fault.drift)
+        elif do in ("drain", "start", "ill") or (do == "kill" and parts and parts[0][0] == "h"):
+            for h in (p for p in parts if p[0] == "h"):
+                hands.host(h, do if on else ("well" if do == "ill" else "start"), fault.amount)
+        elif do == "rolling":
+            if on:
+                self._roll([p for p in parts if p[0] == "n"], max(fault.amount, 0.01))
+        else:
+            self._on_nodes(fault, [p for p in parts if p[0] == "n"], on)
+
+    def _on_nodes(self, fault: Fault, nodes: Iterable[str], on: bool) -> None:
+        hands, do = self.hands, fault.do
+        for n in nodes:
+            if do in ("kill", "mass-kill"):
+                if on:
+                    hands.kill(n)
+                if on and do == "mass-kill" and fault.span is None:
+                    hands.later(hands.links.between(BACK) / 1000.0, hands.start, n)
+                elif not on:
+                    hands.start(n)
+            elif do in ("restart", "mass-restart"):
+                if on:
+                    self.restart(n, lambda: None)
+            elif do == "stop":
+                (hands.stop if on else hands.wake)(n)
+            elif do == "slow":
+                self.slowed[n] = self.slowed.get(n, 0) + 1
+                if on:
+                    self._slow(n, self.slowed[n], fault.amount, True)
+                else:
+                    hands.wake(n)
+
+    def _slow(self, n: str, turn: int, amount: float, stop: bool) -> None:
+        """Stopped for a part of each tenth of a second."""
+        if self.slowed.get(n) == turn:
+            (self.hands.stop if stop else self.hands.wake)(n)
+            self.hands.later(DUTY * (amount if stop else 1 - amount), self._slow, n, turn, amount, not stop)
+
+    def restart(self, n: str, then: Callable[[], None]) -> None:
+        """SIGTERM, and a new process once the old one has gone or has had its time."""
+        if not self.hands.alive(n):
+            then()
+            return
+        self.hands.terminate(n)
+        self._await_exit(n, LONGEST_STOP, then)
+
+    def _await_exit(self, n: str, left: float, then: Callable[[], None]) -> None:
+        if not self.hands.alive(n) or left <= 0:
+            self.hands.kill(n)
+            self.hands.start(n)
+            then()
+        else:
+            self.hands.later(0.05, self._await_exit, n, left - 0.05, then)
+
+    def _roll(self, nodes: list[str], amount: float) -> None:
+        size = max(round(amount * len(nodes)), 1)
+        batch, rest = nodes[:size], nodes[size:]
+        left = [len(batch)]
+
+        def one_back() -> None:
+            left[0] -= 1
+            if not left[0] and rest:
+                self._roll(rest, amount * len(nodes) / len(rest))
+
+        for n in batch:
+            self.restart(n, one_back)
+
+    # ---- links
+
+    def _cut(self, pairs: list[tuple[str, str]], on: bool) -> None:
+        for a, b in pairs:
+            self.hands.links.cut(a, b, on)
+            self.hands.changed(a, b)
+
+    def _on_links(self, fault: Fault, pairs: list[tuple[str, str]], on: bool) -> None:
+        pairs = [(a, b) for a, b in pairs if a != b]
+        if fault.do == "cut":
+            self._cut(pairs, on)
+        elif fault.do == "silence":
+            self._cut(pairs + [(b, a) for a, b in pairs], on)
+        elif fault.do == "reset":
+            if on:
+                for a, b in pairs:
+                    self.hands.reset(a, b)
+        else:
+            for a, b in pairs:
+                trouble = self.hands.links.trouble(a, b)
+                if fault.do == "delay":
+                    trouble.delay = fault.spread if on else (0.0, 0.0)
+                else:
+                    setattr(trouble, fault.do, fault.amount if on else 0.0)
+                self.hands.changed(a, b)
--- /dev/null
+++ b/caperdeck/lab/oracle.py
@@ -0,0 +1,259 @@
+"""The four rules, checked on a history, apart from node and model; each breach is named.
+
+A check is fed every event in the order of time, then asked to end. Later packages put theirs into CHECKS.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from .history import Event
+from .scenario import Scenario
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    rule: str
+    text: str
+    t: float
+    session: str = ""
+    host: str = ""
+    node: str = ""
+
+    def line(self) -> str:
+        names = (("session", self.session), ("host", self.host), ("node", self.node))
+        named = " ".join(f"{key}={name}" for key, name in names if name)
+        return f"{self.rule}: {self.text} at {self.t:.0f} ms {named}".rstrip()
+
+    def named(self) -> dict[str, Any]:
+        return asdict(self)
+
+
+class Check:
+    """One rule over one history."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.breaches: list[Breach] = []
+
+    def feed(self, e: Event) -> None:
+        handler = getattr(self, f"on_{e['ev']}", None)
+        if handler is not None:
+            handler(e)
+
+    def end(self, t: float) -> None:
+        """The history is over."""
+
+    def breach(self, rule: str, text: str, e: Event, **more: Any) -> None:
+        values = {"session": e.get("id", ""), "host": e.get("to", ""), "node": e.get("who", "")} | more
+        self.breaches.append(Breach(rule, text, e["t"], **values))
+
+
+class Answers(Check):
+    """No session lost: one final answer before its time, nothing after it.
+
+    A node that was dead, asleep or cut off from its clients while a session waited is excused from being in
+    time; nothing excuses two answers.
+    """
+
+    def __init__(self, scenario: Scenario) -> None:
+        super().__init__(scenario)
+        self.asked: dict[str, Event] = {}
+        self.answered: dict[str, Event] = {}
+        self.down: dict[str, list[list[float]]] = {n: [] for n in scenario.node_names()}
+
+    def on_ask(self, e: Event) -> None:
+        self.asked[e["id"]] = e
+
+    def on_answer(self, e: Event) -> None:
+        if e["id"] in self.answered:
+            self.breach("sessions", "answered twice", e)
+            return
+        self.answered[e["id"]] = e
+
+    def on_extra(self, e: Event) -> None:
+        self.breach("sessions", f"{e.get('what')!r} after the final answer", e)
+
+    def on_life(self, e: Event) -> None:
+        spans, state = self.down.setdefault(e["who"], []), e["state"]
+        if state in ("killed", "exit", "asleep", "off"):
+            if not spans or spans[-1][1] < float("inf"):
+                spans.append([e["t"], float("inf")])
+        elif spans and spans[-1][1] == float("inf"):
+            spans[-1][1] = e["t"]
+
+    def on_fault(self, e: Event) -> None:
+        # between a node and its clients nothing arrives, or late
+        ends = [*e.get("of", []), *e.get("far", [])]
+        if "clients" not in ends:
+            return
+        for n in (x for x in ends if x in self.down):
+            self.on_life({"t": e["t"], "who": n, "state": "off" if e["on"] else "on"})
+
+    def end(self, t: float) -> None:
+        slack = self.scenario.rules.slack
+        for sid, e in self.asked.items():
+            last = e["t"] + e["wait"] + slack
+            if last > t or any(a <= last and b >= e["t"] for a, b in self.down.get(e["who"], ())):
+                continue
+            answer = self.answered.get(sid)
+            if answer is None or answer["what"] == "none":
+                self.breach("sessions", "no answer in its time", e)
+            elif answer["what"] in ("closed", "reset"):
+                self.breach("sessions", "ended without an answer", e)
+            elif answer["t"] > last:
+                self.breach("sessions", f"answered {answer['t'] - last:.0f} ms late", e)
+
+
+class Effects(Check):
+    """No effect twice, and never two dials out for one session."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        super().__init__(scenario)
+        self.out: dict[str, Event] = {}
+        self.ran: dict[str, str] = {}
+
+    def on_dial(self, e: Event) -> None:
+        if (other := self.out.get(e["id"])) is not None:
+            self.breach("effects", f"two dials out, the other at {other['to']}", e)
+        elif self.scenario.clients.effect == "at_most_once" and e["id"] in self.ran:
+            self.breach("effects", "dialled again after it may have run", e)
+        self.out[e["id"]] = e
+
+    def on_undial(self, e: Event) -> None:
+        if (dial := self.out.get(e["id"])) is not None and dial["to"] == e["to"]:
+            del self.out[e["id"]]
+
+    def on_back(self, e: Event) -> None:
+        if e["what"] in ("BUSY", "ERR", "MOVE"):
+            self.on_undial(e)
+
+    def on_ran(self, e: Event) -> None:
+        sid = e["id"]
+        if sid in self.ran and self.scenario.clients.effect == "at_most_once":
+            self.breach("effects", f"ran twice, first at {self.ran[sid]}", e)
+        self.ran[sid] = e["to"]
+
+
+class Drains(Check):
+    """Nothing new to a host later than the grace after the node was told that it drains or is gone."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        super().__init__(scenario)
+        self.changes: list[tuple[int, str, str, float]] = []  # version, host, state, when
+        self.told: dict[str, list[tuple[float, int]]] = {n: [] for n in scenario.node_names()}
+        self.born: dict[str, float] = {}
+
+    def on_list(self, e: Event) -> None:
+        self.changes.append((e["rev"], e["to"], e["state"], e["t"]))
+
+    def on_told(self, e: Event) -> None:
+        self.told.setdefault(e["who"], []).append((e["t"], e["rev"]))
+
+    def on_life(self, e: Event) -> None:
+        if e["state"] == "up":
+            self.born[e["who"]] = e["t"]
+
+    def on_dial(self, e: Event) -> None:
+        rules, node = self.scenario.rules, e["who"]
+        latest = e["t"] - rules.drain_grace - rules.slack
+        known = max((rev for at, rev in self.told.get(node, ()) if at <= latest), default=0)
+        state, since = "Ready", 0.0
+        for rev, host, what, at in self.changes:
+            # Danger: a change that never arrived counts as told in the end all the same; but a node that
+            # started since goes by the list that it asked for.
+            anyway = at + rules.told_anyway <= latest and self.born.get(node, 0.0) < at
+            if host == e["to"] and (rev <= known or anyway):
+                state, since = what, at
+        if state != "Ready":
+            # a later word that it is ready again, told within the grace, undoes it
+            again = any(h == e["to"] and s == "Ready" and a > since for _, h, s, a in self.changes)
+            if not again:
+                self.breach("drains", f"sent {e['t'] - since:.0f} ms after the list said {state}", e)
+
+
+class Cold(Check):
+    """A cold host is not sent more than a multiple of what it can do, for a time, by all nodes together.
+
+    Recounted from what the hosts were sent, not from what they say of themselves.
+    """
+
+    def __init__(self, scenario: Scenario) -> None:
+        super().__init__(scenario)
+        self.hosts: dict[str, dict[str, Any]] = {}
+
+    def on_host(self, e: Event) -> None:
+        if e["state"] == "cold":
+            self.hosts[e["to"]] = {
+                "born": e["born"], "capacity": e["capacity"], "held": {}, "sent": deque(), "since": None,
+                "said": False,
+            }  # fmt: skip
+        elif e["state"] == "gone":
+            self.hosts.pop(e["to"], None)
+
+    def on_sent(self, e: Event) -> None:
+        if (h := self.hosts.get(e["to"])) is not None:
+            h["sent"].append((e["t"], e["id"], e["load"]))
+            self._press(e, h)
+
+    def on_ran(self, e: Event) -> None:
+        if (h := self.hosts.get(e["to"])) is not None:
+            self._press(e, h)
+
+    def on_gone(self, e: Event) -> None:
+        if (h := self.hosts.get(e["to"])) is not None:
+            self._press(e, h)
+
+    def _press(self, e: Event, h: dict[str, Any]) -> None:
+        rules, table = self.scenario.rules, self.scenario.hosts
+        age, sent = e["t"] - h["born"], h["sent"]
+        if e["ev"] == "ran":
+            h["held"][e["id"]] = next((load for _, sid, load in reversed(sent) if sid == e["id"]), 0.0)
+        elif e["ev"] == "gone":
+            h["held"].pop(e["id"], None)
+        while sent and sent[0][0] < e["t"] - rules.fall:
+            sent.popleft()
+        if age >= table.warm_after:
+            del self.hosts[e["to"]]
+            return
+        able = h["capacity"] * (table.cold_from + (1 - table.cold_from) * age / table.warm_after)
+        held = h["held"]
+        asked = sum(held.values()) + sum(load for _, sid, load in sent if sid not in held)
+        if asked <= rules.fall_multiple * able:
+            h["since"] = None
+        elif h["since"] is None:
+            h["since"] = e["t"]
+        elif e["t"] - h["since"] >= rules.fall and not h["said"]:
+            h["said"] = True
+            self.breach("cold", f"{asked:.0f} asked of a host that can do {able:.0f}", e, session="", node="")
+
+
+class Wire(Check):
+    """What a host could not read voids the run."""
+
+    def on_syntax(self, e: Event) -> None:
+        self.breach("wire", "a first line that no client sent", e)
+
+    def on_datagram(self, e: Event) -> None:
+        if not e.get("ok", True):
+            self.breach("wire", f"a datagram of {e['size']} bytes", e)
+
+
+CHECKS: list[Callable[[Scenario], Check]] = [Answers, Effects, Drains, Cold, Wire]
+
+
+def judge(
+    scenario: Scenario, events: Iterable[Event], checks: Iterable[Callable[[Scenario], Check]] = (),
+) -> list[Breach]:  # fmt: skip
+    """All breaches of a history that is in the order of time; further checks may be handed in."""
+    made, t = [make(scenario) for make in (*CHECKS, *checks)], 0.0
+    for e in events:
+        t = e["t"]
+        for check in made:
+            check.feed(e)
+    for check in made:
+        check.end(t)
+    return sorted((b for check in made for b in check.breaches), key=lambda b: b.t)
--- /dev/null
+++ b/caperdeck/lab/scenario.py
@@ -0,0 +1,242 @@
+"""Scenario files: the fleet, its load, and what goes wrong when; checked whole before anything starts."""
+
+from __future__ import annotations
+
+import fnmatch
+import math
+import tomllib
+from typing import Any, Literal
+
+import msgspec
+from msgspec import field
+
+MOST_NODES, MOST_HOSTS, MOST_SECONDS, MOST_RATE, MOST_FAULTS = 400, 200, 300.0, 5000.0, 200
+MOST_PROCESSES = 12  # nodes as real processes
+
+
+class ScenarioError(Exception):
+    """The scenario cannot be played; the text names file, field and reason."""
+
+
+class Table(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A table of the file; a name that it does not know is refused."""
+
+
+class Hosts(Table):
+    """The stand-in hosts. Loads in milliseconds of work a second, times in milliseconds."""
+
+    count: int = 5
+    cores: int = 4
+    speed: tuple[float, float] = (0.8, 1.2)  # a core's, drawn for each host
+    cap_per_core: int = 600  # connections
+    handshake: float = 3.0
+    report_every: tuple[float, float] = (500.0, 1100.0)
+    report_late: tuple[float, float] = (60.0, 400.0)
+    cold_from: float = 0.3
+    warm_after: float = 8000.0
+    drain_span: float = 3000.0  # from the word that it drains to its end
+
+
+class Clients(Table):
+    """Open-loop arrivals: each at its drawn moment, whatever became of the ones before."""
+
+    rate: float = 20.0  # new connections a second, over the whole fleet
+    life: tuple[float, float] = (4.0, 20.0)  # seconds
+    load: tuple[float, float] = (20.0, 50.0)  # of a connection
+    wait: float = 1200.0  # for the answer
+    target: float = 300.0
+    effect: Literal["idempotent", "deduplicated", "at_most_once"] = "idempotent"
+    retries: int = 2
+    back: tuple[float, float] = (140.0, 1200.0)  # until one that broke or was moved comes again
+    uneven: float = 0.0  # some nodes see so many times the mean more
+    notice: tuple[float, float] = (1100.0, 3900.0)  # until the front leaves a dead node out
+
+
+class Rules(Table):
+    """The figures of the four rules, as the nodes are told them."""
+
+    drain_grace: float = 1000.0
+    fall_multiple: float = 2.5
+    fall: float = 1000.0
+    slack: float = 50.0  # each time limit on sockets is longer by this
+    told_anyway: float = 6000.0  # a change counts as told then, whether or not it arrived
+
+
+class Net(Table):
+    """One-way delays between the parts, milliseconds."""
+
+    delay: tuple[float, float] = (0.2, 0.6)
+    cross: tuple[float, float] = (0.4, 0.8)  # between zones
+    list_late: tuple[float, float] = (50.0, 300.0)  # from a change to the agents' word of it
+
+
+class After(Table):
+    """What must have been seen before a fault sets in: so many events of a kind, of any part or one."""
+
+    seen: str
+    count: int = 1
+    of: str = "*"
+    within: str = ""  # a fault by this name must have set in before the count begins
+
+
+class Fault(Table):
+    """One fault; it sets in at a time or after what was seen, and is undone after a while if one is given."""
+
+    do: Literal[
+        "loss", "delay", "double", "reorder", "cut", "silence", "reset", "kill", "restart", "stop", "slow",
+        "clock", "drain", "start", "ill", "discovery", "cut-zone", "mass-kill", "mass-restart", "rolling",
+    ]  # fmt: skip
+    name: str = ""
+    at: float | None = None  # seconds
+    after: After | None = None
+    wait: float = 0.0  # seconds from that on
+    span: float | None = msgspec.field(name="for", default=None)  # seconds
+    of: str = "*"  # the part or parts by name, with wildcards
+    to: str = "*"  # for links, the far end
+    amount: float = 0.5  # a rate, a part of the fleet, or a duty
+    spread: tuple[float, float] = (0.0, 0.0)  # milliseconds, drawn between
+    offset: float = 0.0  # of a clock, milliseconds
+    drift: float = 0.0  # of a clock, milliseconds a second
+
+
+class Scenario(Table):
+    name: str
+    seconds: float
+    nodes: int = 3
+    zones: list[str] = field(default_factory=lambda: ["east"])
+    seed: int = 1
+    hosts: Hosts = field(default_factory=Hosts)
+    clients: Clients = field(default_factory=Clients)
+    rules: Rules = field(default_factory=Rules)
+    net: Net = field(default_factory=Net)
+    fault: list[Fault] = field(default_factory=list)
+
+    def node_names(self) -> list[str]:
+        return [f"n{i}" for i in range(self.nodes)]
+
+    def host_names(self) -> list[str]:
+        return [f"h{i}" for i in range(self.hosts.count)]
+
+    def zone_of(self, name: str) -> str:
+        """Nodes, hosts and agents are dealt out over the zones in turn."""
+        digits = "".join(c for c in name if c.isdigit())
+        return self.zones[int(digits or 0) % len(self.zones)]
+
+    def parts(self) -> list[str]:
+        nodes, hosts = self.node_names(), self.host_names()
+        return nodes + hosts + [f"d{n[1:]}" for n in nodes] + ["clients"]
+
+    def matching(self, pattern: str) -> list[str]:
+        """The parts that a pattern names: wildcards, or `zone:NAME`."""
+        if pattern.startswith("zone:"):
+            return [p for p in self.parts() if p != "clients" and self.zone_of(p) == pattern[5:]]
+        return fnmatch.filter(self.parts(), pattern)
+
+
+ON_LINKS = ("loss", "delay", "double", "reorder", "cut", "silence", "reset")
+ON_NODES = ("kill", "restart", "stop", "slow", "clock", "rolling", "mass-kill", "mass-restart")
+ON_HOSTS = ("drain", "start", "ill")
+SEEN = ("ask", "answer", "dial", "back", "told", "life", "sent", "gone", "list", "fault", "host", "datagram")
+
+
+def load(path: str) -> Scenario:
+    """Reads and checks a scenario file; raises ScenarioError with the file, the field and the reason."""
+    try:
+        with open(path, "rb") as file:
+            raw = tomllib.load(file)
+    except OSError as error:
+        raise ScenarioError(f"{path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{path}: no TOML: {error}") from None
+    return decode(raw, path)
+
+
+def decode(raw: dict[str, Any], path: str = "scenario") -> Scenario:
+    try:
+        scenario = msgspec.convert(raw, Scenario)
+    except msgspec.ValidationError as error:
+        raise ScenarioError(f"{path}: {error}") from None
+    for where, reason in _faulty(scenario):
+        raise ScenarioError(f"{path}: {where}: {reason}")
+    return scenario
+
+
+def dump(scenario: Scenario) -> dict[str, Any]:
+    """The file's form of a scenario."""
+    return msgspec.to_builtins(scenario)
+
+
+def _numbers(value: Any, where: str):
+    """Every number of the scenario that is not finite, or is under 0 where it may not be."""
+    if isinstance(value, dict):
+        for key, below in value.items():
+            yield from _numbers(below, f"{where}.{key}" if where else key)
+    elif isinstance(value, list):
+        if len(value) == 2 and all(isinstance(x, float | int) for x in value) and value[0] > value[1]:
+            yield where, f"{value[0]} to {value[1]} goes down"
+        for i, below in enumerate(value):
+            yield from _numbers(below, f"{where}[{i}]")
+    elif isinstance(value, float | int) and not isinstance(value, bool):
+        if not math.isfinite(value):
+            yield where, f"{value} is not finite"
+        elif value < 0 and not where.endswith((".offset", ".drift")):
+            yield where, f"{value} is under 0"
+
+
+def _faulty(s: Scenario):
+    """What is wrong with a scenario, field by field."""
+    yield from _numbers(dump(s), "")
+    for where, value, most in (
+        ("nodes", s.nodes, MOST_NODES), ("hosts.count", s.hosts.count, MOST_HOSTS),
+        ("seconds", s.seconds, MOST_SECONDS), ("clients.rate", s.clients.rate, MOST_RATE),
+        ("fault", len(s.fault), MOST_FAULTS),
+    ):  # fmt: skip
+        if value > most:
+            yield where, f"{value} is over {most}"
+    for where, value in (
+        ("nodes", s.nodes), ("hosts.count", s.hosts.count), ("seconds", s.seconds), ("zones", len(s.zones)),
+        ("hosts.cores", s.hosts.cores), ("hosts.speed", s.hosts.speed[0]),
+        ("clients.load", s.clients.load[0]), ("clients.wait", s.clients.wait),
+        ("hosts.warm_after", s.hosts.warm_after),
+        ("hosts.cold_from", s.hosts.cold_from), ("hosts.report_every", s.hosts.report_every[0]),
+    ):  # fmt: skip
+        if not value:
+            yield where, "is 0"
+    if len(set(s.zones)) < len(s.zones):
+        yield "zones", "a name twice"
+    names = {f.name for f in s.fault if f.name}
+    for i, fault in enumerate(s.fault):
+        for where, reason in _faulty_fault(s, fault, names):
+            yield f"fault[{i}].{where}", reason
+
+
+def _faulty_fault(s: Scenario, f: Fault, names: set[str]):
+    parts = set(s.matching(f.of))
+    if f.do == "cut-zone":
+        if f.of not in s.zones:
+            yield "of", f"no zone {f.of!r}"
+    elif not parts:
+        yield "of", f"nothing is named {f.of!r}"
+    elif f.do in ON_NODES and not parts & set(s.node_names()):
+        yield "of", f"no node is named {f.of!r}"
+    elif f.do in ON_HOSTS and not parts & set(s.host_names()):
+        yield "of", f"no host is named {f.of!r}"
+    if f.do in ON_LINKS and not s.matching(f.to):
+        yield "to", f"nothing is named {f.to!r}"
+    if (f.at is None) == (f.after is None):
+        yield "at", "one of at and after is needed"
+    if f.at is not None and f.at >= s.seconds:
+        yield "at", f"{f.at} is past the end at {s.seconds}"
+    if f.span is not None and f.at is not None and f.at + f.wait + f.span > s.seconds:
+        yield "for", f"ends past the end at {s.seconds}"
+    if f.do in ("stop", "slow", "cut-zone") and f.span is None:
+        yield "for", f"{f.do} needs an end"
+    if f.do in ("loss", "double", "reorder", "slow", "mass-kill", "mass-restart", "ill") and f.amount > 1:
+        yield "amount", f"{f.amount} is over 1"
+    if f.after is not None:
+        if f.after.seen not in SEEN:
+            yield "after.seen", f"no kind of event {f.after.seen!r}"
+        if f.after.within and f.after.within not in names:
+            yield "after.within", f"no fault {f.after.within!r}"
+    if f.do == "clock" and abs(f.drift) > 500:
+        yield "drift", f"{f.drift} ms a second is over 500"
--- /dev/null
+++ b/caperdeck/lab/setup.py
@@ -0,0 +1,47 @@
+"""What the parts of a fleet are told: a node's configuration, as the platform's pages lay it out."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+from typing import Any
+
+from .scenario import Scenario
+
+UTILITY = 1.0
+SOCKETS = 8192
+
+
+def node_config(
+    scenario: Scenario, name: str, listen: str, discovery: str, life: int, seed: int,
+    peers: Iterable[str] = (), peers_all: str = "", peer_listen: str = "",
+    settings: dict[str, Any] | None = None,
+) -> dict[str, Any]:  # fmt: skip
+    """One node's configuration; its seed is new with each life."""
+    c, r, h = scenario.clients, scenario.rules, scenario.hosts
+    mark = zlib.crc32(f"{seed}/{name}/{life}".encode())
+    limits = {
+        "mostDials": 5, "mayProbe": True, "cancel": True, "retryAfter": True, "maxRetryAfter": 1.0,
+        "dialTimeout": 0.25, "connIdle": 60.0, "peers": True,
+    }  # fmt: skip
+    invariants = {
+        "coldFrom": h.cold_from, "warmAfter": h.warm_after / 1000, "fallMultiple": r.fall_multiple,
+        "fall": r.fall / 1000, "drainGrace": r.drain_grace / 1000, "graceToAnswer": 0.02,
+    }  # fmt: skip
+    listener = {
+        "name": "live", "effect": c.effect, "handshakeTarget": c.target / 1000, "hardLimit": c.wait / 1000,
+        "utility": UTILITY, "memorySpan": 5.0,
+    }  # fmt: skip
+    return {
+        "name": name, "listen": listen, "discovery": discovery, "seed": f"{mark:016x}",
+        "limits": {"cores": 1.0, "memory_mb": 256, "sockets": SOCKETS},
+        "known": {"rev": 0, "all": True, "targets": []},
+        "peer_listen": peer_listen, "peers": list(peers), "peers_all": peers_all,
+        "settings": {
+            "fleetSize": scenario.nodes, "dcs": scenario.zones, "locality": scenario.zone_of(name),
+            "limits": limits, "invariants": invariants, "listeners": [listener],
+            "projects": [{"name": "t"}], "weights": "live",
+            "report": {"how": "pull", "names": ["util", "inflight", "x0"]},
+            "prices": {"probe": 0.004, "peer": 0.01, "moves": 0.02},
+        } | (settings or {}),
+    }  # fmt: skip
--- /dev/null
+++ b/caperdeck/lab/virtual.py
@@ -0,0 +1,229 @@
+"""The same fleet in virtual time: the program's own service over in-memory transports, on one clock."""
+
+from __future__ import annotations
+
+import gc
+import time
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from caperdeck.core.decide import Node
+from caperdeck.core.facade import Balancer
+from caperdeck.lifecycle.config import decode_config
+from caperdeck.lifecycle.service import Service
+from caperdeck.wire.client import ClientFactory
+
+from .clients import Clients
+from .discovery import Discovery
+from .faults import NOTICE, Timeline
+from .history import Event, History
+from .hosts import Host, HostPort
+from .links import Links
+from .memory import Place, World
+from .scenario import Scenario
+from .setup import node_config
+
+EPOCH = 1_800_000_000_000.0  # Unix milliseconds at which every run begins
+READY = 0.5  # seconds from a node's start until it takes clients
+CLIENTS_FROM = 1.0  # seconds until the first client comes
+LEAVES = 0.3  # seconds from SIGTERM until the front sends a node nobody more
+
+
+class _NoLog:
+    """A node's log lines are dropped: the history has what counts."""
+
+    def flush(self) -> None:
+        pass
+
+
+class Copy(Service):
+    """The service as it is, but for signals and the port that only a real reactor has."""
+
+    def mind_signals(self) -> None:
+        pass
+
+    def listen(self, fd: int = -1) -> None:
+        address = self.config.listen
+        self.port = self.reactor.listenTCP(address.port, ClientFactory(self.desk), 0, address.host)
+        self.port.stopReading()
+
+
+class VirtualFleet:
+    """A whole fleet in this process. `decides` makes the decisions of each node."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int | None = None, decides: type[Node] = Node,
+        settings: dict[str, Any] | None = None, watch: Callable[[Event], None] | None = None,
+    ) -> None:  # fmt: skip
+        self.scenario = s = scenario
+        self.seed = s.seed if seed is None else seed
+        self.decides, self.settings = decides, settings
+        self.history = History(lambda: self.world.clock.rightNow * 1000.0)
+        emit = self.history.emit
+        self.world = World(lambda clock: Links(self.seed, self.usual), emit)
+        self.links = self.world.links
+        self.timeline = Timeline(s, self, emit)
+        self.history.watchers.append(self.timeline.saw)
+        if watch is not None:
+            self.history.watchers.append(watch)
+        self.lives: dict[str, int] = {}
+        self.services: dict[str, Copy] = {}
+        self.places: dict[str, Place] = {}
+        self.skews: dict[str, tuple[float, float]] = {}
+        self.took = 0.0  # seconds of real time
+        self._build()
+
+    def usual(self, a: str, b: str) -> tuple[float, float]:
+        net = self.scenario.net
+        if "clients" in (a, b) or a[0] == "d" or b[0] == "d":
+            return net.delay
+        return net.delay if self.scenario.zone_of(a) == self.scenario.zone_of(b) else net.cross
+
+    def now(self) -> float:
+        return self.world.clock.rightNow * 1000.0
+
+    # ---- the parts
+
+    def _build(self) -> None:
+        s, world, emit = self.scenario, self.world, self.history.emit
+        hub = world.place("discovery")
+        self.discovery = Discovery(hub, lambda: self.links.between(s.net.list_late), emit, self.now)
+        self.hosts: dict[str, HostPort] = {}
+        for i, name in enumerate(s.host_names()):
+            host = Host(s, name, self.seed * 1000 + i, emit)
+            port = self.hosts[name] = HostPort(world.place(name), host, self.now)
+            port.listen(f"127.1.0.{i + 1}", 9000)
+            self.discovery.roster.put(name, az=s.zone_of(name), state="Ready", boot_ms=0)
+        ends = {name: f"{port.address[0]}:{port.address[1]}" for name, port in self.hosts.items()}
+        for i, name in enumerate(s.node_names()):
+            agent = self.discovery.add(name, ends, world.place(f"d{i}"))
+            agent.listen(self._ip(3, i), 8500)
+        doors = {n: (self._ip(2, i), 9000) for i, n in enumerate(s.node_names())}
+        self.peers = [f"{self._ip(4, i)}:7946" for i in range(s.nodes)]
+        for n in range(s.nodes):
+            world.everyone[f"127.4.255.{n}", 7946] = [(self._ip(4, i), 7946) for i in range(s.nodes)]
+        self.clients = Clients(world.place("clients"), s, self.seed + 77, doors, self.now, emit)
+
+    def _ip(self, net: int, i: int) -> str:
+        return f"127.{net}.{i // 250}.{i % 250 + 1}"
+
+    def start(self, node: str) -> None:
+        if self.alive(node):
+            return
+        life = self.lives[node] = self.lives.get(node, 0) + 1
+        i, place = int(node[1:]), self.world.place(node)
+        offset, drift = self.skews.get(node, (0.0, 0.0))
+        place.rate, place.offset = 1 + drift / 1000.0, offset / 1000.0
+        raw = node_config(
+            self.scenario, node, f"{self._ip(2, i)}:9000", f"{self._ip(3, i)}:8500", life, self.seed,
+            self.peers, f"127.4.255.{i}:7946", self.peers[i], self.settings,
+        )  # fmt: skip
+        config = decode_config(raw)
+        copy = Copy(place, config, _NoLog(), lambda: config, lambda: EPOCH + place.seconds() * 1000.0)
+        copy.desk.balancer = Balancer(config.settings, copy.clock(), self.decides)
+        place.exited = lambda: self.gone(node, "exit")
+        self.places[node], self.services[node] = place, copy
+        copy.start()
+        self.history.emit("life", who=node, state="up", life=life)
+        self.later(READY, self._ready, node, life)
+
+    def _ready(self, node: str, life: int) -> None:
+        if self.alive(node) and self.lives[node] == life:
+            self.clients.node_ready(node)
+
+    def gone(self, node: str, state: str) -> None:
+        self.history.emit("life", who=node, state=state)
+        self.clients.node_died(node)
+
+    # ---- hands
+
+    def later(self, wait: float, do: Callable[..., None], *args: Any) -> Any:
+        return self.world.clock.callLater(wait, do, *args)
+
+    def alive(self, node: str) -> bool:
+        return node in self.places and not self.places[node].dead
+
+    def kill(self, node: str) -> None:
+        if self.alive(node):
+            self.places[node].die()
+            self.gone(node, "killed")
+
+    def terminate(self, node: str) -> None:
+        if self.alive(node):
+            self.history.emit("life", who=node, state="stopping")
+            self.places[node].callLater(0, self.services[node].stop)
+            self.later(LEAVES, self.clients.out.__setitem__, node, self.now())
+
+    def stop(self, node: str) -> None:
+        if self.alive(node) and not self.places[node].asleep:
+            self.places[node].sleep()
+            self.history.emit("life", who=node, state="asleep")
+
+    def wake(self, node: str) -> None:
+        if self.alive(node) and self.places[node].asleep:
+            self.history.emit("life", who=node, state="awake")
+            self.places[node].wake()
+
+    def clock(self, node: str, offset: float, drift: float) -> None:
+        """Takes effect with the node's next start."""
+        self.skews[node] = (offset, drift)
+
+    def reset(self, a: str, b: str) -> None:
+        for place in list(self.places.values()):
+            for end in list(place.ends):
+                if {place.name, end.far.name} == {a, b}:
+                    end.peer.reset("far")
+                    end.reset("far")
+
+    def changed(self, a: str, b: str) -> None:
+        pass
+
+    def host(self, name: str, do: str, amount: float) -> None:
+        port = self.hosts[name]
+        if do == "drain":
+            port.drain()
+            self.discovery.change(name, "drain")
+            self.later(port.host.table.drain_span / 1000.0, self._drained, name, port.host.life)
+        elif do == "kill":
+            port.stop()
+            life = port.host.life
+            self.later(self.links.between(NOTICE) / 1000.0, self._drained, name, life)
+        elif do == "start":
+            port.stop()
+            port.start()
+            self.discovery.change(name, "cold", EPOCH + port.host.born)
+        else:
+            port.host.ill = amount if do == "ill" else 0.0
+
+    def _drained(self, name: str, life: int) -> None:
+        port = self.hosts[name]
+        if port.host.life == life:
+            port.stop()
+            self.discovery.change(name, "gone")
+
+    def hush(self, node: str, silent: bool) -> None:
+        self.discovery.agents[node].hush(silent)
+
+    # ---- the run
+
+    def run(self) -> list[Event]:
+        """Plays the scenario and a little longer; returns the history in the order of time."""
+        logger.remove()
+        gc.disable()  # what a run makes lives to its end
+        began, end = time.perf_counter(), self.scenario.seconds
+        for i, fault in enumerate(self.scenario.fault):
+            if fault.do == "clock" and fault.at == 0:
+                self.timeline.begin(i)
+        for node in self.scenario.node_names():
+            self.later(0.02 * self.links.chance(), self.start, node)
+        self.timeline.start()
+        self.later(CLIENTS_FROM, self.clients.start)
+        self.later(end, self.clients.stop)
+        try:
+            self.world.clock.run(end + self.scenario.clients.wait / 1000.0 + 0.5)
+        finally:
+            gc.enable()
+        self.took = time.perf_counter() - began
+        return self.history.sorted()
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import os
 import signal
 import socket
@@ -47,12 +46,15 @@
 
 
 class Service:
-    def __init__(self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config]) -> None:
+    def __init__(
+        self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config],
+        clock: Callable[[], float] | None = None,
+    ) -> None:  # fmt: skip
         self.reactor = reactor
         self.config = config
         self.reread = reread
         self.sink = sink
-        self.clock = make_clock()
+        self.clock = clock or make_clock()
         balancer = Balancer(config.settings, self.clock())
         budget = SocketBudget(config.sockets, 0)
         self.desk = Desk(
@@ -83,10 +85,7 @@
 
     def start(self) -> None:
         config = self.config
-        for number, do in (
-            (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
-        ):  # fmt: skip
-            signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
+        self.mind_signals()
         alone = not self.upgrade.succeed()
         if alone:
             self.know(config.known)
@@ -96,11 +95,15 @@
             Front(self.reactor, self.calls).listen(config.admin)
         self.keep_sweeping()
         self.desk.budget.used = open_descriptors() + 8 + RESERVED * (config.admin is not None)
-        gc.collect()
-        gc.freeze()
         if alone:
             self.begin()
 
+    def mind_signals(self) -> None:
+        for number, do in (
+            (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
+        ):  # fmt: skip
+            signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
+
     def know(self, rows: list, uids: Iterable[str] | None = None) -> None:
         """Takes in the hosts, and the bans, those of the file if none are given, before anything is sent."""
         if uids is None:
