--- /dev/null
+++ b/caperdeck/lab/cli.py
@@ -0,0 +1,177 @@
+"""`caperdeck lab`: exit codes 0 all held, 1 something broke, 2 bad input, 3 void (the machine too slow)."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from typing import Any
+
+from .figures import figures
+from .figures import lines as figure_lines
+from .history import Event, read, write
+from .oracle import Breach, judge
+from .scenario import Scenario, ScenarioError, load
+
+HELD, BROKEN, BAD, VOID = 0, 1, 2, 3
+SAME_TURN = 20.0  # milliseconds in which the relay may see two sockets of one node in the wrong order
+
+
+class InterruptedRunError(Exception):
+    """SIGTERM or SIGINT."""
+
+
+def _interrupt(*unused: Any) -> None:
+    raise InterruptedRunError
+
+
+def say(text: str) -> None:
+    print(text, flush=True)
+
+
+def number(text: str | None, name: str, least: int, most: int, default: int) -> int:
+    if text is None:
+        return default
+    if not text.isdigit() or not least <= int(text) <= most:
+        raise ScenarioError(f"--{name}: {text} is no whole number from {least} to {most}")
+    return int(text)
+
+
+def play(
+    scenario: Scenario, seed: int | None, virtual: bool, logs: str | None = None, watch: Any = None,
+) -> list[Event]:  # fmt: skip
+    """The history of one run; raises VoidError where the machine was too slow."""
+    if virtual:
+        from .virtual import VirtualFleet
+
+        fleet = VirtualFleet(scenario, seed, watch=watch)
+        events = fleet.run()
+        fleet_of = f"{fleet.length:.1f} s of {scenario.nodes} nodes"
+        say(f"simulated: {fleet_of} in {fleet.took:.1f} s, seed {fleet.seed}")
+        return events
+    from .real import MOST_LATE, RealFleet, VoidError
+
+    fleet = RealFleet(scenario, seed, watch, logs)
+    events = fleet.run()
+    if fleet.late > MOST_LATE:
+        raise VoidError(f"a part of the rig ran {fleet.late:.0f} ms late")
+    say(f"real: {scenario.nodes} processes, seed {fleet.seed}, the relay carries {fleet.per_s:.0f} a second")
+    return events
+
+
+def verdict(scenario: Scenario, events: list[Event], virtual: bool) -> list[Breach]:
+    return judge(scenario, events, together=0.0 if virtual else SAME_TURN)
+
+
+def conclude(scenario: Scenario, events: list[Event], virtual: bool) -> int:
+    breaches = verdict(scenario, events, virtual)
+    for line in [*figure_lines(figures(events)), *(b.line() for b in breaches[:20])]:
+        say(line)
+    if len(breaches) > 20:
+        say(f"and {len(breaches) - 20} more")
+    say("BROKEN" if breaches else "all rules held")
+    return BROKEN if breaches else HELD
+
+
+def fleet(arguments: dict[str, Any]) -> int:
+    scenario = load(arguments["SCENARIO"][0])
+    seed = number(arguments["--seed"], "seed", 0, 2**31, scenario.seed)
+    events = play(scenario, seed, arguments["--virtual"], arguments["--logs"])
+    if arguments["--json"]:
+        write(arguments["--json"], events)
+    return conclude(scenario, events, arguments["--virtual"])
+
+
+def search(arguments: dict[str, Any]) -> int:
+    from .search import search as look
+    from .search import text
+
+    scenario = load(arguments["SCENARIO"][0])
+    runs = number(arguments["--runs"], "runs", 1, 100_000, 100)
+    seed = number(arguments["--seed"], "seed", 0, 2**31, scenario.seed)
+    found = look(scenario, runs, seed, say)
+    if found is None:
+        say(f"nothing broke in {runs} schedules")
+        return HELD
+    small, breaches = found
+    out = arguments["--out"] or "found.toml"
+    with open(out, "w", encoding="utf-8") as file:
+        file.write(text(small))
+    say(f"smallest: {len(small.fault)} faults, {breaches[0].line()}")
+    say(f"replay it: caperdeck lab fleet {out} --virtual")
+    return BROKEN
+
+
+def compare(arguments: dict[str, Any]) -> int:
+    import msgspec
+
+    from .compare import MOST_PAIRS
+    from .compare import compare as measure
+    from .compare import lines
+
+    pairs = number(arguments["--pairs"], "pairs", 2, MOST_PAIRS, 10)
+    seed = number(arguments["--seed"], "seed", 0, 2**31, 1)
+    results = []
+    for path in arguments["SCENARIO"]:
+        result = measure(path, arguments["--base"] or "module", arguments["--against"], pairs, seed)
+        results.append(result)
+        for line in lines(result):
+            say(line)
+    if arguments["--json"]:
+        with open(arguments["--json"], "wb") as file:
+            file.write(msgspec.json.encode(results))
+    return BROKEN if any(r["breaches"][1] for r in results) else HELD
+
+
+def report(arguments: dict[str, Any]) -> int:
+    from .report import page
+
+    path = arguments["FILE"]
+    events = read(path)
+    scenario = load(arguments["--scenario"]) if arguments["--scenario"] else None
+    unchecked = ["rules not checked: no --scenario"]
+    breaches = [b.line() for b in judge(scenario, events)] if scenario else unchecked
+    out = arguments["--out"] or f"{path}.html"
+    with open(out, "w", encoding="utf-8") as file:
+        file.write(page(events, breaches))
+    say(f"written: {out}")
+    return HELD
+
+
+def demo(arguments: dict[str, Any]) -> int:
+    from rich.console import Console
+
+    from .demo import live, scenario
+
+    made = scenario()
+    view, show = live(Console())
+    with view:
+        events = play(made, None, False, None, show)
+    return conclude(made, events, False)
+
+
+def main(arguments: dict[str, Any]) -> int:
+    from .real import VoidError
+
+    for name in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(name, _interrupt)
+    verb = next(v for v in (fleet, search, compare, report, demo) if arguments[v.__name__])
+    try:
+        return verb(arguments)
+    except ScenarioError as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return BAD
+    except ValueError as error:
+        if verb is not report:
+            raise
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return BAD
+    except OSError as error:
+        print(f"caperdeck: {error.filename or ''}: {os.strerror(error.errno or 0)}", file=sys.stderr)
+        return BAD
+    except VoidError as error:
+        print(f"void: {error}; nothing is said about the nodes", file=sys.stderr)
+        return VOID
+    except InterruptedRunError:
+        print("interrupted", file=sys.stderr)
+        return VOID
--- a/caperdeck/lab/clients.py
+++ b/caperdeck/lab/clients.py
@@ -32,7 +32,7 @@
         self.answered, self.up, self.over = False, False, False
         self.waits: Any = None
         self.spoke: list[float] = []  # lines that no answer has come to yet
-        self.served, self.up_at = 0.0, 0.0
+        self.up_at, self.badly = 0.0, 0.0  # how long it was served badly
 
     def connectionMade(self) -> None:
         scenario = self.crowd.scenario
@@ -72,6 +72,7 @@
         elif word == b"UP":
             self.answer("up")
             self.up, self.up_at = True, self.crowd.now()
+            self.crowd.live[self] = None
             self.speak()
         else:
             self.answer("busy" if word == b"BUSY" else "err")
@@ -88,8 +89,7 @@
             return
         now = self.crowd.now()
         if now >= self.ends:
-            self.finish("lived")
-            self.transport.loseConnection()
+            self.leave("lived")
             return
         self.spoke.append(now)
         self.sendLine(b"say")
@@ -98,31 +98,32 @@
     def heard(self, word: bytes) -> None:
         now = self.crowd.now()
         if word == b"say":
-            if self.spoke:
-                self.well(now)
+            if self.spoke and now - self.spoke.pop(0) > IN_TIME:
+                self.badly += SPEAK
         elif word in (b"MOVE", b"BYE"):
-            self.finish(word.decode().lower())
-            self.transport.loseConnection()
+            self.leave(word.decode().lower())
             if word == b"MOVE":
                 self.crowd.again(self)
         else:
             self.answer(word.decode("utf-8", "replace").lower())
 
-    def well(self, now: float) -> None:
-        at = self.spoke.pop(0)
-        if now - at <= IN_TIME:
-            self.served += min(SPEAK, max(self.ends - at, 0.0))
+    def leave(self, how: str) -> None:
+        self.finish(how)
+        self.transport.loseConnection()
 
     def finish(self, how: str) -> None:
         if self.over:
             return
         self.over = True
+        self.crowd.live.pop(self, None)
         if self.waits is not None and self.waits.active():
             self.waits.cancel()
-        lived = self.crowd.now() - self.up_at
+        now = self.crowd.now()
+        lived = now - self.up_at
+        self.badly += SPEAK * sum(now - at > IN_TIME for at in self.spoke)
         self.crowd.emit(
             "end", who=self.node, id=self.id, how=how, ms=round(lived, 1),
-            well=round(min(self.served, lived), 1),
+            well=round(max(lived - self.badly, 0.0), 1),
         )  # fmt: skip
 
     def close(self) -> None:
@@ -170,7 +171,7 @@
         weights = scenario.clients
         self.weight = {n: 1.0 + (weights.uneven if i % 5 == 0 else 0.0) for i, n in enumerate(doors)}
         self.ended = False
-        self.wanted = 0.0  # milliseconds of connection that were asked for
+        self.live: dict[Client, None] = {}  # the ones that stand
 
     def chance(self) -> float:
         self.draws += 1
@@ -205,7 +206,6 @@
         life, load = self.between(table.life) * 1000.0, self.between(table.load)
         self.made += 1
         rest = min(at + life, self.scenario.seconds * 1000.0) - at
-        self.wanted += rest
         self.emit("wanted", ms=round(rest, 1))
         self.connect(Client(self, self.made, 0, load, at + life))
 
@@ -232,13 +232,16 @@
                 return n
         return nodes[-1] if nodes else ""
 
-    def node_died(self, node: str) -> None:
-        heapq.heappush(self.left_out, (self.now() + self.between(self.scenario.clients.notice), node))
-
-    def node_ready(self, node: str) -> None:
-        self.left_out = [(at, n) for at, n in self.left_out if n != node]
-        heapq.heapify(self.left_out)
-        self.out.pop(node, None)
+    def node(self, what: str, node: str) -> None:
+        """What the front learns of a node: it died (noticed late), leaves by plan, or is ready."""
+        if what == "died":
+            heapq.heappush(self.left_out, (self.now() + self.between(self.scenario.clients.notice), node))
+        elif what == "leaves":
+            self.out[node] = self.now()
+        else:
+            self.left_out = [(at, n) for at, n in self.left_out if n != node]
+            heapq.heapify(self.left_out)
+            self.out.pop(node, None)
 
     def refused(self, client: Client, back_off: float) -> None:
         """The client comes again a few times, after the wait that it was told or one of its own."""
@@ -259,4 +262,7 @@
         self.reactor.callLater(wait / 1000.0, self.connect, client)
 
     def stop(self) -> None:
+        """Nobody comes any more, and who stands leaves."""
         self.ended = True
+        for client in list(self.live):
+            client.leave("run-over")
--- a/caperdeck/lab/discovery.py
+++ b/caperdeck/lab/discovery.py
@@ -138,10 +138,8 @@
 class Discovery:
     """Tells all agents of a change, each in its own time."""
 
-    def __init__(
-        self, reactor: Any, late: Callable[[], float], emit: Callable[..., None], clock: Callable[[], float],
-    ) -> None:  # fmt: skip
-        self.reactor, self.late, self.emit, self.clock = reactor, late, emit, clock
+    def __init__(self, reactor: Any, late: Callable[[], float], emit: Callable[..., None]) -> None:
+        self.reactor, self.late, self.emit = reactor, late, emit
         self.roster = Roster()
         self.agents: dict[str, Agent] = {}
 
--- /dev/null
+++ b/caperdeck/lab/fleet.py
@@ -0,0 +1,110 @@
+"""What both drivers of a fleet share: links, faults, hosts' lives and the nodes' clocks."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+from .faults import NOTICE, Timeline
+from .history import Event, History
+from .links import Links
+from .scenario import Scenario
+
+READY = 0.5  # seconds from a node's start until the front has taken it in
+CLIENTS_FROM = 1.0  # seconds from the start of the run until the first client comes
+LEAVES = 0.3  # seconds from SIGTERM until the front sends a node nobody more
+AFTER = 0.5  # seconds that a run goes on after the last client's wait
+
+
+class Fleet(ABC):
+    """One run of a scenario; a driver says what is done to processes, hosts and the list."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int | None, watch: Callable[[Event], None] | None = None,
+    ) -> None:  # fmt: skip
+        self.scenario = scenario
+        self.seed = scenario.seed if seed is None else seed
+        self.history = History(self.now)
+        self.links = Links(self.seed, self.usual)
+        self.timeline = Timeline(scenario, self, self.history.emit)
+        self.history.watchers.append(self.timeline.saw)
+        if watch is not None:
+            self.history.watchers.append(watch)
+        self.lives: dict[str, int] = {}
+        self.skews: dict[str, tuple[float, float]] = {}
+        self.host_lives: dict[str, int] = dict.fromkeys(scenario.host_names(), 0)
+
+    def usual(self, a: str, b: str) -> tuple[float, float]:
+        """A link's delay with nothing wrong, milliseconds."""
+        net, same = self.scenario.net, self.scenario.zone_of
+        if "clients" in (a, b) or a[:1] == "d" or b[:1] == "d":
+            return net.delay
+        return net.delay if same(a) == same(b) else net.cross
+
+    @property
+    def length(self) -> float:
+        """Seconds that a run takes."""
+        return self.scenario.seconds + self.scenario.clients.wait / 1000.0 + AFTER
+
+    def skew_from_the_start(self) -> None:
+        for i, fault in enumerate(self.scenario.fault):
+            if fault.do == "clock" and fault.at == 0:
+                self.timeline.begin(i)
+
+    def gone(self, node: str, state: str) -> None:
+        self.history.emit("life", who=node, state=state)
+        self.front("died", node)
+
+    def clock(self, node: str, offset: float, drift: float) -> None:
+        """Takes effect with the node's next start."""
+        self.skews[node] = (offset, drift)
+
+    def changed(self, a: str, b: str) -> None:  # noqa: B027
+        """The link's troubles are other ones now."""
+
+    def host(self, name: str, do: str, amount: float) -> None:
+        if do == "drain":
+            self.host_do(name, "drain")
+            self.listing(name, "drain")
+            span = self.scenario.hosts.drain_span / 1000.0
+            self.later(span, self._over, name, self.host_lives[name])
+        elif do == "kill":
+            self.host_do(name, "stop")
+            self.later(self.links.between(NOTICE) / 1000.0, self._over, name, self.host_lives[name])
+        elif do == "start":
+            self.host_lives[name] += 1
+            self.host_do(name, "start")
+            self.listing(name, "cold")
+        else:
+            self.host_do(name, "ill", amount if do == "ill" else 0.0)
+
+    def _over(self, name: str, life: int) -> None:
+        if self.host_lives[name] == life:
+            self.host_do(name, "stop")
+            self.listing(name, "gone")
+
+    def ready(self, node: str, life: int) -> None:
+        if self.alive(node) and self.lives[node] == life:
+            self.front("ready", node)
+
+    @abstractmethod
+    def now(self) -> float:
+        """Milliseconds since the run began."""
+
+    @abstractmethod
+    def later(self, wait: float, do: Callable[..., None], *args: Any) -> Any: ...
+
+    @abstractmethod
+    def alive(self, node: str) -> bool: ...
+
+    @abstractmethod
+    def front(self, what: str, node: str) -> None:
+        """The clients' front learns that a node is ready, leaves or died."""
+
+    @abstractmethod
+    def host_do(self, name: str, what: str, amount: float = 0.0) -> None: ...
+
+    @abstractmethod
+    def listing(self, name: str, state: str) -> None:
+        """Discovery's list changes."""
--- a/caperdeck/lab/hosts.py
+++ b/caperdeck/lab/hosts.py
@@ -241,6 +241,17 @@
         for line in list(self.open):
             line.transport.abortConnection()
 
+    def do(self, what: str, amount: float) -> None:
+        if what == "drain":
+            self.drain()
+        elif what == "stop":
+            self.stop()
+        elif what == "start":
+            self.stop()
+            self.start()
+        else:
+            self.host.ill = amount
+
     def start(self) -> None:
         self.host.start(self.now())
         self.port = self.reactor.listenTCP(self.address[1], self, 1024, self.address[0])
--- a/caperdeck/lab/memory.py
+++ b/caperdeck/lab/memory.py
@@ -92,10 +92,11 @@
 class World:
     """All places, by name, and who listens where."""
 
-    def __init__(self, links: Callable[[Heap], Links], emit: Callable[..., None]) -> None:
+    links: Links
+    emit: Callable[..., None]
+
+    def __init__(self) -> None:
         self.clock = Heap()
-        self.links = links(self.clock)
-        self.emit = emit
         self.listening: dict[Address, Port] = {}
         self.datagrams: dict[Address, Socket] = {}
         self.names: dict[Address, str] = {}  # of the place that an address belongs to, also while it is down
--- a/caperdeck/lab/oracle.py
+++ b/caperdeck/lab/oracle.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -35,8 +35,8 @@
 class Check:
     """One rule over one history."""
 
-    def __init__(self, scenario: Scenario) -> None:
-        self.scenario = scenario
+    def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
+        self.scenario, self.together = scenario, together
         self.breaches: list[Breach] = []
 
     def feed(self, e: Event) -> None:
@@ -59,8 +59,8 @@
     time; nothing excuses two answers.
     """
 
-    def __init__(self, scenario: Scenario) -> None:
-        super().__init__(scenario)
+    def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
+        super().__init__(scenario, together)
         self.asked: dict[str, Event] = {}
         self.answered: dict[str, Event] = {}
         self.down: dict[str, list[list[float]]] = {n: [] for n in scenario.node_names()}
@@ -111,22 +111,37 @@
 class Effects(Check):
     """No effect twice, and never two dials out for one session."""
 
-    def __init__(self, scenario: Scenario) -> None:
-        super().__init__(scenario)
+    def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
+        super().__init__(scenario, together)
         self.out: dict[str, Event] = {}
+        self.doubt: dict[str, tuple[Event, Event]] = {}  # a dial beside another that had not ended yet
         self.ran: dict[str, str] = {}
 
     def on_dial(self, e: Event) -> None:
         if (other := self.out.get(e["id"])) is not None:
-            self.breach("effects", f"two dials out, the other at {other['to']}", e)
+            self.doubt[e["id"]] = (e, other)
         elif self.scenario.clients.effect == "at_most_once" and e["id"] in self.ran:
             self.breach("effects", "dialled again after it may have run", e)
         self.out[e["id"]] = e
 
     def on_undial(self, e: Event) -> None:
+        if e["id"] in self.doubt:
+            dial, other = self.doubt[e["id"]]
+            if other["to"] == e["to"]:
+                del self.doubt[e["id"]]
+                if e["t"] - dial["t"] > self.together or not self.together:
+                    self._two(dial, other)
+                return
         if (dial := self.out.get(e["id"])) is not None and dial["to"] == e["to"]:
             del self.out[e["id"]]
 
+    def _two(self, dial: Event, other: Event) -> None:
+        self.breach("effects", f"two dials out, the other at {other['to']}", dial)
+
+    def end(self, t: float) -> None:
+        for dial, other in self.doubt.values():
+            self._two(dial, other)
+
     def on_back(self, e: Event) -> None:
         if e["what"] in ("BUSY", "ERR", "MOVE"):
             self.on_undial(e)
@@ -141,8 +156,8 @@
 class Drains(Check):
     """Nothing new to a host later than the grace after the node was told that it drains or is gone."""
 
-    def __init__(self, scenario: Scenario) -> None:
-        super().__init__(scenario)
+    def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
+        super().__init__(scenario, together)
         self.changes: list[tuple[int, str, str, float]] = []  # version, host, state, when
         self.told: dict[str, list[tuple[float, int]]] = {n: [] for n in scenario.node_names()}
         self.born: dict[str, float] = {}
@@ -181,8 +196,8 @@
     Recounted from what the hosts were sent, not from what they say of themselves.
     """
 
-    def __init__(self, scenario: Scenario) -> None:
-        super().__init__(scenario)
+    def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
+        super().__init__(scenario, together)
         self.hosts: dict[str, dict[str, Any]] = {}
 
     def on_host(self, e: Event) -> None:
@@ -242,14 +257,17 @@
             self.breach("wire", f"a datagram of {e['size']} bytes", e)
 
 
-CHECKS: list[Callable[[Scenario], Check]] = [Answers, Effects, Drains, Cold, Wire]
+CHECKS: list[type[Check]] = [Answers, Effects, Drains, Cold, Wire]
 
 
 def judge(
-    scenario: Scenario, events: Iterable[Event], checks: Iterable[Callable[[Scenario], Check]] = (),
+    scenario: Scenario, events: Iterable[Event], checks: Iterable[type[Check]] = (), together: float = 0.0,
 ) -> list[Breach]:  # fmt: skip
-    """All breaches of a history that is in the order of time; further checks may be handed in."""
-    made, t = [make(scenario) for make in (*CHECKS, *checks)], 0.0
+    """All breaches of a history that is in the order of time; further checks may be handed in.
+
+    Events of one node so many milliseconds apart may have been seen in the wrong order.
+    """
+    made, t = [make(scenario, together) for make in (*CHECKS, *checks)], 0.0
     for e in events:
         t = e["t"]
         for check in made:
--- /dev/null
+++ b/caperdeck/lab/part.py
@@ -0,0 +1,221 @@
+"""One process of the rig that is no node: hosts, discovery's agents, clients or the relay.
+
+It is told what to do by lines of JSON on its standard input, and tells what was seen on its standard output.
+When its input ends it exits: nothing of a run outlives the one who started it.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from typing import Any
+
+import msgspec
+from twisted.internet import reactor, stdio
+from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
+from twisted.protocols.basic import LineOnlyReceiver
+
+from .clients import Clients
+from .discovery import Discovery
+from .hosts import Host, HostPort
+from .links import Links
+from .relay import Relay
+from .scenario import Scenario, decode
+
+BEAT = 0.02  # seconds between looks at how late this process runs
+LATE = 60.0  # milliseconds from which that is told
+TRIES = 200  # connections by which the relay measures its head-room
+
+
+class Part:
+    """What a role does with a command; an answer goes back as the event `done`."""
+
+    def __init__(self, told: dict[str, Any], origin: float, boot: float) -> None:
+        self.scenario: Scenario = decode(told["scenario"])
+        self.seed, self.origin, self.boot = told["seed"], origin, boot
+        self.out: list[bytes] = []
+        self.encode = msgspec.json.Encoder().encode
+        self.due = 0.0
+
+    def now(self) -> float:
+        return time.monotonic() * 1000.0 - self.origin
+
+    def emit(self, ev: str, **values: Any) -> None:
+        if not self.out:
+            reactor.callLater(0.005, self.flush)
+        self.out.append(self.encode({"t": round(self.now(), 3), "ev": ev, **values}) + b"\n")
+
+    def flush(self) -> None:
+        out, self.out = self.out, []
+        self.transport.write(b"".join(out))
+
+    def beat(self) -> None:
+        now = self.now()
+        if self.due and now - self.due > LATE:
+            self.emit("late", part=type(self).__name__, ms=round(now - self.due, 1))
+        self.due = now + BEAT * 1000.0
+        reactor.callLater(BEAT, self.beat)
+
+    def do_zero(self, origin: float, boot: float) -> None:
+        """The run begins: its times count from here."""
+        self.origin, self.boot, self.due = origin, boot, 0.0
+
+    def ask(self, command: dict[str, Any]) -> Any:
+        return getattr(self, f"do_{command.pop('do')}")(**command)
+
+
+class HostsPart(Part):
+    def do_open(self) -> dict[str, Any]:
+        self.ports: dict[str, HostPort] = {}
+        for i, name in enumerate(self.scenario.host_names()):
+            host = Host(self.scenario, name, self.seed * 1000 + i, self.emit)
+            self.ports[name] = HostPort(reactor, host, self.now)
+            self.ports[name].listen("127.0.0.1")
+        return {name: port.address for name, port in self.ports.items()}
+
+    def do_host(self, name: str, what: str, amount: float) -> None:
+        self.ports[name].do(what, amount)
+        if what == "start":
+            self.emit("born", to=name, at=self.boot + self.ports[name].host.born)
+
+
+class AgentsPart(Part):
+    def do_open(self, places: dict[str, dict[str, str]]) -> dict[str, Any]:
+        """Agents, each with the addresses of hosts as its node sees them."""
+        links, span = Links(self.seed + 5, lambda a, b: (0.0, 0.0)), self.scenario.net.list_late
+        self.discovery = Discovery(reactor, lambda: links.between(span), self.emit)
+        for name in self.scenario.host_names():
+            zone = self.scenario.zone_of(name)
+            self.discovery.roster.put(name, az=zone, state="Ready", boot_ms=0)
+        return {n: self.discovery.add(n, ends).listen("127.0.0.1") for n, ends in places.items()}
+
+    def do_list(self, name: str, state: str, boot: float | None) -> None:
+        self.discovery.change(name, state, boot)
+
+    def do_hush(self, node: str, silent: bool) -> None:
+        self.discovery.agents[node].hush(silent)
+
+
+class ClientsPart(Part):
+    def do_open(self, doors: dict[str, list]) -> None:
+        ends = {n: (host, port) for n, (host, port) in doors.items()}
+        self.crowd = Clients(reactor, self.scenario, self.seed + 77, ends, self.now, self.emit)
+
+    def do_start(self) -> None:
+        self.crowd.start()
+
+    def do_stop(self) -> None:
+        self.crowd.stop()
+
+    def do_front(self, what: str, node: str) -> None:
+        self.crowd.node(what, node)
+
+
+class RelayPart(Part):
+    def do_open(self, ways: list, peers: dict[str, list]) -> dict[str, Any]:
+        fleet_links = Links(self.seed, lambda a, b: tuple(self.usual(a, b)))
+        self.relay = Relay(reactor, fleet_links, self.emit)
+        self.relay.peers = {n: (host, port) for n, (host, port) in peers.items()}
+        streams = [[a, b, self.relay.way(a, b, (host, port))] for a, b, (host, port) in ways]
+        nodes = list(peers)
+        wires = [[a, b, self.relay.wire(a, b)] for a in nodes for b in [*nodes, "*"] if a != b]
+        return {"streams": streams, "wires": wires}
+
+    def do_more(self, ways: list) -> list:
+        return [[a, b, self.relay.way(a, b, (host, port))] for a, b, (host, port) in ways]
+
+    def usual(self, a: str, b: str) -> tuple[float, float]:
+        net = self.scenario.net
+        if "clients" in (a, b) or a[0] == "d" or b[0] == "d":
+            return net.delay
+        return net.delay if self.scenario.zone_of(a) == self.scenario.zone_of(b) else net.cross
+
+    def do_down(self, name: str, down: bool) -> None:
+        self.relay.down(name, down)
+
+    def do_trouble(self, a: str, b: str, values: dict[str, Any]) -> None:
+        self.relay.trouble(a, b, values)
+
+    def do_reset(self, a: str, b: str) -> None:
+        self.relay.reset(a, b)
+
+    def do_headroom(self) -> None:
+        """Connections a second that the relay can carry, each with a line either way."""
+        echo = ServerFactory()
+        echo.noisy, echo.protocol = False, _Echo
+        port = reactor.listenTCP(0, echo, 512, "127.0.0.1")
+        place = port.getHost()
+        way = self.relay.way("clients", "echo", (place.host, place.port))
+        began, left = time.perf_counter(), [TRIES]
+
+        def one() -> None:
+            left[0] -= 1
+            if not left[0]:
+                port.stopListening()
+                self.relay.ways.pop(("clients", "echo")).port.stopListening()
+                # the measuring side's own work is in it, so the relay bears more than this
+                self.emit("headroom", per_s=round(TRIES / (time.perf_counter() - began), 1))
+                self.due = 0.0
+
+        for _ in range(TRIES):
+            reactor.connectTCP(*way, _Try(one))
+
+
+class _Echo(Protocol):
+    def dataReceived(self, data: bytes) -> None:
+        self.transport.write(data)
+
+
+class _Asks(Protocol):
+    def connectionMade(self) -> None:
+        self.transport.write(b"OPEN 1 k\r\n")
+
+    def dataReceived(self, data: bytes) -> None:
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason: Any) -> None:
+        self.factory.done()
+
+
+class _Try(ClientFactory):
+    noisy = False
+    protocol = _Asks
+
+    def __init__(self, done: Any) -> None:
+        self.done = done
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self.done()
+
+
+ROLES = {"hosts": HostsPart, "agents": AgentsPart, "clients": ClientsPart, "relay": RelayPart}
+
+
+class Commands(LineOnlyReceiver):
+    delimiter = b"\n"
+    MAX_LENGTH = 16 << 20
+    part: Part | None = None
+
+    def lineReceived(self, line: bytes) -> None:
+        command = msgspec.json.decode(line)
+        if self.part is None:
+            self.part = ROLES[sys.argv[1]](command, command["origin"], command["boot"])
+            self.part.transport = self.transport
+            self.part.beat()
+            return
+        number = command.pop("number")
+        answer = self.part.ask(command)
+        self.part.emit("done", number=number, answer=answer)
+
+    def connectionLost(self, reason: Any) -> None:
+        os._exit(0)
+
+
+def main() -> None:
+    stdio.StandardIO(Commands())
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/caperdeck/lab/real.py
@@ -0,0 +1,348 @@
+"""A run with real processes: nodes as `caperdeck serve`, the rig's parts, and a relay between all."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from .fleet import CLIENTS_FROM, LEAVES, Fleet
+from .history import Event
+from .scenario import MOST_PROCESSES, Scenario, ScenarioError, dump
+from .setup import node_config
+
+ROOT = Path(__file__).resolve().parents[2]
+START = 20.0  # seconds in which a part has to open, and a node to answer PING, on a busy machine
+MOST_LATE = 250.0  # milliseconds: a part of the rig that ran later than this once makes the run void
+HEADROOM = 2.0  # times the scenario's rate at least, as the relay measured it
+NODE_ARGS = ("-B", "-m", "caperdeck.lab.launch", "serve")
+
+
+class VoidError(Exception):
+    """The machine was too slow, or the rig itself failed; nothing is said about the nodes."""
+
+
+class Helper:
+    """One part of the rig that is no node."""
+
+    def __init__(self, fleet: RealFleet, role: str) -> None:
+        self.fleet, self.role = fleet, role
+        self.asked, self.waiting = 0, {}
+        self.process: Any = None
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "caperdeck.lab.part", self.role, cwd=ROOT, limit=16 << 20,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        fleet = self.fleet
+        self._write({
+            "scenario": dump(fleet.scenario), "seed": fleet.seed, "origin": fleet.origin, "boot": fleet.boot,
+        })  # fmt: skip
+        self.reader = asyncio.ensure_future(self._read())
+
+    def _write(self, value: dict[str, Any]) -> None:
+        if self.process.stdin.transport.is_closing():
+            raise VoidError(f"the rig's {self.role} ended")
+        self.process.stdin.write(msgspec.json.encode(value) + b"\n")
+
+    def tell(self, do: str, **values: Any) -> asyncio.Future:
+        self.asked += 1
+        self._write({"do": do, "number": self.asked, **values})
+        answer = self.waiting[self.asked] = asyncio.get_running_loop().create_future()
+        return answer
+
+    async def ask(self, do: str, **values: Any) -> Any:
+        return await asyncio.wait_for(self.tell(do, **values), START)
+
+    async def _read(self) -> None:
+        decode = msgspec.json.Decoder(dict).decode
+        while line := await self.process.stdout.readline():
+            event = decode(line)
+            if event["ev"] == "done":
+                future = self.waiting.pop(event["number"])
+                if not future.done():
+                    future.set_result(event["answer"])
+            else:
+                self.fleet.came(event)
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(VoidError(f"the rig's {self.role} ended"))
+
+
+class RealFleet(Fleet):
+    def __init__(
+        self, scenario: Scenario, seed: int | None = None, watch: Callable[[Event], None] | None = None,
+        logs: str | None = None, checkout: str | None = None,
+    ) -> None:  # fmt: skip
+        if scenario.nodes > MOST_PROCESSES:
+            raise ScenarioError(f"nodes: {scenario.nodes} is over {MOST_PROCESSES}, the most real processes")
+        self.origin = time.monotonic() * 1000.0
+        self.boot = time.time() * 1000.0
+        super().__init__(scenario, seed, watch)
+        self.logs, self.checkout = logs, checkout or ROOT
+        self.processes: dict[str, Any] = {}
+        self.tasks: list[asyncio.Task] = []
+        self.parts: dict[str, Helper] = {}
+        self.late = 0.0
+        self.per_s = 0.0
+        self.head: asyncio.Future | None = None
+        self.failed: BaseException | None = None
+
+    def now(self) -> float:
+        return time.monotonic() * 1000.0 - self.origin
+
+    def came(self, event: Event) -> None:
+        """What a part saw."""
+        kind = event["ev"]
+        if kind == "late":
+            self.late = max(self.late, event["ms"])
+        elif kind == "headroom":
+            self.per_s = event["per_s"]
+            if self.head is not None and not self.head.done():
+                self.head.set_result(None)
+        elif kind == "born":
+            self.parts["agents"].tell("list", name=event["to"], state="cold", boot=event["at"])
+        else:
+            self.history.take(event)
+
+    # ---- hands
+
+    def later(self, wait: float, do: Callable[..., None], *args: Any) -> Any:
+        return asyncio.get_running_loop().call_later(wait, self._guard, do, args)
+
+    def _guard(self, do: Callable[..., None], args: tuple) -> None:
+        try:
+            do(*args)
+        except Exception as error:
+            self.failed = self.failed or error
+
+    def alive(self, node: str) -> bool:
+        process = self.processes.get(node)
+        return process is not None and process.returncode is None
+
+    def start(self, node: str) -> None:
+        if not self.alive(node):
+            self.tasks.append(asyncio.ensure_future(self._start(node)))
+
+    async def _start(self, node: str) -> None:
+        life = self.lives[node] = self.lives.get(node, 0) + 1
+        config = node_config(
+            self.scenario, node, self.listen[node], self.agents[node], life, self.seed, self.seen_peers[node],
+            self.everyone[node], "{}:{}".format(*self.peers[node]),
+        )  # fmt: skip
+        path = Path(self.folder) / f"{node}.json"
+        path.write_bytes(msgspec.json.encode(config))
+        scratch = Path(self.folder) / f"{node}-{life}"
+        scratch.mkdir()
+        offset, drift = self.skews.get(node, (0.0, 0.0))
+        environment = os.environ | {
+            "EDGE_CONFIG": str(path), "TMPDIR": str(scratch),
+            "LAB_OFFSET": str(offset), "LAB_DRIFT": str(drift),
+        }  # fmt: skip
+        with open(Path(self.logs or self.folder) / f"{node}.log", "ab") as log:
+            process = self.processes[node] = await asyncio.create_subprocess_exec(
+                sys.executable, *NODE_ARGS, cwd=self.checkout, env=environment,
+                stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            )  # fmt: skip
+        self.tasks.append(asyncio.ensure_future(self._await_exit(node, process)))
+        began = time.monotonic()
+        host, port = self.doors[node]
+        while time.monotonic() - began < START and process.returncode is None:
+            if await self._pings(host, port):
+                self.parts["relay"].tell("down", name=node, down=False)
+                self.history.emit("life", who=node, state="up", life=life)
+                self.front("ready", node)
+                return
+            await asyncio.sleep(0.02)
+        if process.returncode is None or process.returncode > 0:
+            log = Path(self.logs or self.folder) / f"{node}.log"
+            text = log.read_bytes()[-300:].decode("utf-8", "replace")
+            self.history.emit("crash", who=node, code=process.returncode, text=text)
+
+    async def _pings(self, host: str, port: int) -> bool:
+        """Whether a node answers PING with PONG."""
+        try:
+            reader, writer = await asyncio.open_connection(host, port)
+        except OSError:
+            return False
+        try:
+            writer.write(b"PING\r\n")
+            return (await asyncio.wait_for(reader.readline(), 2.0)).startswith(b"PONG")
+        except (OSError, asyncio.TimeoutError):
+            return False
+        finally:
+            writer.close()
+
+    async def _await_exit(self, node: str, process: Any) -> None:
+        code = await process.wait()
+        if self.over:
+            return
+        self.parts["relay"].tell("down", name=node, down=True)
+        self.gone(node, "exit" if code == 0 else "killed")
+        if code > 0:
+            self.history.emit("crash", who=node, code=code, text="ended by itself")
+
+    def _signal(self, node: str, number: int) -> bool:
+        if self.alive(node):
+            with suppress(ProcessLookupError):
+                self.processes[node].send_signal(number)
+                return True
+        return False
+
+    def kill(self, node: str) -> None:
+        self._signal(node, signal.SIGKILL)
+
+    def terminate(self, node: str) -> None:
+        if self._signal(node, signal.SIGTERM):
+            self.history.emit("life", who=node, state="stopping")
+            self.later(LEAVES, self.front, "leaves", node)
+
+    def stop(self, node: str) -> None:
+        if self._signal(node, signal.SIGSTOP):
+            self.history.emit("life", who=node, state="asleep")
+
+    def wake(self, node: str) -> None:
+        if self.alive(node):
+            self.history.emit("life", who=node, state="awake")
+            self._signal(node, signal.SIGCONT)
+
+    def front(self, what: str, node: str) -> None:
+        self.parts["clients"].tell("front", what=what, node=node)
+
+    def reset(self, a: str, b: str) -> None:
+        self.parts["relay"].tell("reset", a=a, b=b)
+
+    def changed(self, a: str, b: str) -> None:
+        trouble = self.links.trouble(a, b)
+        values = {key: getattr(trouble, key) for key in ("loss", "double", "reorder", "delay", "cut")}
+        self.parts["relay"].tell("trouble", a=a, b=b, values=values)
+
+    def host_do(self, name: str, what: str, amount: float = 0.0) -> None:
+        if what == "stop":
+            self.parts["relay"].tell("down", name=name, down=True)
+        elif what == "start":
+            self.parts["relay"].tell("down", name=name, down=False)
+        self.parts["hosts"].tell("host", name=name, what=what, amount=amount)
+
+    def listing(self, name: str, state: str) -> None:
+        if state != "cold":  # that one follows once the host has said when it was born
+            self.parts["agents"].tell("list", name=name, state=state, boot=None)
+
+    def hush(self, node: str, silent: bool) -> None:
+        self.parts["agents"].tell("hush", node=node, silent=silent)
+
+    # ---- the run
+
+    def run(self) -> list[Event]:
+        """Plays the scenario; raises VoidError where the machine was too slow to say anything."""
+        return asyncio.run(self._run())
+
+    async def _run(self) -> list[Event]:
+        self.over = False
+        with tempfile.TemporaryDirectory(prefix="caperdeck-lab-") as self.folder:
+            try:
+                await self._open()
+                await self._play()
+            finally:
+                self.over = True
+                await self._close()
+        if self.failed is not None:
+            raise self.failed
+        return self.history.sorted()
+
+    async def _open(self) -> None:
+        s, nodes, hosts = self.scenario, self.scenario.node_names(), self.scenario.host_names()
+        for role in ("hosts", "agents", "clients", "relay"):
+            self.parts[role] = Helper(self, role)
+            await self.parts[role].start()
+        ends = await self.parts["hosts"].ask("open")
+        self.doors, self.peers = {}, {}
+        for n in nodes:
+            self.doors[n] = ("127.0.0.1", free_port(socket.SOCK_STREAM))
+            self.peers[n] = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
+        self.listen = {n: "{}:{}".format(*address) for n, address in self.doors.items()}
+        # agents tell the relay's addresses of hosts, and lie behind the relay themselves
+        ways = [[n, h, ends[h]] for n in nodes for h in hosts]
+        ways += [["clients", n, self.doors[n]] for n in nodes]
+        opened = await self.parts["relay"].ask("open", ways=ways, peers=self.peers)
+        at = {(a, b): address for a, b, address in opened["streams"]}
+        places = {n: {h: "{}:{}".format(*at[n, h]) for h in hosts} for n in nodes}
+        agents = await self.parts["agents"].ask("open", places=places)
+        more = await self.parts["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
+        self.agents = {a: "{}:{}".format(*address) for a, _, address in more}
+        wires = {(a, b): "{}:{}".format(*address) for a, b, address in opened["wires"]}
+        self.seen_peers = {
+            n: ["{}:{}".format(*self.peers[p]) if p == n else wires[n, p] for p in nodes] for n in nodes
+        }  # fmt: skip
+        self.everyone = {n: wires[n, "*"] for n in nodes}
+        await self.parts["clients"].ask("open", doors={n: at["clients", n] for n in nodes})
+        self.head = asyncio.get_running_loop().create_future()
+        await self.parts["relay"].ask("headroom")
+        await asyncio.wait_for(self.head, START)
+        if self.per_s < HEADROOM * s.clients.rate:
+            carries = f"the relay carries {self.per_s:.0f} connections a second"
+            raise VoidError(f"{carries}, {s.clients.rate:g} are asked")
+
+    async def _play(self) -> None:
+        self.skew_from_the_start()
+        await asyncio.gather(*(self._start(n) for n in self.scenario.node_names()))
+        if any(e["ev"] == "crash" for e in self.history.events):
+            return
+        await self._zero()
+        self.timeline.start()
+        await asyncio.sleep(CLIENTS_FROM)
+        await self.parts["clients"].ask("start")
+        seconds = self.scenario.seconds - CLIENTS_FROM
+        await self._wait(seconds)
+        await self.parts["clients"].ask("stop")
+        await self._wait(self.length - self.scenario.seconds)
+
+    async def _zero(self) -> None:
+        """The run's time begins once all nodes are ready, however long the machine took over that."""
+        origin = time.monotonic() * 1000.0
+        shift, self.boot = origin - self.origin, time.time() * 1000.0
+        for part in self.parts.values():
+            await part.ask("zero", origin=origin, boot=self.boot)
+        for event in self.history.events:
+            event["t"] = round(event["t"] - shift, 3)
+        self.origin, self.late = origin, 0.0
+
+    async def _wait(self, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        while time.monotonic() < until and self.failed is None:
+            await asyncio.sleep(min(0.05, max(until - time.monotonic(), 0.0)))
+
+    async def _close(self) -> None:
+        """Ends every process of the run, asleep or not, and waits for it."""
+        everyone = [p.process for p in self.parts.values() if p.process is not None]
+        everyone += list(self.processes.values())
+        for process in everyone:
+            if process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.kill()
+        for process in everyone:
+            await process.wait()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, *(p.reader for p in self.parts.values()), return_exceptions=True)
+        for part in self.parts.values():
+            for future in part.waiting.values():
+                if future.done():
+                    future.exception()
+
+
+def free_port(kind: int) -> int:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -134,7 +134,7 @@
 
 
 ON_LINKS = ("loss", "delay", "double", "reorder", "cut", "silence", "reset")
-ON_NODES = ("kill", "restart", "stop", "slow", "clock", "rolling", "mass-kill", "mass-restart")
+ON_NODES = ("restart", "stop", "slow", "clock", "rolling", "mass-kill", "mass-restart")
 ON_HOSTS = ("drain", "start", "ill")
 SEEN = ("ask", "answer", "dial", "back", "told", "life", "sent", "gone", "list", "fault", "host", "datagram")
 
@@ -171,7 +171,7 @@
     if isinstance(value, dict):
         for key, below in value.items():
             yield from _numbers(below, f"{where}.{key}" if where else key)
-    elif isinstance(value, list):
+    elif isinstance(value, list | tuple):
         if len(value) == 2 and all(isinstance(x, float | int) for x in value) and value[0] > value[1]:
             yield where, f"{value[0]} to {value[1]} goes down"
         for i, below in enumerate(value):
@@ -217,6 +217,8 @@
             yield "of", f"no zone {f.of!r}"
     elif not parts:
         yield "of", f"nothing is named {f.of!r}"
+    elif f.do == "kill" and not parts & {*s.node_names(), *s.host_names()}:
+        yield "of", f"no node or host is named {f.of!r}"
     elif f.do in ON_NODES and not parts & set(s.node_names()):
         yield "of", f"no node is named {f.of!r}"
     elif f.do in ON_HOSTS and not parts & set(s.host_names()):
--- a/caperdeck/lab/virtual.py
+++ b/caperdeck/lab/virtual.py
@@ -17,18 +17,14 @@
 
 from .clients import Clients
 from .discovery import Discovery
-from .faults import NOTICE, Timeline
-from .history import Event, History
+from .fleet import CLIENTS_FROM, LEAVES, READY, Fleet
+from .history import Event
 from .hosts import Host, HostPort
-from .links import Links
 from .memory import Place, World
 from .scenario import Scenario
 from .setup import node_config
 
 EPOCH = 1_800_000_000_000.0  # Unix milliseconds at which every run begins
-READY = 0.5  # seconds from a node's start until it takes clients
-CLIENTS_FROM = 1.0  # seconds until the first client comes
-LEAVES = 0.3  # seconds from SIGTERM until the front sends a node nobody more
 
 
 class _NoLog:
@@ -50,37 +46,22 @@
         self.port.stopReading()
 
 
-class VirtualFleet:
+class VirtualFleet(Fleet):
     """A whole fleet in this process. `decides` makes the decisions of each node."""
 
     def __init__(
         self, scenario: Scenario, seed: int | None = None, decides: type[Node] = Node,
         settings: dict[str, Any] | None = None, watch: Callable[[Event], None] | None = None,
     ) -> None:  # fmt: skip
-        self.scenario = s = scenario
-        self.seed = s.seed if seed is None else seed
+        self.world = World()
+        super().__init__(scenario, seed, watch)
+        self.world.links, self.world.emit = self.links, self.history.emit
         self.decides, self.settings = decides, settings
-        self.history = History(lambda: self.world.clock.rightNow * 1000.0)
-        emit = self.history.emit
-        self.world = World(lambda clock: Links(self.seed, self.usual), emit)
-        self.links = self.world.links
-        self.timeline = Timeline(s, self, emit)
-        self.history.watchers.append(self.timeline.saw)
-        if watch is not None:
-            self.history.watchers.append(watch)
-        self.lives: dict[str, int] = {}
         self.services: dict[str, Copy] = {}
         self.places: dict[str, Place] = {}
-        self.skews: dict[str, tuple[float, float]] = {}
         self.took = 0.0  # seconds of real time
         self._build()
 
-    def usual(self, a: str, b: str) -> tuple[float, float]:
-        net = self.scenario.net
-        if "clients" in (a, b) or a[0] == "d" or b[0] == "d":
-            return net.delay
-        return net.delay if self.scenario.zone_of(a) == self.scenario.zone_of(b) else net.cross
-
     def now(self) -> float:
         return self.world.clock.rightNow * 1000.0
 
@@ -89,7 +70,7 @@
     def _build(self) -> None:
         s, world, emit = self.scenario, self.world, self.history.emit
         hub = world.place("discovery")
-        self.discovery = Discovery(hub, lambda: self.links.between(s.net.list_late), emit, self.now)
+        self.discovery = Discovery(hub, lambda: self.links.between(s.net.list_late), emit)
         self.hosts: dict[str, HostPort] = {}
         for i, name in enumerate(s.host_names()):
             host = Host(s, name, self.seed * 1000 + i, emit)
@@ -102,8 +83,8 @@
             agent.listen(self._ip(3, i), 8500)
         doors = {n: (self._ip(2, i), 9000) for i, n in enumerate(s.node_names())}
         self.peers = [f"{self._ip(4, i)}:7946" for i in range(s.nodes)]
-        for n in range(s.nodes):
-            world.everyone[f"127.4.255.{n}", 7946] = [(self._ip(4, i), 7946) for i in range(s.nodes)]
+        for i in range(s.nodes):
+            world.everyone[self._ip(5, i), 7946] = [(self._ip(4, j), 7946) for j in range(s.nodes)]
         self.clients = Clients(world.place("clients"), s, self.seed + 77, doors, self.now, emit)
 
     def _ip(self, net: int, i: int) -> str:
@@ -118,7 +99,7 @@
         place.rate, place.offset = 1 + drift / 1000.0, offset / 1000.0
         raw = node_config(
             self.scenario, node, f"{self._ip(2, i)}:9000", f"{self._ip(3, i)}:8500", life, self.seed,
-            self.peers, f"127.4.255.{i}:7946", self.peers[i], self.settings,
+            self.peers, f"{self._ip(5, i)}:7946", self.peers[i], self.settings,
         )  # fmt: skip
         config = decode_config(raw)
         copy = Copy(place, config, _NoLog(), lambda: config, lambda: EPOCH + place.seconds() * 1000.0)
@@ -127,15 +108,7 @@
         self.places[node], self.services[node] = place, copy
         copy.start()
         self.history.emit("life", who=node, state="up", life=life)
-        self.later(READY, self._ready, node, life)
-
-    def _ready(self, node: str, life: int) -> None:
-        if self.alive(node) and self.lives[node] == life:
-            self.clients.node_ready(node)
-
-    def gone(self, node: str, state: str) -> None:
-        self.history.emit("life", who=node, state=state)
-        self.clients.node_died(node)
+        self.later(READY, self.ready, node, life)
 
     # ---- hands
 
@@ -154,7 +127,7 @@
         if self.alive(node):
             self.history.emit("life", who=node, state="stopping")
             self.places[node].callLater(0, self.services[node].stop)
-            self.later(LEAVES, self.clients.out.__setitem__, node, self.now())
+            self.later(LEAVES, self.front, "leaves", node)
 
     def stop(self, node: str) -> None:
         if self.alive(node) and not self.places[node].asleep:
@@ -166,9 +139,8 @@
             self.history.emit("life", who=node, state="awake")
             self.places[node].wake()
 
-    def clock(self, node: str, offset: float, drift: float) -> None:
-        """Takes effect with the node's next start."""
-        self.skews[node] = (offset, drift)
+    def front(self, what: str, node: str) -> None:
+        self.clients.node(what, node)
 
     def reset(self, a: str, b: str) -> None:
         for place in list(self.places.values()):
@@ -177,31 +149,11 @@
                     end.peer.reset("far")
                     end.reset("far")
 
-    def changed(self, a: str, b: str) -> None:
-        pass
+    def host_do(self, name: str, what: str, amount: float = 0.0) -> None:
+        self.hosts[name].do(what, amount)
 
-    def host(self, name: str, do: str, amount: float) -> None:
-        port = self.hosts[name]
-        if do == "drain":
-            port.drain()
-            self.discovery.change(name, "drain")
-            self.later(port.host.table.drain_span / 1000.0, self._drained, name, port.host.life)
-        elif do == "kill":
-            port.stop()
-            life = port.host.life
-            self.later(self.links.between(NOTICE) / 1000.0, self._drained, name, life)
-        elif do == "start":
-            port.stop()
-            port.start()
-            self.discovery.change(name, "cold", EPOCH + port.host.born)
-        else:
-            port.host.ill = amount if do == "ill" else 0.0
-
-    def _drained(self, name: str, life: int) -> None:
-        port = self.hosts[name]
-        if port.host.life == life:
-            port.stop()
-            self.discovery.change(name, "gone")
+    def listing(self, name: str, state: str) -> None:
+        self.discovery.change(name, state, EPOCH + self.hosts[name].host.born if state == "cold" else None)
 
     def hush(self, node: str, silent: bool) -> None:
         self.discovery.agents[node].hush(silent)
@@ -212,17 +164,15 @@
         """Plays the scenario and a little longer; returns the history in the order of time."""
         logger.remove()
         gc.disable()  # what a run makes lives to its end
-        began, end = time.perf_counter(), self.scenario.seconds
-        for i, fault in enumerate(self.scenario.fault):
-            if fault.do == "clock" and fault.at == 0:
-                self.timeline.begin(i)
+        began = time.perf_counter()
+        self.skew_from_the_start()
         for node in self.scenario.node_names():
             self.later(0.02 * self.links.chance(), self.start, node)
         self.timeline.start()
         self.later(CLIENTS_FROM, self.clients.start)
-        self.later(end, self.clients.stop)
+        self.later(self.scenario.seconds, self.clients.stop)
         try:
-            self.world.clock.run(end + self.scenario.clients.wait / 1000.0 + 0.5)
+            self.world.clock.run(self.length)
         finally:
             gc.enable()
         self.took = time.perf_counter() - began
--- /dev/null
+++ b/tests/test_lab_links.py
@@ -0,0 +1,191 @@
+"""Links, pipes and the in-memory reactor: what a fault does to what is under way."""
+
+import pytest
+from twisted.internet.protocol import ClientFactory, DatagramProtocol, Protocol, ServerFactory
+from twisted.internet.task import Clock
+
+from caperdeck.lab.links import Edge, Links, Pipe
+from caperdeck.lab.memory import World
+
+
+def links():
+    return Links(1, lambda a, b: (1.0, 2.0))
+
+
+def pipe(made, came):
+    clock = Clock()
+    return clock, Pipe(made, clock.seconds, clock.callLater, "a", "b", lambda x: came.append(x))
+
+
+def test_what_is_put_in_comes_out_in_order_and_later():
+    made, came = links(), []
+    made.trouble("a", "b").delay = (0.0, 50.0)
+    clock, p = pipe(made, came)
+    for i in range(20):
+        p.put(i)
+    assert came == []
+    clock.advance(0.06)
+    assert came == list(range(20))
+
+
+@pytest.mark.parametrize("way, holds", [(("a", "b"), True), (("b", "a"), False)])
+def test_a_cut_is_one_way_and_what_it_held_up_comes_once_it_heals(way, holds):
+    made, came = links(), []
+    clock, p = pipe(made, came)
+    p.put("before")
+    made.cut(*way, True)
+    p.put("within")
+    clock.advance(5.0)
+    assert (came == []) is holds and not made.reachable("a", "b")
+    made.cut(*way, False)
+    clock.advance(0.05)
+    assert came == ["before", "within"]
+
+
+def test_two_cuts_of_one_link_are_healed_by_the_second_end():
+    made = links()
+    made.cut("a", "b", True)
+    made.cut("a", "b", True)
+    made.cut("a", "b", False)
+    assert made.is_cut("a", "b")
+
+
+@pytest.mark.parametrize(
+    "trouble, copies", [({}, 1), ({"loss": 1.0}, 0), ({"double": 1.0}, 2), ({"cut": 1}, 0)],
+)  # fmt: skip
+def test_datagrams_are_lost_and_doubled(trouble, copies):
+    made = links()
+    for key, value in trouble.items():
+        setattr(made.trouble("a", "b"), key, value)
+    assert len(made.datagram("a", "b")) == copies
+
+
+def test_a_datagram_that_is_reordered_comes_after_a_later_one():
+    made = links()
+    made.trouble("a", "b").reorder = 1.0
+    late = made.datagram("a", "b")[0]
+    made.trouble("a", "b").reorder = 0.0
+    assert late > made.datagram("a", "b")[0] + 2.0
+
+
+def test_the_edge_tells_heads_answers_and_lists():
+    seen = []
+    edge = Edge("host", "n0", "h1", lambda ev, **v: seen.append((ev, v.get("id"), v.get("what"))))
+    edge.wrote(b"OPEN 7f k c=l")
+    edge.wrote(b",d=3\r\n")
+    edge.arrived(b"UP r")
+    edge.arrived(b"\r\nmore\r\n")
+    edge.ended("node")
+    edge.ended("far")
+    assert seen == [("dial", "7f", None), ("back", "7f", "UP"), ("undial", "7f", None)]
+    told = []
+    listing = Edge("list", "n0", "d0", lambda ev, **v: told.append(v["rev"]))
+    listing.arrived(b'5c\r\n{"rev":12,"all"')
+    listing.arrived(b":true}\n\r\n1\r\n\n\r\n")
+    assert told == [12]
+
+
+class Says(Protocol):
+    def __init__(self):
+        self.came, self.gone = [], None
+
+    def dataReceived(self, data):
+        self.came.append(data)
+
+    def connectionLost(self, reason):
+        self.gone = reason.type.__name__
+
+
+class One(ClientFactory, ServerFactory):
+    def __init__(self):
+        self.made, self.failed = [], None
+
+    def buildProtocol(self, addr):
+        self.made.append(Says())
+        return self.made[-1]
+
+    def clientConnectionFailed(self, connector, reason):
+        self.failed = reason.type.__name__
+
+
+def world():
+    w = World()
+    w.links, w.emit = links(), lambda *a, **v: None
+    return w, w.place("n0"), w.place("h0")
+
+
+def joined():
+    w, a, b = world()
+    near, far = One(), One()
+    b.listenTCP(9000, far, 0, "127.0.0.2")
+    a.connectTCP("127.0.0.2", 9000, near, 0.25)
+    w.clock.run(0.1)
+    return w, a, b, near.made[0], far.made[0]
+
+
+def test_a_process_that_sleeps_reads_all_as_it_wakes_and_its_timers_come_first():
+    w, a, b, near, far = joined()
+    b.sleep()
+    b.callLater(1.0, lambda: far.came.append("timer"))
+    near.transport.write(b"one")
+    w.clock.run(3.0)
+    assert far.came == []
+    b.wake()
+    assert far.came == ["timer", b"one"]
+
+
+def test_a_timer_cancelled_by_one_before_it_does_not_run_after_a_sleep():
+    w, a, b, near, far = joined()
+    second = b.callLater(0.2, lambda: far.came.append("second"))
+    b.callLater(0.1, second.cancel)
+    b.sleep()
+    w.clock.run(1.0)
+    b.wake()
+    assert far.came == []
+
+
+def test_a_process_that_dies_resets_and_then_refuses():
+    w, a, b, near, far = joined()
+    b.die()
+    w.clock.run(0.2)
+    assert near.gone == "ConnectionLost" and far.gone is None
+    again = One()
+    a.connectTCP("127.0.0.2", 9000, again, 0.25)
+    w.clock.run(0.3)
+    assert again.failed == "ConnectionRefusedError"
+
+
+def test_across_a_cut_nothing_is_refused_and_nothing_comes_up():
+    w, a, b, near, far = joined()
+    w.links.cut("h0", "n0", True)
+    again = One()
+    a.connectTCP("127.0.0.2", 9000, again, 0.25)
+    near.transport.write(b"one")
+    w.clock.run(0.3)
+    assert far.came == [b"one"] and again.failed is None
+    w.clock.run(0.5)
+    assert again.failed == "TimeoutError" and near.gone is None
+
+
+def test_a_clock_that_drifts_runs_its_timers_early():
+    w, a, b = world()
+    a.rate, rang = 2.0, []
+    a.callLater(1.0, lambda: rang.append(w.clock.seconds()))
+    w.clock.run(2.0)
+    assert rang == [0.5] and a.seconds() == 4.0
+
+
+def test_datagrams_to_all_reach_all_but_the_sender():
+    w, a, b = world()
+    c, came = w.place("n1"), []
+
+    class Keeps(DatagramProtocol):
+        def datagramReceived(self, data, addr):
+            came.append((data, addr))
+
+    places = [("127.4.0.1", 7946), ("127.4.0.2", 7946), ("127.4.0.3", 7946)]
+    sockets = [p.listenUDP(7946, Keeps(), ip) for p, (ip, _) in zip((a, b, c), places, strict=True)]
+    w.everyone["127.5.0.1", 7946] = places
+    sockets[0].write(b"all", ("127.5.0.1", 7946))
+    w.clock.run(0.1)
+    assert came == [(b"all", places[0])] * 2
--- /dev/null
+++ b/tests/test_lab_virtual.py
@@ -0,0 +1,170 @@
+"""The fleet in virtual time: scenarios held, planted faults caught, searched for and made small."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from caperdeck.carry import carrier
+from caperdeck.core.decide import Node
+from caperdeck.lab import compare, report, search
+from caperdeck.lab.baselines import POLICIES
+from caperdeck.lab.cli import conclude
+from caperdeck.lab.figures import figures
+from caperdeck.lab.oracle import judge
+from caperdeck.lab.scenario import decode, load
+from caperdeck.lab.virtual import VirtualFleet
+from caperdeck.state.hosts import Hosts
+from caperdeck.wire.desk import Desk
+
+FOLDER = Path(__file__).parents[1] / "caperdeck" / "lab" / "scenarios"
+SCENARIOS = sorted(str(path) for path in FOLDER.glob("*.toml"))
+
+
+def scenario(name, **changes):
+    return msgspec.structs.replace(load(str(FOLDER / f"{name}.toml")), **changes)
+
+
+def broken(made, seed=None):
+    return {b.rule for b in judge(made, VirtualFleet(made, seed).run())}
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("name", [Path(s).stem for s in SCENARIOS])
+def test_the_rules_hold(name, seed):
+    made = scenario(name)
+    events = VirtualFleet(made, seed).run()
+    assert [b.line() for b in judge(made, events)] == []
+    assert figures(events)["served"] > 0.7
+
+
+def test_the_same_seed_gives_the_same_history_and_another_does_not():
+    made = scenario("killed")
+    first, again, other = (VirtualFleet(made, seed).run() for seed in (5, 5, 6))
+    assert first == again != other
+
+
+FORTY = {
+    "name": "forty", "seconds": 10, "nodes": 40, "zones": ["a", "b"], "hosts": {"count": 16, "cores": 2},
+    "clients": {"rate": 120.0, "life": [2.0, 8.0], "uneven": 3.0},
+    "fault": [
+        {"do": "mass-kill", "of": "n*", "amount": 0.7, "at": 3.0},
+        {"do": "drain", "of": "h1", "at": 3.2},
+        {"do": "start", "of": "h[2-4]", "at": 3.5},
+        {"do": "cut-zone", "of": "b", "at": 4.0, "for": 2.0},
+        {"do": "stop", "of": "n[0-4]", "at": 4.5, "for": 2.5},
+        {"do": "loss", "of": "n*", "to": "h*", "amount": 0.1, "at": 5.0, "for": 2.0},
+        {"do": "rolling", "of": "n1*", "amount": 0.2, "at": 5.5},
+    ],
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_rules_hold_for_forty_nodes_under_faults_that_overlap(seed):
+    made = decode(FORTY)
+    assert [b.line() for b in judge(made, VirtualFleet(made, seed).run())] == []
+
+
+# ---- planted faults: each says which scenario catches it
+
+
+def say_twice(monkeypatch):
+    join = Desk._join
+
+    def twice(self, client, conn):
+        join(self, client, conn)
+        client.pass_on(b"ERR")
+
+    monkeypatch.setattr(Desk, "_join", twice)
+
+
+def forget_drains(monkeypatch):
+    take = Hosts.take
+
+    def all_run(self, whole, rows, complain):
+        return take(self, whole, [r | {"state": "Ready"} for r in rows], complain)
+
+    monkeypatch.setattr(Hosts, "take", all_run)
+
+
+def never_notice_a_sleep(monkeypatch):
+    monkeypatch.setattr(carrier, "OVERDUE", float("inf"))
+
+
+def leave_dials_out(monkeypatch):
+    monkeypatch.setattr(Desk, "_hang_up", lambda self, s, reset: setattr(s, "conn", None))
+
+
+def spend_whole_cold_budgets(monkeypatch):
+    monkeypatch.setattr(Node, "_lot", lambda self, now, s, h: True)
+    monkeypatch.setattr(Node, "_open", lambda self, now, s, h: True)
+
+
+def lose_sessions(monkeypatch):
+    monkeypatch.setattr(Desk, "_pick", lambda self, s, listener: None)
+
+
+COLD = {
+    "name": "cold", "seconds": 9, "nodes": 40, "hosts": {"count": 4, "cores": 2},
+    "clients": {"rate": 60.0, "life": [8.0, 9.0], "load": [100.0, 200.0]},
+    "fault": [{"do": "start", "of": "h[0-2]", "at": 3.0}],
+}  # fmt: skip
+PLANTS = [
+    (say_twice, "calm", "sessions"),
+    (lose_sessions, "calm", "sessions"),
+    (forget_drains, "asleep", "drains"),
+    (never_notice_a_sleep, "asleep", "drains"),
+    (leave_dials_out, "links", "effects"),
+    (spend_whole_cold_budgets, COLD, "cold"),
+]
+
+
+@pytest.mark.parametrize("plant, caught_by, rule", PLANTS)
+def test_a_planted_fault_is_caught(plant, caught_by, rule, monkeypatch):
+    made = scenario(caught_by) if isinstance(caught_by, str) else decode(caught_by)
+    assert rule not in broken(made)
+    plant(monkeypatch)
+    assert rule in broken(made)
+
+
+def test_the_search_finds_a_planted_fault_and_makes_it_small(monkeypatch, tmp_path):
+    made = decode({"name": "s", "seconds": 8, "nodes": 2, "hosts": {"count": 3}, "clients": {"rate": 15.0}})
+    assert search.search(made, 4, 1) is None
+    forget_drains(monkeypatch)
+    small, breaches = search.search(made, 60, 1)
+    assert len(small.fault) == 1 and small.fault[0].do in ("drain", "kill") and breaches[0].rule == "drains"
+    path = tmp_path / "found.toml"
+    path.write_text(search.text(small))
+    again = load(str(path))
+    assert judge(again, VirtualFleet(again).run()) == breaches
+
+
+# ---- figures, comparison, the page
+
+
+def test_baselines_play_under_the_same_rules():
+    made = scenario("killed")
+    for policy in POLICIES.values():
+        events = VirtualFleet(made, 1, policy).run()
+        assert judge(made, events) == [] and figures(events)["served"] > 0.7
+
+
+def test_a_difference_is_shown_only_where_its_interval_leaves_0_out():
+    def runs(*values):
+        return [dict.fromkeys(compare.SHOWN, v) for v in values]
+
+    shown = compare.differences(runs(0.5, 0.6, 0.7), runs(0.6, 0.71, 0.8))["served"]
+    assert shown["shown"] and shown["low"] < 0.1 < shown["high"]
+    assert not compare.differences(runs(0.5, 0.6, 0.7), runs(0.7, 0.5, 0.6))["served"]["shown"]
+    assert not compare.differences(runs(0.5, 0.6), runs(0.5, 0.6))["served"]["shown"]
+
+
+def test_the_page_holds_all_it_shows(capsys):
+    made = scenario("killed")
+    events = VirtualFleet(made).run()
+    text = report.page(events, [])
+    assert "<svg" in text and "all rules held" in text and "http-equiv" not in text
+    assert "src=" not in text and "<script" not in text
+    assert conclude(made, events, True) == 0 and "all rules held" in capsys.readouterr().out
+    twice = [*events, events[-1] | {"ev": "extra", "id": "x", "what": "up"}]
+    assert conclude(made, twice, True) == 1 and "BROKEN" in capsys.readouterr().out
