--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import threading
+import time
 from contextlib import contextmanager
 
 from loguru import logger
@@ -242,6 +243,19 @@
     return serve_lines(lambda line: answer if line.startswith(b"GET") else None)
 
 
+def ping_until_ready(port, until):
+    """Waits until the node there answers PING; it has to before that time of the steady clock."""
+    while time.monotonic() < until:
+        try:
+            with socket.create_connection(("127.0.0.1", port), 5.0) as sock:
+                sock.sendall(b"PING\r\n")
+                if sock.recv(100) == b"PONG\r\n":
+                    return
+        except OSError:
+            time.sleep(0.05)
+    raise AssertionError("not ready in its time")
+
+
 def free_ports(count):
     servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
     ports = [server.getsockname()[1] for server in servers]
--- /dev/null
+++ b/tests/test_lab_real.py
@@ -0,0 +1,171 @@
+"""The rig with real processes: every kind of fault, the rules checked, and nothing left running."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+from helpers import SETUP, free_ports, ping_until_ready
+from test_lab_virtual import FOLDER, SCENARIOS
+
+from caperdeck.lab.scenario import load
+
+ROOT = Path(__file__).parents[1]
+VOID = 3
+TRIES = 3  # where the machine was too slow to say anything
+AT_ONCE = 2
+BUSY = 8  # processes that keep the machine busy
+STARTS = 104
+WITHIN = 20.0  # seconds for a node's start
+
+
+def command(*words):
+    return [sys.executable, "-B", "-m", "caperdeck", "lab", *map(str, words)]
+
+
+def play(*words, folder):
+    """Exit code and output of one run, again where it was void."""
+    for _ in range(TRIES):
+        done = subprocess.run(
+            command("fleet", *words), cwd=ROOT, capture_output=True, text=True, timeout=120, check=False,
+            env=os.environ | {"TMPDIR": str(folder)},
+        )  # fmt: skip
+        if done.returncode != VOID:
+            break
+    return done.returncode, done.stdout + done.stderr
+
+
+def left_running(mark):
+    """Processes whose environment holds the mark."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit():
+            try:
+                if str(mark).encode() in (entry / "environ").read_bytes():
+                    found.append((entry / "cmdline").read_bytes())
+            except OSError:
+                continue
+    return found
+
+
+@pytest.fixture(scope="module")
+def runs(tmp_path_factory):
+    """All scenarios, a few at a time."""
+    folder = tmp_path_factory.mktemp("runs")
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        jobs = {
+            Path(s).stem: pool.submit(play, s, f"--json={folder / Path(s).stem}", folder=folder)
+            for s in SCENARIOS
+        }  # fmt: skip
+        done = {name: job.result() for name, job in jobs.items()}
+    return folder, done
+
+
+@pytest.mark.parametrize("name", [Path(s).stem for s in SCENARIOS])
+def test_real_processes_keep_the_rules_under_faults(name, runs):
+    folder, done = runs
+    code, text = done[name]
+    assert code == 0 and "all rules held" in text, text
+    events = [json.loads(line) for line in open(folder / name)]
+    states = {e["state"] for e in events if e["ev"] == "life"}
+    assert sum(e["ev"] == "answer" and e["what"] == "up" for e in events) > 100
+    for fault, state in (("asleep", "awake"), ("killed", "killed"), ("clocks", "exit")):
+        assert name != fault or state in states
+    set_in = {e["number"] for e in events if e["ev"] == "fault"}
+    assert set_in == set(range(len(load(str(FOLDER / f"{name}.toml")).fault)))
+
+
+def test_no_process_of_a_run_is_left(runs):
+    assert left_running(runs[0]) == []
+
+
+def test_virtual_and_real_agree_on_a_calm_fleet(runs):
+    code, text = play(ROOT / "caperdeck/lab/scenarios/calm.toml", "--virtual", folder=runs[0])
+    assert code == 0
+
+    def served(out):
+        return float(out.split("served ")[1].split(",")[0])
+
+    assert abs(served(text) - served(runs[1]["calm"][1])) < 0.03
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
+def test_an_interrupted_run_leaves_no_process_behind(number, tmp_path):
+    path = ROOT / "caperdeck/lab/scenarios/asleep.toml"
+    log = open(tmp_path / "out", "w")
+    run = subprocess.Popen(
+        command("fleet", path), cwd=ROOT, stdout=log, stderr=log, env=os.environ | {"TMPDIR": str(tmp_path)},
+    )  # fmt: skip
+    end = time.monotonic() + 30
+    while len(left_running(tmp_path)) < 8 and time.monotonic() < end:
+        time.sleep(0.1)
+    assert len(left_running(tmp_path)) >= 8  # the rig, its four parts and three nodes
+    run.send_signal(number)
+    run.wait(20)
+    end = time.monotonic() + 10
+    while left_running(tmp_path) and time.monotonic() < end:
+        time.sleep(0.1)
+    assert left_running(tmp_path) == []
+
+
+@pytest.mark.parametrize("words, reason", [
+    (["fleet", "nothing.toml"], "nothing.toml: No such file"),
+    (["fleet", "caperdeck/lab/scenarios/calm.toml", "--seed=x"], "--seed"),
+    (["compare", "caperdeck/lab/scenarios/calm.toml", "--against=magic"], "magic"),
+    (["report", "pyproject.toml"], "pyproject.toml:1: no event"),
+])  # fmt: skip
+def test_bad_input_ends_with_one_line_and_2(words, reason):
+    done = subprocess.run(command(*words), cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+    assert done.returncode == 2 and reason in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_more_nodes_than_processes_are_refused_before_anything_starts(tmp_path):
+    path = tmp_path / "many.toml"
+    path.write_text('name = "many"\nseconds = 5\nnodes = 40\n')
+    code, text = play(path, folder=tmp_path)
+    assert code == 2 and "nodes: 40" in text
+
+
+def test_a_hundred_starts_on_a_busy_machine_each_come_in_time(tmp_path):
+    # Danger: nodes that start by hundreds on few cores were taken for stuck, as loading never waited.
+    spin = "import time\nend = time.monotonic() + 90\nwhile time.monotonic() < end: pass"
+    busy = [subprocess.Popen([sys.executable, "-c", spin], stdin=subprocess.DEVNULL) for _ in range(BUSY)]
+    try:
+        for batch in range(0, STARTS, 26):
+            nodes = [start(tmp_path, batch + i) for i in range(26)]
+            try:
+                for node, port, began in nodes:
+                    ping_until_ready(port, began + WITHIN)
+                    assert node.poll() is None and waits_of(node.pid) >= 5
+            finally:
+                for node, _, _ in nodes:
+                    node.kill()
+                    node.wait()
+    finally:
+        for process in busy:
+            process.kill()
+            process.wait()
+
+
+def start(folder, number):
+    port, discovery = free_ports(2)
+    path = folder / f"{number}.json"
+    path.write_text(json.dumps({
+        "name": f"n{number}", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}",
+        "seed": "1", "limits": {"sockets": 256}, "settings": SETUP,
+    }))  # fmt: skip
+    log = open(folder / f"{number}.log", "w")
+    serve = [sys.executable, "-B", "-m", "caperdeck", "serve", f"--config={path}"]
+    node = subprocess.Popen(serve, cwd=ROOT, stdout=log, stderr=log)
+    return node, port, time.monotonic()
+
+
+def waits_of(pid):
+    """How often a process has waited by itself."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.split("\nvoluntary_ctxt_switches:")[1].split()[0])
