--- a/caperdeck/lab/hosts.py
+++ b/caperdeck/lab/hosts.py
@@ -202,6 +202,7 @@
         self.port: Any = None
         self.address = ("", 0)
         self.due: Any = None
+        self.closing: Any = None  # a Deferred on a real reactor
 
     def buildProtocol(self, addr: Any) -> HostLine:
         return HostLine(self)
@@ -238,7 +239,7 @@
         self.host.running = False
         self.host.say("gone")
         self.due.cancel()
-        self.port.stopListening()
+        self.closing = self.port.stopListening()
         for line in list(self.open):
             line.transport.abortConnection()
 
@@ -254,6 +255,13 @@
             self.host.ill = amount
 
     def start(self) -> None:
+        """A new process in the old one's place, once that one's port is closed."""
         self.host.start(self.now())
+        if self.closing is None:
+            self._open()
+        else:
+            self.closing.addCallback(lambda _: self._open())
+
+    def _open(self) -> None:
         self.port = self.reactor.listenTCP(self.address[1], self, 1024, self.address[0])
         self.measure()
--- a/caperdeck/lab/part.py
+++ b/caperdeck/lab/part.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import socket
 import sys
 import time
 from typing import Any
@@ -20,6 +21,7 @@
 from .discovery import Discovery
 from .hosts import Host, HostPort
 from .links import Links
+from .ports import free_port
 from .relay import Relay
 from .scenario import Scenario, decode
 
@@ -68,10 +70,11 @@
 class HostsPart(Part):
     def do_open(self) -> dict[str, Any]:
         self.ports: dict[str, HostPort] = {}
+        taken: set[int] = set()
         for i, name in enumerate(self.scenario.host_names()):
             host = Host(self.scenario, name, self.seed * 1000 + i, self.emit)
             self.ports[name] = HostPort(reactor, host, self.now)
-            self.ports[name].listen("127.0.0.1")
+            self.ports[name].listen("127.0.0.1", free_port(socket.SOCK_STREAM, taken))
         return {name: port.address for name, port in self.ports.items()}
 
     def do_host(self, name: str, what: str, amount: float) -> None:
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import random
 import signal
 import socket
 import sys
@@ -19,6 +18,7 @@
 
 from .fleet import CLIENTS_FROM, LEAVES, Fleet
 from .history import Event
+from .ports import free_port
 from .scenario import MOST_PROCESSES, Scenario, ScenarioError, dump
 from .setup import node_config
 
@@ -341,18 +341,3 @@
             for future in part.waiting.values():
                 if future.done():
                     future.exception()
-
-
-def free_port(kind: int, taken: set[int]) -> int:
-    """A port under those that the kernel deals out by itself, so that nobody else is given it meanwhile."""
-    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
-        low = int(file.read().split()[0])
-    for _ in range(1000):
-        port = random.randrange(max(low - 12000, 1024), low)
-        if port in taken:
-            continue
-        with socket.socket(socket.AF_INET, kind) as sock, suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            taken.add(port)
-            return port
-    raise VoidError("no free port")
--- a/caperdeck/lab/relay.py
+++ b/caperdeck/lab/relay.py
@@ -16,6 +16,7 @@
 from zope.interface import implementer
 
 from .links import Edge, Links, Pipe
+from .ports import free_port
 
 FIN, RST = object(), object()
 BACKLOG = 512
@@ -140,6 +141,7 @@
         self.address: Address = ("127.0.0.1", 0)
         self.down = False
         self.silent = False
+        self.closing: Any = None
 
     def listen(self) -> Address:
         self.port = self.relay.reactor.listenTCP(self.address[1], self, BACKLOG, self.address[0])
@@ -155,10 +157,14 @@
         silent = not self.relay.links.reachable(self.a, self.b)
         if self.down and self.port is not None:
             self._loosen()
-            self.port.stopListening()
+            self.closing = self.port.stopListening()
             self.port = None
         elif not self.down and self.port is None:
-            self.listen()
+            closing, self.closing = self.closing, None
+            if closing is not None:
+                closing.addCallback(lambda _: self.listen())
+            else:
+                self.listen()
         if self.port is not None and silent != self.silent:
             (self._fill if silent else self._loosen)()
         self.silent = silent
@@ -197,9 +203,11 @@
         self.ways: dict[tuple[str, str], Way] = {}
         self.wires: dict[tuple[str, str], Any] = {}
         self.peers: dict[str, Address] = {}
+        self.taken: set[int] = set()
 
     def way(self, a: str, b: str, target: Address) -> Address:
         way = self.ways[a, b] = Way(self, a, b, target)
+        way.address = ("127.0.0.1", free_port(socket.SOCK_STREAM, self.taken))
         return way.listen()
 
     def wire(self, a: str, b: str) -> Address:
