A node that was away blames no host for its own absence and takes no answer that lay there for news

Probes and connections whose time ran out in the sleep were counted against their hosts, and answers that had lain in the socket told figures as new. Now neither does; a line read once all that lay there has been read counts from when it is read, also while the list is waited for.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -148,6 +148,10 @@
             do()
         self._ring()
 
+    def age(self) -> float:
+        """How long a line that is read now may have lain there; 0 once all that did has been read."""
+        return self.away if self.turns <= READ_TURNS else 0.0
+
     def later(self, do: Callable[[], None]) -> bool:
         """Whether the node has yet to read what came while it was away; then this is done after that."""
         self.clock()
@@ -279,7 +283,9 @@
             self.figures.relayed += 1
 
     def dial_failed(self, conn: HostSide) -> None:
-        self._end_dial(conn.session, Outcome.UNREACHED)
+        self.clock()
+        # Danger: a connection that ran out of time while the node was away says nothing about its host.
+        self._end_dial(conn.session, Outcome.NEVER_SENT if self.away else Outcome.UNREACHED)
 
     def _late(self, conn: HostSide) -> None:
         if not self.later(partial(self._late, conn)) and not conn.ended:
@@ -400,6 +406,9 @@
         alive = news.outcome in (Outcome.GOOD, Outcome.ERROR)
         if alive:
             self.hosts.spoke_at[news.host] = self.clock()
+        # Danger: an answer that lay there all the while tells an old figure as a new one.
+        if self.away >= FIGURES_LAST:
+            return
         self.report(news)
         if not alive and self._suspect(news.host):
             for s in self.sessions.standing():
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -77,7 +77,7 @@
         self.budget.sessions += 1
         now = self.clock()
         # Danger: a line that lay there while the node was away has run down its client's wait unseen.
-        s = client.session = self.sessions.new(head, client, now - self.away)
+        s = client.session = self.sessions.new(head, client, now - self.age())
         if head.at is not None:
             self.resume(s)
             return
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -55,14 +55,16 @@
         self.end(Outcome.ERROR)
 
     def late(self) -> None:
-        if not self.pool.later(partial(self.ran_out, self.waits)):
-            self.ran_out(self.waits)
-
-    def ran_out(self, timer: Any) -> None:
-        if self.waits is not timer:
-            return  # the answer lay there already
+        if self.pool.later(partial(self.dismiss, self.waits)):
+            return
         self.end(Outcome.LATE if self.sent else Outcome.UNREACHED)
 
+    def dismiss(self, timer: Any) -> None:
+        """The node was away when the time ran out: without an answer by now it is nobody's fault."""
+        if self.waits is timer:
+            self.waits = None
+            self.end(Outcome.LATE)
+
     def conclude(self, outcome: Outcome, values: dict[str, float]) -> None:
         if self.waits is None:
             return
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -644,3 +644,32 @@
     asleep(d, 0.45)
     connect(d, OPEN)
     assert d.reactor.tcpClients and not d.away
+
+
+def test_a_look_that_ran_out_in_the_sleep_is_nobodys_fault():
+    d = desk(mayProbe=True)
+    d.probes.look(0, d.hosts.address[0])
+    probe = accept(d)
+    asleep(d, 2.0)
+    probe.late()
+    d.reactor.advance(0)
+    assert probe.ended and 0 not in d.probes.open and not any(d.balancer._node.ill)
+
+
+def test_a_connection_that_ran_out_in_the_sleep_is_nobodys_fault():
+    d = desk(hosts=1)
+    connect(d, OPEN.replace(b"d=1200", b"d=9000"))
+    asleep(d, 2.0)
+    d.dial_failed(next(iter(d.sessions.table.values())).conn)
+    d.reactor.advance(0)
+    assert not any(d.balancer._node.ill) and len(d.reactor.tcpClients) == 2
+
+
+def test_an_answer_that_lay_there_tells_no_figure():
+    d = desk(hosts=1, mayProbe=True)
+    d.probes.look(0, d.hosts.address[0])
+    probe = accept(d)
+    asleep(d, 2.0)
+    probe.dataReceived(b"PONG x0=0.9\r\n")
+    d.reactor.advance(0)
+    assert d.balancer._node.figure == [None]
