--- a/tests/test_lab_links.py
+++ b/tests/test_lab_links.py
@@ -1,11 +1,16 @@
 """Links, pipes and the in-memory reactor: what a fault does to what is under way."""
 
+import subprocess
+import sys
+
 import pytest
+from twisted.internet.address import IPv4Address
 from twisted.internet.protocol import ClientFactory, DatagramProtocol, Protocol, ServerFactory
 from twisted.internet.task import Clock
 
 from caperdeck.lab.links import Edge, Links, Pipe
 from caperdeck.lab.memory import World
+from caperdeck.lab.relay import Relay
 
 
 def links():
@@ -189,3 +194,77 @@
     sockets[0].write(b"all", ("127.5.0.1", 7946))
     w.clock.run(0.1)
     assert came == [(b"all", places[0])] * 2
+
+
+# ---- the relay
+
+
+class Ends(Clock):
+    """A reactor as far as the relay's datagrams use one."""
+
+    def __init__(self):
+        super().__init__()
+        self.sockets = []
+
+    def listenUDP(self, port, protocol, interface):
+        socket = type("Socket", (), {"getHost": lambda s: IPv4Address("UDP", "127.0.0.1", s.port)})()
+        socket.port, socket.sent = 7000 + len(self.sockets), []
+        socket.write = lambda data, to: socket.sent.append((data, to))
+        self.sockets.append(socket)
+        return socket
+
+
+@pytest.mark.parametrize("to, reached", [("n1", ["n1"]), ("*", ["n1", "n2"])])
+def test_a_datagram_comes_from_the_address_by_which_its_receiver_knows_the_sender(to, reached):
+    reactor = Ends()
+    relay = Relay(reactor, links(), lambda *a, **v: None)
+    relay.peers = {n: ("127.0.0.1", 9000 + i) for i, n in enumerate(("n0", "n1", "n2"))}
+    for a, b in (("n0", to), ("n1", "n0"), ("n2", "n0")):
+        relay.wire(a, b)
+    relay.datagram("n0", to, b"hello")
+    reactor.advance(1.0)
+    sent = {n: relay.wires[n, "n0"].sent for n in ("n1", "n2")}
+    assert sent == {n: [(b"hello", relay.peers[n])] * (n in reached) for n in sent}
+
+
+KNOCKS = """
+import socket, threading, time
+from twisted.internet import reactor
+from twisted.internet.protocol import Factory, Protocol
+from caperdeck.lab.links import Links
+from caperdeck.lab.relay import Relay
+class Echo(Protocol):
+    def dataReceived(self, data): self.transport.write(data)
+port = reactor.listenTCP(0, Factory.forProtocol(Echo), 50, "127.0.0.1").getHost().port
+relay = Relay(reactor, Links(1, lambda a, b: (0.0, 1.0)), lambda *a, **v: None)
+way = relay.way("n0", "h0", ("127.0.0.1", port))
+def knock():
+    try:
+        with socket.create_connection(way, 0.3) as sock:
+            sock.sendall(b"x")
+            return sock.recv(1).decode()
+    except OSError as error:
+        return type(error).__name__
+def in_reactor(do, *args):
+    done = threading.Event()
+    reactor.callFromThread(lambda: (do(*args), done.set()))
+    done.wait()
+    time.sleep(0.1)
+def cut(on): relay.trouble("h0", "n0", {"cut": int(on)})
+def play():
+    said = [knock()]
+    for do, arg in ((cut, True), (cut, False), (lambda d: relay.down("h0", d), True), (lambda d: relay.down("h0", d), False)):
+        in_reactor(do, arg)
+        said.append(knock())
+    print(*said, flush=True)
+    reactor.callFromThread(reactor.stop)
+threading.Thread(target=play, daemon=True).start()
+reactor.callLater(20, reactor.stop)
+reactor.run()
+"""  # noqa: E501
+
+
+def test_a_cut_link_is_silent_and_a_dead_far_end_refuses():
+    run = [sys.executable, "-c", KNOCKS]
+    done = subprocess.run(run, capture_output=True, text=True, timeout=60, check=False)
+    assert done.stdout.split() == ["x", "TimeoutError", "x", "ConnectionRefusedError", "x"], done.stderr
--- a/tests/test_lab_virtual.py
+++ b/tests/test_lab_virtual.py
@@ -180,3 +180,10 @@
     assert conclude(made, events, True) == 0 and "all rules held" in capsys.readouterr().out
     twice = [*events, events[-1] | {"ev": "extra", "id": "x", "what": "up"}]
     assert conclude(made, twice, True) == 1 and "BROKEN" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("span", [0.3, 1.1, 5.1, 20.0])
+def test_the_rules_hold_whatever_the_length_of_a_sleep(span):
+    made = scenario("asleep", seconds=span + 10.0)
+    made.fault[0].span = span
+    assert [b.line() for b in judge(made, VirtualFleet(made).run())] == []
