--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -180,7 +180,7 @@
         try:
             writer.write(b"PING\r\n")
             return (await asyncio.wait_for(reader.readline(), 2.0)).startswith(b"PONG")
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return False
         finally:
             writer.close()
--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -13,6 +13,7 @@
 from helpers import SETUP, free_ports, ping_until_ready
 from test_lab_virtual import FOLDER, SCENARIOS
 
+from caperdeck.lab.history import read
 from caperdeck.lab.scenario import load
 
 ROOT = Path(__file__).parents[1]
@@ -71,7 +72,7 @@
     folder, done = runs
     code, text = done[name]
     assert code == 0 and "all rules held" in text, text
-    events = [json.loads(line) for line in open(folder / name)]
+    events = read(str(folder / name))
     states = {e["state"] for e in events if e["ev"] == "life"}
     assert sum(e["ev"] == "answer" and e["what"] == "up" for e in events) > 100
     for fault, state in (("asleep", "awake"), ("killed", "killed"), ("clocks", "exit")):
@@ -97,9 +98,9 @@
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupted_run_leaves_no_process_behind(number, tmp_path):
     path = ROOT / "caperdeck/lab/scenarios/asleep.toml"
-    log = open(tmp_path / "out", "w")
     run = subprocess.Popen(
-        command("fleet", path), cwd=ROOT, stdout=log, stderr=log, env=os.environ | {"TMPDIR": str(tmp_path)},
+        command("fleet", path), cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+        env=os.environ | {"TMPDIR": str(tmp_path)},
     )  # fmt: skip
     end = time.monotonic() + 30
     while len(left_running(tmp_path)) < 8 and time.monotonic() < end:
@@ -159,9 +160,8 @@
         "name": f"n{number}", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}",
         "seed": "1", "limits": {"sockets": 256}, "settings": SETUP,
     }))  # fmt: skip
-    log = open(folder / f"{number}.log", "w")
     serve = [sys.executable, "-B", "-m", "caperdeck", "serve", f"--config={path}"]
-    node = subprocess.Popen(serve, cwd=ROOT, stdout=log, stderr=log)
+    node = subprocess.Popen(serve, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
     return node, port, time.monotonic()
 
 
