--- a/caperdeck/lab/fleet.py
+++ b/caperdeck/lab/fleet.py
@@ -26,7 +26,7 @@
         self.scenario = scenario
         self.seed = scenario.seed if seed is None else seed
         self.history = History(self.now)
-        self.links = Links(self.seed, self.usual)
+        self.links = Links(self.seed, scenario.delay)
         self.timeline = Timeline(scenario, self, self.history.emit)
         self.history.watchers.append(self.timeline.saw)
         if watch is not None:
@@ -35,13 +35,6 @@
         self.skews: dict[str, tuple[float, float]] = {}
         self.host_lives: dict[str, int] = dict.fromkeys(scenario.host_names(), 0)
 
-    def usual(self, a: str, b: str) -> tuple[float, float]:
-        """A link's delay with nothing wrong, milliseconds."""
-        net, same = self.scenario.net, self.scenario.zone_of
-        if "clients" in (a, b) or a[:1] == "d" or b[:1] == "d":
-            return net.delay
-        return net.delay if same(a) == same(b) else net.cross
-
     @property
     def length(self) -> float:
         """Seconds that a run takes."""
--- a/caperdeck/lab/part.py
+++ b/caperdeck/lab/part.py
@@ -117,8 +117,7 @@
 
 class RelayPart(Part):
     def do_open(self, ways: list, peers: dict[str, list]) -> dict[str, Any]:
-        fleet_links = Links(self.seed, lambda a, b: tuple(self.usual(a, b)))
-        self.relay = Relay(reactor, fleet_links, self.emit)
+        self.relay = Relay(reactor, Links(self.seed, self.scenario.delay), self.emit)
         self.relay.peers = {n: (host, port) for n, (host, port) in peers.items()}
         streams = [[a, b, self.relay.way(a, b, (host, port))] for a, b, (host, port) in ways]
         nodes = list(peers)
@@ -128,12 +127,6 @@
     def do_more(self, ways: list) -> list:
         return [[a, b, self.relay.way(a, b, (host, port))] for a, b, (host, port) in ways]
 
-    def usual(self, a: str, b: str) -> tuple[float, float]:
-        net = self.scenario.net
-        if "clients" in (a, b) or a[0] == "d" or b[0] == "d":
-            return net.delay
-        return net.delay if self.scenario.zone_of(a) == self.scenario.zone_of(b) else net.cross
-
     def do_down(self, name: str, down: bool) -> None:
         self.relay.down(name, down)
 
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -122,6 +122,12 @@
         digits = "".join(c for c in name if c.isdigit())
         return self.zones[int(digits or 0) % len(self.zones)]
 
+    def delay(self, a: str, b: str) -> tuple[float, float]:
+        """A link's one-way delay with nothing wrong, milliseconds."""
+        if "clients" in (a, b) or a[:1] == "d" or b[:1] == "d" or self.zone_of(a) == self.zone_of(b):
+            return self.net.delay
+        return self.net.cross
+
     def parts(self) -> list[str]:
         nodes, hosts = self.node_names(), self.host_names()
         return nodes + hosts + [f"d{n[1:]}" for n in nodes] + ["clients"]
--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -29,13 +29,17 @@
     return [sys.executable, "-B", "-m", "caperdeck", "lab", *map(str, words)]
 
 
+def run(*words, **environment):
+    return subprocess.run(
+        command(*words), cwd=ROOT, capture_output=True, text=True, timeout=120, check=False,
+        env=os.environ | environment,
+    )  # fmt: skip
+
+
 def play(*words, folder):
     """Exit code and output of one run, again where it was void."""
     for _ in range(TRIES):
-        done = subprocess.run(
-            command("fleet", *words), cwd=ROOT, capture_output=True, text=True, timeout=120, check=False,
-            env=os.environ | {"TMPDIR": str(folder)},
-        )  # fmt: skip
+        done = run("fleet", *words, TMPDIR=str(folder))
         if done.returncode != VOID:
             break
     return done.returncode, done.stdout + done.stderr
@@ -98,7 +102,7 @@
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupted_run_leaves_no_process_behind(number, tmp_path):
     path = ROOT / "caperdeck/lab/scenarios/asleep.toml"
-    run = subprocess.Popen(
+    rig = subprocess.Popen(
         command("fleet", path), cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
         env=os.environ | {"TMPDIR": str(tmp_path)},
     )  # fmt: skip
@@ -106,8 +110,8 @@
     while len(left_running(tmp_path)) < 8 and time.monotonic() < end:
         time.sleep(0.1)
     assert len(left_running(tmp_path)) >= 8  # the rig, its four parts and three nodes
-    run.send_signal(number)
-    run.wait(20)
+    rig.send_signal(number)
+    rig.wait(20)
     end = time.monotonic() + 10
     while left_running(tmp_path) and time.monotonic() < end:
         time.sleep(0.1)
@@ -121,7 +125,7 @@
     (["report", "pyproject.toml"], "pyproject.toml:1: no event"),
 ])  # fmt: skip
 def test_bad_input_ends_with_one_line_and_2(words, reason):
-    done = subprocess.run(command(*words), cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+    done = run(*words)
     assert done.returncode == 2 and reason in done.stderr and done.stderr.count("\n") == 1
 
 
@@ -132,6 +136,24 @@
     assert code == 2 and "nodes: 40" in text
 
 
+def test_more_than_the_relay_carries_is_void_and_no_nodes_fault(tmp_path):
+    path = tmp_path / "fast.toml"
+    path.write_text('name = "fast"\nseconds = 5\nnodes = 1\n[clients]\nrate = 5000.0\n')
+    done = run("fleet", path)
+    assert done.returncode == VOID and "the relay carries" in done.stderr
+    assert "nothing is said about the nodes" in done.stderr
+
+
+@pytest.mark.parametrize("way", ["settings:{folder}/other.json", f"checkout:{ROOT}"])
+def test_a_way_is_compared_with_itself_and_no_difference_is_shown(way, tmp_path):
+    (tmp_path / "other.json").write_text('{"prices": {"probe": 0.004}}')
+    against, out = f"--against={way.format(folder=tmp_path)}", f"--json={tmp_path / 'out'}"
+    done = run("compare", "caperdeck/lab/scenarios/calm.toml", against, "--pairs=2", out)
+    (result,) = json.loads((tmp_path / "out").read_text())
+    assert done.returncode == 0 and result["breaches"] == [0, 0], done.stderr
+    assert not any(f["shown"] for f in result["figures"].values()) and result["figures"]["served"]["a"] > 0.9
+
+
 def test_a_hundred_starts_on_a_busy_machine_each_come_in_time(tmp_path):
     # Danger: nodes that start by hundreds on few cores were taken for stuck, as loading never waited.
     spin = "import time\nend = time.monotonic() + 90\nwhile time.monotonic() < end: pass"
