A SIGTERM that comes while a node ends no longer makes it look killed

Seen: one of sixteen runs of the upgrade tests, eight side by side, and one run alone before: a node that had handed all on and was ending left with -15. The interpreter puts the default handlers back as it ends. Ruled out: a handler that was never set (set before the port opens). Change: the three signals are ignored once the reactor has stopped.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -87,6 +87,10 @@
     gc.collect()
     gc.freeze()
     reactor.run(installSignalHandlers=False)
+    # Danger: the interpreter puts the signals' defaults back as it ends, and a SIGTERM that comes then would
+    # make a node that has served to its end look killed.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
     return service.exit_code
 
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -288,3 +288,21 @@
     finally:
         node.kill()
         node.wait()
+
+
+def test_a_sigterm_that_comes_as_a_node_ends_does_not_make_it_look_killed(tmp_path):
+    (port,) = free_ports(1)
+    environment = os.environ | write(tmp_path / "c", CONFIG | {"listen": f"127.0.0.1:{port}"})
+    node = subprocess.Popen(
+        [sys.executable, "-m", "caperdeck", "serve"], env=environment, stderr=subprocess.PIPE,
+    )  # fmt: skip
+    try:
+        assert b"start node=n1" in node.stderr.readline()
+        while node.poll() is None:
+            node.send_signal(signal.SIGTERM)
+            time.sleep(0.0005)
+        assert node.returncode == 0
+    finally:
+        node.kill()
+        node.wait()
+        node.stderr.close()
