--- a/caperdeck/lab/memory.py
+++ b/caperdeck/lab/memory.py
@@ -349,13 +349,14 @@
         self.protocol: Any = None
         self.connector: Any = None
         self.shut = self.closed = self.lost = self.far_shut = self.paused = False
+        self.broken = False  # a reset lies there, read or not: nothing can be written any more
         self.early: list[Any] = []  # arrived before anybody reads
         place.ends[self] = None
 
     # ---- what goes out
 
     def write(self, data: bytes) -> None:
-        if self.shut or self.closed or self.lost or not data:
+        if self.shut or self.closed or self.lost or self.broken or not data:
             return
         if self.edge is not None:
             self.edge.wrote(data)
@@ -368,7 +369,7 @@
         return self
 
     def sendmsg(self, pieces: Any) -> int:
-        if self.lost:
+        if self.lost or self.broken:
             raise ConnectionResetError
         data = b"".join(pieces)
         self.write(data)
@@ -431,6 +432,7 @@
                 peer.pipe.links.pipes.setdefault(peer.pipe.ends, {})[peer.pipe] = None
                 peer.pipe.put(RST)
             return
+        peer.broken = peer.broken or item is RST
         if peer.edge is not None and not isinstance(item, bytes):
             peer.edge.ended("far")
         elif peer.edge is not None:
--- a/tests/test_lab_links.py
+++ b/tests/test_lab_links.py
@@ -149,6 +149,17 @@
     assert far.came == []
 
 
+def test_nothing_can_be_written_once_a_reset_lies_there_unread():
+    # Danger: a head counted as sent on such a connection, and the next dial as a second one beside it.
+    w, a, b, near, far = joined()
+    a.sleep()
+    b.die()
+    w.clock.run(0.2)
+    with pytest.raises(ConnectionResetError):
+        near.transport.sendmsg([b"OPEN 1 k c=l"])
+    assert near.gone is None
+
+
 def test_a_process_that_dies_resets_and_then_refuses():
     w, a, b, near, far = joined()
     b.die()
--- a/tests/test_lab_virtual.py
+++ b/tests/test_lab_virtual.py
@@ -55,6 +55,14 @@
         {"do": "stop", "of": "n[0-4]", "at": 4.5, "for": 2.5},
         {"do": "loss", "of": "n*", "to": "h*", "amount": 0.1, "at": 5.0, "for": 2.0},
         {"do": "rolling", "of": "n1*", "amount": 0.2, "at": 5.5},
+        {"do": "clock", "of": "n5", "drift": 50.0, "at": 0.0},
+        {"do": "slow", "of": "n2?", "amount": 0.5, "at": 2.0, "for": 3.0},
+        {"do": "discovery", "of": "n3?", "at": 3.1, "for": 2.5},
+        {"do": "delay", "of": "h*", "to": "n2?", "spread": [5.0, 80.0], "at": 2.5, "for": 3.0},
+        {"do": "silence", "of": "h6", "to": "n*", "at": 4.2, "for": 2.0},
+        {"do": "reset", "of": "n3?", "to": "h7", "at": 5.2},
+        {"do": "ill", "of": "h8", "amount": 0.6, "at": 4.0, "for": 3.0},
+        {"do": "mass-restart", "of": "n3?", "amount": 0.5, "at": 6.0},
     ],
 }  # fmt: skip
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -673,3 +673,40 @@
     probe.dataReceived(b"PONG x0=0.9\r\n")
     d.reactor.advance(0)
     assert d.balancer._node.figure == [None]
+
+
+def watch_of(reactor, said, excused):
+    watch = Discovery(
+        reactor, "127.0.0.1:8500", 4, lambda *x: said.append(x), lambda: None,
+        lambda reason, _: said.append(reason), Patience(7, 200), lambda: bool(excused),
+    )  # fmt: skip
+    watch.start()
+    body = _WatchBody(watch)
+    body.makeConnection(Wire())
+    return watch, body
+
+
+def test_what_lies_in_the_watch_after_a_sleep_is_read_though_its_time_ran_out():
+    # Danger: the watch was dropped with the drain in it, and opened anew a moment later.
+    reactor, said, excused = MemoryReactorClock(), [], [1]
+    _, body = watch_of(reactor, said, excused)
+    reactor.advance(SILENT + 1)
+    body.dataReceived(orjson.dumps({"rev": 5, "all": False, "targets": [row("s-1")]}) + b"\n")
+    assert said == [(False, [row("s-1")])] and len(reactor.tcpClients) == 1
+
+
+@pytest.mark.parametrize("excused, calls", [([1], 2), ([], 1)])
+def test_a_watch_that_broke_in_a_sleep_is_opened_at_once(excused, calls):
+    reactor = MemoryReactorClock()
+    _, body = watch_of(reactor, [], excused)
+    lost(body)
+    reactor.advance(0.05)
+    assert len(reactor.tcpClients) == calls
+
+
+def test_a_call_that_waits_for_its_drawn_moment_is_made_as_the_node_is_back():
+    reactor = MemoryReactorClock()
+    watch, body = watch_of(reactor, [], [])
+    lost(body)
+    watch.woke()
+    assert len(reactor.tcpClients) == 2 and watch.retry is None
