--- a/caperdeck/lab/oracle.py
+++ b/caperdeck/lab/oracle.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass
@@ -63,7 +64,8 @@
         super().__init__(scenario, together)
         self.asked: dict[str, Event] = {}
         self.answered: dict[str, Event] = {}
-        self.down: dict[str, list[list[float]]] = {n: [] for n in scenario.node_names()}
+        self.down: dict[str, list[list[float]]] = {n: [] for n in scenario.node_names()}  # from, until
+        self.why: dict[str, set[str]] = {}  # what keeps a node from answering just now
 
     def on_ask(self, e: Event) -> None:
         self.asked[e["id"]] = e
@@ -78,20 +80,29 @@
         self.breach("sessions", f"{e.get('what')!r} after the final answer", e)
 
     def on_life(self, e: Event) -> None:
-        spans, state = self.down.setdefault(e["who"], []), e["state"]
-        if state in ("killed", "exit", "asleep", "off"):
-            if not spans or spans[-1][1] < float("inf"):
-                spans.append([e["t"], float("inf")])
-        elif state in ("up", "awake", "on") and spans and spans[-1][1] == float("inf"):
-            spans[-1][1] = e["t"]
+        if e["state"] in ("killed", "exit", "asleep"):
+            self._down(e["who"], "process", e["t"])
+        elif e["state"] in ("up", "awake"):
+            self._back(e["who"], "process", e["t"])
 
     def on_fault(self, e: Event) -> None:
         # between a node and its clients nothing arrives, or late
         ends = [*e.get("of", []), *e.get("far", [])]
-        if "clients" not in ends:
-            return
-        for n in (x for x in ends if x in self.down):
-            self.on_life({"t": e["t"], "who": n, "state": "off" if e["on"] else "on"})
+        if "clients" in ends:
+            for n in (x for x in ends if x in self.down):
+                (self._down if e["on"] else self._back)(n, f"fault {e['number']}", e["t"])
+
+    def _down(self, node: str, why: str, t: float) -> None:
+        reasons = self.why.setdefault(node, set())
+        if not reasons:
+            self.down.setdefault(node, []).append([t, math.inf])
+        reasons.add(why)
+
+    def _back(self, node: str, why: str, t: float) -> None:
+        reasons = self.why.setdefault(node, set())
+        if reasons == {why}:
+            self.down[node][-1][1] = t
+        reasons.discard(why)
 
     def end(self, t: float) -> None:
         slack = self.scenario.rules.slack
--- a/tests/test_lab_oracle.py
+++ b/tests/test_lab_oracle.py
@@ -95,6 +95,14 @@
     assert judge(SCENARIO, [ask(), gone, answer(700), answer(800), LATER])
 
 
+def test_a_node_is_excused_until_the_last_of_what_keeps_it_has_gone():
+    asleep = [ev(100, "life", who="n0", state="asleep"), ev(5000, "life", who="n0", state="awake")]
+    cut = [
+        ev(t, "fault", number=1, on=on, of=["clients"], far=["n0"]) for t, on in ((200, True), (900, False))
+    ]  # fmt: skip
+    assert judge(SCENARIO, [asleep[0], *cut, ask(1000), asleep[1], LATER]) == []
+
+
 def test_a_node_back_again_owes_what_it_is_asked_then():
     back = [ev(500, "life", who="n0", state="asleep"), ev(900, "life", who="n0", state="awake")]
     assert judge(SCENARIO, [*back, ask(1000), LATER])
