--- a/tests/test_lab_virtual.py
+++ b/tests/test_lab_virtual.py
@@ -187,6 +187,7 @@
     assert "src=" not in text and "<script" not in text
     assert conclude(made, events, True) == 0 and "all rules held" in capsys.readouterr().out
     twice = [*events, events[-1] | {"ev": "extra", "id": "x", "what": "up"}]
+    assert conclude(made, twice, False, 60.0) == 3 and "nothing is said" in capsys.readouterr().out
     assert conclude(made, twice, True) == 1 and "BROKEN" in capsys.readouterr().out
 
 
