Read again: one class for the rig's draws, one way to refuse a file, a parameter nobody set dropped

Host, Clients and Links each had their own counter and draw; they share lab/draws.py. A history that cannot be read is bad input like a scenario, not a case of its own in the command line. RealFleet's checkout was never set. Nothing that a node runs is touched.

--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -129,7 +129,10 @@
     from .report import page
 
     path = arguments["FILE"]
-    events = read(path)
+    try:
+        events = read(path)
+    except ValueError as error:
+        raise ScenarioError(str(error)) from None
     scenario = load(arguments["--scenario"]) if arguments["--scenario"] else None
     unchecked = ["rules not checked: no --scenario"]
     breaches = [b.line() for b in judge(scenario, events)] if scenario else unchecked
@@ -163,11 +166,6 @@
     except ScenarioError as error:
         print(f"caperdeck: {error}", file=sys.stderr)
         return BAD
-    except ValueError as error:
-        if verb is not report:
-            raise
-        print(f"caperdeck: {error}", file=sys.stderr)
-        return BAD
     except OSError as error:
         print(f"caperdeck: {error.filename or ''}: {os.strerror(error.errno or 0)}", file=sys.stderr)
         return BAD
--- a/caperdeck/lab/clients.py
+++ b/caperdeck/lab/clients.py
@@ -13,8 +13,7 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineReceiver
 
-from caperdeck.core.chance import chance
-
+from .draws import Draws
 from .scenario import Scenario
 
 SPEAK = 2000.0  # a client sends a line so often
@@ -156,16 +155,17 @@
         self.client.connect_failed()
 
 
-class Clients:
+class Clients(Draws):
     """The crowd and the front: which node a client comes to, and when it comes again."""
 
     def __init__(
         self, reactor: Any, scenario: Scenario, seed: int, doors: dict[str, tuple[str, int]],
         clock: Callable[[], float], emit: Callable[..., None],
     ) -> None:  # fmt: skip
-        self.reactor, self.scenario, self.seed, self.doors = reactor, scenario, seed, doors
+        super().__init__(seed)
+        self.reactor, self.scenario, self.doors = reactor, scenario, doors
         self.now, self.emit = clock, emit
-        self.draws, self.made, self.named = 0, 0, 0
+        self.made, self.named = 0, 0
         self.out: dict[str, float] = {}  # nodes that the front leaves out, until when at the least
         self.left_out: list[tuple[float, str]] = []  # when the front will notice that a node has died
         weights = scenario.clients
@@ -173,13 +173,6 @@
         self.ended = False
         self.live: dict[Client, None] = {}  # the ones that stand
 
-    def chance(self) -> float:
-        self.draws += 1
-        return chance(self.seed, self.draws)
-
-    def between(self, span: tuple[float, float]) -> float:
-        return span[0] + (span[1] - span[0]) * self.chance()
-
     def name(self) -> str:
         self.named += 1
         return f"{self.named:08x}"
--- a/caperdeck/lab/hosts.py
+++ b/caperdeck/lab/hosts.py
@@ -13,19 +13,18 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineReceiver
 
-from caperdeck.core.chance import chance
-
+from .draws import Draws
 from .scenario import Scenario
 
 SLOWEST = 3000.0  # an answer of a host that is far past its full load
 NEAR_FULL = 0.02  # of full load left, at the least, for the time that an answer takes
 
 
-class Host:
+class Host(Draws):
     def __init__(self, scenario: Scenario, name: str, seed: int, emit: Callable[..., None]) -> None:
-        self.scenario, self.name, self.seed, self.emit = scenario, name, seed, emit
+        super().__init__(seed)
+        self.scenario, self.name, self.emit = scenario, name, emit
         self.table = scenario.hosts
-        self.draws = 0
         self.hides = self.chance() < 0.5  # it answers probes on while it drains; the page leaves that open
         self.capacity = self.table.cores * self.between(self.table.speed) * 1000.0
         self.most = self.table.cores * self.table.cap_per_core
@@ -38,13 +37,6 @@
         self.told: deque[tuple[float, dict[str, float]]] = deque()  # reports, with when each can be read
         self.report: dict[str, float] = {"util": 0.0, "inflight": 0.0, "x0": 0.0}
 
-    def chance(self) -> float:
-        self.draws += 1
-        return chance(self.seed, self.draws)
-
-    def between(self, span: tuple[float, float]) -> float:
-        return span[0] + (span[1] - span[0]) * self.chance()
-
     def start(self, now: float) -> None:
         """A new process in this one's place, cold."""
         self.life += 1
--- a/caperdeck/lab/links.py
+++ b/caperdeck/lab/links.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from caperdeck.core.chance import chance
+from .draws import Draws
 
 RETRANSMIT = 200.0  # a segment that was lost comes so much later
 HEALED = 20.0  # what was held up by a cut comes so much after it, with chance up to twice that
@@ -29,24 +29,19 @@
     cut: int = 0  # faults that cut it just now
 
 
-class Links:
+class Links(Draws):
     """All links of a fleet: their usual delay, their troubles, and the pipes to tell when one heals."""
 
     def __init__(self, seed: int, usual: Callable[[str, str], tuple[float, float]]) -> None:
-        self.seed = seed
+        super().__init__(seed)
         self.usual = usual
         self.spans: dict[tuple[str, str], tuple[float, float]] = {}
         self.troubles: dict[tuple[str, str], Trouble] = {}
         self.pipes: dict[tuple[str, str], dict[Pipe, None]] = {}
-        self.draws = 0
         self.dropped = 0
 
-    def chance(self) -> float:
-        self.draws += 1
-        return chance(self.seed, self.draws)
-
     def between(self, span: tuple[float, float]) -> float:
-        return span[0] + (span[1] - span[0]) * self.chance() if span[1] > span[0] else span[0]
+        return super().between(span) if span[1] > span[0] else span[0]
 
     def trouble(self, a: str, b: str) -> Trouble:
         return self.troubles.setdefault((a, b), Trouble())
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -83,14 +83,14 @@
 class RealFleet(Fleet):
     def __init__(
         self, scenario: Scenario, seed: int | None = None, watch: Callable[[Event], None] | None = None,
-        logs: str | None = None, checkout: str | None = None,
+        logs: str | None = None,
     ) -> None:  # fmt: skip
         if scenario.nodes > MOST_PROCESSES:
             raise ScenarioError(f"nodes: {scenario.nodes} is over {MOST_PROCESSES}, the most real processes")
         self.origin = time.monotonic() * 1000.0
         self.boot = time.time() * 1000.0
         super().__init__(scenario, seed, watch)
-        self.logs, self.checkout = logs, checkout or ROOT
+        self.logs = logs
         self.processes: dict[str, Any] = {}
         self.tasks: list[asyncio.Task] = []
         self.parts: dict[str, Helper] = {}
@@ -152,7 +152,7 @@
         }  # fmt: skip
         with open(Path(self.logs or self.folder) / f"{node}.log", "ab") as log:
             process = self.processes[node] = await asyncio.create_subprocess_exec(
-                sys.executable, *NODE_ARGS, cwd=self.checkout, env=environment,
+                sys.executable, *NODE_ARGS, cwd=ROOT, env=environment,
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
             )  # fmt: skip
         self.tasks.append(asyncio.ensure_future(self._await_exit(node, process)))
