Membership by SWIM, counts, lent rights and judgements between nodes, off in run

The rights to a cold host's budget and to the room of all hosts are kept in core/rights.py in place of two arrays and a figure; what a node decides alone is the same as before. caperdeck/peers has SWIM fitted to 256 bytes, caperdeck/ledger counts by (node, life), loans with an end on the borrower's clock counted from before its question, and judgements that need three witnesses. The transport is wire/peers.py, the operator's file deploy/sharing.toml; nothing of it is loaded in run. The rig plays it (sharing in a scenario, sharing:USE as a way to compare).

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -1,8 +1,9 @@
 """caperdeck: a balancer for long-lived connections.
 
 Usage:
-  caperdeck serve [--config=FILE] [--log-level=LEVEL]
-  caperdeck check [--config=FILE]
+  caperdeck serve [--config=FILE] [--log-level=LEVEL] [--sharing=FILE]
+  caperdeck check [--config=FILE] [--sharing=FILE]
+  caperdeck peers show ADDRESS
   caperdeck version
   caperdeck lab fleet SCENARIO [--seed=N] [--virtual] [--json=FILE] [--logs=DIR]
   caperdeck lab search SCENARIO [--runs=N] [--seed=N] [--out=FILE]
@@ -14,6 +15,7 @@
 Commands:
   serve    Run one node until SIGTERM; SIGHUP makes it read its configuration again.
   check    Read the configuration and say whether a node could start on it.
+  peers    Print what a node shares with its peers, by the figures of its second address (docs/peers.md).
   version  Print the version.
   lab      Run many copies of the program with faults between them (docs/lab.md): fleet plays a scenario,
            search looks for faults that break a rule, compare measures one way against another, report draws
@@ -21,6 +23,7 @@
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
+  --sharing=FILE     What the node shares with its peers, TOML (deploy/sharing.toml); nothing if not given.
   --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
   --seed=N           Of all draws of a run; the scenario's own otherwise.
   --virtual          In virtual time, in this process, instead of real processes.
@@ -28,7 +31,7 @@
   --logs=DIR         Keep the nodes' logs.
   --runs=N           So many schedules at the most, 100 if not given.
   --out=FILE         The scenario file or page to write.
-  --against=WAY      module, two-by-count, least-loaded, settings:FILE or checkout:DIR.
+  --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USE,USE or checkout:DIR.
   --base=WAY         What that is measured against, module if not given.
   --pairs=N          Seeds that both ways play, 10 if not given.
   --scenario=FILE    Check the rules on the history as well.
@@ -43,6 +46,7 @@
 import signal
 import sys
 import time
+from typing import Any
 
 from docopt import docopt
 
@@ -66,7 +70,7 @@
         time.sleep(STEP)
 
 
-def serve(config: Config, level: str, path: str | None) -> int:
+def serve(config: Config, level: str, path: str | None, uses: Any = None) -> int:
     load_in_steps()
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
@@ -75,7 +79,8 @@
     from caperdeck.lifecycle.service import Service
     from caperdeck.ops.bans import BansError
 
-    service = Service(reactor, config, start_logging(level), lambda: reload_config(os.environ, path))
+    sink, reread = start_logging(level), lambda: reload_config(os.environ, path)
+    service = Service(reactor, config, sink, reread, uses=uses)
     try:
         service.start()
     except BansError as error:
@@ -106,6 +111,10 @@
             print(f"caperdeck: {error.name} is missing: pip install -r requirements-lab.txt", file=sys.stderr)
             return 2
         return lab(arguments)
+    if arguments["peers"]:
+        from caperdeck.ops.show import show_peers
+
+        return show_peers(arguments["ADDRESS"])
     level = arguments["--log-level"].upper()
     if level not in LEVELS:
         print(f"caperdeck: --log-level is one of {', '.join(LEVELS)}", file=sys.stderr)
@@ -115,13 +124,18 @@
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load_config(os.environ, arguments["--config"])
+        uses = None
+        if arguments["--sharing"]:
+            from caperdeck.lifecycle.sharing import load_uses
+
+            uses = load_uses(arguments["--sharing"])
     except ConfigError as error:
         print(f"caperdeck: {error}", file=sys.stderr)
         return 2
     if arguments["check"]:
         print(f"node {config.name}: {len(config.names.listeners)} classes, {len(config.known)} known hosts")
         return 0
-    return serve(config, level, arguments["--config"])
+    return serve(config, level, arguments["--config"], uses)
 
 
 def script() -> None:
--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -15,6 +15,7 @@
     NEVER_RAN, Action, Ask, Dial, Effect, Entry, Held, HostState, Move, Note, Outcome, Probe, Refuse, Report,
     RosterScope, Scope, Sent, Settings, TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
+from .rights import ROOM_POT, Rights
 
 # ---- constants (milliseconds, or shares of full load)
 
@@ -38,6 +39,7 @@
 LOOKS = 3  # so often at the most
 NOT_MEASURED = 0.2  # of full load by its connections: a figure of 0 is none yet
 FIGURE_LIFE = 7000.0  # an older figure says nothing
+PRIOR_LIFE = 2000.0  # and one that another node saw
 PILE_LIFE = 1500.0  # so long a note of work piled up holds
 DRAIN = 1000.0  # a pile is to be worked off in so long beside the load
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
@@ -73,62 +75,50 @@
         # hosts: parallel arrays under the host's index
         self.listed: list[HostState] = []  # as the roster has it
         self.state: list[HostState] = []  # as it counts: one taken out by hand counts as draining
-        self.size: list[float] = []
-        self.zone: list[int] = []
-        self.mark: list[int] = []
-        self.cell: list[int] = []
+        self.size, self.zone, self.mark, self.cell = [], [], [], []
         self.born: list[float] = []
-        self.held: list[int] = []  # dials out and standing sessions
-        self.dialing: list[int] = []  # dials out
+        self.held, self.dialing = [], []  # dials out and standing sessions; dials out
         self.standing: list[dict[int, Held]] = []
-        self.figure: list[float | None] = []  # load over capacity, as last probed
-        self.figure_at: list[float] = []
+        self.figure, self.figure_at = [], []  # load over capacity, as last probed, and when
+        self.prior, self.prior_at = [], []  # the same as another node has seen it, and when
         self.crowd: list[float | None] = []  # connections that it holds for all nodes, as last told
         self.seen_at: list[float] = []  # the last answer to a probe
         self.lookers: list[list[int]] = []  # sessions that wait for the host's figure
-        self.unseen: list[float] = []  # until when it is not looked at again, as the last look failed
-        self.probe_out: list[float] = []  # when the probe that is out was sent, 0 if none is
-        self.pile: list[float] = []  # work piled up, as last noted, and when
-        self.pile_at: list[float] = []
+        self.unseen, self.probe_out = [], []  # no look until then, as one failed; a look's start, 0 if none
+        self.pile, self.pile_at = [], []  # work piled up, as last noted, and when
         self.acted_at: list[float] = []  # when a report was last acted upon
-        self.added: list[list[tuple[float, float]]] = []  # own load sent since the last report
-        self.extra: list[float] = []  # its sum
-        self.ill: list[float] = []
-        self.shunned: list[float] = []  # until when
+        self.added, self.extra = [], []  # own load sent since the last report, with times, and its sum
+        self.ill, self.shunned = [], []  # failures, and until when
         self.able: list[float] = []  # load that fills it once warm, 0 while unknown
-        self.tokens: list[float] = []  # own part of a cold host's budget saved, in load, and when
-        self.tokens_at: list[float] = []
+        self.rights = Rights()  # own parts, in load: of the fleet's room; pot h + 1, of a cold host's budget
+        self.rights.grow(now, ROOM_POT)
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
-        self.running: list[int] = []
-        self.near: list[int] = []  # of these the ones in the own zone
-        self.cold: list[int] = []  # and the ones that were cold at the last tick
+        self.running, self.near, self.cold = [], [], []  # of those in the own zone, and cold at the last tick
         self.mine: dict[int, None] = {}  # hosts with own standing connections
         self.known: dict[int, None] = {}  # hosts with a figure that is not too old, oldest first
-        self.ailing: dict[int, None] = {}  # hosts that look ill
-        self.banned: dict[int, float] = {}  # hosts taken out by hand, since when
+        self.ailing, self.banned = {}, {}  # hosts that look ill; hosts taken out by hand, since when
         self.whole_size, self.most_ill = 0.0, False
-        self.purse = 0.0  # probes that the sessions taken allow
-        self.part = self.spare = math.inf  # the own part of the fleet's room, whole and not yet taken
-        self.scarce = 0.0  # of the hosts, as far as seen, so many have no room
+        self.purse, self.dialled = 0.0, 0.0  # probes that the sessions taken allow; load sent since the start
+        self.part = self.rights.saved[ROOM_POT] = math.inf  # own part of the fleet's room, all and left
+        self.scarce, self.short_at = 0.0, -math.inf  # of the hosts, without room; when one was last lacking
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.mean_hint, self.asked, self.each = 0.0, 0, 0.0  # of all that asked, so many; of those that stand
-        self.mean_figure: float | None = None
-        self.unit = 0.0  # load that fills a host of size 1, 0 while unknown
+        self.mean_figure, self.unit = None, 0.0  # load that fills a host of size 1, 0 while unknown
         self.watch_wait, self.watch_at = 250.0, math.inf
         self.retune(now, settings)
 
     def start(self) -> list[Action]:
-        return [Watch()] * self.set.subscribe + [Wake(TICK * (0.5 + self._chance()), TICK_TOKEN)]
+        return [Watch()] * self.set.subscribe + [Wake(TICK * (0.5 + self.chance()), TICK_TOKEN)]
 
     def retune(self, now: float, settings: Settings) -> list[Action]:
         """Other settings from now on; a session keeps the listener and the dials that it began with."""
-        self.set = settings
+        self.set, self.fleet = settings, settings.nodes  # so many like this one send, unless told otherwise
         self.most_utility = max(c.utility for c in settings.listeners) or 1.0
         self.shortest = min(c.message_target for c in settings.listeners)
         self._recount()
         return []
 
-    def _chance(self) -> float:
+    def chance(self) -> float:
         self.draws += 1
         return chance(self.set.seed, self.draws)
 
@@ -142,7 +132,7 @@
         self.now = now
         if scope is RosterScope.FAILED:
             # Danger: unsubscribed and silent, we would be held to know of drains we never heard of.
-            self.watch_at = now + self.watch_wait * (0.5 + self._chance())
+            self.watch_at = now + self.watch_wait * (0.5 + self.chance())
             self.watch_wait = min(self.watch_wait * 2, self.set.ask_every / 4)
             return self._done()
         self.watch_wait = 250.0
@@ -184,10 +174,11 @@
                 (self.added, []), (self.extra, 0.0), (self.pile, 0.0), (self.pile_at, -math.inf),
                 (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
                 (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
-                (self.lookers, []), (self.tokens, 0.0), (self.tokens_at, now), (self.crowd, None),
-                (self.unseen, 0.0), (self.able, 0.0),
+                (self.lookers, []), (self.crowd, None), (self.unseen, 0.0), (self.able, 0.0),
+                (self.prior, 0.0), (self.prior_at, -math.inf),
             ):  # fmt: skip
                 array.append(blank)
+            self.rights.grow(now, len(self.listed))
 
     def _enter(self, now: float, e: Entry) -> None:
         h = e.host
@@ -203,7 +194,8 @@
         # Danger: a restarted process looks like the old one; what was known of that one is void.
         self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
         self.seen_at[h], self.probe_out[h], self.unseen[h] = -math.inf, 0.0, 0.0
-        self.tokens[h], self.tokens_at[h] = 0.0, now
+        self.prior_at[h] = -math.inf
+        self.rights.void(now, h + 1)
 
     def forget(self, now: float) -> None:
         """The node was away for longer than figures last."""
@@ -227,32 +219,35 @@
 
     def _lot(self, now: float, s: Held, h: int) -> bool:
         """Whether a cold host is open to the session, so that all nodes together keep the host's budget."""
-        price = self._price(now, s)
-        if self.tokens[h] >= price and now - self.tokens_at[h] < self.set.fall_span:
+        price, pot, rate = self._price(now, s), h + 1, self.part_of_cold(now, h)
+        if self.rights.saved[pot] >= price and now - self.rights.at[pot] < self.set.fall_span:
             return True  # won and not spent yet
         # Danger: where nodes are many a part is less than one connection, and all nodes sending the first one
         # would push the host over: the part saved then buys a chance, and a draw spends it either way.
-        fill = self._fills(h) or self.mean_hint * self.set.warm_after / self.set.fall_span
-        part = self._cold_rate(now, h) * fill / self.set.nodes
-        saved = min(self.tokens[h] + part * (now - self.tokens_at[h]), part * self.set.fall_span)
-        won = saved > self._chance() * price
-        self.tokens[h], self.tokens_at[h] = max(saved, price) if won else min(saved, 0.0), now
+        saved = self.rights.mint(now, pot, rate, rate * self.set.fall_span)
+        won = saved > self.chance() * price
+        self.rights.settle(now, pot, max(saved, price) if won else min(saved, 0.0))
         return won
 
+    def part_of_cold(self, now: float, h: int) -> float:
+        """The own part, in load a millisecond, of what all nodes together send a cold host."""
+        fill = self._fills(h) or self.mean_hint * self.set.warm_after / self.set.fall_span
+        return self._cold_rate(now, h) * fill / self.set.nodes
+
     def _price(self, now: float, s: Held) -> float:
         # Danger: at the mean's price heavy sessions come by chance in one second, and a host is pushed over;
         # and clients that are refused ask again and again, heavy ones most, and double the mean of all.
         return max(self._forecast(now, s), self.each or self.mean_hint)
 
     def _open(self, now: float, s: Held, h: int) -> bool:
-        return self._warmth(now, h) >= 1 or self.tokens[h] >= self._price(now, s)
+        return self._warmth(now, h) >= 1 or self.rights.saved[h + 1] >= self._price(now, s)
 
     def _pay(self, now: float, s: Held, h: int) -> bool:
         """At the gate: what goes to a cold host is paid with a lot that was won."""
         if not self._open(now, s, h):
             return False
         if self._warmth(now, h) < 1:
-            self.tokens[h] -= self._price(now, s)
+            self.rights.spend(now, h + 1, self._price(now, s))
         return True
 
     def _failed(self, now: float, h: int) -> None:
@@ -260,7 +255,7 @@
         if self.ill[h] >= ILL:
             self.ailing[h] = None
             span = min(SHUN * 2 ** (self.ill[h] - ILL), SHUN_MOST)
-            self.shunned[h] = now + span * (0.75 + self._chance() / 2)
+            self.shunned[h] = now + span * (0.75 + self.chance() / 2)
 
     def _well(self, now: float, h: int) -> bool:
         """Not shunned; once its time is over an ill host gets one dial at a time as a trial."""
@@ -306,7 +301,8 @@
     def _choose(self, s: Held) -> Generator[list[Probe], None, int]:
         """The lesser-loaded of two random hosts that may be sent to and have room; -1 if there is none."""
         # Danger: many nodes see the same room in one report; each filling it would overfill it many times.
-        if self.spare <= 0:
+        if self.rights.have(self.now, ROOM_POT) <= 0:
+            self.short_at = self.now
             return -1
         looks, after, margin = 0, math.inf, 0.0 if s.group is None else GROUP_MARGIN
         # Danger: drawn at random only, a cold host is met so seldom by a node with few sessions that most of
@@ -326,6 +322,7 @@
                     pair.reverse()
                 if (h := next((h for h in pair if self._passes(self.now, s, h)), -1)) >= 0:
                     return h
+        self.short_at = self.now
         return -1
 
     def _old(self, h: int, span: float = FRESH) -> bool:
@@ -361,13 +358,15 @@
         """Up to DRAWS of the hosts, in random order; the list is not touched."""
         swapped: dict[int, int] = {}
         for i in range(min(len(hosts), DRAWS)):
-            yield hosts[swapped.get(j := i + int(self._chance() * (len(hosts) - i)), j)]
+            yield hosts[swapped.get(j := i + int(self.chance() * (len(hosts) - i)), j)]
             swapped[j] = swapped.get(i, i)
 
     def _load(self, now: float, h: int) -> float:
         """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
         if (figure := self._figure(now, h)) is None:  # unused or newly started
             figure = self._count_load(h) if self.mean_figure is None else self.mean_figure
+            # what another node saw says whether the host is worth a look of the own
+            figure = self.prior[h] if now - self.prior_at[h] < PRIOR_LIFE else figure
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
         # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
@@ -400,7 +399,7 @@
         self.most_ill = 2 * len(self.ailing) > len(self.known.keys() | self.ailing.keys())
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         if not known:
-            self.part = self.spare = math.inf
+            self.part = self.rights.saved[ROOM_POT] = math.inf
             return
         own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
         # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
@@ -424,10 +423,10 @@
         if self.unit:
             share = min(UNEVEN / self.set.nodes, 1.0) / len(rooms)
             self.part = self.unit * self.whole_size * share * sum(rooms)
-            self.spare = min(self.spare + self.part * TICK / REPORT_LAG, self.part)
+            self.rights.mint(now, ROOM_POT, self.part / REPORT_LAG, self.part)
         self.scarce = sum(r == 0 for r in rooms) / len(rooms)
         # Danger: the fewer hosts have room, the more nodes draw the same one and fill it many times over.
-        self.alike = self.set.nodes ** (0.5 + 0.5 * self.scarce)
+        self.alike = self.fleet ** (0.5 + 0.5 * self.scarce)
 
     def _know(self, now: float, h: int, figure: float) -> None:
         self.figure[h], self.figure_at[h] = figure, now
@@ -506,7 +505,7 @@
             else:
                 break
         if self._may_refuse(s):
-            wait = min(BACK_OFF * (1 + self._chance()), self.set.max_back_off) if self.set.back_off else 0.0
+            wait = min(BACK_OFF * (1 + self.chance()), self.set.max_back_off) if self.set.back_off else 0.0
             yield Refuse(s.id, wait)
         else:
             yield TearDown(s.id)
@@ -527,7 +526,8 @@
             s.wakes = self.now + act.after - SLACK
         elif isinstance(act, Dial):
             h, load = act.host, self._forecast(self.now, s)
-            self.spare -= load
+            self.rights.spend(self.now, ROOM_POT, load)
+            self.dialled += load
             s.dials.append(Sent(h, self.now))
             s.out = True
             self.held[h] += 1
@@ -629,7 +629,7 @@
         elif self.state[h] is HostState.RUNNING:
             # Danger: a host that drains or is gone tells nothing and looks like the mean; each session that
             # waits would look again at once, and all nodes together do so by the hundred.
-            self.unseen[h] = now + FRESH * (0.75 + self._chance() / 2)
+            self.unseen[h] = now + FRESH * (0.75 + self.chance() / 2)
             self._failed(now, h)
         waiting, self.lookers[h] = self.lookers[h], []
         for s in filter(None, map(self.sessions.get, waiting)):
@@ -671,7 +671,7 @@
                 break
             if now - s.stands >= MOVE_AGE and (load <= room or over):
                 # Danger: many nodes with few connections each would clear a host by rounding their share up.
-                if load > left and self._chance() * load > left:
+                if load > left and self.chance() * load > left:
                     # Danger: past full load nobody is served there; a lot that failed is drawn again soon.
                     self.acted_at[h] -= (SETTLE - LANDING) * (over and room == self.part)
                     break
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -16,6 +16,7 @@
     Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Settings,
     TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
+from .shares import Shares
 
 
 # ---- orders: what the caller is to do
@@ -176,6 +177,11 @@
         """Whether a listed host is sent nothing now by this node's choice; changes nothing."""
         return self._node.avoids(now, host)
 
+    @property
+    def shares(self) -> Shares:
+        """What the node tells other nodes and takes from them."""
+        return Shares(self._node)
+
     def memory(self) -> dict[str, Any]:
         """What is learned slowly, for another process of this node; hosts in the order of indices."""
         n = self._node
--- a/caperdeck/lab/compare.py
+++ b/caperdeck/lab/compare.py
@@ -17,7 +17,7 @@
 from .figures import figures
 from .history import read
 from .oracle import judge
-from .scenario import Scenario, ScenarioError, load
+from .scenario import Scenario, ScenarioError, check, load
 from .virtual import VirtualFleet
 
 LEVEL = 0.95
@@ -27,7 +27,7 @@
 
 
 def parse_way(text: str) -> dict[str, Any]:
-    """`module`, a baseline's name, `settings:FILE` with JSON to lay over them, or `checkout:DIR`."""
+    """`module`, a baseline's name, `settings:FILE` (JSON to lay over), `sharing:USE,USE`, `checkout:DIR`."""
     kind, colon, rest = text.partition(":")
     if not colon and text in POLICIES:
         return {"policy": text}
@@ -39,10 +39,12 @@
         if not isinstance(value, dict):
             raise ScenarioError(f"{rest}: no JSON object")
         return {"policy": "module", "settings": value}
+    if kind == "sharing":
+        return {"policy": "module", "sharing": [name for name in rest.split(",") if name]}
     if kind == "checkout" and (Path(rest) / "caperdeck" / "lab").is_dir():
         return {"checkout": rest}
     names = ", ".join(POLICIES)
-    raise ScenarioError(f"{text}: none of {names}, settings:FILE, checkout:DIR with the rig in it")
+    raise ScenarioError(f"{text}: none of {names}, settings:FILE, sharing:USE, checkout:DIR with the rig")
 
 
 def one(path: str, seed: int, way: dict[str, Any]) -> tuple[dict[str, float], int]:
@@ -50,6 +52,7 @@
     if "checkout" in way:
         return _elsewhere(path, seed, way["checkout"])
     scenario: Scenario = load(path)
+    scenario.sharing = way.get("sharing", scenario.sharing)
     fleet = VirtualFleet(scenario, seed, POLICIES[way["policy"]], way.get("settings"))
     events = fleet.run()
     return figures(events), len(judge(scenario, events))
@@ -89,7 +92,10 @@
 
 def compare(path: str, first: str, second: str, pairs: int, seed: int) -> dict[str, Any]:
     ways = parse_way(first), parse_way(second)
-    load(path)
+    scenario = load(path)
+    for way in ways:
+        scenario.sharing = way.get("sharing")
+        check(scenario, path)
     with ProcessPoolExecutor(max_workers=max((os.cpu_count() or 2) - 1, 1)) as pool:
         jobs = [[pool.submit(one, path, seed + i, way) for i in range(pairs)] for way in ways]
         (a, b) = [[job.result() for job in row] for row in jobs]
--- a/caperdeck/lab/figures.py
+++ b/caperdeck/lab/figures.py
@@ -9,16 +9,19 @@
 from .history import Event
 
 PRICES = {"looks": 0.004, "datagrams": 0.01, "moves": 0.02}  # of the whole, for one a try
+DATAGRAM = 256  # bytes that one is, in the prices
 
 
 def figures(events: Iterable[Event]) -> dict[str, float]:
     """Shares and counts a try; `utility` is what was served less the prices."""
     count: Counter[str] = Counter()
-    wanted = well = waits = 0.0
+    wanted = well = waits = size = 0.0
     for e in events:
         kind = e["ev"]
         count[kind] += 1
-        if kind == "wanted":
+        if kind == "datagram":
+            size += e["size"]
+        elif kind == "wanted":
             wanted += e["ms"]
         elif kind == "end":
             well += e["well"]
@@ -33,7 +36,7 @@
         "refused": count["answer-busy"] / tries,
         "unanswered": (count["answer-none"] + count["answer-closed"]) / tries,
         "looks": count["look"] / tries, "dials": count["dial"] / tries, "moves": count["moved"] / tries,
-        "datagrams": count["datagram"] / tries, "wait": waits / up,
+        "datagrams": size / DATAGRAM / tries, "wait": waits / up,
     }  # fmt: skip
     out["utility"] = out["served"] - sum(price * out[name] for name, price in PRICES.items())
     return out
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -152,7 +152,7 @@
         }  # fmt: skip
         with open(Path(self.logs or self.folder) / f"{node}.log", "ab") as log:
             process = self.processes[node] = await asyncio.create_subprocess_exec(
-                sys.executable, *NODE_ARGS, cwd=ROOT, env=environment,
+                sys.executable, *NODE_ARGS, *self.sharing(), cwd=ROOT, env=environment,
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
             )  # fmt: skip
         self.tasks.append(asyncio.ensure_future(self._await_exit(node, process)))
@@ -170,6 +170,14 @@
             text = log.read_bytes()[-300:].decode("utf-8", "replace")
             self.history.emit("crash", who=node, code=process.returncode, text=text)
 
+    def sharing(self) -> list[str]:
+        uses = self.scenario.uses()
+        if uses is None:
+            return []
+        path = Path(self.folder) / "sharing.toml"
+        path.write_text("".join(f"{name} = {str(on).lower()}\n" for name, on in uses._asdict().items()))
+        return [f"--sharing={path}"]
+
     async def _pings(self, host: str, port: int) -> bool:
         """Whether a node answers PING with PONG."""
         try:
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -10,6 +10,8 @@
 import msgspec
 from msgspec import field
 
+from caperdeck.ledger.sharing import Uses
+
 MOST_NODES, MOST_HOSTS, MOST_SECONDS, MOST_RATE, MOST_FAULTS = 400, 200, 300.0, 5000.0, 200
 MOST_PROCESSES = 12  # nodes as real processes
 
@@ -109,8 +111,12 @@
     clients: Clients = field(default_factory=Clients)
     rules: Rules = field(default_factory=Rules)
     net: Net = field(default_factory=Net)
+    sharing: list[str] | None = None  # what the nodes share: uses by name; none of them is membership alone
     fault: list[Fault] = field(default_factory=list)
 
+    def uses(self) -> Uses | None:
+        return None if self.sharing is None else Uses(**dict.fromkeys(self.sharing, True))
+
     def node_names(self) -> list[str]:
         return [f"n{i}" for i in range(self.nodes)]
 
@@ -162,9 +168,14 @@
         scenario = msgspec.convert(raw, Scenario)
     except msgspec.ValidationError as error:
         raise ScenarioError(f"{path}: {error}") from None
+    check(scenario, path)
+    return scenario
+
+
+def check(scenario: Scenario, path: str) -> None:
+    """Raises ScenarioError with the first field that is wrong."""
     for where, reason in _faulty(scenario):
         raise ScenarioError(f"{path}: {where}: {reason}")
-    return scenario
 
 
 def dump(scenario: Scenario) -> dict[str, Any]:
@@ -210,6 +221,9 @@
             yield where, "is 0"
     if len(set(s.zones)) < len(s.zones):
         yield "zones", "a name twice"
+    for use in s.sharing or ():
+        if use not in Uses._fields:
+            yield "sharing", f"no use {use!r}, known are {', '.join(Uses._fields)}"
     names = {f.name for f in s.fault if f.name}
     for i, fault in enumerate(s.fault):
         for where, reason in _faulty_fault(s, fault, names):
--- a/caperdeck/lab/setup.py
+++ b/caperdeck/lab/setup.py
@@ -38,7 +38,8 @@
         "known": {"rev": 0, "all": True, "targets": []},
         "peer_listen": peer_listen, "peers": list(peers), "peers_all": peers_all,
         "settings": {
-            "fleetSize": scenario.nodes, "dcs": scenario.zones, "locality": scenario.zone_of(name),
+            "fleetSize": scenario.nodes, "me": int(name[1:]),
+            "dcs": scenario.zones, "locality": scenario.zone_of(name),
             "limits": limits, "invariants": invariants, "listeners": [listener],
             "projects": [{"name": "t"}], "weights": "live",
             "report": {"how": "pull", "names": ["util", "inflight", "x0"]},
--- a/caperdeck/lab/virtual.py
+++ b/caperdeck/lab/virtual.py
@@ -102,7 +102,11 @@
             self.peers, f"{self._ip(5, i)}:7946", self.peers[i], self.settings,
         )  # fmt: skip
         config = decode_config(raw)
-        copy = Copy(place, config, _NoLog(), lambda: config, lambda: EPOCH + place.seconds() * 1000.0)
+
+        def clock() -> float:
+            return EPOCH + place.seconds() * 1000.0
+
+        copy = Copy(place, config, _NoLog(), lambda: config, clock, self.scenario.uses())
         copy.desk.balancer = Balancer(config.settings, copy.clock(), self.decides)
         place.exited = lambda: self.gone(node, "exit")
         self.places[node], self.services[node] = place, copy
--- /dev/null
+++ b/caperdeck/ledger/counts.py
@@ -0,0 +1,106 @@
+"""Counts that no path can count twice: each is one member's in one life, grows only, merges by the higher.
+
+Source: state-based grow-only counters, Shapiro et al., "A comprehensive study of Convergent and Commutative
+Replicated Data Types" (INRIA RR-7506, 2011), 3.1.1, kept apart by life so that a restart begins a new one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+AGE = 15_000.0  # without a rise a count is left out
+MOST = 1024  # counts kept
+SPACE = 500.0  # a rate is taken over at least so long
+LARGEST = 0xFFFFFFFF
+MOST_RISE = 1 << 28  # in one step; more is a fault of the sender
+
+
+class Count(NamedTuple):
+    """What a member has done since this life began; `pot` 0 is all hosts together, else a host's mark."""
+
+    pot: int
+    member: int
+    life: int
+    value: int
+
+
+class _Kept:
+    __slots__ = ("value", "rose_at", "rate", "rated", "rated_at", "timed")
+
+    def __init__(self, value: int, now: float) -> None:
+        self.value, self.rose_at = value, now
+        self.rate, self.rated, self.rated_at, self.timed = 0.0, value, now, False
+
+
+class Counts:
+    """All counts heard of, the own among them. Merging is in any order, any number of times."""
+
+    def __init__(self) -> None:
+        self.kept: dict[tuple[int, int, int], _Kept] = {}  # by pot, member, life
+        self.closed: dict[tuple[int, int], int] = {}  # the highest life left out, by pot and member
+        self.lives: dict[int, int] = {}  # the highest life heard of
+        self.turn = 0
+
+    def merge(self, now: float, c: Count) -> str | None:
+        """Takes the count in; the reason if it is not taken."""
+        key = c.pot, c.member, c.life
+        kept = self.kept.get(key)
+        if kept is None:
+            # Danger: a count that was left out and comes again late would be added once more.
+            if c.life <= self.closed.get(key[:2], 0):
+                return "closed-life"
+            if len(self.kept) >= MOST:
+                self.age(now)
+                if len(self.kept) >= MOST:
+                    return "too-many-counts"
+            self.kept[key] = _Kept(c.value, now)
+            self.lives[c.member] = max(self.lives.get(c.member, 0), c.life)
+            return None
+        if c.value <= kept.value:
+            return None  # an older one, or the same again
+        if c.value - kept.value > MOST_RISE:
+            return "count-jumps"
+        kept.value, kept.rose_at = c.value, now
+        if now - kept.rated_at >= SPACE:
+            kept.rate = (c.value - kept.rated) / (now - kept.rated_at)
+            kept.rated, kept.rated_at, kept.timed = c.value, now, True
+        return None
+
+    def age(self, now: float) -> None:
+        """Leaves out what has not risen for long; a count of the same life never comes back."""
+        for key in [k for k, kept in self.kept.items() if now - kept.rose_at > AGE]:
+            pot, member, life = key
+            self.closed[pot, member] = max(self.closed.get((pot, member), 0), life)
+            del self.kept[key]
+        # Danger: hosts come and go for as long as a node lives, and each would leave a mark here.
+        while len(self.closed) > MOST:
+            del self.closed[next(iter(self.closed))]
+
+    def total(self, pot: int) -> int:
+        return sum(kept.value for (p, _, _), kept in self.kept.items() if p == pot)
+
+    def rate(self, now: float, pot: int, besides: int) -> tuple[float, int]:
+        """What the members but one add in a millisecond, and from how many of them that is known."""
+        rows = [
+            kept.rate for (p, member, life), kept in self.kept.items()
+            if p == pot and member != besides and life == self.lives[member] and now - kept.rose_at <= AGE
+            and kept.timed
+        ]  # fmt: skip
+        return sum(rows), len(rows)
+
+    def own_rate(self, pot: int, member: int, life: int) -> float:
+        kept = self.kept.get((pot, member, life))
+        return 0.0 if kept is None else kept.rate
+
+    def rows(self, most: int, first: int) -> Iterator[Count]:
+        """Counts to pass on: the member's own, then the others in turn."""
+        keys = sorted(self.kept, key=lambda k: k[1] != first)
+        own = sum(k[1] == first for k in keys)
+        chosen = keys[: min(own, most)]
+        others = keys[own:]
+        for _ in range(min(most - len(chosen), len(others))):
+            self.turn = (self.turn + 1) % len(others)
+            chosen.append(others[self.turn])
+        for key in chosen:
+            yield Count(*key, self.kept[key].value)
--- /dev/null
+++ b/caperdeck/ledger/marked.py
@@ -0,0 +1,64 @@
+"""The decisions under names that all nodes share: hosts by their marks instead of the node's own indices."""
+
+from __future__ import annotations
+
+from caperdeck.core.rights import ROOM_POT
+from caperdeck.core.shares import Shares
+
+from .judgements import ILL_EVERYWHERE, Kind
+from .sharing import ROOM, Shown, Uses
+
+
+class Marked:
+    def __init__(self, shares: Shares, uses: Uses) -> None:
+        self.shares, self.uses = shares, uses
+        self.index: dict[int, int] = {}  # by mark
+        self.marks: list[int] = []  # by which the index was made
+
+    def _host(self, mark: int) -> int | None:
+        """The host's index; None for a host that this node's own list has not named."""
+        marks = self.shares.node.mark
+        if marks != self.marks:
+            self.marks = list(marks)
+            # Danger: two hosts with one mark would be taken for one; neither is spoken of.
+            twice = {m for i, m in enumerate(marks) if marks.index(m) != i}
+            self.index = {m: i for i, m in enumerate(marks) if m not in twice}
+        return self.index.get(mark)
+
+    def _pot(self, mark: int) -> int | None:
+        if mark == ROOM:
+            return ROOM_POT
+        h = self._host(mark)
+        return None if h is None else h + 1
+
+    def show(self, now: float) -> Shown:
+        node, uses, mark = self.shares.node, self.uses, self.shares.node.mark
+        wants = self.shares.wants(now) if uses.room or uses.cold else []
+        words = self.shares.words(now) if uses.lost else []
+        return Shown(
+            node.dialled,
+            [(ROOM if pot == ROOM_POT else mark[pot - 1], amount) for pot, amount in wants],
+            [(mark[h], x, at) for h, x, at in self.shares.figures(now)] if uses.prior else [],
+            [(mark[w.host], Kind.WELL if w.well else Kind.LOST, w.seen) for w in words],
+            uses.lost and self.shares.ill_everywhere(ILL_EVERYWHERE),
+            len(node.running),
+        )
+
+    def lend(self, now: float, pot: int, most: float) -> float:
+        own = self._pot(pot)
+        return 0.0 if own is None else self.shares.lend(now, own, most)
+
+    def borrow(self, now: float, pot: int, amount: float, until: float) -> None:
+        if (own := self._pot(pot)) is not None:
+            self.shares.borrow(now, own, amount, until)
+
+    def told(self, now: float, host: int, figure: float, seen: float) -> None:
+        if (h := self._host(host)) is not None:
+            self.shares.told(now, h, figure, seen)
+
+    def told_lost(self, now: float, host: int, until: float) -> None:
+        if (h := self._host(host)) is not None:
+            self.shares.told_lost(now, h, until)
+
+    def others_send(self, alike: float | None) -> None:
+        self.shares.others_send(alike)
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -5,7 +5,7 @@
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 
@@ -25,6 +25,16 @@
     """The configuration cannot be served; the text says what is wrong with it."""
 
 
+class Peers(NamedTuple):
+    """As the file has them; looked at only where the node shares anything."""
+
+    allowed: bool = False
+    addresses: Any = None
+    listen: Any = None
+    me: Any = None
+    tiers: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -38,6 +48,7 @@
     limits: Limits
     admin: Address | None  # the second address
     scratch: str | None  # a folder that a successor sees too
+    peers: Peers
     keys: frozenset[str]  # that the file has, but for those of hosts
 
 
@@ -119,6 +130,10 @@
         admin=admin,
         # without a second address there are no bans and no upgrades, and nothing of them is looked for
         scratch=scratch if admin else None,
+        peers=Peers(
+            setup["limits"].get("peers") is True, raw.get("peers"), raw.get("peer_listen"), setup.get("me"),
+            tuple(map(str, setup.get("tiers") or ())),
+        ),  # fmt: skip
         keys=keys_of(raw),
     )
 
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from loguru import logger
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from caperdeck.carry.carrier import SWEEP
@@ -48,7 +49,7 @@
 class Service:
     def __init__(
         self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config],
-        clock: Callable[[], float] | None = None,
+        clock: Callable[[], float] | None = None, uses: Any = None,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.config = config
@@ -66,6 +67,8 @@
             self.complain, Patience(config.settings.seed, config.settings.nodes), self.excused,
         )  # fmt: skip
         self.desk.source = self.discovery
+        self.uses = uses  # None: it says nothing to its peers
+        self.peers: Any = None  # its port for datagrams
         self.port = None
         self.calls = Calls()
         self.calls.add("readyz", 0, self.readyz)
@@ -133,10 +136,33 @@
         """From now on this process takes clients, and can be succeeded."""
         config = self.config
         self.take_clients()
+        self.join()
         self.upgrade.ring()
         logger.info("start node={} listen={}:{} hosts={} sockets={}", config.name, *config.listen,
                     self.desk.hosts.running(), config.sockets)  # fmt: skip
 
+    def join(self) -> None:
+        """Speaks to its peers from now on, where the operator wants it and the settings allow it."""
+        if self.uses is None or self.peers is not None:
+            return
+        from .sharing import make_port
+
+        made = make_port(self.reactor, self.desk.clock, self.desk.balancer.shares, self.config, self.uses)
+        if made is None:
+            return
+        port, address = made
+        try:
+            port.listen(address)
+        except (OSError, CannotListenError) as error:
+            logger.warning("peers reason=cannot-listen {}", error)
+            return
+        self.peers = port
+
+    def part(self) -> None:
+        if self.peers is not None:
+            self.peers.stop()
+            self.peers = None
+
     def take_clients(self) -> None:
         self.takes = self.accepts = True
         self.port.startReading()
@@ -202,7 +228,8 @@
         self.upgrade.tell_ban(uid, out, lambda: then(yes()))
 
     def telemetry(self, then: Then) -> None:
-        then([*self.desk.figures.lines(self.desk.gauges()), "--"])
+        shared = self.peers.sharing.lines(self.desk.clock()) if self.peers is not None else []
+        then([*self.desk.figures.lines(self.desk.gauges()), *shared, "--"])
 
     # ---- a new configuration
 
@@ -227,6 +254,10 @@
         )  # fmt: skip
         self.desk.budget.resize(new.sockets)
         self.desk.retune(new.settings, new.names, new.limits)
+        if new.peers != old.peers:
+            # Danger: the numbers of members mean others in another list.
+            self.part()
+            self.join()
         if new.discovery != old.discovery:
             self.discovery.move_to(new.discovery)
         logger.info("reload discovery={} sockets={} classes={} kept={}", new.discovery, new.sockets,
@@ -268,6 +299,7 @@
         if self.left:
             return
         self.left, self.exit_code = True, code
+        self.part()
         self.upgrade.end()
         logger.info("exit ms={:.0f}", self.clock() - self.stopped_at if self.stopped_at else 0)
         self.sink.flush()
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -113,6 +113,8 @@
     def stop_taking(self) -> None:
         logger.info("upgrade reason=given sessions={}", len(self.node.desk.sessions.table))
         self.node.takes = False
+        # Danger: two processes under one name would both answer for it; the successor opens the port anew.
+        self.node.part()
         self.node.port.stopReading()
         if self.doorbell is not None:
             self.doorbell.close()
@@ -121,6 +123,7 @@
         node = self.node
         logger.error("upgrade reason=successor-lost sessions={}", len(node.desk.sessions.table))
         node.take_clients()
+        node.join()
         self.ring()
 
     def hand_on(self, most: int) -> bool:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -181,9 +181,9 @@
     n = node(3)
     standing(n, 0, [1000.0, 999.0])
     figures(n, [0.5, 0.1, 0.1])
-    n._chance = lambda: 1.0
+    n.chance = lambda: 1.0
     assert n.probed(START + 60000, 0, Outcome.GOOD, Report(figure)) == []
-    n._chance = lambda: 0.0
+    n.chance = lambda: 0.0
     assert bool(n.probed(START + 61100, 0, Outcome.GOOD, Report(figure))) is again
 
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,6 +6,7 @@
 from caperdeck.core.model import (
     Dial, Effect, HostState, Outcome, Refuse, RosterScope, Scope, TearDown, Withdraw,
 )  # fmt: skip
+from caperdeck.core.rights import ROOM_POT
 
 
 def fail(n, sid, dial, result, at=START):
@@ -103,7 +104,7 @@
         figures(n, [0.0] + [0.5] * (hosts - 1))
         for i in range(each):
             now = START + i * 1000 / each
-            n.seen_at, n.spare = [now] * hosts, 1e9
+            n.seen_at, n.rights.saved[ROOM_POT] = [now] * hosts, 1e9
             n.ask(now, ask(i))
         sent += n.held[0] * 10.0
     return sent
