--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -1,6 +1,7 @@
 """The rig with real processes: every kind of fault, the rules checked, and nothing left running."""
 
 import json
+import math
 import os
 import signal
 import subprocess
@@ -85,6 +86,27 @@
     assert set_in == set(range(len(load(str(FOLDER / f"{name}.toml")).fault)))
 
 
+@pytest.mark.parametrize("name", ["shared", "shared8"])
+def test_nodes_that_share_under_faults_fill_cold_hosts_and_believe_no_single_node(name, runs):
+    events = read(str(runs[0] / name))
+    cold = {}  # host to when it started cold
+    sent = dict.fromkeys(("h0", "h1", "h2"), 0)
+    false_at = math.inf
+    others = 0
+    for e in events:
+        if e["ev"] == "host" and e["state"] == "cold":
+            cold[e["to"]] = e["t"]
+        elif e["ev"] == "sent" and e["to"] in sent and e["to"] in cold:
+            sent[e["to"]] += 1
+        elif e["ev"] == "fault" and e["name"] == "one sees it lost":
+            false_at = e["t"]
+        elif e["ev"] == "dial" and e["to"] == "h5" and e["t"] > false_at + 1000:
+            others += e["who"] != "n2"
+    senders = {e["who"] for e in events if e["ev"] == "datagram"}
+    assert senders == set(load(str(FOLDER / f"{name}.toml")).node_names())
+    assert min(sent.values()) > 5 and others > 5
+
+
 def test_no_process_of_a_run_is_left(runs):
     assert left_running(runs[0]) == []
 
--- /dev/null
+++ b/tests/test_sharing_node.py
@@ -0,0 +1,272 @@
+"""A node that shares: its file, its peers, its port, and what it shows; some with real processes."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from helpers import (
+    CONFIG, SETUP, desk, free_ports, logged, ping_until_ready, row, serve_lines, serve_list, service_over,
+    write,
+)  # fmt: skip
+
+from caperdeck.core.rights import ROOM_POT
+from caperdeck.core.shares import Shares
+from caperdeck.ledger.marked import Marked
+from caperdeck.ledger.sharing import ROOM, Uses, life_from
+from caperdeck.lifecycle.config import ConfigError, decode_config
+from caperdeck.lifecycle.sharing import PeersError, load_uses, make_port, parse_peers
+from caperdeck.ops.show import show_peers
+
+PEERS = ["127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003"]
+SHARED = {
+    "peers": PEERS, "peer_listen": PEERS[1],
+    "settings": SETUP | {"me": 1, "limits": SETUP["limits"] | {"peers": True}},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("text, reason", [
+    ("room = 1", "room is neither true nor false"),
+    ("rooms = true", "unknown key rooms"),
+    ("room = ", "no TOML"),
+    (None, "No such file"),
+])  # fmt: skip
+def test_a_bad_file_names_its_reason(text, reason, tmp_path):
+    path = tmp_path / "s.toml"
+    if text is not None:
+        path.write_text(text)
+    with pytest.raises(ConfigError, match=reason):
+        load_uses(str(path))
+
+
+def test_the_operators_file_of_the_project_is_whole():
+    assert load_uses("deploy/sharing.toml") == Uses(*[True] * len(Uses._fields))
+
+
+@pytest.mark.parametrize("peers, listen, me, reason", [
+    (None, PEERS[0], 0, "no peers"),
+    (PEERS, PEERS[0], 3, "no number of a peer"),
+    (PEERS, PEERS[0], True, "no number of a peer"),
+    (PEERS, None, 0, "address"),
+    ([*PEERS, "nowhere"], PEERS[0], 0, "nowhere"),
+    ([PEERS[0], PEERS[0]], PEERS[0], 0, "twice"),
+    (PEERS * 2000, PEERS[0], 0, "over 4096"),
+])  # fmt: skip
+def test_peers_that_cannot_be_used_have_a_reason(peers, listen, me, reason):
+    with pytest.raises(PeersError, match=reason):
+        parse_peers(peers, listen, me)
+
+
+@pytest.mark.parametrize("changes, line", [
+    ({"peers": None}, "reason=unusable"),
+    ({"settings": SETUP | {"me": 1}}, "reason=not-allowed"),
+])  # fmt: skip
+def test_a_node_without_usable_peers_goes_on_alone(changes, line):
+    d = desk()
+    with logged() as lines:
+        assert make_port(d.reactor, d, decode_config(CONFIG | SHARED | changes), Uses()) is None
+    assert line in lines[0]
+
+
+class Out:
+    """A datagram socket that keeps what is written."""
+
+    def __init__(self):
+        self.sent = []
+
+    def write(self, data, address):
+        if address[1] == 7003:
+            raise OSError("refused")
+        self.sent.append((data, address))
+
+
+class Socket:
+    def stopListening(self):
+        pass
+
+
+def made_port(uses=Uses()):  # noqa: B008
+    d = desk()
+    port, _ = make_port(d.reactor, d, decode_config(CONFIG | SHARED), uses)
+    port.transport, port.port = Out(), object()
+    return d, port
+
+
+def test_the_port_drops_rubbish_with_counted_reasons_and_a_line_a_second():
+    d, port = made_port()
+    with logged() as lines:
+        for _ in range(2000):
+            port.datagramReceived(b"x" * 300, ("127.0.0.1", 7001))
+            d.reactor.advance(0.001)
+    dropped = port.sharing.swim.dropped
+    assert sum(dropped.values()) == 2000 and set(dropped) == {"too-long", "flood"}
+    assert 1 <= len(lines) <= 3 and "too-long=" in lines[-1] and port.transport.sent == []
+
+
+def test_the_port_pings_and_a_peer_that_is_down_costs_nothing():
+    d, port = made_port()
+    port._set_bell()
+    for _ in range(400):
+        d.reactor.advance(0.05)
+    assert {to for _, to in port.transport.sent} == {("127.0.0.1", 7001)}
+    assert port.sharing.swim.dropped["unsent"] > 0
+
+
+def test_another_list_of_peers_opens_the_port_anew(tmp_path):
+    d = desk()
+    service = service_over(d, tmp_path, **SHARED)
+    service.uses = Uses()
+    d.reactor.listenUDP = lambda *_, **__: Socket()
+    service.join()
+    first = service.peers
+    assert first.sharing.swim.members == 3
+    longer = SHARED | {"peers": [*PEERS, "127.0.0.1:7004"]}
+    write(tmp_path / "c", CONFIG | {"admin_addr": "127.0.0.1:9100"} | longer)
+    service.reload()
+    assert service.peers is not first and service.peers.sharing.swim.members == 4 and first.port is None
+
+
+# ---- what the decisions tell and take
+
+
+def shares(cold=False):
+    d = desk()
+    if cold:
+        d.listed(True, [row("s-0"), row("s-1", port=9001, boot=d.clock() - 100)])
+    s = Shares(d.balancer._node)
+    return d, s, Marked(s, Uses(*[True] * len(Uses._fields)), d.report)
+
+
+def test_a_node_lends_half_of_the_room_that_it_saves_and_only_once_it_knows_it():
+    d, s, _ = shares()
+    assert s.lend(d.clock(), ROOM_POT, 10.0) == 0.0
+    s.node.part, s.node.rights.saved[ROOM_POT] = 8.0, 8.0
+    assert s.lend(d.clock(), ROOM_POT, 10.0) == 4.0 and s.lend(d.clock(), ROOM_POT, 1.0) == 1.0
+
+
+def test_a_lot_that_was_won_is_not_lent():
+    d, s, _ = shares(cold=True)
+    s.node.unit = 1000.0
+    s.node.rights.settle(d.clock(), 2, 500.0)  # far over what is ever saved
+    assert s.node.cold == [1] and s.lend(d.clock(), 2, 500.0) == 0.0
+    assert s.lend(d.clock(), 1, 500.0) == 0.0  # a warm host has no such pot
+
+
+def test_a_loan_of_a_cold_hosts_budget_stakes_on_the_next_lot_and_ends():
+    d, s, _ = shares(cold=True)
+    n, now = s.node, d.clock()
+    s.borrow(now, 2, 3.0, now + 500)
+    assert n.rights.have(now, 2) == 3.0 and n.rights.have(now + 500, 2) == 0.0
+    s.borrow(now, 1, 3.0, now + 500)
+    assert n.rights.have(now, 1) == 0.0
+
+
+def test_a_node_is_short_only_while_a_session_has_just_found_no_room():
+    d, s, m = shares()
+    n, now = s.node, d.clock()
+    n.part, n.rights.saved[ROOM_POT] = 8.0, 0.0
+    assert m.show(now).wants == []
+    n.short_at = now
+    assert m.show(now).wants == [(ROOM, 8.0)] and m.show(now + 1000).wants == []
+
+
+def test_a_told_figure_stands_in_for_the_mean_and_ends():
+    d, s, m = shares()
+    n, now = s.node, d.clock()
+    n.mean_figure = 0.5
+    m.told(now, n.mark[0], 0.9, now - 100)
+    assert n._load(now, 0) == 0.9 and n._load(now, 1) == 0.5
+    m.told(now, n.mark[0], 0.1, now - 500)  # older
+    m.told(now, 12345, 0.1, now)  # a host that this node's list does not name
+    assert n._load(now, 0) == 0.9 and n._load(now + 5000, 0) == 0.5
+
+
+def test_a_host_told_lost_is_not_looked_at_for_a_moment_unless_it_has_just_answered():
+    d, s, m = shares()
+    n, now = s.node, d.clock()
+    n.seen_at = [now - 5000, now]
+    for mark in n.mark[:2]:
+        m.told_lost(now, mark, now + 9000)
+    assert now < n.unseen[0] <= now + 1250 and n.unseen[1] <= now
+
+
+def test_two_hosts_with_one_mark_are_not_spoken_of():
+    d, s, m = shares()
+    s.node.mark[:] = [7, 7]
+    assert m.lend(d.clock(), 7, 1.0) == 0.0 and m._host(7) is None
+
+
+def test_a_life_grows_with_time_and_is_never_0():
+    assert 0 < life_from(0.0) <= life_from(1.8e12) < life_from(1.8e12 + 1000) < 2**31
+    assert life_from(float("nan")) == 1
+
+
+# ---- real processes
+
+
+def start(folder, number, ports, admin, peers, settings):
+    config = CONFIG | {
+        "name": f"n{number}", "listen": f"127.0.0.1:{ports[number]}", "discovery": settings["discovery"],
+        "admin_addr": f"127.0.0.1:{admin[number]}", "peers": peers, "peer_listen": peers[number],
+        "known": {"rev": 0, "all": True, "targets": []},
+        "settings": SETUP | {"me": number, "limits": SETUP["limits"] | {"peers": True, "mayProbe": True}},
+    }  # fmt: skip
+    path = folder / f"n{number}.json"
+    path.write_text(json.dumps(config))
+    (folder / "s.toml").write_text("room = true\ncold = true\n")
+    return subprocess.Popen(
+        [sys.executable, "-B", "-m", "caperdeck", "serve", f"--config={path}",
+         f"--sharing={folder / 's.toml'}"],
+        stderr=subprocess.DEVNULL, env={k: v for k, v in os.environ.items() if k != "TMPDIR"},
+    )  # fmt: skip
+
+
+def shown(capsys, port):
+    assert show_peers(f"127.0.0.1:{port}") == 0
+    return dict(line.rsplit(None, 1) for line in capsys.readouterr().out.splitlines())
+
+
+def wait_for(check):
+    end = time.monotonic() + 30
+    while not check():
+        assert time.monotonic() < end
+        time.sleep(0.2)
+
+
+def test_three_nodes_show_who_is_alive_through_a_death_a_sleep_and_a_flood(tmp_path, capsys):
+    host = serve_lines(lambda line: b"PONG x0=0.2\r\n")
+    settings = {"discovery": f"127.0.0.1:{serve_list(row('s-0', port=host))}"}
+    numbers = free_ports(9)
+    ports, admin, peers = numbers[:3], numbers[3:6], [f"127.0.0.1:{p}" for p in numbers[6:]]
+    nodes = [start(tmp_path, i, ports, admin, peers, settings) for i in range(3)]
+    try:
+        for port in ports:
+            ping_until_ready(port, time.monotonic() + 20)
+        wait_for(lambda: shown(capsys, admin[0])["members_alive"] == "3")
+        nodes[1].kill()
+        nodes[2].send_signal(signal.SIGSTOP)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as flood:
+            for i in range(3000):
+                flood.sendto(b"rubbish" * (i % 30), ("127.0.0.1", numbers[6]))
+        ping_until_ready(ports[0], time.monotonic() + 2)
+        wait_for(lambda: shown(capsys, admin[0])["members_alive"] == "1")
+        figures = shown(capsys, admin[0])
+        assert sum(int(v) for k, v in figures.items() if k.startswith("dropped_total")) >= 100
+        nodes[2].send_signal(signal.SIGCONT)
+        nodes[1].wait(5)
+        nodes[1] = start(tmp_path, 1, ports, admin, peers, settings)
+        wait_for(lambda: shown(capsys, admin[0])["members_alive"] == "3")
+        assert shown(capsys, admin[0])["members_returned"] == "1"
+    finally:
+        for node in nodes:
+            node.kill()
+            node.wait()
+
+
+def test_an_address_that_is_none_or_answers_nothing_has_its_code(capsys):
+    assert show_peers("nowhere") == 2 and "nowhere" in capsys.readouterr().err
+    assert show_peers(f"127.0.0.1:{free_ports(1)[0]}") == 1
