--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -365,8 +365,8 @@
         """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
         if (figure := self._figure(now, h)) is None:  # unused or newly started
             figure = self._count_load(h) if self.mean_figure is None else self.mean_figure
-            # what another node saw says whether the host is worth a look of the own
-            figure = self.prior[h] if now - self.prior_at[h] < PRIOR_LIFE else figure
+        if now - self.prior_at[h] < PRIOR_LIFE and self.prior_at[h] - self.figure_at[h] > FRESH:
+            figure = self.prior[h]  # says whether the host is worth a look of the own, which decides
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
         # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
--- a/caperdeck/ledger/sharing.py
+++ b/caperdeck/ledger/sharing.py
@@ -25,7 +25,7 @@
 HEARD_WITHIN = 30_000.0  # what `hearing` is stated for
 TAKEN = 200.0  # datagrams a second that are looked at, at the most
 ROOM = 0  # the pot of the room of all hosts
-COUNT_ROWS, SEEN_ROWS, JUDGED_ROWS, WANT_ROWS = 3, 8, 4, 4
+COUNT_ROWS, SEEN_ROWS, JUDGED_ROWS, WANT_ROWS = 3, 10, 4, 4
 FULL_SPAN = 1500.0  # a look that shows a host past full load counts for so long
 FULL_WITNESSES = 2
 FULL_SPREAD = 500.0  # nodes act on it at drawn moments in so long
@@ -167,8 +167,9 @@
             self.counts.merge(now, Count(ROOM, me, self.swim.life[me], value))
             n.counts = list(self.counts.rows(COUNT_ROWS, me))
         if kind is Kind.ACK and self.uses.prior:
-            fresh = [(h, x, now - at) for h, x, at in shown.figures if now - at <= SEEN_SPAN]
-            n.seen = self._some(fresh, SEEN_ROWS)
+            # hosts with room are what another lacks; each node tells of those that it has looked at itself
+            low = sorted((x, h, now - at) for h, x, at in shown.figures if now - at <= SEEN_SPAN)
+            n.seen = [(h, x, age) for x, h, age in low[:SEEN_ROWS]]
         if kind is Kind.ACK and self.uses.lost:
             own = [Judgement(h, word, me, now - at) for h, word, at in shown.words if now - at <= SPAN]
             others = [
