--- a/caperdeck/ledger/sharing.py
+++ b/caperdeck/ledger/sharing.py
@@ -110,8 +110,10 @@
             sends += self._turn(now)
         return self._encode(now, sends)
 
-    def datagram(self, now: float, data: bytes, sender: int | None) -> list[tuple[int, bytes]]:
-        """One datagram, from the address of that member; what is sent for it."""
+    def datagram(
+        self, now: float, data: bytes, sender: int | None, lay: float = 0.0,
+    ) -> list[tuple[int, bytes]]:  # fmt: skip
+        """One datagram, from that member's address, that may have lain there so long; what is sent for it."""
         # Danger: a flood costs a look at each; past the bound it costs a comparison.
         if not self.gate.take(now):
             self.swim.drop("flood")
@@ -137,7 +139,8 @@
             sends, grants = self._give(now, message, extra.wants)
             return self._encode(now, sends, grants)
         elif message.kind is Kind.TELL and self.uses.full:
-            self._crowd(now, message.sender, extra.seen)
+            # Danger: read after a sleep, looks told to all that lay there seem to be of this moment.
+            self._crowd(now, message.sender, [(h, x, age + lay) for h, x, age in extra.seen])
         elif message.kind is Kind.GIVE:
             self._take(now, message, extra.grants)
         return self._encode(now, sends)
@@ -154,11 +157,11 @@
     # ---- what is told
 
     def _notes(self, now: float, kind: Kind, grants: list[tuple[int, float]]) -> bytes:
-        shown, me = self.decisions.show(now), self.swim.me
         if kind is Kind.TELL:
             return notes.encode(Notes(seen=self.telling), codec.NOTES)
         if kind is Kind.GIVE:
             return notes.encode(Notes(grants=grants), codec.NOTES)
+        shown, me = self.decisions.show(now), self.swim.me
         if kind is Kind.ASK:
             return notes.encode(Notes(wants=self._some(self._wanted(shown), WANT_ROWS)), codec.NOTES)
         n = Notes(ill_everywhere=shown.ill_everywhere)
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -37,6 +37,7 @@
 STOP_AFTER = 200.0  # so much more, until when all are moved
 MOVING = 1200.0  # the last part of that, in which they are moved, evenly
 SHORT_EVERY = 1000.0  # the log says so often at the most that sockets are short
+JOIN_AGAIN = 1.0  # seconds until the port for peers is tried again
 LINGER = 150.0  # from the last end until the exit
 
 
@@ -143,7 +144,7 @@
 
     def join(self) -> None:
         """Speaks to its peers from now on, where the operator wants it and the settings allow it."""
-        if self.uses is None or self.peers is not None:
+        if self.uses is None or self.peers is not None or self.stopped_at or not self.takes:
             return
         from .sharing import make_port
 
@@ -154,7 +155,9 @@
         try:
             port.listen(address)
         except (OSError, CannotListenError) as error:
+            # the process before this one may not have gone yet
             logger.warning("peers reason=cannot-listen {}", error)
+            self.reactor.callLater(JOIN_AGAIN, self.join)
             return
         self.peers = port
 
--- a/caperdeck/lifecycle/sharing.py
+++ b/caperdeck/lifecycle/sharing.py
@@ -77,4 +77,4 @@
         Marked(shares, uses, desk.report), raw.me, len(addresses), life_from(now), config.settings.seed, now,
         uses, raw.tiers,
     )  # fmt: skip
-    return PeerPort(reactor, desk.clock, sharing, addresses, everyone), own
+    return PeerPort(reactor, desk.clock, sharing, addresses, everyone, desk.age), own
--- a/caperdeck/wire/peers.py
+++ b/caperdeck/wire/peers.py
@@ -22,10 +22,10 @@
 
     def __init__(
         self, reactor: Any, clock: Callable[[], float], sharing: Sharing, addresses: list[Address],
-        everyone: Address | None = None,
+        everyone: Address | None = None, age: Callable[[], float] = lambda: 0.0,
     ) -> None:  # fmt: skip
         self.reactor, self.clock, self.sharing = reactor, clock, sharing
-        self.addresses, self.everyone = addresses, everyone
+        self.addresses, self.everyone, self.age = addresses, everyone, age
         # Danger: two members with one address could speak for each other; neither is heard.
         self.members = {a: i for i, a in enumerate(addresses) if addresses.count(a) == 1}
         self.bell: Any = None
@@ -45,7 +45,7 @@
 
     def datagramReceived(self, data: bytes, address: tuple[str, int]) -> None:
         now = self.clock()
-        self._send(self.sharing.datagram(now, data, self.members.get(address)))
+        self._send(self.sharing.datagram(now, data, self.members.get(address), self.age()))
         self._say(now)
 
     def _ring(self) -> None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -366,6 +366,17 @@
     assert times[-1] - times[0] > 200.0
 
 
+def test_looks_told_to_all_that_lay_there_through_a_sleep_are_old():
+    net = Net(4, 1, Uses(full=True))
+    net.run(2000.0)
+    node, now = net.nodes[0], net.clock(0)
+    for sender in (1, 2):
+        told = Message(codec.Kind.TELL, sender, net.nodes[sender].swim.life[sender], sender, 0)
+        data = codec.encode(told._replace(notes=notes.encode(Notes(seen=[(7, 1.5, 0.0)]), 142)), node.fleet)
+        node.datagram(now, data, sender, lay=5000.0)
+    assert node.full == {} and node.crowded == {}
+
+
 def test_one_lying_node_moves_nobody():
     net = Net(8, 1, Uses(full=True))
     for _ in range(30):
