--- /dev/null
+++ b/caperdeck/lab/copies.py
@@ -0,0 +1,209 @@
+"""Many copies of what a node shares, without the rest of it, in virtual time on a network with faults.
+
+They spend a pot of rights at drawn moments; what all spent in any span is held against the bound of
+docs/ledger-design.md.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from caperdeck.core.rights import Rights
+from caperdeck.ledger.loans import LOAN
+from caperdeck.ledger.sharing import Sharing, Shown, Uses
+
+ALL = Uses(*[True] * len(Uses._fields))
+RATE, SAVED = 1.0, 500.0  # rights that a node mints in a millisecond, and for how long it saves
+
+
+@dataclass
+class Stub:
+    """Decisions with one pot of rights, and what they were told."""
+
+    rights: Rights = field(default_factory=Rights)
+    short: bool = False
+    dialled: int = 0
+    words: list = field(default_factory=list)
+    figures: list = field(default_factory=list)
+    lost: dict = field(default_factory=dict)
+    priors: dict = field(default_factory=dict)
+    alike: float | None = None
+    ill: bool = False
+    full: list = field(default_factory=list)
+
+    def show(self, now: float) -> Shown:
+        wants = [(0, SAVED * RATE)] if self.short else []
+        return Shown(self.dialled, wants, self.figures, self.words, self.ill, 20)
+
+    def mint(self, now: float) -> float:
+        return self.rights.mint(now, 0, RATE, RATE * SAVED)
+
+    def lend(self, now: float, pot: int, most: float) -> float:
+        self.mint(now)
+        return self.rights.lend(pot, most)
+
+    def borrow(self, now: float, pot: int, amount: float, until: float) -> None:
+        self.rights.borrow(now, pot, amount, until)
+
+    def told(self, now: float, host: int, figure: float, seen: float) -> None:
+        self.priors[host] = figure, seen
+
+    def told_lost(self, now: float, host: int, until: float) -> None:
+        self.lost[host] = until
+
+    def overfull(self, now: float, since: float) -> list[tuple[int, float, float]]:
+        return [row for row in self.figures if row[2] > since]
+
+    def told_full(self, now: float, host: int, figure: float) -> None:
+        self.full.append((now, host, figure))
+
+    def others_send(self, alike: float | None) -> None:
+        self.alike = alike
+
+
+class Net:
+    """Members by number; `loss`, `double` as shares, `late` in milliseconds, `cut(a, b)` is one-way."""
+
+    def __init__(
+        self, members: int, seed: int = 1, uses: Uses = ALL, loss: float = 0.0, double: float = 0.0,
+        late: tuple[float, float] = (0.2, 5.0), rates: list[float] | None = None,
+    ) -> None:  # fmt: skip
+        self.random = random.Random(seed)
+        self.now, self.members, self.seed, self.uses = 0.0, members, seed, uses
+        self.loss, self.double, self.late = loss, double, late
+        self.rates = rates or [1.0] * members
+        self.cut = lambda a, b: False
+        self.heap, self.count = [], 0
+        self.nodes, self.stubs, self.lives = [None] * members, [None] * members, [0] * members
+        self.asleep, self.inbox = set(), {}
+        self.bytes, self.sends = [0] * members, [0] * members
+        self.longest = 0
+        for i in range(members):
+            self.start(i)
+
+    def clock(self, i: int) -> float:
+        return 1e6 + self.now * self.rates[i]
+
+    def start(self, i: int) -> None:
+        self.lives[i] += 1
+        stub = self.stubs[i] = Stub()
+        stub.rights.grow(self.clock(i), 0)
+        seed = self.seed * 1009 + i * 31 + self.lives[i]
+        self.nodes[i] = Sharing(stub, i, self.members, 100 + self.lives[i], seed, self.clock(i), self.uses)
+        self.at(0.0, self.tick, i, self.lives[i])
+
+    def kill(self, i: int) -> None:
+        self.nodes[i] = None
+
+    def sleep(self, i: int) -> None:
+        self.asleep.add(i)
+        self.inbox[i] = []
+
+    def wake(self, i: int) -> None:
+        self.asleep.discard(i)
+        for data, sender in self.inbox.pop(i):
+            self.arrive(i, data, sender)
+        self.tick(i, self.lives[i])
+
+    def at(self, wait: float, do: Callable, *args: object) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + wait, self.count, do, args))
+
+    def tick(self, i: int, life: int) -> None:
+        node = self.nodes[i]
+        if node is None or life != self.lives[i] or i in self.asleep:
+            return
+        self.send(i, node.tick(self.clock(i)))
+        self.at(max((node.due - self.clock(i)) / self.rates[i], 1.0), self.tick, i, life)
+
+    def send(self, i: int, sends: list[tuple[int, bytes]]) -> None:
+        others = [j for j in range(self.members) if j != i]
+        each = [(j, data) for to, data in sends for j in ([to] if to >= 0 else others)]
+        for to, data in each:
+            self.bytes[i] += len(data)
+            self.sends[i] += 1
+            self.longest = max(self.longest, len(data))
+            if self.cut(i, to) or self.random.random() < self.loss:
+                continue
+            for _ in range(1 + (self.random.random() < self.double)):
+                self.at(self.random.uniform(*self.late), self.arrive, to, data, i)
+
+    def arrive(self, i: int, data: bytes, sender: int) -> None:
+        if i in self.asleep:
+            self.inbox[i].append((data, sender))
+        elif self.nodes[i] is not None:
+            self.send(i, self.nodes[i].datagram(self.clock(i), data, sender))
+
+    def run(self, span: float) -> None:
+        until = self.now + span
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, do, args = heapq.heappop(self.heap)
+            do(*args)
+        self.now = until
+
+
+class Spending:
+    """Nodes that spend all they have at drawn moments, and what they spent, on the network's time."""
+
+    def __init__(self, net: Net, every: float = 80.0) -> None:
+        self.net, self.every, self.spent, self.lent = net, every, [], 0.0
+        self.draw = random.Random(net.seed)
+        for i in range(net.members):
+            net.at(self.draw.uniform(0, every), self.spend, i)
+
+    def spend(self, i: int) -> None:
+        net = self.net
+        net.at(self.draw.uniform(0, 2 * self.every), self.spend, i)
+        if net.nodes[i] is None or i in net.asleep:
+            return
+        stub, now = net.stubs[i], net.clock(i)
+        amount = stub.mint(now)
+        self.lent += stub.rights.borrowed(now, 0)
+        stub.rights.spend(now, 0, amount)
+        stub.short = self.draw.random() < 0.7
+        self.spent.append((net.now, amount))
+
+    def worst(self, window: float) -> float:
+        """The most that was spent in any window of that length."""
+        most = total = 0.0
+        first = 0
+        for at, amount in self.spent:
+            total += amount
+            while self.spent[first][0] < at - window:
+                total -= self.spent[first][1]
+                first += 1
+            most = max(most, total)
+        return most
+
+
+def torment(net: Net, draw: random.Random, span: float) -> None:
+    """Deaths, sleeps and cuts at drawn moments for so long."""
+    until = net.now + span
+    while net.now < until:
+        i = draw.randrange(net.members)
+        what = draw.choice(("kill", "sleep", "cut", "heal", "half"))
+        if what == "kill" and i not in net.asleep:
+            net.kill(i)
+            net.at(draw.uniform(100, 3000), lambda i=i: net.nodes[i] is None and net.start(i))
+        elif what == "sleep" and net.nodes[i] is not None and i not in net.asleep:
+            net.sleep(i)
+            net.at(draw.uniform(50, 5000), lambda i=i: i in net.asleep and net.wake(i))
+        elif what == "cut":
+            parts, one_way = draw.choice((2, 3, net.members)), draw.random() < 0.5
+            net.cut = lambda a, b, p=parts, w=one_way: a % p != b % p and (not w or a < b)
+        elif what == "half":
+            dead = {(a, b) for a, b in itertools.permutations(range(net.members), 2) if draw.random() < 0.5}
+            net.cut = lambda a, b, d=dead: (a, b) in d
+        else:
+            net.cut = lambda a, b: False
+        net.run(draw.uniform(50, 700))
+
+
+def bound(net: Net, window: float) -> float:
+    """docs/ledger-design.md: what all mint in the window and the spans of saving and lending before it."""
+    slow, fast = min(net.rates), max(net.rates)
+    return net.members * RATE * fast * (window + (SAVED + LOAN) / slow)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,19 +1,20 @@
 """What nodes share: counts, loans, judgements, the notes they ride in, and their bounds in large fleets."""
 
-import itertools
 import random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from peers_net import RATE, SAVED, Net, Uses
 
 from caperdeck.core.rights import Rights
+from caperdeck.lab import copies
+from caperdeck.lab.copies import RATE, SAVED, Net, Spending, bound, torment
 from caperdeck.ledger import notes
 from caperdeck.ledger.counts import AGE, MOST, MOST_RISE, Count, Counts
 from caperdeck.ledger.judgements import SPAN, Judgement, Judgements, Kind
-from caperdeck.ledger.loans import LOAN, Loans
+from caperdeck.ledger.loans import Loans
 from caperdeck.ledger.notes import Notes
+from caperdeck.ledger.sharing import Uses
 from caperdeck.peers import codec
 from caperdeck.peers.codec import DatagramError, Message
 
@@ -219,69 +220,6 @@
 ROOM = Uses(room=True)
 
 
-class Spending:
-    """Nodes that spend all they have at drawn moments, and what they spent, on the network's time."""
-
-    def __init__(self, net, every=80.0):
-        self.net, self.every, self.spent, self.lent = net, every, [], 0.0
-        self.draw = random.Random(net.seed)
-        for i in range(net.members):
-            net.at(self.draw.uniform(0, every), self.spend, i)
-
-    def spend(self, i):
-        net = self.net
-        net.at(self.draw.uniform(0, 2 * self.every), self.spend, i)
-        if net.nodes[i] is None or i in net.asleep:
-            return
-        stub, now = net.stubs[i], net.clock(i)
-        amount = stub.mint(now)
-        self.lent += stub.rights.borrowed(now, 0)
-        stub.rights.spend(now, 0, amount)
-        stub.short = self.draw.random() < 0.7
-        self.spent.append((net.now, amount))
-
-    def worst(self, window):
-        """The most that was spent in any window of that length."""
-        most = total = 0.0
-        first = 0
-        for at, amount in self.spent:
-            total += amount
-            while self.spent[first][0] < at - window:
-                total -= self.spent[first][1]
-                first += 1
-            most = max(most, total)
-        return most
-
-
-def torment(net, draw, span):
-    """Deaths, sleeps and cuts at drawn moments for so long."""
-    until = net.now + span
-    while net.now < until:
-        i = draw.randrange(net.members)
-        what = draw.choice(("kill", "sleep", "cut", "heal", "half"))
-        if what == "kill" and i not in net.asleep:
-            net.kill(i)
-            net.at(draw.uniform(100, 3000), lambda i=i: net.nodes[i] is None and net.start(i))
-        elif what == "sleep" and net.nodes[i] is not None and i not in net.asleep:
-            net.sleep(i)
-            net.at(draw.uniform(50, 5000), lambda i=i: i in net.asleep and net.wake(i))
-        elif what == "cut":
-            parts, one_way = draw.choice((2, 3, net.members)), draw.random() < 0.5
-            net.cut = lambda a, b, p=parts, w=one_way: a % p != b % p and (not w or a < b)
-        elif what == "half":
-            dead = {(a, b) for a, b in itertools.permutations(range(net.members), 2) if draw.random() < 0.5}
-            net.cut = lambda a, b, d=dead: (a, b) in d
-        else:
-            net.cut = lambda a, b: False
-        net.run(draw.uniform(50, 700))
-
-
-def bound(net, window):
-    """docs/ledger-design.md: what all mint in the window and the spans of saving and lending before it."""
-    slow, fast = min(net.rates), max(net.rates)
-    return net.members * RATE * fast * (window + (SAVED + LOAN) / slow)
-
-
 @pytest.mark.parametrize("members, seed", [(3, 1), (3, 2), (8, 3), (40, 4), (40, 5), (200, 6)])
 def test_lent_rights_stay_within_their_bound_whatever_happens(members, seed):
     draw = random.Random(seed)
@@ -296,8 +234,6 @@
 
 def test_the_search_finds_a_fleet_that_divides_by_the_living(monkeypatch):
     """The same torment, where each node mints as many parts as it holds no member for alive."""
-    import peers_net
-
     net = Net(8, 3, ROOM, loss=0.2, late=(0.2, 50.0))
     spending = Spending(net)
 
@@ -306,7 +242,7 @@
         part = net.members / (1 + len(node.swim.alive()))
         return self.rights.mint(now, 0, RATE * part, RATE * part * SAVED)
 
-    monkeypatch.setattr(peers_net.Stub, "mint", mint)
+    monkeypatch.setattr(copies.Stub, "mint", mint)
     torment(net, random.Random(3), 20_000)
     assert max(spending.worst(w) / bound(net, w) for w in (1000.0, 5000.0)) > 1
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,8 +3,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from peers_net import Net, Uses
 
+from caperdeck.lab.copies import Net
+from caperdeck.ledger.sharing import Uses
 from caperdeck.peers import codec
 from caperdeck.peers.codec import Beat, DatagramError, Kind, Message, State, Update
 from caperdeck.peers.swim import ACK_WAIT, PERIOD, Swim
