--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -98,7 +98,7 @@
         self.known: dict[int, None] = {}  # hosts with a figure that is not too old, oldest first
         self.ailing, self.banned = {}, {}  # hosts that look ill; hosts taken out by hand, since when
         self.whole_size, self.most_ill = 0.0, False
-        self.purse, self.dialled = 0.0, 0  # probes that the sessions taken allow; dials since the start
+        self.purse, self.sent = 0.0, {}  # probes that the sessions taken allow; dials by host and its start
         self.part = self.rights.saved[ROOM_POT] = math.inf  # own part of the fleet's room, all and left
         self.scarce, self.short_at = 0.0, -math.inf  # of the hosts, without room; when one was last lacking
         self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
@@ -527,7 +527,7 @@
         elif isinstance(act, Dial):
             h, load = act.host, self._forecast(self.now, s)
             self.rights.spend(self.now, ROOM_POT, load)
-            self.dialled += 1
+            self.sent[h, self.born[h]] = self.sent.get((h, self.born[h]), 0) + 1
             s.dials.append(Sent(h, self.now))
             s.out = True
             self.held[h] += 1
--- a/caperdeck/core/shares.py
+++ b/caperdeck/core/shares.py
@@ -29,6 +29,19 @@
 
     # ---- told to others
 
+    def dialled(self) -> int:
+        """Dials since the node started; grows only."""
+        return sum(self.node.sent.values())
+
+    def ended(self) -> int:
+        """Of these the ones that have ended, with the streams that came of them."""
+        return max(self.dialled() - sum(self.node.held), 0)
+
+    def sent_cold(self) -> list[tuple[int, float, int]]:
+        """Cold hosts, since when they run, and the dials to each since then; grows only for one start."""
+        n = self.node
+        return [(h, n.born[h], n.sent[h, n.born[h]]) for h in n.cold if (h, n.born[h]) in n.sent]
+
     def wants(self, now: float) -> list[tuple[int, float]]:
         """Pots in which the node is short, and the load that it would take there."""
         n = self.node
--- a/caperdeck/lab/copies.py
+++ b/caperdeck/lab/copies.py
@@ -37,7 +37,7 @@
 
     def show(self, now: float) -> Shown:
         wants = [(0, SAVED * RATE)] if self.short else []
-        return Shown(self.dialled, wants, self.figures, self.words, self.ill, 20)
+        return Shown([(0, self.dialled)], wants, self.figures, self.words, self.ill, 20)
 
     def mint(self, now: float) -> float:
         return self.rights.mint(now, 0, RATE, RATE * SAVED)
--- a/caperdeck/ledger/counts.py
+++ b/caperdeck/ledger/counts.py
@@ -17,7 +17,7 @@
 
 
 class Count(NamedTuple):
-    """What a member has done since this life began; `pot` 0 is all hosts together, else a host's mark."""
+    """What a member has done since this life began; `pot` says what is counted."""
 
     pot: int
     member: int
@@ -38,9 +38,10 @@
 
     def __init__(self) -> None:
         self.kept: dict[tuple[int, int, int], _Kept] = {}  # by pot, member, life
-        self.closed: dict[tuple[int, int], int] = {}  # the highest life left out, by pot and member
+        # the highest life and value left out, by pot and member
+        self.closed: dict[tuple[int, int], tuple[int, int]] = {}
         self.lives: dict[int, int] = {}  # the highest life heard of
-        self.turn = 0
+        self.turns = [0, 0]  # whose counts are passed on next: of the own ones, of others'
 
     def merge(self, now: float, c: Count) -> str | None:
         """Takes the count in; the reason if it is not taken."""
@@ -48,7 +49,7 @@
         kept = self.kept.get(key)
         if kept is None:
             # Danger: a count that was left out and comes again late would be added once more.
-            if c.life <= self.closed.get(key[:2], 0):
+            if (c.life, c.value) <= self.closed.get(key[:2], (0, 0)):
                 return "closed-life"
             if len(self.kept) >= MOST:
                 self.age(now)
@@ -68,11 +69,11 @@
         return None
 
     def age(self, now: float) -> None:
-        """Leaves out what has not risen for long; a count of the same life never comes back."""
+        """Leaves out what has not risen for long; it comes back, whole, once it has risen."""
         for key in [k for k, kept in self.kept.items() if now - kept.rose_at > AGE]:
             pot, member, life = key
-            self.closed[pot, member] = max(self.closed.get((pot, member), 0), life)
-            del self.kept[key]
+            value = self.kept.pop(key).value
+            self.closed[pot, member] = max(self.closed.get((pot, member), (0, 0)), (life, value))
         # Danger: hosts come and go for as long as a node lives, and each would leave a mark here.
         while len(self.closed) > MOST:
             del self.closed[next(iter(self.closed))]
@@ -94,13 +95,11 @@
         return 0.0 if kept is None else kept.rate
 
     def rows(self, most: int, first: int) -> Iterator[Count]:
-        """Counts to pass on: the member's own, then the others in turn."""
-        keys = sorted(self.kept, key=lambda k: k[1] != first)
-        own = sum(k[1] == first for k in keys)
-        chosen = keys[: min(own, most)]
-        others = keys[own:]
-        for _ in range(min(most - len(chosen), len(others))):
-            self.turn = (self.turn + 1) % len(others)
-            chosen.append(others[self.turn])
-        for key in chosen:
-            yield Count(*key, self.kept[key].value)
+        """Counts to pass on: the member's own and those of others, each in turn."""
+        own = [k for k in self.kept if k[1] == first]
+        others = [k for k in self.kept if k[1] != first]
+        for which, (keys, rows) in enumerate(((own, -(-most // 2)), (others, most // 2))):
+            for _ in range(min(rows, len(keys))):
+                self.turns[which] += 1
+                key = keys[self.turns[which] % len(keys)]
+                yield Count(*key, self.kept[key].value)
--- a/caperdeck/ledger/marked.py
+++ b/caperdeck/ledger/marked.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable
 
 from caperdeck.core.facade import Crowded, News
@@ -9,7 +10,12 @@
 from caperdeck.core.shares import Shares
 
 from .judgements import ILL_EVERYWHERE, Kind
-from .sharing import ROOM, Shown, Uses
+from .sharing import DIALS, ENDED, ROOM, Shown, Uses
+
+
+def host_pot(mark: int, born: float) -> int:
+    """The pot of what is sent to one start of a host."""
+    return max(zlib.crc32(int(born).to_bytes(8, "big", signed=True), mark), ENDED + 1)
 
 
 class Marked:
@@ -39,7 +45,7 @@
         wants = self.shares.wants(now) if uses.room or uses.cold else []
         words = self.shares.words(now) if uses.lost else []
         return Shown(
-            node.dialled,
+            self.counts() if uses.weight else [],
             [(ROOM if pot == ROOM_POT else mark[pot - 1], amount) for pot, amount in wants],
             [(mark[h], x, at) for h, x, at in self.shares.figures(now)] if uses.prior else [],
             [(mark[w.host], Kind.WELL if w.well else Kind.LOST, w.seen) for w in words],
@@ -47,6 +53,12 @@
             len(node.running),
         )
 
+    def counts(self) -> list[tuple[int, int]]:
+        s, mark = self.shares, self.shares.node.mark
+        # a host that starts anew is counted anew: all nodes have the same mark and start for it
+        cold = [(host_pot(mark[h], born), count) for h, born, count in s.sent_cold()]
+        return [(DIALS, s.dialled()), (ENDED, s.ended()), *cold]
+
     def lend(self, now: float, pot: int, most: float) -> float:
         own = self._pot(pot)
         return 0.0 if own is None else self.shares.lend(now, own, most)
--- a/caperdeck/ledger/sharing.py
+++ b/caperdeck/ledger/sharing.py
@@ -25,7 +25,8 @@
 HEARD_WITHIN = 30_000.0  # what `hearing` is stated for
 TAKEN = 200.0  # datagrams a second that are looked at, at the most
 ROOM = 0  # the pot of the room of all hosts
-COUNT_ROWS, SEEN_ROWS, JUDGED_ROWS, WANT_ROWS = 3, 10, 4, 4
+DIALS, ENDED = 0, 1  # counts of all hosts together: dials, and those that ended
+COUNT_ROWS, SEEN_ROWS, JUDGED_ROWS, WANT_ROWS = 4, 10, 4, 4
 FULL_SPAN = 1500.0  # a look that shows a host past full load counts for so long
 FULL_WITNESSES = 2
 FULL_SPREAD = 500.0  # nodes act on it at drawn moments in so long
@@ -49,7 +50,7 @@
 class Shown(NamedTuple):
     """What the decisions tell of themselves; hosts under their marks."""
 
-    dialled: int  # dials since the start
+    counts: list[tuple[int, int]]  # pot and value, growing: dials, those ended, dials to cold hosts
     wants: list[tuple[int, float]]  # pots that are short, and by how much
     figures: list[tuple[int, float, float]]  # host, load over capacity, seen at
     words: list[tuple[int, Word, float]]  # host, what, seen at
@@ -166,8 +167,8 @@
             return notes.encode(Notes(wants=self._some(self._wanted(shown), WANT_ROWS)), codec.NOTES)
         n = Notes(ill_everywhere=shown.ill_everywhere)
         if self.uses.weight:
-            value = min(shown.dialled, LARGEST)
-            self.counts.merge(now, Count(ROOM, me, self.swim.life[me], value))
+            for pot, value in shown.counts:
+                self.counts.merge(now, Count(pot, me, self.swim.life[me], min(value, LARGEST)))
             n.counts = list(self.counts.rows(COUNT_ROWS, me))
         if kind is Kind.ACK and self.uses.prior:
             # hosts with room are what another lacks; each node tells of those that it has looked at itself
@@ -300,8 +301,8 @@
 
     def _alike(self, now: float) -> float | None:
         """So many nodes like this one would send what all do together; None where too few have told."""
-        others, known = self.counts.rate(now, ROOM, self.swim.me)
-        own = self.counts.own_rate(ROOM, self.swim.me, self.swim.life[self.swim.me])
+        others, known = self.counts.rate(now, DIALS, self.swim.me)
+        own = self.counts.own_rate(DIALS, self.swim.me, self.swim.life[self.swim.me])
         if known < TELLING or not own:
             return None
         # those that have told nothing yet are taken for like the ones that have, silent ones for nothing
@@ -320,9 +321,15 @@
             "life": swim.life[swim.me], "datagrams_sent": self.sent, "datagrams_taken": self.received,
             "datagram_bytes_sent": self.bytes, "load_lent": round(self.loans.lent, 1),
             "load_borrowed": round(self.loans.borrowed, 1), "load_too_late": round(self.loans.late, 1),
-            "counts_kept": len(self.counts.kept), "judgements_kept": len(self.judgements.rows),
+            "counts_kept": len(self.counts.kept),
+            "fleet_dials": self.counts.total(DIALS),
+            "fleet_held": self.counts.total(DIALS) - self.counts.total(ENDED),
+            "judgements_kept": len(self.judgements.rows),
         }  # fmt: skip
         lines = [f"app_peers_{name} {value}" for name, value in rows.items()]
+        for pot, value in self.decisions.show(now).counts:
+            if pot not in (DIALS, ENDED):
+                lines.append(f'app_peers_sent_cold{{pot="{pot:08x}"}} {max(self.counts.total(pot), value)}')
         dropped = sorted(swim.dropped.items())
         return lines + [f'app_peers_dropped_total{{reason="{name}"}} {count}' for name, count in dropped]
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -109,7 +109,8 @@
     c.merge(0.0, Count(0, 1, 5, 100))
     c.age(AGE + 1)
     assert c.total(0) == 0 and c.merge(AGE + 2, Count(0, 1, 5, 100)) == "closed-life"
-    assert c.merge(AGE + 2, Count(0, 1, 6, 1)) is None and c.total(0) == 1
+    # Danger: a node that was idle for a while would never be counted again.
+    assert c.merge(AGE + 2, Count(0, 1, 5, 101)) is None and c.total(0) == 101
 
 
 def test_counts_that_jump_or_are_too_many_are_dropped_with_a_reason():
@@ -130,6 +131,14 @@
     assert c.rate(5000.0, 0, besides=2) == (pytest.approx(0.01), 1)
 
 
+def test_each_node_passes_on_its_own_counts_and_those_of_others_in_turn():
+    c = Counts()
+    for member in range(1, 6):
+        c.merge(0.0, Count(0, member, 5, member))
+    told = [{row.member for row in c.rows(2, 1)} for _ in range(8)]
+    assert all(1 in members for members in told) and set().union(*told) == {1, 2, 3, 4, 5}
+
+
 # ---- judgements
 
 
