--- /dev/null
+++ b/caperdeck/lab/agree.py
@@ -0,0 +1,387 @@
+"""A cluster of Raft instances in virtual time: messages lost, late and doubled, links cut, processes that die
+at any write, sleep, and have clocks of their own rate. The paper's properties are checked as it runs.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from caperdeck.raft.core import (
+    Action, Apply, Became, Raft, Readable, Restore, Role, Save, Send, Unreadable,
+)  # fmt: skip
+from caperdeck.raft.log import Entry, Log, Members, Snapshot
+from caperdeck.raft.sessions import Sessions
+
+WRITE = (0.2, 8.0)  # milliseconds until a write is on disk
+COMPACT_AT = 40  # entries
+
+
+class BrokenError(AssertionError):
+    pass
+
+
+class Line:
+    """The state machine: a list of values, each of which is put at its end."""
+
+    def __init__(self) -> None:
+        self.values: list[Any] = []
+
+    def apply(self, command: Any) -> int:
+        self.values.append(command)
+        return len(self.values)
+
+    def dump(self) -> Any:
+        return self.values
+
+    def load(self, state: Any) -> None:
+        self.values = list(state or [])
+
+
+class Disk:
+    """What one instance finds when it starts again."""
+
+    def __init__(self, members: Members) -> None:
+        self.term, self.vote = 0, None
+        self.log = Log(Snapshot(0, 0, members))
+
+    def write(self, save: Save) -> None:
+        self.term, self.vote = save.term, save.vote
+        if save.snapshot is not None:
+            self.log.compact(save.snapshot)
+        if save.entries:
+            if save.first <= self.log.last:
+                self.log.cut(save.first)
+            self.log.entries.extend(save.entries)
+
+
+class Instance:
+    def __init__(self, world: World, me: int) -> None:
+        self.world, self.me = world, me
+        self.up, self.asleep, self.life = False, False, 0
+        self.rate = 1.0
+        self.machine: Sessions
+        self.raft: Raft
+        self.queue: list[Action] = []  # what waits for the write under way
+        self.writing = False
+        self.inbox: list[tuple[Callable, tuple]] = []
+        self.waits: dict[int, Callable[[Any], None]] = {}  # by index: who asked
+        self.wait_terms: dict[int, int] = {}
+        self.reading: dict[int, Callable[[Any], None]] = {}
+
+    def now(self) -> float:
+        return self.world.now * self.rate
+
+    def start(self) -> None:
+        disk, self.life = self.world.disks[self.me], self.life + 1
+        log = Log(disk.log.snapshot, disk.log.entries)
+        seed = self.world.seed * 101 + self.me * 13 + self.life
+        self.raft = self.world.kind(self.me, disk.term, disk.vote, log, seed, self.now())
+        self.machine = Sessions(Line())
+        self.machine.load(log.snapshot.data)
+        self.up, self.asleep, self.writing = True, False, False
+        self.queue, self.inbox, self.waits, self.wait_terms, self.reading = [], [], {}, {}, {}
+        self.tick(self.life)
+
+    def die(self) -> None:
+        self.up = False
+
+    def tick(self, life: int) -> None:
+        if not self.up or life != self.life:
+            return
+        if self.asleep:
+            self.inbox.append((self.tick, (life,)))
+            return
+        self.do(self.raft.tick(self.now()))
+        wait = max((self.raft.due - self.now()) / self.rate, 1.0)
+        self.world.at(wait, self.tick, life)
+
+    def do(self, actions: list[Action]) -> None:
+        self.queue += actions
+        while self.queue and not self.writing and self.up:
+            act = self.queue.pop(0)
+            match act:
+                case Save():
+                    self.writing = True
+                    self.world.at(self.world.draw.uniform(*WRITE), self.written, act, self.life)
+                case Send(to, message):
+                    self.world.send(self.me, to, message)
+                case Apply(index, entry):
+                    self.apply(index, entry)
+                case Restore(snapshot):
+                    self.machine.load(snapshot.data)
+                case Readable(number):
+                    self.reading.pop(number, lambda _: None)(list(self.machine.machine.values))
+                case Unreadable(number):
+                    self.reading.pop(number, lambda _: None)(None)
+                case Became(role, term, _):
+                    self.world.became(self.me, role, term, self.raft.log)
+
+    def written(self, save: Save, life: int) -> None:
+        """The write is on disk, asleep or not; a process that died before never knows."""
+        if life != self.life or not self.up:
+            return
+        self.world.disks[self.me].write(save)
+        if self.world.dies_at_write():
+            self.world.die(self.me)
+            return
+        self.act(self.saved, save, life)
+
+    def saved(self, save: Save, life: int) -> None:
+        self.writing = False
+        log = self.world.disks[self.me].log
+        self.do(self.raft.saved(self.now(), log.last, log.last_term))
+
+    def act(self, do: Callable, *args: Any) -> None:
+        if self.asleep:
+            self.inbox.append((do, args))
+        else:
+            do(*args)
+
+    def wake(self) -> None:
+        self.asleep = False
+        inbox, self.inbox = self.inbox, []
+        for do, args in inbox:
+            if self.up:
+                self.act(do, *args)
+
+    def received(self, message: Any) -> None:
+        self.do(self.raft.receive(self.now(), message))
+
+    def apply(self, index: int, entry: Entry) -> None:
+        self.world.applied(self.me, index, entry)
+        result = self.machine.apply(entry)
+        answer, term = self.waits.pop(index, None), self.wait_terms.pop(index, 0)
+        if answer is not None:
+            answer(result if entry.term == term else None)
+        if index - self.raft.log.snapshot.index >= COMPACT_AT and self.raft.applied == index:
+            members = self.world.members_at(self.raft, index)
+            self.do(self.raft.compact(Snapshot(index, entry.term, members, self.machine.dump())))
+
+    def propose(self, value: Any, client: int, serial: int, answer: Callable[[Any], None]) -> None:
+        index, actions = self.raft.propose(self.now(), orjson.dumps(value), client, serial)
+        if index is None:
+            answer(None)
+        else:
+            self.waits[index], self.wait_terms[index] = answer, self.raft.term
+        self.do(actions)
+
+    def read(self, number: int, answer: Callable[[Any], None]) -> None:
+        self.reading[number] = answer
+        self.do(self.raft.read(self.now(), number))
+
+
+class World:
+    """`die_rate` is the chance to die at each write."""
+
+    def __init__(
+        self, size: int, seed: int, kind: type[Raft] = Raft, loss: float = 0.05, double: float = 0.05,
+        late: tuple[float, float] = (0.3, 30.0), die_rate: float = 0.0,
+    ) -> None:  # fmt: skip
+        self.seed, self.kind, self.draw = seed, kind, random.Random(seed)
+        self.now, self.heap, self.count = 0.0, [], 0
+        self.loss, self.double, self.late, self.die_rate = loss, double, late, die_rate
+        members = Members(tuple(range(size)))
+        self.disks = [Disk(members) for _ in range(size)]
+        self.cut: set[tuple[int, int]] = set()
+        self.leaders: dict[int, int] = {}  # by term
+        self.entries: dict[int, Entry] = {}  # by index, as first applied
+        self.committed: dict[int, int] = {}  # and the term of whoever applied it first
+        self.took: list[float] = []  # commit times
+        self.elected: list[float] = []
+        self.instances = [Instance(self, i) for i in range(size)]
+        for instance in self.instances:
+            instance.start()
+
+    def at(self, wait: float, do: Callable, *args: Any) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + wait, self.count, do, args))
+
+    def run(self, span: float) -> None:
+        until = self.now + span
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, do, args = heapq.heappop(self.heap)
+            do(*args)
+        self.now = until
+
+    # ---- the network and the processes
+
+    def send(self, a: int, b: int, message: Any) -> None:
+        if (a, b) in self.cut or self.draw.random() < self.loss:
+            return
+        for _ in range(1 + (self.draw.random() < self.double)):
+            self.at(self.draw.uniform(*self.late), self.arrive, b, message)
+
+    def arrive(self, b: int, message: Any) -> None:
+        if b < len(self.instances) and self.instances[b].up:
+            self.instances[b].act(self.instances[b].received, message)
+
+    def dies_at_write(self) -> bool:
+        return self.draw.random() < self.die_rate
+
+    def die(self, i: int) -> None:
+        if self.instances[i].up:
+            self.instances[i].die()
+            self.at(self.draw.uniform(50, 900), self.start, i)
+
+    def start(self, i: int) -> None:
+        if not self.instances[i].up:
+            self.instances[i].start()
+
+    def sleep(self, i: int, span: float) -> None:
+        if self.instances[i].up and not self.instances[i].asleep:
+            self.instances[i].asleep = True
+            self.at(span, self.instances[i].wake)
+
+    # ---- what must hold
+
+    def became(self, me: int, role: Role, term: int, log: Log) -> None:
+        if role is not Role.LEADER:
+            return
+        self.elected.append(self.now)
+        if self.leaders.setdefault(term, me) != me:
+            raise BrokenError(f"election safety: {self.leaders[term]} and {me} lead term {term}")
+        for index, entry in self.entries.items():
+            if term <= self.committed[index]:
+                continue
+            if index > log.snapshot.index and (index > log.last or log.entry(index) != entry):
+                raise BrokenError(f"leader completeness: {me} leads term {term} without entry {index}")
+
+    def applied(self, me: int, index: int, entry: Entry) -> None:
+        self.committed.setdefault(index, self.instances[me].raft.term)
+        if self.entries.setdefault(index, entry) != entry:
+            raise BrokenError(f"state machine safety: {me} applies another entry at {index}")
+
+    def check_logs(self) -> None:
+        """Log matching: logs with an entry of one index and term are alike up to it."""
+        logs = [(i.me, i.raft.log) for i in self.instances if i.up]
+        for k, (a, one) in enumerate(logs):
+            for b, other in logs[k + 1 :]:
+                same = min(one.last, other.last)
+                first = max(one.snapshot.index, other.snapshot.index)
+                while same > first and one.term(same) != other.term(same):
+                    same -= 1
+                for index in range(first + 1, same + 1):
+                    if one.entry(index) != other.entry(index):
+                        raise BrokenError(f"log matching: {a} and {b} differ at {index} before {same}")
+
+    def members_at(self, raft: Raft, index: int) -> Members:
+        members, at = raft.log.members()
+        return members if at <= index else raft.log.snapshot.members
+
+    def leader(self) -> Instance | None:
+        led = [i for i in self.instances if i.up and not i.asleep and i.raft.role is Role.LEADER]
+        return max(led, key=lambda i: i.raft.term, default=None)
+
+
+class Client:
+    """Puts one value after another, again until it is told that it stands; reads in between."""
+
+    def __init__(self, world: World, number: int, ops: list[dict[str, Any]]) -> None:
+        self.world, self.number, self.ops = world, number, ops
+        self.serial = 0
+        self.world.at(200.0 + 10 * number, self.begin)
+
+    def begin(self) -> None:
+        self.serial += 1
+        read = self.world.draw.random() < 0.3
+        value = f"{self.number}.{self.serial}"
+        op = {"read": read, "value": value, "from": self.world.now, "to": None, "got": None}
+        self.ops.append(op)
+        self.attempt(op, self.serial)
+
+    def attempt(self, op: dict[str, Any], serial: int) -> None:
+        if op["to"] is not None or serial != self.serial:
+            return
+        draw = self.world.draw
+        self.world.at(draw.uniform(60, 200), self.attempt, op, serial)
+        to = draw.choice(self.world.instances)
+        if not to.up or to.asleep:
+            return
+        if op["read"]:
+            to.read(draw.randrange(1 << 40), lambda got: self.answered(op, got))
+        else:
+            to.propose(op["value"], self.number + 1, serial, lambda got: self.answered(op, got))
+
+    def answered(self, op: dict[str, Any], got: Any) -> None:
+        if got is None or op["to"] is not None:
+            return
+        op["to"], op["got"] = self.world.now, got
+        if not op["read"]:
+            self.world.took.append(op["to"] - op["from"])
+        self.world.at(self.world.draw.uniform(5, 60), self.begin)
+
+
+def check_history(ops: list[dict[str, Any]], line: list[str]) -> None:
+    """Linearizable: each value once, in an order that real time allows; reads see a state of their time."""
+    if len(set(line)) < len(line):
+        raise BrokenError("a value stands twice")
+    place = {value: i + 1 for i, value in enumerate(line)}
+    writes = [op for op in ops if not op["read"]]
+    for op in writes:
+        if op["to"] is not None and place.get(op["value"]) != op["got"]:
+            raise BrokenError(f"{op['value']} was told place {op['got']}, stands at {place.get(op['value'])}")
+    done = sorted((op["to"], op["got"]) for op in writes if op["to"] is not None)
+    for op in ops:
+        if not op["read"] or op["to"] is None:
+            continue
+        begun, ended, length, seen = op["from"], op["to"], len(op["got"]), op["got"]
+        if seen != line[:length]:
+            raise BrokenError("a read saw what never stood")
+        if any(to < begun and got > length for to, got in done):
+            raise BrokenError(f"a read begun at {begun:.0f} missed what was told before")
+        for value in seen:
+            if next(o for o in writes if o["value"] == value)["from"] > ended:
+                raise BrokenError("a read saw what was put later")
+    for op in writes:
+        if op["to"] is not None and any(to < op["from"] and got > op["got"] for to, got in done):
+            raise BrokenError(f"{op['value']} stands before what was told earlier")
+
+
+def torment(world: World, span: float) -> None:
+    """Deaths, sleeps, cuts both ways and one way, moments of loss, and quiet, at drawn moments."""
+    draw, until = world.draw, world.now + span
+    size = len(world.instances)
+    while world.now < until:
+        what = draw.choice(("die", "sleep", "cut", "one-way", "heal", "heal", "transfer"))
+        i = draw.randrange(size)
+        if what == "die":
+            world.die(i)
+        elif what == "sleep":
+            world.sleep(i, draw.uniform(20, 1500))
+        elif what == "cut":
+            world.cut = {(a, b) for a in range(size) for b in range(size) if (a == i) != (b == i)}
+        elif what == "one-way":
+            world.cut = {(i, b) for b in range(size)}
+        elif what == "transfer" and (leader := world.leader()) is not None:
+            leader.raft.transfer(leader.now(), i)
+        else:
+            world.cut = set()
+        world.run(draw.uniform(20, 600))
+        world.check_logs()
+
+
+def play(
+    size: int, seed: int, span: float, kind: type[Raft] = Raft, clients: int = 3, **faults: Any,
+) -> World:  # fmt: skip
+    """One run under torment, then quiet; raises BrokenError."""
+    world = World(size, seed, kind, **faults)
+    for i, instance in enumerate(world.instances):
+        instance.rate = 1 + (i - size // 2) * 0.02
+    ops: list[dict[str, Any]] = []
+    for number in range(clients):
+        Client(world, number, ops)
+    torment(world, span)
+    world.cut, world.loss, world.die_rate = set(), 0.0, 0.0
+    world.run(6000.0)
+    world.check_logs()
+    if (leader := world.leader()) is None:
+        raise BrokenError("no leader in quiet")
+    check_history(ops, leader.machine.machine.values)
+    if not any(op["to"] is not None and op["to"] > world.now - 2000 for op in ops):
+        raise BrokenError("nothing goes on in quiet")
+    return world
--- /dev/null
+++ b/caperdeck/raft/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement among a few instances: Raft as a pure state machine. No I/O, no clock."""
