Leases with fencing tokens as state machines, every order of their steps checked

The table is what the instances agree on and has no clock; the holder counts from before it asked, the leader's warden from after it applied, 5 % of drift allowed; the target refuses older tokens, and asks first where it has forgotten. Two would-be owners, one target, deaths, late and lost messages and clocks far past the drift: no act is taken after one with a higher token.

--- /dev/null
+++ b/caperdeck/lab/owners.py
@@ -0,0 +1,142 @@
+"""Every order of steps of two would-be owners, the table agreed on, its warden, and one target of acts.
+
+Whoever takes no step is asleep; what is not delivered is late or lost. Checked: no two owners may
+act at one time while clocks keep to their drift; no token is given twice; and, always, no act is taken
+after one with a higher token.
+"""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+from caperdeck.leases.fence import Fence
+from caperdeck.leases.holding import Holder, Warden
+from caperdeck.leases.table import LEAST_SPAN, Table
+
+TICK = LEAST_SPAN / 2
+WORK = "w"
+
+
+class BrokenError(AssertionError):
+    pass
+
+
+class World:
+    """`rates` are the owners' clocks and the warden's; `disk` whether the target remembers over a death."""
+
+    def __init__(
+        self, ticks: int = 4, asks: int = 3, acts: int = 2, deaths: int = 1, snapshots: int = 0,
+        rates: tuple[float, float, float] = (1.0, 1.0, 1.0), disk: bool = False,
+        holder: type[Holder] = Holder, fence: type[Fence] = Fence, table: type[Table] = Table,
+    ) -> None:  # fmt: skip
+        self.time, self.rates, self.disk = 0.0, rates, disk
+        self.left = {"tick": ticks, "ask": asks, "check": acts, "die": deaths, "snapshot": snapshots}
+        self.holders = [holder(WORK, name, LEAST_SPAN) for name in "ab"]
+        self.ready = [0, 0]  # the token that an owner has just checked, before its act leaves
+        self.table = table()
+        self.warden = Warden(self.table, 0.0)
+        self.target = fence({})
+        self.flying: list[tuple] = []
+        self.highest = 0  # among the acts taken
+        self.given: list[int] = []
+
+    def key(self) -> Any:
+        holders = tuple((h.token, h.until, h.asked_at) for h in self.holders)
+        row = self.table.works.get(WORK)
+        return (
+            self.time, tuple(self.left.values()), holders, tuple(self.ready), self.table.token,
+            tuple(row.items()) if row else None, tuple(self.warden.since.items()), self.target.remembers,
+            tuple(self.target.highest.items()), tuple(sorted(map(repr, self.flying))), self.highest,
+        )  # fmt: skip
+
+    def now(self, i: int) -> float:
+        return self.time * self.rates[i]
+
+    def choices(self) -> list[tuple]:
+        out: list[tuple] = [(name,) for name in ("tick", "die", "snapshot") if self.left[name]]
+        out.append(("watch",))
+        for i, h in enumerate(self.holders):
+            if self.left["ask"]:
+                out.append(("ask", i))
+            if self.ready[i]:
+                out.append(("act", i))
+            elif self.left["check"] and h.may_act(self.now(i)):
+                out.append(("check", i))
+        out += [("deliver", k) for k in range(len(self.flying))]
+        if not self.target.remembers and WORK not in self.target.highest:
+            out.append(("learn",))
+        return out
+
+    def do(self, what: str, *args: Any) -> None:
+        if what in self.left:
+            self.left[what] -= 1
+        getattr(self, what)(*args)
+        both = all(h.may_act(self.now(i)) for i, h in enumerate(self.holders))
+        if both and max(self.rates) <= 1.05 and min(self.rates) >= 0.95:
+            raise BrokenError("two owners at one time")
+
+    def tick(self) -> None:
+        self.time += TICK
+
+    def ask(self, i: int) -> None:
+        command = self.holders[i].ask(self.now(i))
+        if command is not None:
+            self.flying.append(("ask", i, command, self.now(i)))
+
+    def check(self, i: int) -> None:
+        self.ready[i] = self.holders[i].token
+
+    def act(self, i: int) -> None:
+        self.flying.append(("act", i, self.ready[i], 0.0))
+        self.ready[i] = 0
+
+    def deliver(self, k: int) -> None:
+        what, i, value, asked = self.flying.pop(k)
+        if what == "ask":
+            answer = self.table.apply(value)
+            if value["do"] == "acquire" and "token" in answer:
+                self.given.append(answer["token"])
+                if len(set(self.given)) < len(self.given):
+                    raise BrokenError(f"token {answer['token']} is given twice")
+            self.watch()
+            self.flying.append(("answer", i, answer, asked))
+        elif what == "answer":
+            self.holders[i].answered(self.now(i), asked, value)
+        elif self.target.check(WORK, value) is None:
+            if value < self.highest:
+                raise BrokenError(f"an act with token {value} is taken after one with {self.highest}")
+            self.highest = value
+
+    def watch(self) -> None:
+        for command in self.warden.look(self.now(2)):
+            self.table.apply(command)
+        self.warden.look(self.now(2))
+
+    def die(self) -> None:
+        """The target starts again."""
+        self.target = type(self.target)(self.target.highest if self.disk else None)
+
+    def learn(self) -> None:
+        self.target.learned(WORK, self.table.token)
+
+    def snapshot(self) -> None:
+        state = copy.deepcopy(self.table.dump())
+        self.table = type(self.table)()
+        self.table.load(state)
+        self.warden = Warden(self.table, self.now(2))
+
+
+def explore(world: World) -> int:
+    """Every state that can be reached; how many there are. Raises BrokenError."""
+    seen, waiting = {world.key()}, [world]
+    while waiting:
+        at = waiting.pop()
+        for choice in at.choices():
+            after = copy.deepcopy(at)
+            after.do(*choice)
+            key = after.key()
+            if key not in seen:
+                seen.add(key)
+                waiting.append(after)
+    return len(seen)
--- /dev/null
+++ b/caperdeck/leases/holding.py
@@ -0,0 +1,81 @@
+"""Both sides of a lease's time. Clocks never step; a millisecond of one is within DRIFT of a true one.
+
+The holder counts from before it asked and stops early; the leader's warden counts from after it applied and
+waits long. Past that drift two may hold a lease for a time; the token at the target keeps the older out.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .table import Table
+
+DRIFT = 0.05
+RENEW_AT = 1 / 3  # of the span
+RETRY = 0.1  # of the span, while an answer does not come
+
+
+class Holder:
+    """One would-be owner of one work. `ask` gives the command to propose, `answered` takes its answer."""
+
+    def __init__(self, work: str, name: str, span: float) -> None:
+        self.work, self.name, self.span = work, name, span
+        self.token = 0
+        self.until = 0.0  # on the own clock; nothing may be done from then on
+        self.asked_at = 0.0
+        self.state: Any = None  # what the owner before left
+        self.lost = ""
+
+    def may_act(self, now: float) -> bool:
+        """Checked just before each act, and by the act's target again, by its token."""
+        return self.token > 0 and now < self.until
+
+    def ask(self, now: float) -> dict[str, Any] | None:
+        """Acquires where nothing is held, renews in time; None where there is nothing to ask yet."""
+        if self.token and now >= self.until:
+            # Danger: a holder that slept past the end must not go on as if it renewed in time.
+            self.token, self.lost = 0, "ended"
+        if not self.token:
+            self.asked_at = now
+            return {"do": "acquire", "work": self.work, "holder": self.name, "span": self.span}
+        if now < self.until - self.span * (1 - DRIFT) * (1 - RENEW_AT):
+            return None
+        return {"do": "renew", "work": self.work, "token": self.token}
+
+    def answered(self, now: float, asked: float, answer: dict[str, Any]) -> None:
+        """The answer to what was asked then."""
+        if "no" in answer:
+            if self.token and answer["no"] == "not-held":
+                self.token, self.lost = 0, "not-held"
+            return
+        if answer["token"] < self.token:
+            return  # to a grant before this one
+        if answer["token"] != self.token:
+            self.state = answer.get("state")
+        # Danger: counted from the answer, a grant long under way lasts past the time that others wait.
+        end = asked + answer["span"] * (1 - DRIFT)
+        if now < end:
+            self.token, self.until, self.lost = answer["token"], max(end, self.until), ""
+
+
+class Warden:
+    """At the leader: which leases nobody has renewed for long enough. Begins when leadership does."""
+
+    def __init__(self, table: Table, now: float) -> None:
+        self.table = table
+        self.since: dict[str, tuple[int, int, float]] = {}  # by work: token, renewals, first seen so
+        self.look(now)
+
+    def look(self, now: float) -> list[dict[str, Any]]:
+        """After each command that was applied, and now and then; the commands to propose."""
+        ended = []
+        for work, row in self.table.works.items():
+            if row["holder"] is None and row["heir"] is None:
+                self.since.pop(work, None)
+                continue
+            seen = self.since.get(work)
+            if seen is None or seen[:2] != (row["token"], row["renewed"]):
+                self.since[work] = row["token"], row["renewed"], now
+            elif now - seen[2] >= row["span"] * (1 + DRIFT):
+                ended.append({"do": "expire", "work": work, "token": row["token"], "renewed": row["renewed"]})
+        return ended
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,166 @@
+"""Leases: the table that is agreed on, both sides of time, the fence, and every order of their steps."""
+
+import pytest
+
+from caperdeck.lab.owners import BrokenError, World, explore
+from caperdeck.leases.fence import Fence
+from caperdeck.leases.holding import DRIFT, Holder, Warden
+from caperdeck.leases.table import MOST_WORKS, Table
+
+SPAN = 1000.0
+
+
+def acquire(table, holder="a", work="w"):
+    return table.apply({"do": "acquire", "work": work, "holder": holder, "span": SPAN})
+
+
+def test_a_token_grows_with_every_grant_also_over_a_snapshot_and_for_other_works():
+    t = Table()
+    tokens = [acquire(t)["token"], acquire(t, work="v")["token"]]
+    t.apply({"do": "give", "work": "w", "token": tokens[0]})
+    tokens.append(acquire(t, "b")["token"])
+    u = Table()
+    u.load(t.dump())
+    u.apply({"do": "give", "work": "w", "token": tokens[2]})
+    tokens.append(acquire(u)["token"])
+    assert tokens == [1, 2, 3, 4]
+
+
+@pytest.mark.parametrize("command, answer", [
+    ({"do": "acquire", "holder": "b", "span": SPAN}, "held"),
+    ({"do": "renew", "token": 0}, "not-held"),
+    ({"do": "give", "token": 9}, "not-held"),
+    ({"do": "save", "token": 9, "state": "x"}, "older-token"),
+    ({"do": "save", "token": 1, "state": 5}, "bad-state"),
+    ({"do": "expire", "token": 1, "renewed": 7}, "renewed-since"),
+    ({"do": "acquire", "holder": "", "span": SPAN}, "bad-name"),
+    ({"do": "acquire", "holder": "b", "span": float("nan")}, "bad-span"),
+    ({"do": "acquire", "holder": "b", "span": True}, "bad-span"),
+    ({"do": "acquire", "holder": "b", "span": 1.0}, "bad-span"),
+    ({"do": "fly"}, "unknown-command"),
+])  # fmt: skip
+def test_what_is_not_taken_has_its_reason_and_changes_nothing(command, answer):
+    t = Table()
+    acquire(t)
+    before = repr(t.dump())
+    assert t.apply({"work": "w"} | command)["no"] == answer and repr(t.dump()) == before
+
+
+@pytest.mark.parametrize("command", [None, [], {"do": "acquire"}, {"do": "acquire", "work": 5}])
+def test_a_command_without_a_work_is_none(command):
+    assert Table().apply(command) == {"no": "no-work-named"}
+
+
+def test_works_are_bounded():
+    t = Table()
+    assert [acquire(t, work=f"w{i}").get("no") for i in range(MOST_WORKS + 1)][-1] == "too-many-works"
+
+
+def test_what_an_owner_saved_is_what_the_next_one_goes_on_from():
+    t = Table()
+    token = acquire(t)["token"]
+    assert t.apply({"do": "save", "work": "w", "token": token, "state": "half"}) == {"ok": True}
+    t.apply({"do": "give", "work": "w", "token": token})
+    assert acquire(t, "b")["state"] == "half"
+
+
+def test_work_that_is_handed_over_is_kept_for_its_heir_until_that_one_does_not_come():
+    t = Table()
+    warden = Warden(t, 0.0)
+    t.apply({"do": "hand", "work": "w", "token": acquire(t)["token"], "to": "b"})
+    warden.look(0.0)
+    assert acquire(t, "c") == {"no": "held", "holder": "b"}
+    for command in warden.look(SPAN * (1 + DRIFT)):
+        t.apply(command)
+    assert acquire(t, "c")["ok"]
+
+
+def test_a_lease_counts_from_before_it_was_asked_for_and_ends_before_others_may_have_it():
+    h, t = Holder("w", "a", SPAN), Table()
+    answer = t.apply(h.ask(0.0))
+    warden = Warden(t, 1.0)
+    h.answered(400.0, 0.0, answer)
+    assert h.may_act(SPAN * (1 - DRIFT) - 1) and not h.may_act(SPAN * (1 - DRIFT))
+    assert warden.look(SPAN * (1 + DRIFT)) == [] and warden.look(SPAN * (1 + DRIFT) + 1) != []
+
+
+def test_an_answer_that_comes_past_the_end_gives_nothing():
+    h, t = Holder("w", "a", SPAN), Table()
+    h.answered(SPAN, 0.0, t.apply(h.ask(0.0)))
+    assert not h.may_act(SPAN) and h.token == 0
+
+
+def test_a_holder_that_slept_past_the_end_does_not_renew():
+    """Renewed in time by the table's count, it would go on with a lease that another may have had between."""
+    h, t = Holder("w", "a", SPAN), Table()
+    h.answered(0.0, 0.0, t.apply(h.ask(0.0)))
+    assert h.ask(100.0) is None and h.ask(400.0)["do"] == "renew"
+    assert h.ask(5000.0)["do"] == "acquire" and h.lost == "ended"
+
+
+def test_a_new_leader_waits_a_whole_span_before_it_ends_a_lease():
+    t = Table()
+    acquire(t)
+    warden = Warden(t, 50_000.0)
+    assert warden.look(50_000.0 + SPAN) == []
+    t.apply({"do": "renew", "work": "w", "token": 1})
+    assert warden.look(50_000.0 + 2 * SPAN) == []  # renewed since
+
+
+def test_a_fence_takes_no_older_token_and_counts_what_it_refuses():
+    f = Fence({})
+    assert [f.check("w", t) for t in (3, 3, 2, 5, 4)] == [None, None, "older-token", None, "older-token"]
+    assert f.check("v", 1) is None and f.check("w", 0) == "no-token" and f.check("", 9) == "bad-name"
+    assert f.refused == {"older-token": 2, "no-token": 1, "bad-name": 1}
+
+
+def test_a_target_without_memory_asks_before_it_takes_a_token():
+    f = Fence()
+    assert f.check("w", 7) == "asks-first"
+    f.learned("w", 8)
+    assert f.check("w", 7) == "older-token" and f.check("w", 8) is None
+    assert Fence({"w": 8}).check("w", 7) == "older-token"
+
+
+# ---- every order of steps
+
+
+class CountsFromTheAnswer(Holder):
+    def answered(self, now, asked, answer):
+        super().answered(now, now, answer)
+
+
+class ChecksNothing(Fence):
+    def check(self, work, token):
+        return None
+
+
+class TakesTheFirst(Fence):
+    def _check(self, work, token):
+        return "older-token" if token < self.highest.get(work, 0) else None
+
+
+class ReusesTokens(Table):
+    def load(self, state):
+        super().load(state)
+        self.token = 0
+
+
+@pytest.mark.parametrize("changes", [
+    {}, {"deaths": 1, "ticks": 2}, {"deaths": 1, "ticks": 2, "disk": True},
+    {"rates": (0.96, 1.04, 1.0)}, {"rates": (2.0, 0.5, 1.0)}, {"snapshots": 1, "ticks": 2},
+])  # fmt: skip
+def test_no_order_of_steps_breaks_what_must_hold(changes):
+    """Clocks far past the stated drift too: then two may hold, and the tokens still go up at the target."""
+    assert explore(World(**{"ticks": 3, "asks": 2, "acts": 1, "deaths": 0} | changes)) > 100
+
+
+@pytest.mark.parametrize("changes, text", [
+    ({"holder": CountsFromTheAnswer}, "two owners"),
+    ({"fence": ChecksNothing}, "is taken after"),
+    ({"fence": TakesTheFirst, "deaths": 1}, "is taken after"),
+    ({"table": ReusesTokens, "snapshots": 1, "acts": 0}, "given twice"),
+])  # fmt: skip
+def test_a_planted_fault_is_found(changes, text):
+    with pytest.raises(BrokenError, match=text):
+        explore(World(**{"ticks": 4, "asks": 2, "acts": 2, "deaths": 0} | changes))
