--- a/caperdeck/raft/__init__.py
+++ b/caperdeck/raft/__init__.py
@@ -1,1 +1,1 @@
-"""Agreement among a few instances: Raft as a pure state machine. No I/O, no clock."""
+"""Agreement among a few instances: Raft as a pure state machine, without I/O or a clock; and its storage."""
