--- a/caperdeck/lab/agree.py
+++ b/caperdeck/lab/agree.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
 from typing import Any
@@ -16,6 +15,8 @@
 from caperdeck.raft.log import Entry, Log, Members, Snapshot
 from caperdeck.raft.sessions import Sessions
 
+from .events import Events
+
 WRITE = (0.2, 8.0)  # milliseconds until a write is on disk
 COMPACT_AT = 40  # entries
 
@@ -52,10 +53,7 @@
         self.term, self.vote = save.term, save.vote
         if save.snapshot is not None:
             self.log.compact(save.snapshot)
-        if save.entries:
-            if save.first <= self.log.last:
-                self.log.cut(save.first)
-            self.log.entries.extend(save.entries)
+        self.log.put(save.first, save.entries)
 
 
 class Instance:
@@ -135,15 +133,15 @@
                 self.act(do, *args)
 
 
-class World:
+class World(Events):
     """`die_rate` is the chance to die at each write."""
 
     def __init__(
         self, size: int, seed: int, kind: type[Raft] = Raft, loss: float = 0.05, double: float = 0.05,
         late: tuple[float, float] = (0.3, 30.0), die_rate: float = 0.0,
     ) -> None:  # fmt: skip
+        super().__init__()
         self.seed, self.kind, self.draw = seed, kind, random.Random(seed)
-        self.now, self.heap, self.count = 0.0, [], 0
         self.loss, self.double, self.late, self.die_rate = loss, double, late, die_rate
         members = Members(tuple(range(size)))
         self.disks = [Disk(members) for _ in range(size)]
@@ -157,17 +155,6 @@
         for instance in self.instances:
             instance.start()
 
-    def at(self, wait: float, do: Callable, *args: Any) -> None:
-        self.count += 1
-        heapq.heappush(self.heap, (self.now + wait, self.count, do, args))
-
-    def run(self, span: float) -> None:
-        until = self.now + span
-        while self.heap and self.heap[0][0] <= until:
-            self.now, _, do, args = heapq.heappop(self.heap)
-            do(*args)
-        self.now = until
-
     # ---- the network and the processes
 
     def send(self, a: int, b: int, message: Any) -> None:
--- a/caperdeck/lab/copies.py
+++ b/caperdeck/lab/copies.py
@@ -6,16 +6,16 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from caperdeck.core.rights import Rights
 from caperdeck.ledger.loans import LOAN
 from caperdeck.ledger.sharing import Sharing, Shown, Uses
 
+from .events import Events
+
 ALL = Uses(*[True] * len(Uses._fields))
 RATE, SAVED = 1.0, 500.0  # rights that a node mints in a millisecond, and for how long it saves
 
@@ -65,19 +65,19 @@
         self.alike = alike
 
 
-class Net:
+class Net(Events):
     """Members by number; `loss`, `double` as shares, `late` in milliseconds, `cut(a, b)` is one-way."""
 
     def __init__(
         self, members: int, seed: int = 1, uses: Uses = ALL, loss: float = 0.0, double: float = 0.0,
         late: tuple[float, float] = (0.2, 5.0), rates: list[float] | None = None,
     ) -> None:  # fmt: skip
+        super().__init__()
         self.random = random.Random(seed)
-        self.now, self.members, self.seed, self.uses = 0.0, members, seed, uses
+        self.members, self.seed, self.uses = members, seed, uses
         self.loss, self.double, self.late = loss, double, late
         self.rates = rates or [1.0] * members
         self.cut = lambda a, b: False
-        self.heap, self.count = [], 0
         self.nodes, self.stubs, self.lives = [None] * members, [None] * members, [0] * members
         self.asleep, self.inbox = set(), {}
         self.bytes, self.sends = [0] * members, [0] * members
@@ -109,10 +109,6 @@
             self.arrive(i, data, sender)
         self.tick(i, self.lives[i])
 
-    def at(self, wait: float, do: Callable, *args: object) -> None:
-        self.count += 1
-        heapq.heappush(self.heap, (self.now + wait, self.count, do, args))
-
     def tick(self, i: int, life: int) -> None:
         node = self.nodes[i]
         if node is None or life != self.lives[i] or i in self.asleep:
@@ -138,13 +134,6 @@
         elif self.nodes[i] is not None:
             self.send(i, self.nodes[i].datagram(self.clock(i), data, sender))
 
-    def run(self, span: float) -> None:
-        until = self.now + span
-        while self.heap and self.heap[0][0] <= until:
-            self.now, _, do, args = heapq.heappop(self.heap)
-            do(*args)
-        self.now = until
-
 
 class Spending:
     """Nodes that spend all they have at drawn moments, and what they spent, on the network's time."""
--- a/caperdeck/lab/orders.py
+++ b/caperdeck/lab/orders.py
@@ -177,8 +177,8 @@
                 raise BrokenError(f"a right of node {owner} is spent after {age} ms")
 
 
-def explore(world: World) -> int:
-    """Every state that can be reached; how many there are."""
+def explore(world: Any) -> int:
+    """Every state that can be reached from a world by its choices; how many there are. Raises BrokenError."""
     seen, waiting = {world.key()}, [world]
     while waiting:
         at = waiting.pop()
--- a/caperdeck/lab/owners.py
+++ b/caperdeck/lab/owners.py
@@ -14,14 +14,12 @@
 from caperdeck.leases.holding import Holder, Warden
 from caperdeck.leases.table import LEAST_SPAN, Table
 
+from .orders import BrokenError
+
 TICK = LEAST_SPAN / 2
 WORK = "w"
 
 
-class BrokenError(AssertionError):
-    pass
-
-
 class World:
     """`rates` are the owners' clocks and the warden's; `disk` whether the target remembers over a death."""
 
@@ -50,6 +48,9 @@
             tuple(self.target.highest.items()), tuple(sorted(map(repr, self.flying))), self.highest,
         )  # fmt: skip
 
+    def clone(self) -> World:
+        return copy.deepcopy(self)
+
     def now(self, i: int) -> float:
         return self.time * self.rates[i]
 
@@ -125,18 +126,3 @@
         self.table = type(self.table)()
         self.table.load(state)
         self.warden = Warden(self.table, self.now(2))
-
-
-def explore(world: World) -> int:
-    """Every state that can be reached; how many there are. Raises BrokenError."""
-    seen, waiting = {world.key()}, [world]
-    while waiting:
-        at = waiting.pop()
-        for choice in at.choices():
-            after = copy.deepcopy(at)
-            after.do(*choice)
-            key = after.key()
-            if key not in seen:
-                seen.add(key)
-                waiting.append(after)
-    return len(seen)
--- a/caperdeck/raft/log.py
+++ b/caperdeck/raft/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -77,6 +78,13 @@
         """Drops that entry and all after it."""
         del self.entries[index - self.snapshot.index - 1 :]
 
+    def put(self, first: int, entries: Sequence[Entry]) -> None:
+        """Entries from that index on, in place of what stands there; nothing where there are none."""
+        if entries:
+            if first <= self.last:
+                self.cut(first)
+            self.entries.extend(entries)
+
     def first_of(self, term: int, before: int) -> int:
         """The first index known with that term, going back from an index that has it."""
         while before - 1 > self.snapshot.index and self.term(before - 1) == term:
--- a/caperdeck/raft/storage.py
+++ b/caperdeck/raft/storage.py
@@ -123,12 +123,9 @@
             self.log = Log(decode_snapshot(value["snapshot"]))
         self.term, self.vote = value["term"], value["vote"]
         entries = [decode_entry(row) for row in value["entries"]]
-        if entries:
-            if not self.log.snapshot.index < value["first"] <= self.log.last + 1:
-                raise StorageError(f"{self.path}: entries from {value['first']} after {self.log.last}")
-            if value["first"] <= self.log.last:
-                self.log.cut(value["first"])
-            self.log.entries.extend(entries)
+        if entries and not self.log.snapshot.index < value["first"] <= self.log.last + 1:
+            raise StorageError(f"{self.path}: entries from {value['first']} after {self.log.last}")
+        self.log.put(value["first"], entries)
 
     # ---- writing
 
@@ -140,10 +137,7 @@
             self.term, self.vote = save.term, save.vote
             if save.snapshot is not None:
                 self.log.compact(save.snapshot)
-            if save.entries:
-                if save.first <= self.log.last:
-                    self.log.cut(save.first)
-                self.log.entries.extend(save.entries)
+            self.log.put(save.first, save.entries)
             if save.snapshot is not None:
                 self._rewrite()
             else:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from caperdeck.lab.owners import BrokenError, World, explore
+from caperdeck.lab.orders import BrokenError, explore
+from caperdeck.lab.owners import World
 from caperdeck.leases.fence import Fence
 from caperdeck.leases.holding import DRIFT, Holder, Warden
 from caperdeck.leases.table import MOST_WORKS, Table
