Read again: one reader of TOML files, pots asked for alone, fields nobody read dropped; a tiny loan is not rounded up

Two readers of operators' files were one shape; the look for missing rights, ten times a second, also made all figures and words; two fields of SWIM's pings were never read. The property test found a loan under 1e-38 rounded up on its way (scaling down does nothing among the smallest numbers): the float before it is sent instead.

--- a/caperdeck/core/rights.py
+++ b/caperdeck/core/rights.py
@@ -10,7 +10,6 @@
 
 import math
 
-
 ROOM_POT = 0  # the room of all hosts; host h's pot is h + 1
 
 
--- a/caperdeck/lab/copies.py
+++ b/caperdeck/lab/copies.py
@@ -36,8 +36,10 @@
     full: list = field(default_factory=list)
 
     def show(self, now: float) -> Shown:
-        wants = [(0, SAVED * RATE)] if self.short else []
-        return Shown([(0, self.dialled)], wants, self.figures, self.words, self.ill, 20)
+        return Shown([(0, self.dialled)], self.figures, self.words, self.ill, 20)
+
+    def wants(self, now: float) -> list[tuple[int, float]]:
+        return [(0, SAVED * RATE)] if self.short else []
 
     def mint(self, now: float) -> float:
         return self.rights.mint(now, 0, RATE, RATE * SAVED)
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -4,13 +4,13 @@
 
 import fnmatch
 import math
-import tomllib
 from typing import Any, Literal
 
 import msgspec
 from msgspec import field
 
 from caperdeck.ledger.sharing import Uses
+from caperdeck.lifecycle.toml import TomlError, read_toml
 
 MOST_NODES, MOST_HOSTS, MOST_SECONDS, MOST_RATE, MOST_FAULTS = 400, 200, 300.0, 5000.0, 200
 MOST_PROCESSES = 12  # nodes as real processes
@@ -154,12 +154,9 @@
 def load(path: str) -> Scenario:
     """Reads and checks a scenario file; raises ScenarioError with the file, the field and the reason."""
     try:
-        with open(path, "rb") as file:
-            raw = tomllib.load(file)
-    except OSError as error:
-        raise ScenarioError(f"{path}: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ScenarioError(f"{path}: no TOML: {error}") from None
+        raw = read_toml(path)
+    except TomlError as error:
+        raise ScenarioError(f"{path}: {error}") from None
     return decode(raw, path)
 
 
--- a/caperdeck/ledger/marked.py
+++ b/caperdeck/ledger/marked.py
@@ -42,17 +42,19 @@
 
     def show(self, now: float) -> Shown:
         node, uses, mark = self.shares.node, self.uses, self.shares.node.mark
-        wants = self.shares.wants(now) if uses.room or uses.cold else []
         words = self.shares.words(now) if uses.lost else []
         return Shown(
             self.counts() if uses.weight else [],
-            [(ROOM if pot == ROOM_POT else mark[pot - 1], amount) for pot, amount in wants],
             [(mark[h], x, at) for h, x, at in self.shares.figures(now)] if uses.prior else [],
             [(mark[w.host], Kind.WELL if w.well else Kind.LOST, w.seen) for w in words],
             uses.lost and self.shares.ill_everywhere(ILL_EVERYWHERE),
             len(node.running),
         )
 
+    def wants(self, now: float) -> list[tuple[int, float]]:
+        mark = self.shares.node.mark
+        return [(ROOM if pot == ROOM_POT else mark[pot - 1], x) for pot, x in self.shares.wants(now)]
+
     def counts(self) -> list[tuple[int, int]]:
         s, mark = self.shares, self.shares.node.mark
         # a host that starts anew is counted anew: all nodes have the same mark and start for it
--- a/caperdeck/ledger/notes.py
+++ b/caperdeck/ledger/notes.py
@@ -53,9 +53,10 @@
 
 def as_sent(amount: float) -> float:
     """The amount as it arrives, never more than was given."""
-    sent = struct.unpack(">f", struct.pack(">f", min(amount, MOST_AMOUNT)))[0]
-    # Danger: rounded up on its way, a loan would be more than its lender gave.
-    return sent if sent <= amount else struct.unpack(">f", struct.pack(">f", amount * (1 - 1e-6)))[0]
+    (bits,) = struct.unpack(">I", struct.pack(">f", min(amount, MOST_AMOUNT)))
+    (sent,) = struct.unpack(">f", bits.to_bytes(4, "big"))
+    # Danger: rounded up on its way, a loan would be more than its lender gave; the number before it is not.
+    return sent if sent <= amount else struct.unpack(">f", (bits - 1).to_bytes(4, "big"))[0]
 
 
 def _age(age: float) -> int:
--- a/caperdeck/ledger/sharing.py
+++ b/caperdeck/ledger/sharing.py
@@ -51,7 +51,6 @@
     """What the decisions tell of themselves; hosts under their marks."""
 
     counts: list[tuple[int, int]]  # pot and value, growing: dials, those ended, dials to cold hosts
-    wants: list[tuple[int, float]]  # pots that are short, and by how much
     figures: list[tuple[int, float, float]]  # host, load over capacity, seen at
     words: list[tuple[int, Word, float]]  # host, what, seen at
     ill_everywhere: bool
@@ -63,6 +62,8 @@
 
     def show(self, now: float) -> Shown: ...
 
+    def wants(self, now: float) -> list[tuple[int, float]]: ...
+
     def lend(self, now: float, pot: int, most: float) -> float: ...
 
     def borrow(self, now: float, pot: int, amount: float, until: float) -> None: ...
@@ -162,9 +163,9 @@
             return notes.encode(Notes(seen=self.telling), codec.NOTES)
         if kind is Kind.GIVE:
             return notes.encode(Notes(grants=grants), codec.NOTES)
-        shown, me = self.decisions.show(now), self.swim.me
         if kind is Kind.ASK:
-            return notes.encode(Notes(wants=self._some(self._wanted(shown), WANT_ROWS)), codec.NOTES)
+            return notes.encode(Notes(wants=self._some(self._wanted(now), WANT_ROWS)), codec.NOTES)
+        shown, me = self.decisions.show(now), self.swim.me
         n = Notes(ill_everywhere=shown.ill_everywhere)
         if self.uses.weight:
             for pot, value in shown.counts:
@@ -183,8 +184,9 @@
             n.judged = self._some(own, JUDGED_ROWS) + self._some(others, JUDGED_ROWS)
         return notes.encode(n, codec.NOTES)
 
-    def _wanted(self, shown: Shown) -> list[tuple[int, float]]:
-        return [w for w in shown.wants if self._allowed(w[0])]
+    def _wanted(self, now: float) -> list[tuple[int, float]]:
+        """Pots that are short, and by how much."""
+        return [w for w in self.decisions.wants(now) if self._allowed(w[0])]
 
     def _some(self, rows: list, most: int) -> list:
         """So many of the rows, others each time."""
@@ -248,7 +250,7 @@
             self.judge_at = now + JUDGE_EVERY
             self._judge(now)
         sends = self._tell(now) if self.uses.full else []
-        if not (self.uses.room or self.uses.cold) or not self._wanted(self.decisions.show(now)):
+        if not (self.uses.room or self.uses.cold) or not self._wanted(now):
             return sends
         member = self.swim.one_to_ask(now)
         if member is None:
--- a/caperdeck/lifecycle/sharing.py
+++ b/caperdeck/lifecycle/sharing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import tomllib
 from typing import Any
 
 from loguru import logger
@@ -14,6 +13,7 @@
 from caperdeck.wire.peers import PeerPort
 
 from .config import ConfigError
+from .toml import TomlError, read_toml
 
 MOST_PEERS = 4096
 
@@ -21,12 +21,9 @@
 def load_uses(path: str) -> Uses:
     """The operator's file: what is done with what is shared, each a yes or no. Raises ConfigError."""
     try:
-        with open(path, "rb") as file:
-            raw = tomllib.load(file)
-    except OSError as error:
-        raise ConfigError(f"sharing {path}: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ConfigError(f"sharing {path}: no TOML: {error}") from None
+        raw = read_toml(path)
+    except TomlError as error:
+        raise ConfigError(f"sharing {path}: {error}") from None
     for key, value in raw.items():
         if key not in Uses._fields:
             raise ConfigError(f"sharing {path}: unknown key {key}, known are {', '.join(Uses._fields)}")
--- a/caperdeck/peers/swim.py
+++ b/caperdeck/peers/swim.py
@@ -88,10 +88,10 @@
         self.news: deque[list] = deque()  # [member, times left], the newest first
         self.filler = self.beating = 0  # whose state and beat go along next
         self.nonces = int(self._chance() * 2**32)
-        self.out: dict[int, tuple[int, float, bool]] = {}  # own pings: nonce to member, sent at, of the round
+        self.out: dict[int, tuple[int, float]] = {}  # own pings: nonce to member, sent at
         self.asked_for: dict[int, tuple[int, float]] = {}  # pings for others: nonce to member, sent at
         self.relayed: dict[int, tuple[int, int, int, float]] = {}  # nonce to asker, its nonce, about, sent at
-        self.probe: tuple[int, int, float, bool] | None = None  # the round's ping: member, nonce, at, helped
+        self.probe: tuple[int, float, bool] | None = None  # the round's ping: member, at, others are asked
         self.next_at = now + PERIOD * self._chance()  # nothing in step
         self.ticked_at = now
         self.aware = 0  # rounds in a row, at the most MOST_AWARE - 1, in which nobody answered
@@ -119,9 +119,6 @@
         direct = sum(now - at <= span for i, at in enumerate(self.direct_at) if i != self.me)
         return direct, sum(now - at <= span for i, at in enumerate(self.news_at) if i != self.me)
 
-    def _may_live(self, i: int) -> bool:
-        return self.state[i] is State.ALIVE or not self.life[i]
-
     def alive(self) -> list[int]:
         return [i for i, state in enumerate(self.state) if state is State.ALIVE and i != self.me]
 
@@ -129,8 +126,8 @@
 
     @property
     def due(self) -> float:
-        if self.probe is not None and not self.probe[3]:
-            return min(self.next_at, self.probe[2] + self._wait())
+        if self.probe is not None and not self.probe[2]:
+            return min(self.next_at, self.probe[1] + self._wait())
         return self.next_at
 
     def _wait(self) -> float:
@@ -147,7 +144,7 @@
                 self.since[i] = now if state is State.SUSPECTED else self.since[i]
         self.ticked_at = now
         sends: list[Send] = []
-        if self.probe is not None and not self.probe[3] and now >= self.probe[2] + self._wait():
+        if self.probe is not None and not self.probe[2] and now >= self.probe[1] + self._wait():
             sends += self._ask_helpers(now)
         if now >= self.next_at:
             sends += self._next_round(now)
@@ -171,9 +168,8 @@
         self.relayed = {n: x for n, x in self.relayed.items() if x[3] > old}
         if (member := self._next()) is None or self.doubled:
             return []
-        send = self._ping(now, member, True)
-        self.probe = member, send.message.nonce, now, False
-        return [send]
+        self.probe = member, now, False
+        return [self._ping(now, member)]
 
     def _next(self) -> int | None:
         """The next of the shuffled round; silent members in a part of the rounds."""
@@ -195,14 +191,15 @@
     def _message(self, to: int, kind: Kind, about: int, nonce: int) -> Message:
         return Message(kind, self.me, self.life[self.me], about, nonce, self._updates(to), self._beats())
 
-    def _ping(self, now: float, member: int, of_round: bool) -> Send:
+    def _ping(self, now: float, member: int) -> Send:
         self.nonces = (self.nonces + 1) & 0xFFFFFFFF
-        self.out[self.nonces] = member, now, of_round
+        self.out[self.nonces] = member, now
         return Send(member, self._message(member, Kind.PING, member, self.nonces))
 
     def one_to_ask(self, now: float) -> int | None:
         """A member drawn among the living, or not heard of yet, for a question beside the round; or None."""
-        alive = [i for i in range(self.members) if i != self.me and self._may_live(i)]
+        alive = [i for i in range(self.members) if self.state[i] is State.ALIVE or not self.life[i]]
+        alive.remove(self.me)
         if not alive or self.doubled or not self.asks.take(now):
             return None
         return alive[int(self._chance() * len(alive))]
@@ -212,8 +209,8 @@
         return Message(kind, self.me, self.life[self.me], about, nonce)
 
     def _ask_helpers(self, now: float) -> list[Send]:
-        member, nonce, at, _ = self.probe
-        self.probe = member, nonce, at, True
+        member, at, _ = self.probe
+        self.probe = member, at, True
         helpers = [i for i in self.alive() if i != member]
         sends = []
         for _ in range(min(HELPERS, len(helpers))):
@@ -253,7 +250,7 @@
             if not self.answers.take(now) or len(self.relayed) >= MOST_RELAYED or m.about == self.me:
                 self.drop("too-many")
                 return [], None
-            send = self._ping(now, m.about, False)
+            send = self._ping(now, m.about)
             self.relayed[send.message.nonce] = m.sender, m.nonce, m.about, now
             return [send], None
         if m.kind is Kind.ACK:
--- a/tests/test_sharing_node.py
+++ b/tests/test_sharing_node.py
@@ -169,9 +169,9 @@
     d, s, m = shares()
     n, now = s.node, d.clock()
     n.part, n.rights.saved[ROOM_POT] = 8.0, 0.0
-    assert m.show(now).wants == []
+    assert m.wants(now) == []
     n.short_at = now
-    assert m.show(now).wants == [(ROOM, 8.0)] and m.show(now + 1000).wants == []
+    assert m.wants(now) == [(ROOM, 8.0)] and m.wants(now + 1000) == []
 
 
 def test_a_told_figure_stands_in_for_the_mean_and_ends():
