Ports that the rig deals out are kept from other rigs on the machine

Ports were drawn, looked at and let go; two runs side by side could draw the same one. The node then could not listen (code 1), and had been taken for ready before by the PONG of the other run's node, so the run began without it. Ruled out: a crash of the node (its datagrams never began, it never listened) and the peers' port, whose loss is only a line in the log. Change: each port is held by a bound socket while the run lasts, which its owner can listen beside and another rig cannot.

--- a/caperdeck/lab/part.py
+++ b/caperdeck/lab/part.py
@@ -21,7 +21,7 @@
 from .discovery import Discovery
 from .hosts import Host, HostPort
 from .links import Links
-from .ports import free_port
+from .ports import Ports
 from .relay import Relay
 from .scenario import Scenario, decode
 
@@ -70,11 +70,11 @@
 class HostsPart(Part):
     def do_open(self) -> dict[str, Any]:
         self.ports: dict[str, HostPort] = {}
-        taken: set[int] = set()
+        self.taken = Ports()
         for i, name in enumerate(self.scenario.host_names()):
             host = Host(self.scenario, name, self.seed * 1000 + i, self.emit)
             self.ports[name] = HostPort(reactor, host, self.now)
-            self.ports[name].listen("127.0.0.1", free_port(socket.SOCK_STREAM, taken))
+            self.ports[name].listen("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
         return {name: port.address for name, port in self.ports.items()}
 
     def do_host(self, name: str, what: str, amount: float) -> None:
--- a/caperdeck/lab/ports.py
+++ b/caperdeck/lab/ports.py
@@ -10,19 +10,40 @@
 TRIES = 1000
 
 
-def free_port(kind: int, taken: set[int]) -> int:
-    """A port under those that the kernel deals out, so that nobody is given it while its owner is away.
-
-    Raises OSError if none is found.
-    """
-    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
-        low = int(file.read().split()[0])
-    for _ in range(TRIES):
-        port = random.randrange(max(low - BELOW, 1024), low)
-        if port in taken:
-            continue
-        with socket.socket(socket.AF_INET, kind) as sock, suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            taken.add(port)
+class Ports:
+    """Each port dealt out is kept from other rigs on this machine while this object lives."""
+
+    def __init__(self) -> None:
+        self.kept: list[socket.socket] = []
+
+    def take(self, kind: int) -> int:
+        """A port under those that the kernel deals out, so that nobody is given it while its owner is away.
+
+        Raises OSError if none is found.
+        """
+        with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
+            low = int(file.read().split()[0])
+        for _ in range(TRIES):
+            port = random.randrange(max(low - BELOW, 1024), low)
+            # Danger: a port that is only looked at is drawn by another rig as well before its owner listens;
+            # a node is then taken for ready by the PONG of the other rig's, and cannot listen itself.
+            keeper = socket.socket()
+            try:
+                keeper.bind(("127.0.0.1", port))
+                # from now on its owner may listen there, as it sets this too; nobody else does
+                keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                if kind == socket.SOCK_DGRAM:
+                    with socket.socket(socket.AF_INET, kind) as sock:
+                        sock.bind(("127.0.0.1", port))
+            except OSError:
+                keeper.close()
+                continue
+            self.kept.append(keeper)
             return port
-    raise OSError("no free port")
+        raise OSError("no free port")
+
+    def close(self) -> None:
+        for keeper in self.kept:
+            with suppress(OSError):
+                keeper.close()
+        self.kept = []
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -18,7 +18,7 @@
 
 from .fleet import CLIENTS_FROM, LEAVES, Fleet
 from .history import Event
-from .ports import free_port
+from .ports import Ports
 from .scenario import MOST_PROCESSES, Scenario, ScenarioError, dump
 from .setup import node_config
 
@@ -97,6 +97,7 @@
         self.late = 0.0
         self.per_s = 0.0
         self.head: asyncio.Future | None = None
+        self.taken = Ports()
         self.failed: BaseException | None = None
 
     def now(self) -> float:
@@ -275,10 +276,10 @@
             self.parts[role] = Helper(self, role)
             await self.parts[role].start()
         ends = await self.parts["hosts"].ask("open")
-        self.doors, self.peers, taken = {}, {}, set()
+        self.doors, self.peers = {}, {}
         for n in nodes:
-            self.doors[n] = ("127.0.0.1", free_port(socket.SOCK_STREAM, taken))
-            self.peers[n] = ("127.0.0.1", free_port(socket.SOCK_DGRAM, taken))
+            self.doors[n] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
+            self.peers[n] = ("127.0.0.1", self.taken.take(socket.SOCK_DGRAM))
         self.listen = {n: "{}:{}".format(*address) for n, address in self.doors.items()}
         # agents tell the relay's addresses of hosts, and lie behind the relay themselves
         ways = [[n, h, ends[h]] for n in nodes for h in hosts]
@@ -341,6 +342,7 @@
                     process.kill()
         for process in everyone:
             await process.wait()
+        self.taken.close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, *(p.reader for p in self.parts.values()), return_exceptions=True)
--- a/caperdeck/lab/relay.py
+++ b/caperdeck/lab/relay.py
@@ -16,7 +16,7 @@
 from zope.interface import implementer
 
 from .links import Edge, Links, Pipe
-from .ports import free_port
+from .ports import Ports
 
 FIN, RST = object(), object()
 BACKLOG = 512
@@ -203,11 +203,11 @@
         self.ways: dict[tuple[str, str], Way] = {}
         self.wires: dict[tuple[str, str], Any] = {}
         self.peers: dict[str, Address] = {}
-        self.taken: set[int] = set()
+        self.taken = Ports()
 
     def way(self, a: str, b: str, target: Address) -> Address:
         way = self.ways[a, b] = Way(self, a, b, target)
-        way.address = ("127.0.0.1", free_port(socket.SOCK_STREAM, self.taken))
+        way.address = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
         return way.listen()
 
     def wire(self, a: str, b: str) -> Address:
--- a/tests/test_lab_links.py
+++ b/tests/test_lab_links.py
@@ -1,5 +1,6 @@
 """Links, pipes and the in-memory reactor: what a fault does to what is under way."""
 
+import socket
 import subprocess
 import sys
 
@@ -10,6 +11,7 @@
 
 from caperdeck.lab.links import Edge, Links, Pipe
 from caperdeck.lab.memory import World
+from caperdeck.lab.ports import Ports
 from caperdeck.lab.relay import Relay
 
 
@@ -243,6 +245,7 @@
 from twisted.internet import reactor
 from twisted.internet.protocol import Factory, Protocol
 from caperdeck.lab.links import Links
+from caperdeck.lab.ports import Ports
 from caperdeck.lab.relay import Relay
 class Echo(Protocol):
     def dataReceived(self, data): self.transport.write(data)
@@ -279,3 +282,19 @@
     run = [sys.executable, "-c", KNOCKS]
     done = subprocess.run(run, capture_output=True, text=True, timeout=60, check=False)
     assert done.stdout.split() == ["x", "TimeoutError", "x", "ConnectionRefusedError", "x"], done.stderr
+
+
+def test_a_port_that_is_dealt_out_is_kept_for_its_owner(monkeypatch):
+    """Two rigs at once drew the same port, and a node of one was taken for ready by the other's PONG."""
+    one, other = Ports(), Ports()
+    port = one.take(socket.SOCK_STREAM)
+    draws = iter([port, port, port + 1])
+    monkeypatch.setattr("caperdeck.lab.ports.random.randrange", lambda *_: next(draws, port + 2))
+    assert other.take(socket.SOCK_DGRAM) > port
+    for _ in range(2):  # also once its owner has come back
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(("127.0.0.1", port))
+            sock.listen()
+    one.close()
+    other.close()
