--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -1,9 +1,14 @@
 """caperdeck: a balancer for long-lived connections.
 
 Usage:
-  caperdeck serve [--config=FILE] [--log-level=LEVEL] [--sharing=FILE]
-  caperdeck check [--config=FILE] [--sharing=FILE]
+  caperdeck serve [--config=FILE] [--log-level=LEVEL] [--sharing=FILE] [--owners=FILE]
+  caperdeck check [--config=FILE] [--sharing=FILE] [--owners=FILE]
   caperdeck peers show ADDRESS
+  caperdeck owner serve --config=FILE [--log-level=LEVEL]
+  caperdeck owner status --config=FILE
+  caperdeck owner hand-over WORK TO --config=FILE
+  caperdeck owner release WORK --config=FILE
+  caperdeck owner (add | remove | lead) NUMBER --config=FILE
   caperdeck version
   caperdeck lab fleet SCENARIO [--seed=N] [--virtual] [--json=FILE] [--logs=DIR]
   caperdeck lab search SCENARIO [--runs=N] [--seed=N] [--out=FILE]
@@ -16,6 +21,9 @@
   serve    Run one node until SIGTERM; SIGHUP makes it read its configuration again.
   check    Read the configuration and say whether a node could start on it.
   peers    Print what a node shares with its peers, by the figures of its second address (docs/peers.md).
+  owner    Instances that agree on who owns work on behalf of the fleet (docs/owner.md): serve runs one,
+           status prints all, hand-over gives work to another, release ends a lease whatever its owner does,
+           add and remove change who agrees, lead hands the lead to one.
   version  Print the version.
   lab      Run many copies of the program with faults between them (docs/lab.md): fleet plays a scenario,
            search looks for faults that break a rule, compare measures one way against another, report draws
@@ -24,6 +32,7 @@
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
   --sharing=FILE     What the node shares with its peers, TOML (deploy/sharing.toml); nothing if not given.
+  --owners=FILE      The instances whose owners may act on this node, TOML (deploy/owners.toml).
   --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
   --seed=N           Of all draws of a run; the scenario's own otherwise.
   --virtual          In virtual time, in this process, instead of real processes.
@@ -70,7 +79,9 @@
         time.sleep(STEP)
 
 
-def serve(config: Config, level: str, path: str | None, uses: Any = None) -> int:
+def serve(
+    config: Config, level: str, path: str | None, uses: Any = None, owners: Any = None,
+) -> int:  # fmt: skip
     load_in_steps()
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
@@ -80,7 +91,7 @@
     from caperdeck.ops.bans import BansError
 
     sink, reread = start_logging(level), lambda: reload_config(os.environ, path)
-    service = Service(reactor, config, sink, reread, uses=uses)
+    service = Service(reactor, config, sink, reread, uses=uses, owners=owners)
     try:
         service.start()
     except BansError as error:
@@ -115,27 +126,39 @@
         from caperdeck.ops.show import show_peers
 
         return show_peers(arguments["ADDRESS"])
+    if arguments["owner"] and not arguments["serve"]:
+        from caperdeck.owner.commands import main as command
+
+        return command(arguments)
     level = arguments["--log-level"].upper()
     if level not in LEVELS:
         print(f"caperdeck: --log-level is one of {', '.join(LEVELS)}", file=sys.stderr)
         return 2
+    if arguments["owner"]:
+        from caperdeck.owner.process import serve as serve_owner
+
+        return serve_owner(arguments["--config"], level)
     if arguments["serve"]:
         # Danger: a SIGHUP that comes while the node starts would end it; the file is read after this.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load_config(os.environ, arguments["--config"])
-        uses = None
+        uses = owners = None
         if arguments["--sharing"]:
             from caperdeck.lifecycle.sharing import load_uses
 
             uses = load_uses(arguments["--sharing"])
+        if arguments["--owners"]:
+            from caperdeck.lifecycle.owners import load
+
+            owners = load(arguments["--owners"], config)
     except ConfigError as error:
         print(f"caperdeck: {error}", file=sys.stderr)
         return 2
     if arguments["check"]:
         print(f"node {config.name}: {len(config.names.listeners)} classes, {len(config.known)} known hosts")
         return 0
-    return serve(config, level, arguments["--config"], uses)
+    return serve(config, level, arguments["--config"], uses, owners)
 
 
 def script() -> None:
--- a/caperdeck/lab/faults.py
+++ b/caperdeck/lab/faults.py
@@ -12,7 +12,7 @@
 
 from .history import Event
 from .links import Links
-from .scenario import ON_LINKS, Fault, Scenario
+from .scenario import HOLDER, LEADER, ON_LINKS, Fault, Scenario
 
 BACK = (500.0, 1500.0)  # until a killed process is started again where the fault does not say
 DUTY = 0.1  # seconds of one turn of a slowed process
@@ -47,6 +47,9 @@
 
     def alive(self, node: str) -> bool: ...
 
+    def standing_for(self, role: str) -> str | None:
+        """The instance that leads, or holds a work, just now."""
+
     def changed(self, a: str, b: str) -> None: ...
 
 
@@ -104,6 +107,9 @@
         if fault.do == "cut-zone":
             zone = self.scenario.matching(f"zone:{fault.of}")
             return [p for p in zone if p[0] in "nh"]
+        if fault.of == LEADER or fault.of.startswith(HOLDER):
+            found = self.hands.standing_for(fault.of)
+            return [] if found is None else [found]
         parts = self.scenario.matching(fault.of)
         if fault.do in ("mass-kill", "mass-restart"):
             nodes = [p for p in parts if p[0] == "n"]
@@ -132,7 +138,7 @@
             if on:
                 self._roll([p for p in parts if p[0] == "n"], max(fault.amount, 0.01))
         else:
-            self._on_nodes(fault, [p for p in parts if p[0] == "n"], on)
+            self._on_nodes(fault, [p for p in parts if p[0] in "no"], on)
 
     def _on_nodes(self, fault: Fault, nodes: Iterable[str], on: bool) -> None:
         hands, do = self.hands, fault.do
--- a/caperdeck/lab/fleet.py
+++ b/caperdeck/lab/fleet.py
@@ -9,7 +9,7 @@
 from .faults import NOTICE, Timeline
 from .history import Event, History
 from .links import Links
-from .scenario import Scenario
+from .scenario import HOLDER, LEADER, Scenario
 
 READY = 0.5  # seconds from a node's start until the front has taken it in
 CLIENTS_FROM = 1.0  # seconds from the start of the run until the first client comes
@@ -34,6 +34,8 @@
         self.lives: dict[str, int] = {}
         self.skews: dict[str, tuple[float, float]] = {}
         self.host_lives: dict[str, int] = dict.fromkeys(scenario.host_names(), 0)
+        self.roles: dict[str, str] = {}  # who leads the instances, who holds a work
+        self.history.watchers.append(self._mind_roles)
 
     @property
     def length(self) -> float:
@@ -45,9 +47,23 @@
             if fault.do == "clock" and fault.at == 0:
                 self.timeline.begin(i)
 
+    def _mind_roles(self, event: Event) -> None:
+        if event["ev"] == "leader" and event["leader"] == event["who"]:
+            self.roles[LEADER] = event["who"]
+        elif event["ev"] == "held":
+            self.roles[HOLDER + event["work"]] = event["who"]
+
+    def standing_for(self, role: str) -> str | None:
+        return self.roles.get(role)
+
+    def life(self, name: str, state: str, **values: Any) -> None:
+        """What has become of a process: a node's, or an instance's."""
+        self.history.emit("instance" if name[0] == "o" else "life", who=name, state=state, **values)
+
     def gone(self, node: str, state: str) -> None:
-        self.history.emit("life", who=node, state=state)
-        self.front("died", node)
+        self.life(node, state)
+        if node[0] == "n":
+            self.front("died", node)
 
     def clock(self, node: str, offset: float, drift: float) -> None:
         """Takes effect with the node's next start."""
--- a/caperdeck/lab/launch.py
+++ b/caperdeck/lab/launch.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import ctypes
+import json
 import os
 import signal
 import sys
 import time
+from typing import Any
 
 PR_SET_PDEATHSIG = 1
 
@@ -20,12 +22,33 @@
     wall_from, steady_from = wall(), steady()
     time.time = lambda: wall_from + (wall() - wall_from) * rate + offset / 1000.0
     time.monotonic = lambda: steady_from + (steady() - steady_from) * rate
+    booted, gettime = time.clock_gettime(time.CLOCK_BOOTTIME), time.clock_gettime
+    time.clock_gettime = lambda clock: booted + (gettime(clock) - booted) * rate
+
+
+def tell(fd: int) -> None:
+    """What the program notes with an `event` goes to that descriptor too, a JSON object a line."""
+    import caperdeck.lifecycle.logs as logs
+
+    start, steady = logs.start_logging, time.monotonic
+
+    def write(message: Any) -> None:
+        event = message.record["extra"]["event"] | {"mono": steady() * 1000.0}
+        os.write(fd, json.dumps(event).encode() + b"\n")
+
+    def start_logging(level: str) -> Any:
+        sink = start(level)
+        logs.logger.add(write, level="DEBUG", filter=lambda r: "event" in r["extra"], catch=True)
+        return sink
+
+    logs.start_logging = start_logging
 
 
 def main() -> int:
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     if os.getppid() == 1:
         return 1
+    tell(int(os.environ["LAB_EVENTS"]))
     offset, drift = float(os.environ["LAB_OFFSET"]), float(os.environ["LAB_DRIFT"])
     if offset or drift:
         skew(offset, drift)
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import msgspec
+import tomli_w
 
 from .fleet import CLIENTS_FROM, LEAVES, Fleet
 from .history import Event
@@ -25,7 +26,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 START = 20.0  # seconds in which a part has to open, and a node to answer PING, on a busy machine
 HEADROOM = 2.0  # times the scenario's rate at least, as the relay measured it
-NODE_ARGS = ("-B", "-m", "caperdeck.lab.launch", "serve")
+NODE_ARGS = ("-B", "-m", "caperdeck.lab.launch")
+SPAN = 1500.0  # milliseconds of a lease
 
 
 class VoidError(Exception):
@@ -134,42 +136,101 @@
 
     def start(self, node: str) -> None:
         if not self.alive(node):
-            self.tasks.append(asyncio.ensure_future(self._start(node)))
+            start = self._start if node[0] == "n" else self._start_owner
+            self.tasks.append(asyncio.ensure_future(start(node)))
+
+    async def _start_owner(self, name: str) -> None:
+        life = self.lives[name] = self.lives.get(name, 0) + 1
+        path = Path(self.folder) / f"{name}.toml"
+        path.write_text(tomli_w.dumps({
+            "cluster": "lab", "me": int(name[1:]), "folder": str(Path(self.folder) / f"{name}-disk"),
+            "listen": self.listen[name], "instances": self.seen_owners[name], "span": SPAN,
+            "nodes": self.seen_admins[name],
+        }))  # fmt: skip
+        process = await self._spawn(name, ["owner", "serve", f"--config={path}"])
+        began = time.monotonic()
+        while time.monotonic() - began < START and process.returncode is None:
+            if await self._opens(*self.doors[name]):
+                self.parts["relay"].tell("down", name=name, down=False)
+                self.life(name, "up", life=life)
+                return
+            await asyncio.sleep(0.02)
+        self._say_crash(name, process)
+
+    async def _opens(self, host: str, port: int) -> bool:
+        try:
+            _, writer = await asyncio.open_connection(host, port)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    async def _spawn(self, name: str, words: list[str], **environment: str) -> Any:
+        """A process of the program, whose events come in by a pipe of its own."""
+        offset, drift = self.skews.get(name, (0.0, 0.0))
+        reading, writing = os.pipe()
+        environment |= {"LAB_OFFSET": str(offset), "LAB_DRIFT": str(drift), "LAB_EVENTS": str(writing)}
+        try:
+            with open(Path(self.logs or self.folder) / f"{name}.log", "ab") as log:
+                process = self.processes[name] = await asyncio.create_subprocess_exec(
+                    sys.executable, *NODE_ARGS, *words, cwd=ROOT, env=os.environ | environment,
+                    stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, pass_fds=(writing,),
+                )  # fmt: skip
+        finally:
+            os.close(writing)
+        self.tasks.append(asyncio.ensure_future(self._hear(name, reading)))
+        self.tasks.append(asyncio.ensure_future(self._await_exit(name, process)))
+        return process
+
+    async def _hear(self, name: str, reading: int) -> None:
+        """What the process itself tells of leases and acts, in the order in which it happened there."""
+        reader = asyncio.StreamReader()
+        pipe = os.fdopen(reading, "rb", 0)
+        transport, _ = await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), pipe)
+        try:
+            while (line := await reader.readline()).endswith(b"\n"):
+                event = msgspec.json.decode(line)
+                event["t"], event["who"] = round(event.pop("mono") - self.origin, 3), name
+                self.history.take(event)
+        finally:
+            transport.close()
+
+    def _say_crash(self, name: str, process: Any) -> None:
+        if process.returncode is None or process.returncode > 0:
+            log = Path(self.logs or self.folder) / f"{name}.log"
+            text = log.read_bytes()[-300:].decode("utf-8", "replace")
+            self.history.emit("crash", who=name, code=process.returncode, text=text)
 
     async def _start(self, node: str) -> None:
         life = self.lives[node] = self.lives.get(node, 0) + 1
         config = node_config(
             self.scenario, node, self.listen[node], self.agents[node], life, self.seed, self.seen_peers[node],
-            self.everyone[node], "{}:{}".format(*self.peers[node]),
+            self.everyone[node], "{}:{}".format(*self.peers[node]), admin=self.admins.get(node),
         )  # fmt: skip
         path = Path(self.folder) / f"{node}.json"
         path.write_bytes(msgspec.json.encode(config))
         scratch = Path(self.folder) / f"{node}-{life}"
         scratch.mkdir()
-        offset, drift = self.skews.get(node, (0.0, 0.0))
-        environment = os.environ | {
-            "EDGE_CONFIG": str(path), "TMPDIR": str(scratch),
-            "LAB_OFFSET": str(offset), "LAB_DRIFT": str(drift),
-        }  # fmt: skip
-        with open(Path(self.logs or self.folder) / f"{node}.log", "ab") as log:
-            process = self.processes[node] = await asyncio.create_subprocess_exec(
-                sys.executable, *NODE_ARGS, *self.sharing(), cwd=ROOT, env=environment,
-                stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-            )  # fmt: skip
-        self.tasks.append(asyncio.ensure_future(self._await_exit(node, process)))
+        words = ["serve", *self.sharing(), *self.owners(node)]
+        process = await self._spawn(node, words, EDGE_CONFIG=str(path), TMPDIR=str(scratch))
         began = time.monotonic()
         host, port = self.doors[node]
         while time.monotonic() - began < START and process.returncode is None:
             if await self._pings(host, port):
                 self.parts["relay"].tell("down", name=node, down=False)
-                self.history.emit("life", who=node, state="up", life=life)
+                self.life(node, "up", life=life)
                 self.front("ready", node)
                 return
             await asyncio.sleep(0.02)
-        if process.returncode is None or process.returncode > 0:
-            log = Path(self.logs or self.folder) / f"{node}.log"
-            text = log.read_bytes()[-300:].decode("utf-8", "replace")
-            self.history.emit("crash", who=node, code=process.returncode, text=text)
+        self._say_crash(node, process)
+
+    def owners(self, node: str) -> list[str]:
+        if not self.scenario.owners:
+            return []
+        path = Path(self.folder) / f"{node}-owners.toml"
+        path.write_text(tomli_w.dumps({"cluster": "lab", "instances": self.seen_owners[node]}))
+        return [f"--owners={path}"]
 
     def sharing(self) -> list[str]:
         uses = self.scenario.uses()
@@ -214,16 +275,17 @@
 
     def terminate(self, node: str) -> None:
         if self._signal(node, signal.SIGTERM):
-            self.history.emit("life", who=node, state="stopping")
-            self.later(LEAVES, self.front, "leaves", node)
+            self.life(node, "stopping")
+            if node[0] == "n":
+                self.later(LEAVES, self.front, "leaves", node)
 
     def stop(self, node: str) -> None:
         if self._signal(node, signal.SIGSTOP):
-            self.history.emit("life", who=node, state="asleep")
+            self.life(node, "asleep")
 
     def wake(self, node: str) -> None:
         if self.alive(node):
-            self.history.emit("life", who=node, state="awake")
+            self.life(node, "awake")
             self._signal(node, signal.SIGCONT)
 
     def front(self, what: str, node: str) -> None:
@@ -280,13 +342,26 @@
         for n in nodes:
             self.doors[n] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
             self.peers[n] = ("127.0.0.1", self.taken.take(socket.SOCK_DGRAM))
+        owners, second = s.owner_names(), {}
+        for o in owners:
+            self.doors[o] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
+        if owners:
+            second = {n: ("127.0.0.1", self.taken.take(socket.SOCK_STREAM)) for n in nodes}
         self.listen = {n: "{}:{}".format(*address) for n, address in self.doors.items()}
+        self.admins = {n: "{}:{}".format(*address) for n, address in second.items()}
         # agents tell the relay's addresses of hosts, and lie behind the relay themselves
         ways = [[n, h, ends[h]] for n in nodes for h in hosts]
         ways += [["clients", n, self.doors[n]] for n in nodes]
+        ways += [[a, o, self.doors[o]] for a in owners + nodes for o in owners if a != o]
+        ways += [[o, n, second[n]] for o in owners for n in nodes]
         opened = await self.parts["relay"].ask("open", ways=ways, peers=self.peers)
         at = {(a, b): address for a, b, address in opened["streams"]}
         places = {n: {h: "{}:{}".format(*at[n, h]) for h in hosts} for n in nodes}
+        self.seen_owners = {
+            a: {o[1:]: self.listen[o] if a == o else "{}:{}".format(*at[a, o]) for o in owners}
+            for a in owners + nodes
+        }  # fmt: skip
+        self.seen_admins = {o: {n: "{}:{}".format(*at[o, n]) for n in nodes} for o in owners}
         agents = await self.parts["agents"].ask("open", places=places)
         more = await self.parts["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
         self.agents = {a: "{}:{}".format(*address) for a, _, address in more}
@@ -305,7 +380,8 @@
 
     async def _play(self) -> None:
         self.skew_from_the_start()
-        await asyncio.gather(*(self._start(n) for n in self.scenario.node_names()))
+        owners = [self._start_owner(o) for o in self.scenario.owner_names()]
+        await asyncio.gather(*(self._start(n) for n in self.scenario.node_names()), *owners)
         if any(e["ev"] == "crash" for e in self.history.events):
             return
         await self._zero()
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -14,6 +14,8 @@
 
 MOST_NODES, MOST_HOSTS, MOST_SECONDS, MOST_RATE, MOST_FAULTS = 400, 200, 300.0, 5000.0, 200
 MOST_PROCESSES = 12  # nodes as real processes
+MOST_OWNERS = 7
+LEADER, HOLDER = "leader", "holder:"  # for a fault: whoever leads the instances, or holds a work, just then
 
 
 class ScenarioError(Exception):
@@ -111,6 +113,7 @@
     clients: Clients = field(default_factory=Clients)
     rules: Rules = field(default_factory=Rules)
     net: Net = field(default_factory=Net)
+    owners: int = 0  # instances that agree on owners of work on behalf of the fleet
     sharing: list[str] | None = None  # what the nodes share: uses by name; none of them is membership alone
     fault: list[Fault] = field(default_factory=list)
 
@@ -123,6 +126,9 @@
     def host_names(self) -> list[str]:
         return [f"h{i}" for i in range(self.hosts.count)]
 
+    def owner_names(self) -> list[str]:
+        return [f"o{i}" for i in range(self.owners)]
+
     def zone_of(self, name: str) -> str:
         """Nodes, hosts and agents are dealt out over the zones in turn."""
         digits = "".join(c for c in name if c.isdigit())
@@ -136,7 +142,7 @@
 
     def parts(self) -> list[str]:
         nodes, hosts = self.node_names(), self.host_names()
-        return nodes + hosts + [f"d{n[1:]}" for n in nodes] + ["clients"]
+        return nodes + hosts + [f"d{n[1:]}" for n in nodes] + ["clients"] + self.owner_names()
 
     def matching(self, pattern: str) -> list[str]:
         """The parts that a pattern names: wildcards, or `zone:NAME`."""
@@ -203,7 +209,7 @@
     for where, value, most in (
         ("nodes", s.nodes, MOST_NODES), ("hosts.count", s.hosts.count, MOST_HOSTS),
         ("seconds", s.seconds, MOST_SECONDS), ("clients.rate", s.clients.rate, MOST_RATE),
-        ("fault", len(s.fault), MOST_FAULTS),
+        ("fault", len(s.fault), MOST_FAULTS), ("owners", s.owners, MOST_OWNERS),
     ):  # fmt: skip
         if value > most:
             yield where, f"{value} is over {most}"
@@ -232,11 +238,13 @@
     if f.do == "cut-zone":
         if f.of not in s.zones:
             yield "of", f"no zone {f.of!r}"
+    elif s.owners and (f.of == LEADER or f.of.startswith(HOLDER)):
+        parts = set(s.owner_names())
     elif not parts:
         yield "of", f"nothing is named {f.of!r}"
-    elif f.do == "kill" and not parts & {*s.node_names(), *s.host_names()}:
+    elif f.do == "kill" and not parts & {*s.node_names(), *s.host_names(), *s.owner_names()}:
         yield "of", f"no node or host is named {f.of!r}"
-    elif f.do in ON_NODES and not parts & set(s.node_names()):
+    elif f.do in ON_NODES and not parts & {*s.node_names(), *s.owner_names()}:
         yield "of", f"no node is named {f.of!r}"
     elif f.do in ON_HOSTS and not parts & set(s.host_names()):
         yield "of", f"no host is named {f.of!r}"
--- a/caperdeck/lab/setup.py
+++ b/caperdeck/lab/setup.py
@@ -15,7 +15,7 @@
 def node_config(
     scenario: Scenario, name: str, listen: str, discovery: str, life: int, seed: int,
     peers: Iterable[str] = (), peers_all: str = "", peer_listen: str = "",
-    settings: dict[str, Any] | None = None,
+    settings: dict[str, Any] | None = None, admin: str | None = None,
 ) -> dict[str, Any]:  # fmt: skip
     """One node's configuration; its seed is new with each life."""
     c, r, h = scenario.clients, scenario.rules, scenario.hosts
@@ -36,6 +36,7 @@
         "name": name, "listen": listen, "discovery": discovery, "seed": f"{mark:016x}",
         "limits": {"cores": 1.0, "memory_mb": 256, "sockets": SOCKETS},
         "known": {"rev": 0, "all": True, "targets": []},
+        **({"admin_addr": admin} if admin else {}),
         "peer_listen": peer_listen, "peers": list(peers), "peers_all": peers_all,
         "settings": {
             "fleetSize": scenario.nodes, "me": int(name[1:]),
--- /dev/null
+++ b/caperdeck/leases/census.py
@@ -0,0 +1,141 @@
+"""The census: how many nodes live and what share of the whole each holds, in numbered epochs.
+
+A node that has been told nothing holds a floor, a half of an equal share. The rest is dealt out by traffic.
+The sum of all shares never passes 1, and no clock is in that: `held` is the most that a node may hold, it is
+committed before a share grows, and falls only when the node itself has said that it holds less. A node
+that does not answer keeps its share unused by others, until its next life says that it begins at the floor.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from .rounds import Rounds
+from .runner import Act, Keep
+from .target import CENSUS, FLOOR
+
+EVERY = 1000.0  # a round
+LIVES = 3000.0  # a node that was asked so long ago at the most and answered
+MOVED = 0.2  # of a share: a smaller change of traffic makes no new epoch
+LEAST = 2000.0  # between epochs
+SMOOTH = 0.3  # weight of the newest rate
+CLOSE = 1e-9
+
+
+class Census:
+    name = CENSUS
+
+    def __init__(self, nodes: list[str], seed: int) -> None:
+        self.nodes, self.seed = nodes, seed
+        self.begin(0.0, None)
+
+    def begin(self, now: float, state: str | None) -> None:
+        told = orjson.loads(state) if state else {}
+        self.epoch: int = told.get("epoch", 0)
+        floor = FLOOR / len(self.nodes)
+        self.want: dict[str, float] = told.get("want", {})  # shares of this epoch, by node
+        self.living: int = told.get("living", 0)
+        # Danger: a node that the file names anew was at its floor all along, whoever owned the work.
+        self.held: dict[str, float] = dict.fromkeys(self.nodes, floor) | told.get("held", {})
+        self.lives: dict[str, int] = {}
+        self.rounds = Rounds(self.nodes, EVERY, self.seed, now)
+        self.rates: dict[str, tuple[int, int, float, float]] = {}  # life, tries, when, a second
+        self.told: dict[str, int] = {}  # the epoch that a node has taken up
+        self.changed_at = now
+        self.dirty = False  # held has grown, or there is a new epoch: to be committed before it is told
+
+    @property
+    def due(self) -> float:
+        return self.rounds.due
+
+    def dump(self) -> str:
+        kept = {"epoch": self.epoch, "want": self.want, "living": self.living, "held": self.held}
+        return orjson.dumps(kept).decode()
+
+    # ---- the runner's calls
+
+    def turn(self, now: float) -> Keep | list[Act]:
+        self._plan(now)
+        self._grow()
+        if self.dirty:
+            return Keep(self.dump())
+        acts = []
+        for node in self.rounds.next(now):
+            body = self._body(node)
+            self.rounds.sent(now, node, body)
+            acts.append(Act(node, body))
+        return acts
+
+    def kept(self, now: float) -> None:
+        self.dirty = False
+
+    def _body(self, node: str) -> dict[str, Any]:
+        want = self.want.get(node)
+        life = self.lives.get(node)
+        if want is None or life is None or want > self.held[node] + CLOSE:
+            # nothing of this epoch may be told yet; the question alone
+            return {"epoch": 0, "share": 0.0, "living": 0, "life": 0}
+        return {"epoch": self.epoch, "share": want, "living": self.living, "life": life}
+
+    def answered(self, now: float, target: str, reply: Any) -> None:
+        body = self.rounds.came(target, reply)
+        if reply is None:
+            return
+        self._rate(now, target, reply)
+        self.told[target] = reply["epoch"]
+        self.lives[target] = reply["life"]
+        # Danger: a share that was told under this epoch may be under way to the node still, and grow there;
+        # only what the node says after the epoch's own word is its last.
+        if body["epoch"] == self.epoch and reply["epoch"] == self.epoch:
+            self.held[target] = reply["share"]
+        wanted = self.want.get(target)
+        if wanted is not None and self.told[target] != self.epoch and wanted <= self.held[target] + CLOSE:
+            self.rounds.soon(now, target)
+
+    def _rate(self, now: float, node: str, reply: dict[str, Any]) -> None:
+        last, rate = self.rates.get(node), 0.0
+        if last is not None and last[0] == reply["life"] and now > last[2]:
+            rate = last[3] + SMOOTH * ((reply["tries"] - last[1]) * 1000.0 / (now - last[2]) - last[3])
+        self.rates[node] = reply["life"], reply["tries"], now, max(rate, 0.0)
+
+    # ---- epochs
+
+    def _plan(self, now: float) -> None:
+        """A new epoch where other nodes live, or traffic has moved."""
+        heard = self.rounds.heard(now, LIVES)
+        settled = all(self.told.get(n) == self.epoch for n in heard if n in self.want)
+        if not heard or now - self.changed_at < LEAST or not (settled or now - self.changed_at > 3 * LIVES):
+            return
+        living = [n for n in self.nodes if n in heard]
+        share = self._shares(living)
+        known = [n for n in living if n in self.want]
+        moved = any(abs(share[n] - self.want[n]) > MOVED * self.want[n] for n in known)
+        # a new life holds the floor and has to be told its share again
+        anew = any(heard[n]["epoch"] < self.epoch and self.told.get(n) != self.epoch for n in known)
+        if len(known) == len(living) == len(self.want) and not moved and not anew:
+            return
+        self.epoch += 1
+        self.want, self.living, self.changed_at, self.dirty = share, len(living), now, True
+        for node in living:
+            self.rounds.soon(now, node)
+
+    def _shares(self, living: list[str]) -> dict[str, float]:
+        floor = FLOOR / len(self.nodes)
+        # what a silent node may hold over its floor is nobody else's
+        silent = sum(max(self.held[n] - floor, 0.0) for n in self.nodes if n not in living)
+        rest = max(1.0 - FLOOR - silent, 0.0)
+        mean = sum(self.rates.get(n, (0, 0, 0, 0.0))[3] for n in living) / len(living)
+        weight = {n: 0.5 * mean + 0.5 * self.rates.get(n, (0, 0, 0, 0.0))[3] if mean else 1.0 for n in living}
+        total = sum(weight.values())
+        return {n: floor + rest * weight[n] / total for n in living}
+
+    def _grow(self) -> None:
+        """Lets shares grow as far as others have given theirs back."""
+        free = 1.0 - sum(self.held.values())
+        for node in self.nodes:
+            more = self.want.get(node, 0.0) - self.held[node]
+            if CLOSE < more <= free + CLOSE:
+                self.held[node], self.dirty = self.want[node], True
+                free -= more
--- a/caperdeck/leases/holding.py
+++ b/caperdeck/leases/holding.py
@@ -30,6 +30,10 @@
         """Checked just before each act, and by the act's target again, by its token."""
         return self.token > 0 and now < self.until
 
+    @property
+    def renew_at(self) -> float:
+        return self.until - self.span * (1 - DRIFT) * (1 - RENEW_AT)
+
     def ask(self, now: float) -> dict[str, Any] | None:
         """Acquires where nothing is held, renews in time; None where there is nothing to ask yet."""
         if self.token and now >= self.until:
@@ -38,7 +42,7 @@
         if not self.token:
             self.asked_at = now
             return {"do": "acquire", "work": self.work, "holder": self.name, "span": self.span}
-        if now < self.until - self.span * (1 - DRIFT) * (1 - RENEW_AT):
+        if now < self.renew_at:
             return None
         return {"do": "renew", "work": self.work, "token": self.token}
 
--- /dev/null
+++ b/caperdeck/leases/runner.py
@@ -0,0 +1,211 @@
+"""Owned work, whatever it is: take the lease, go on from what the last owner committed, act under the token.
+
+A pure state machine: time and answers in; commands to propose, acts to send and what to note out. Nothing is
+done under a state that is not committed, and nothing is sent without a look at the lease just before; what is
+late all the same is refused where it acts, by its token.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any, NamedTuple, Protocol
+
+from caperdeck.core.chance import chance
+
+from .holding import RETRY, Holder
+
+LEASE, STATE = 0, 1  # a runner's two client sessions: one command of each is under way at a time
+ASK_AGAIN = (0.1, 0.3)  # of a span, while somebody else holds the work
+
+
+class Keep(NamedTuple):
+    """A work's state, to be committed before anything else is done."""
+
+    state: str
+
+
+class Act(NamedTuple):
+    target: str
+    body: dict[str, Any]
+    token: int = 0
+
+
+class Propose(NamedTuple):
+    session: int
+    serial: int
+    command: dict[str, Any]
+
+
+class Note(NamedTuple):
+    """Something that operators and histories are told."""
+
+    what: str  # held, lost, act, acted, refused
+    token: int
+    target: str = ""
+    reason: str = ""
+    body: Any = None
+
+
+class Work(Protocol):
+    """Steps that may be repeated; an act that got no answer may have been carried out, or be so later."""
+
+    name: str
+
+    @property
+    def due(self) -> float: ...
+
+    def begin(self, now: float, state: str | None) -> None: ...
+
+    def turn(self, now: float) -> Keep | list[Act]: ...
+
+    def kept(self, now: float) -> None: ...
+
+    def answered(self, now: float, target: str, reply: Any) -> None: ...
+
+
+class Command:
+    """A proposal under way, sent again under its own number until its answer is known."""
+
+    __slots__ = ("serial", "command", "asked_at", "sent_at")
+
+    def __init__(self, serial: int, command: dict[str, Any], now: float) -> None:
+        self.serial, self.command, self.asked_at, self.sent_at = serial, command, now, now
+
+
+class Runner:
+    def __init__(self, work: Work, name: str, span: float, seed: int) -> None:
+        self.work, self.holder, self.seed, self.draws = work, Holder(work.name, name, span), seed, 0
+        self.token = 0  # under which the work runs
+        self.pending: list[Command | None] = [None, None]
+        self.serials = [0, 0]
+        self.ask_at = 0.0
+        self.elsewhere = False  # as far as this instance knows, somebody else holds the work
+        self.wish: dict[str, Any] | None = None  # to give the work back or hand it over
+        self.out: list[Propose | Act | Note] = []
+        self.refused: dict[str, int] = {}
+
+    @property
+    def due(self) -> float:
+        """When to be called next, with nothing coming in."""
+        span = self.holder.span
+        times = [c.sent_at + span * RETRY for c in self.pending if c is not None]
+        if self.pending[LEASE] is None:
+            times.append(self.holder.renew_at if self.token else self.ask_at)
+        if self.token:
+            times += [self.holder.until, self.work.due if self.pending[STATE] is None else math.inf]
+        return min(times)
+
+    def tick(self, now: float) -> list[Propose | Act | Note]:
+        self._mind_lease(now)
+        for session in (LEASE, STATE):
+            command = self.pending[session]
+            if command is not None and now - command.sent_at >= self.holder.span * RETRY:
+                command.sent_at = now
+                self.out.append(Propose(session, command.serial, command.command))
+        if self.token and self.pending[STATE] is None:
+            self._turn(now)
+        out, self.out = self.out, []
+        return out
+
+    # ---- the lease
+
+    def _mind_lease(self, now: float) -> None:
+        holder = self.holder
+        if self.token and not holder.may_act(now):
+            self._stop(holder.lost or "ended")
+        pending = self.pending[LEASE]
+        if pending is not None and now - pending.asked_at >= holder.span:
+            # Danger: a grant counts from when it was first asked for; past a span its answer gives nothing.
+            pending = self.pending[LEASE] = None
+        if pending is not None or (not holder.token and now < self.ask_at):
+            return
+        if not holder.token and self.elsewhere:
+            # it costs the agreement an entry a question to be told so
+            self._pause(now)
+            return
+        command = holder.ask(now)
+        if holder.token and self.wish is not None:
+            command, self.wish = self.wish | {"work": self.work.name, "token": holder.token}, None
+            self._stop(command["do"])
+            holder.token, self.ask_at = 0, now + holder.span
+        if command is not None:
+            self._propose(now, LEASE, command)
+
+    def _propose(self, now: float, session: int, command: dict[str, Any]) -> None:
+        self.serials[session] += 1
+        self.pending[session] = Command(self.serials[session], command, now)
+        self.out.append(Propose(session, self.serials[session], command))
+
+    def answer(self, now: float, session: int, serial: int, result: Any) -> None:
+        """What became of a proposal; None is not known, and it is asked again in its time."""
+        command = self.pending[session]
+        if command is None or command.serial != serial or result is None:
+            return
+        self.pending[session] = None
+        if session == LEASE:
+            self._leased(now, command, result)
+        elif "no" in result:
+            # Danger: the state did not stand; acts that rest on it would be another owner's to make.
+            self._lose(result["no"])
+        elif self.token == command.command["token"]:
+            self.work.kept(now)
+
+    def _leased(self, now: float, command: Command, result: dict[str, Any]) -> None:
+        if command.command["do"] in ("acquire", "renew"):
+            self.holder.answered(now, command.asked_at, result)
+        if not self.holder.token:
+            self._pause(now)
+        if self.token != self.holder.token:
+            self._stop(self.holder.lost or "granted-anew")
+            if self.holder.may_act(now):
+                self.token = self.holder.token
+                self.out.append(Note("held", self.token))
+                self.work.begin(now, self.holder.state)
+
+    def _pause(self, now: float) -> None:
+        low, high = ASK_AGAIN
+        self.draws += 1
+        wait = self.holder.span * (low + (high - low) * chance(self.seed, self.draws))
+        self.ask_at = max(self.ask_at, now + wait)
+
+    def _stop(self, reason: str) -> None:
+        """Nothing more is done under the token; answers to what is under way are not taken."""
+        if self.token:
+            self.out.append(Note("lost", self.token, reason=reason))
+            self.token, self.pending[STATE] = 0, None
+
+    def _lose(self, reason: str) -> None:
+        self.holder.token, self.holder.lost = 0, reason
+        self._stop(reason)
+
+    def leave(self, to: str | None) -> str | None:
+        """Gives the work back, or hands it over; the reason if it is not held."""
+        if not self.token:
+            return "not-held"
+        self.wish = {"do": "give"} if to is None else {"do": "hand", "to": to}
+        return None
+
+    # ---- the work
+
+    def _turn(self, now: float) -> None:
+        got = self.work.turn(now)
+        if isinstance(got, Keep):
+            command = {"do": "save", "work": self.work.name, "token": self.token, "state": got.state}
+            self._propose(now, STATE, command)
+            return
+        for act in got:
+            self.out.append(act._replace(token=self.token))
+
+    def acted(self, now: float, act: Act, reply: Any) -> None:
+        """The target's answer; None if none came, a dict with `no` if it was refused."""
+        if act.token != self.token:
+            return
+        if isinstance(reply, dict) and "no" in reply:
+            reason = str(reply["no"])
+            self.refused[reason] = self.refused.get(reason, 0) + 1
+            self.out.append(Note("refused", self.token, act.target, reason))
+            if reason == "older-token":
+                self._lose(reason)
+                return
+            reply = None
+        self.work.answered(now, act.target, reply)
--- a/caperdeck/leases/table.py
+++ b/caperdeck/leases/table.py
@@ -59,7 +59,8 @@
                 return {"no": "too-many-works"}
             row = {"holder": None, "heir": None, "token": 0, "span": 0.0, "renewed": 0, "state": None}
             self.works[work] = row
-        if row["holder"] is not None or row["heir"] not in (None, holder):
+        # whoever holds it may ask anew, as after an answer that was lost; its older token is out then
+        if row["holder"] not in (None, holder) or row["heir"] not in (None, holder):
             return {"no": "held", "holder": row["holder"] or row["heir"]}
         return self._grant(row, holder, float(span))
 
--- /dev/null
+++ b/caperdeck/leases/target.py
@@ -0,0 +1,135 @@
+"""A node as the target of acts on behalf of the fleet: the fence, and what the two works do here. No I/O.
+
+An act is carried out whole in the call that checks its token, or not at all. What it does here is bounded by
+this node alone, whoever sends it: at most a part of the hosts is out, each for a stated time, and a share
+changes with a later epoch only.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from .fence import Fence
+
+HOSTS, CENSUS = "hosts", "census"
+PART = 0.25  # of the listed hosts that may be out by the fleet's word at once
+LONGEST_OUT = 30_000.0  # milliseconds that one act may take a host out for
+FLOOR = 0.5  # of an equal share, which a node holds with nothing told
+MOST_ILL = 16  # hosts named in an answer
+NEVER = (0, 0)
+
+
+class Target:
+    """`listed` gives the uids of the hosts on this node's list, `ill` those that do not answer it, or None
+    where it sees ill everywhere; `well` whether a host has answered it lately; `tries` the clients so far.
+    """
+
+    def __init__(
+        self, life: int, nodes: int, listed: Callable[[], list[str]], ill: Callable[[], list[str] | None],
+        well: Callable[[str], bool], tries: Callable[[], int],
+    ) -> None:  # fmt: skip
+        self.fence = Fence()
+        self.life, self.nodes = life, nodes
+        self.listed, self.ill, self.well, self.tries = listed, ill, well, tries
+        self.out: dict[str, float] = {}  # by uid, until when
+        self.number = NEVER  # of the last act on hosts: token, its number
+        self.epoch, self.share, self.living = 0, FLOOR / nodes, 0
+        self.refused: dict[str, int] = {}
+        self.taken = 0
+
+    def act(self, now: float, work: str, token: int, body: Any) -> dict[str, Any]:
+        """What the act came to; `no` with the reason if it was not carried out."""
+        do = {HOSTS: self._hosts, CENSUS: self._census}.get(work)
+        if do is None or not isinstance(body, dict):
+            return self._refuse("no-such-work" if do is None else "bad-act")
+        if (reason := self.fence.check(work, token)) is not None:
+            return self._refuse(reason)
+        try:
+            prepared = do(now, token, body)
+        except (KeyError, TypeError, ValueError):
+            return self._refuse("bad-act")
+        if isinstance(prepared, str):
+            return self._refuse(prepared)
+        self.taken += 1
+        return prepared()
+
+    def _refuse(self, reason: str) -> dict[str, Any]:
+        self.refused[reason] = self.refused.get(reason, 0) + 1
+        return {"no": reason}
+
+    # ---- hosts turned out and back
+
+    def _hosts(self, now: float, token: int, body: dict[str, Any]) -> Any:
+        """These hosts are out for so long from now, and no others are by the fleet's word."""
+        number, uids, span = (token, body["number"]), list(dict.fromkeys(body["out"])), body["ms"]
+        if not all(isinstance(x, str) for x in [*uids, *body["ask"]]) or not isinstance(number[1], int):
+            return "bad-act"
+        if isinstance(span, bool) or not math.isfinite(span) or not 0 < span <= LONGEST_OUT:
+            return "bad-span"
+        if len(uids) > math.floor(PART * len(self.listed())):
+            return "too-many-hosts"
+        if number < self.number and token == self.number[0]:
+            # Danger: an act that was long under way would bring back what a later one decided otherwise.
+            return "older-act"
+
+        def carry_out() -> dict[str, Any]:
+            self.number = number
+            self.out = dict.fromkeys(uids, now + span)
+            ill = self.ill()
+            return {
+                "life": self.life, "sound": ill is not None, "ill": (ill or [])[:MOST_ILL],
+                "well": [uid for uid in body["ask"][:MOST_ILL] if self.well(uid)],
+                "hosts": len(self.listed()),
+            }  # fmt: skip
+
+        return carry_out
+
+    def is_out(self, now: float, uid: str) -> bool:
+        return self.out.get(uid, -math.inf) > now
+
+    @property
+    def due(self) -> float:
+        return min(self.out.values(), default=math.inf)
+
+    def tick(self, now: float) -> list[str]:
+        """Hosts whose time is over: nobody has renewed it."""
+        back = [uid for uid, until in self.out.items() if until <= now]
+        for uid in back:
+            del self.out[uid]
+        return back
+
+    # ---- the census
+
+    def _census(self, now: float, token: int, body: dict[str, Any]) -> Any:
+        """A new epoch, whole, or with epoch 0 only the question."""
+        epoch, share, living = body["epoch"], body["share"], body["living"]
+        if not all(isinstance(x, int) and not isinstance(x, bool) and x >= 0 for x in (epoch, living)):
+            return "bad-act"
+        if isinstance(share, bool) or not math.isfinite(share) or not 0 <= share <= 1:
+            return "bad-share"
+        if epoch and epoch < self.epoch:
+            return "older-epoch"
+        if epoch and body["life"] != self.life:
+            # Danger: an old epoch's larger share, long under way, would reach a node that has just forgotten.
+            return "other-life"
+
+        def carry_out() -> dict[str, Any]:
+            if epoch:
+                self.epoch, self.share, self.living = epoch, share, living
+            return {"life": self.life, "epoch": self.epoch, "share": self.share, "tries": self.tries()}
+
+        return carry_out
+
+    # ---- what is shown
+
+    def lines(self, now: float) -> list[str]:
+        rows = {
+            "epoch": self.epoch, "share": round(self.share, 6), "living": self.living,
+            "hosts_out": sum(until > now for until in self.out.values()), "acts_taken": self.taken,
+        }  # fmt: skip
+        lines = [f"app_owner_{name} {value}" for name, value in rows.items()]
+        lines += [f'app_owner_token{{work="{w}"}} {t}' for w, t in sorted(self.fence.highest.items())]
+        refused = sorted(self.refused.items())
+        return lines + [f'app_owner_refused_total{{reason="{reason}"}} {n}' for reason, n in refused]
--- /dev/null
+++ b/caperdeck/lifecycle/owners.py
@@ -0,0 +1,127 @@
+"""A node under owners: their acts come in by the second address; what is asked of the instances goes out."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import orjson
+from loguru import logger
+
+from caperdeck.core.model import HostState
+from caperdeck.leases.target import Target
+from caperdeck.ledger.judgements import ILL_EVERYWHERE
+from caperdeck.ledger.sharing import life_from
+from caperdeck.ops.calls import ID, Then, no, yes
+from caperdeck.owner.asking import Asking
+from caperdeck.owner.config import OwnerError, Owners, load_owners
+from caperdeck.state.timers import cancel
+from caperdeck.wire.desk import Desk
+
+from .config import Config, ConfigError
+
+LONGEST_ACT = 480
+BEHIND = 0.05  # seconds after a host's time that the node looks for it
+
+
+def load(path: str, config: Config) -> Owners:
+    """Raises ConfigError."""
+    if config.admin is None:
+        raise ConfigError(f"owner {path}: the configuration names no admin_addr, by which owners act")
+    try:
+        return load_owners(path)
+    except OwnerError as error:
+        raise ConfigError(str(error)) from None
+
+
+class Owned:
+    longest = LONGEST_ACT
+
+    def __init__(
+        self, reactor: Any, desk: Desk, owners: Owners, nodes: int, bans: Callable[[], Iterable[str]],
+    ) -> None:  # fmt: skip
+        self.reactor, self.desk, self.bans = reactor, desk, bans
+        # the second process of an upgrade is another target, which has yet to be told
+        life = life_from(time.time() * 1000.0)
+        self.target = Target(life, max(nodes, 1), self._listed, self._ill, self._well, desk.figures.tries)
+        self.asking = Asking(reactor, owners, self.target.fence.learned)
+        self.bell: Any = None
+        self.in_force: set[str] = set()  # uids that are out here by the fleet's word
+
+    def act(self, work: str, token: str, body: str, then: Then) -> None:
+        """Carried out whole in this call, or refused."""
+        now = self.desk.clock()
+        try:
+            number, what = int(token), orjson.loads(body)
+        except ValueError:
+            then(no("bad-act"))
+            return
+        # Danger: what lay here while the node slept was meant for another time; whoever still wants it asks
+        # again.
+        answer = {"no": "was-away"} if self.desk.age() else self.target.act(now, work, number, what)
+        values = {"work": work, "token": number, "at": now}
+        if "no" in answer:
+            reason = answer["no"]
+            if reason == "asks-first":
+                self.asking.ask(work)
+            logger.bind(event={"ev": "refused-at", "reason": reason, **values}).info(
+                "owner refused work={} token={} reason={}", work, number, reason)
+            then(no(reason))
+            return
+        logger.bind(event={
+            "ev": "acted", "number": what.get("number", what.get("epoch")), "share": self.target.share,
+            "epoch": self.target.epoch, "out": list(self.target.out), **values,
+        }).debug("owner act work={} token={}", work, number)  # fmt: skip
+        self._take_out(now)
+        then(yes(orjson.dumps(answer).decode()))
+
+    def is_out(self, uid: str) -> bool:
+        return self.target.is_out(self.desk.clock(), uid)
+
+    def stop(self) -> None:
+        cancel(self.bell)
+        self.asking.stop()
+
+    def lines(self) -> list[str]:
+        return self.target.lines(self.desk.clock())
+
+    # ---- hosts
+
+    def _take_out(self, now: float) -> None:
+        """Puts into force what the target holds: out by the fleet's word, or by an operator's here."""
+        self.target.tick(now)
+        hosts, by_hand = self.desk.hosts, set(self.bans())
+        wanted = {uid for uid in self.target.out if uid in hosts.index}
+        for uid in sorted(wanted ^ self.in_force):
+            if uid not in by_hand:
+                self.desk.ban(uid, uid in wanted)
+        self.in_force = wanted
+        cancel(self.bell)
+        self.bell = None
+        if self.target.out:
+            wait = max(self.target.due - now, 0.0) / 1000.0 + BEHIND
+            self.bell = self.reactor.callLater(wait, self._ring)
+
+    in_force: set[str] = set()
+
+    def _ring(self) -> None:
+        self.bell = None
+        self._take_out(self.desk.clock())
+
+    def _listed(self) -> list[str]:
+        hosts = self.desk.hosts
+        return [u for u, state in zip(hosts.uid, hosts.state, strict=True) if state is HostState.RUNNING]
+
+    def _words(self) -> list:
+        return self.desk.balancer.shares.words(self.desk.clock())
+
+    def _ill(self) -> list[str] | None:
+        if self.desk.balancer.shares.ill_everywhere(ILL_EVERYWHERE):
+            return None
+        uids = [self.desk.hosts.uid[w.host] for w in self._words() if not w.well]
+        return [uid for uid in uids if ID.fullmatch(uid.encode()) and '"' not in uid and "\\" not in uid]
+
+    def _well(self, uid: str) -> bool:
+        h = self.desk.hosts.index.get(uid)
+        return any(w.well and w.host == h for w in self._words())
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -50,7 +50,7 @@
 class Service:
     def __init__(
         self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config],
-        clock: Callable[[], float] | None = None, uses: Any = None,
+        clock: Callable[[], float] | None = None, uses: Any = None, owners: Any = None,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.config = config
@@ -70,12 +70,18 @@
         self.desk.source = self.discovery
         self.uses = uses  # None: it says nothing to its peers
         self.peers: Any = None  # its port for datagrams
+        self.owned: Any = None  # what owners of work on behalf of the fleet have done here
         self.port = None
         self.calls = Calls()
         self.calls.add("readyz", 0, self.readyz)
         self.calls.add("telemetry", 0, self.telemetry)
         self.calls.add("exclude", 1, lambda uid, then: self.ban(uid, True, then))
         self.calls.add("include", 1, lambda uid, then: self.ban(uid, False, then))
+        if owners is not None:
+            from .owners import Owned
+
+            self.owned = Owned(reactor, self.desk, owners, config.settings.nodes, self.bans_of)
+            self.calls.add("act", 3, self.owned.act, self.owned.longest)
         self.bans = Bans(config.scratch)
         self.accepts = True
         self.short_at = 0.0  # when the log last said that sockets are short
@@ -227,12 +233,17 @@
         except BansError as error:
             logger.error("call reason=bans-unwritable {}", error)
             raise CallError("bans-unwritable") from None
-        self.desk.ban(uid, out)
+        self.desk.ban(uid, out or (self.owned is not None and self.owned.is_out(uid)))
         self.upgrade.tell_ban(uid, out, lambda: then(yes()))
 
+    def bans_of(self) -> Iterable[str]:
+        """Hosts that an operator has taken out here."""
+        return self.bans.uids
+
     def telemetry(self, then: Then) -> None:
         shared = self.peers.sharing.lines(self.desk.clock()) if self.peers is not None else []
-        then([*self.desk.figures.lines(self.desk.gauges()), *shared, "--"])
+        owned = self.owned.lines() if self.owned is not None else []
+        then([*self.desk.figures.lines(self.desk.gauges()), *shared, *owned, "--"])
 
     # ---- a new configuration
 
@@ -303,6 +314,8 @@
             return
         self.left, self.exit_code = True, code
         self.part()
+        if self.owned is not None:
+            self.owned.stop()
         self.upgrade.end()
         logger.info("exit ms={:.0f}", self.clock() - self.stopped_at if self.stopped_at else 0)
         self.sink.flush()
--- a/caperdeck/ops/calls.py
+++ b/caperdeck/ops/calls.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-ID = re.compile(rb"[!-~]{1,200}")
+ID = re.compile(rb"[!-~]+")
+LONGEST_ARGUMENT = 200
 VERB_SHOWN = 40  # characters of an unknown verb that the answer repeats
 
 Answer = list[str]
@@ -37,11 +38,13 @@
     """Verbs, with how many arguments each takes and what carries it out."""
 
     def __init__(self) -> None:
-        self.table: dict[bytes, tuple[int, Callable[..., None]]] = {}
+        self.table: dict[bytes, tuple[int, Callable[..., None], int]] = {}
 
-    def add(self, verb: str, arguments: int, handler: Callable[..., None]) -> None:
+    def add(
+        self, verb: str, arguments: int, handler: Callable[..., None], longest: int = LONGEST_ARGUMENT,
+    ) -> None:  # fmt: skip
         """The handler takes the arguments as text, and what is to be called with the answer."""
-        self.table[verb.encode()] = (arguments, handler)
+        self.table[verb.encode()] = (arguments, handler, longest)
 
     def call(self, line: bytes, then: Then) -> None:
         carry_out(self._call, line, then)
@@ -57,12 +60,12 @@
         verb, arguments = words[0], words[1:]
         if verb not in self.table:
             raise CallError(f"unknown-verb {verb[:VERB_SHOWN].decode('ascii', 'replace')}".rstrip())
-        wanted, handler = self.table[verb]
+        wanted, handler, longest = self.table[verb]
         if len(arguments) < wanted or (wanted and not arguments[wanted - 1]):
             raise CallError("missing-argument")
         if len(arguments) > wanted:
             raise CallError("surplus-argument")
         for argument in arguments:
-            if not ID.fullmatch(argument):
+            if len(argument) > longest or not ID.fullmatch(argument):
                 raise CallError("bad-id")
         return handler, [argument.decode("ascii") for argument in arguments]
--- /dev/null
+++ b/caperdeck/owner/process.py
@@ -0,0 +1,57 @@
+"""`caperdeck owner serve`: one instance as a process, until SIGTERM or until its disk fails."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+
+
+def steady() -> float:
+    """Milliseconds; never steps, and counts on while the machine sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
+def serve(path: str, level: str) -> int:
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+
+    from caperdeck.lifecycle.logs import start_logging
+    from caperdeck.raft.storage import StorageError
+
+    from .config import OwnerError, load_instance
+    from .instance import Instance
+
+    code = [0]
+
+    def end(number: int) -> None:
+        code[0] = code[0] or number
+        if reactor.running:
+            instance.close()
+            reactor.stop()
+
+    def failed(text: str) -> None:
+        logger.error("owner reason=disk {}", text)
+        end(1)
+
+    try:
+        config = load_instance(path)
+        sink = start_logging(level)
+        from loguru import logger
+
+        instance = Instance(reactor, config, steady, failed)
+    except (OwnerError, StorageError) as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return 2
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(end, 0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        instance.start()
+    except (OSError, CannotListenError) as error:
+        print(f"caperdeck: cannot listen: {error}", file=sys.stderr)
+        instance.close()
+        return 1
+    reactor.run(installSignalHandlers=False)
+    sink.flush()
+    return code[0]
--- a/caperdeck/raft/codec.py
+++ b/caperdeck/raft/codec.py
@@ -27,8 +27,11 @@
 
 
 def encode(message: Message, cluster: str) -> bytes:
-    fields = [_plain(value) for value in message]
-    return orjson.dumps([VERSION, cluster, NAMES[type(message)], fields])
+    return frame(cluster, NAMES[type(message)], [_plain(value) for value in message])
+
+
+def frame(cluster: str, name: str, fields: list) -> bytes:
+    return orjson.dumps([VERSION, cluster, name, fields])
 
 
 def _plain(value: Any) -> Any:
@@ -41,6 +44,11 @@
 
 def decode(data: bytes, cluster: str, me: int) -> Message:
     """Raises FrameError."""
+    return message_of(*unwrap(data, cluster), me)
+
+
+def unwrap(data: bytes, cluster: str) -> tuple[Any, Any]:
+    """A frame's name and fields; raises FrameError."""
     if len(data) > LONGEST:
         raise FrameError("too-long")
     try:
@@ -54,6 +62,11 @@
         raise FrameError("other-version")
     if of != cluster:
         raise FrameError("other-cluster")
+    return name, fields
+
+
+def message_of(name: Any, fields: Any, me: int) -> Message:
+    """Raises FrameError."""
     kind = KINDS.get(name) if isinstance(name, str) else None
     if kind is None:
         raise FrameError("unknown-kind")
--- a/caperdeck/raft/core.py
+++ b/caperdeck/raft/core.py
@@ -23,6 +23,7 @@
 ELECTION = 300.0  # the least time without a leader; drawn up to twice this
 HEARTBEAT = 60.0
 MOST_ENTRIES = 64  # in one message
+MOST_BYTES = 256 << 10  # of their data, but for the first
 MOST_WINDOW = 256  # entries sent ahead of what a follower has confirmed
 CHUNK = 32 << 10  # bytes of a snapshot in one message
 CATCH_UP = 16  # entries that a learner may lack when it becomes a voter
@@ -445,12 +446,21 @@
             return
         if index - p.match > MOST_WINDOW or index > self.log.last:
             index = p.next - 1
-        entries = tuple(self.log.after(index, MOST_ENTRIES))
+        entries = self._batch(index)
         if entries or at_all:
             p.sent = index + len(entries)
             term = self.log.term(index)
             self._send(i, Append(self.term, self.me, index, term, entries, self.commit, self.turn))
 
+    def _batch(self, index: int) -> tuple[Entry, ...]:
+        # Danger: a frame longer than a follower takes would be sent again for ever.
+        entries, size = self.log.after(index, MOST_ENTRIES), 0
+        for k, entry in enumerate(entries):
+            size += len(entry.data)
+            if k and size > MOST_BYTES:
+                return tuple(entries[:k])
+        return tuple(entries)
+
     def _send_snapshot(self, i: int, p: Peer) -> None:
         s, offset = self.log.snapshot, p.offset or 0
         data = s.data[offset : offset + CHUNK]
@@ -532,6 +542,9 @@
         if self.role is Role.LEADER:
             new = {i: self.peers.get(i) or Peer(self.log.last, now) for i in self.members.all if i != self.me}
             self.peers = new
+            if self.heir not in self.members.voters:
+                # Danger: leadership on its way to one that has just been removed goes nowhere.
+                self.heir = None
 
     # ---- the follower
 
--- a/caperdeck/state/figures.py
+++ b/caperdeck/state/figures.py
@@ -31,6 +31,10 @@
         if name in self.operations:
             self.operations[name][status] += 1
 
+    def tries(self) -> int:
+        """Answers that clients have had; grows only."""
+        return sum(sum(counts) for counts in self.operations.values())
+
     def lines(self, gauges: dict[str, int]) -> list[str]:
         lines = [
             f'app_operations_total{{priority="{escaped(name)}",status="{status.name.lower()}"}} '
