A lease is given back by a new grant only: a late renewal's answer took the work up from an old state

Cause: with three in ten segments between instances lost, shares of the census added up to 1.03. A renewal answered after the lease had ended gave the lease back under its token, with the state as of the grant, or with none; the work went on from there. Seen on the rig in a storm of lost messages, by the check of sums; the same path stood open in the holder and in the runner. Change: only an answer to an acquisition, which carries the state, gives a lease; a runner past its end lets the token go. A node's life is drawn, as one by the clock can come twice. Scenarios with clocks a fifth off and with a storm of losses.

--- a/caperdeck/lab/faults.py
+++ b/caperdeck/lab/faults.py
@@ -132,7 +132,7 @@
             for n in (p for p in parts if p[0] in "nd"):
                 hands.hush(f"n{n[1:]}", on)
         elif do == "clock" and on:
-            for n in (p for p in parts if p[0] == "n"):
+            for n in (p for p in parts if p[0] in "no"):
                 hands.clock(n, fault.offset, fault.drift)
         elif do in ("drain", "start", "ill") or (do == "kill" and parts and parts[0][0] == "h"):
             for h in (p for p in parts if p[0] == "h"):
--- a/caperdeck/leases/holding.py
+++ b/caperdeck/leases/holding.py
@@ -55,7 +55,11 @@
         if answer["token"] < self.token:
             return  # to a grant before this one
         if answer["token"] != self.token:
-            self.state = answer.get("state")
+            if "state" not in answer:
+                # Danger: a renewal's answer that comes after the end would give the lease back without what
+                # the work has come to; it would begin anew from nothing, under a token that is in force.
+                return
+            self.state = answer["state"]
         # Danger: counted from the answer, a grant long under way lasts past the time that others wait.
         end = asked + answer["span"] * (1 - DRIFT)
         if now < end:
--- a/caperdeck/leases/runner.py
+++ b/caperdeck/leases/runner.py
@@ -112,7 +112,9 @@
     def _mind_lease(self, now: float) -> None:
         holder = self.holder
         if self.token and not holder.may_act(now):
-            self._stop(holder.lost or "ended")
+            # Danger: a renewal still under way would give the lease back, and with it the state as of the
+            # grant, which the work has long gone on from.
+            self._lose("ended")
         pending = self.pending[LEASE]
         if pending is not None and now - pending.asked_at >= holder.span:
             # Danger: a grant counts from when it was first asked for; past a span its answer gives nothing.
--- a/caperdeck/lifecycle/owners.py
+++ b/caperdeck/lifecycle/owners.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import time
+import os
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -12,7 +12,6 @@
 from caperdeck.core.model import HostState
 from caperdeck.leases.target import Target
 from caperdeck.ledger.judgements import ILL_EVERYWHERE
-from caperdeck.ledger.sharing import life_from
 from caperdeck.ops.calls import ID, Then, no, yes
 from caperdeck.owner.asking import Asking
 from caperdeck.owner.config import OwnerError, Owners, load_owners
@@ -44,7 +43,8 @@
     ) -> None:  # fmt: skip
         self.name, self.reactor, self.desk, self.bans = name, reactor, desk, bans
         # the second process of an upgrade is another target, which has yet to be told
-        life = life_from(time.time() * 1000.0)
+        # Danger: by a clock that went back a new life could be taken for an old one, and be told its word.
+        life = int.from_bytes(os.urandom(6), "big") + 1
         self.target = Target(life, max(nodes, 1), self._listed, self._ill, self._well, desk.figures.tries)
         self.asking = Asking(reactor, owners, self.target.fence.learned)
         self.bell: Any = None
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -99,6 +99,19 @@
     assert h.ask(5000.0)["do"] == "acquire" and h.lost == "ended"
 
 
+def test_a_renewal_that_is_answered_past_the_end_gives_nothing_back():
+    """On the rig it gave the census back to its owner without its state, and shares passed the whole."""
+    h, t = Holder("w", "a", SPAN), Table()
+    h.answered(0.0, 0.0, t.apply(h.ask(0.0)))
+    t.apply({"do": "save", "work": "w", "token": 1, "state": "far"})
+    answer = t.apply(h.ask(900.0))
+    assert h.ask(SPAN)["do"] == "acquire" and h.token == 0
+    h.answered(SPAN + 1, 900.0, answer)
+    assert h.token == 0 and not h.may_act(SPAN + 1)
+    h.answered(SPAN + 2, SPAN, t.apply(h.ask(SPAN)))
+    assert h.token == 2 and h.state == "far"
+
+
 def test_a_new_leader_waits_a_whole_span_before_it_ends_a_lease():
     t = Table()
     acquire(t)
--- a/tests/test_owned.py
+++ b/tests/test_owned.py
@@ -114,6 +114,20 @@
     assert runner.work.answers == []
 
 
+def test_a_renewal_under_way_when_the_lease_ends_gives_nothing_back():
+    """It would take the work up again from the state of its grant, behind what was done and told since."""
+    fleet, runner = held()
+    for k in range(1, 9):
+        fleet.turn(runner, float(k))
+    (renew,) = [x for x in runner.tick(400.0) if isinstance(x, Propose) and x.session == LEASE]
+    answer = fleet.table.apply(renew.command)
+    runner.tick(SPAN)
+    runner.answer(SPAN + 1, LEASE, renew.serial, answer)
+    assert runner.token == 0
+    fleet.turn(runner, runner.due)
+    assert runner.token == 2 and runner.work.done == int(fleet.table.row("steps")["state"])
+
+
 def test_a_proposal_without_an_answer_is_made_again_under_its_number():
     runner = Fleet().runner("o0")
     first = runner.tick(0.0)
