--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -16,8 +16,8 @@
 from loguru import logger
 
 from caperdeck.core.facade import (
-    Abandon, Balancer, Banned, Connect, Decline, GiveUp, Left, Listed, Look, Looked, News, Order, Over,
-    Retuned, SendAway,
+    Abandon, Balancer, Banned, Connect, Decline, GiveUp, Left, Listed, Look, Looked, Narrowed, News, Order,
+    Over, Retuned, SendAway,
 )  # fmt: skip
 from caperdeck.core.model import HostState, Outcome, Settings
 from caperdeck.core.settings import MS, Names
@@ -27,6 +27,7 @@
 from caperdeck.state.limits import Limits
 from caperdeck.state.sessions import ClientSide, HostSide, Prober, Session, Sessions
 from caperdeck.state.timers import cancel
+from caperdeck.turns.subset import Place, Subsets
 
 AGAIN = 200.0  # until a connection that stood before is tried again at its host
 RESUME_TIME_OUT = 3000.0  # for one such try
@@ -45,7 +46,7 @@
 IDLE_SHORT = 250.0  # the same while sockets are short
 
 
-AT_ONCE = (Listed, Banned, Retuned)  # news that lead to nothing being sent
+AT_ONCE = (Listed, Banned, Retuned, Narrowed)  # news that lead to nothing being sent
 
 
 class Source(Protocol):
@@ -81,6 +82,7 @@
         self.idle: dict[ClientSide, None] = {}  # without a first line, the oldest first
         self.told_at = clock()  # when discovery last said anything
         self.source: Source | None = None
+        self.subsets: Subsets | None = None  # None: all hosts are drawn alike
         self.turn_at = math.inf  # a turn of the reactor has run since; without a sweep none is awaited
         self.away = 0.0  # how old what is read now may be, while that is not all read yet
         self.turns, self.reads, self.list_until = 0, 0, 0.0  # since the node was back
@@ -389,6 +391,7 @@
         self.figures.know(names.listeners)
         self.probes.retune(limits.reports, 2 * limits.connect_time_out)
         self.report(Retuned(settings))
+        self.narrow()
 
     def gauges(self) -> dict[str, int]:
         listed, now = self.hosts.listed(), self.clock()
@@ -427,6 +430,21 @@
             if self.hosts.state[host] is HostState.GONE:
                 self.probes.close(host)
         self.report(Listed(whole, entries))
+        self.narrow()
+
+    def narrow(self) -> None:
+        """Tells the decisions which hosts this node draws first."""
+        if self.subsets is None:
+            return
+        sized = self.balancer.settings.sizes_stand
+        reason = self.subsets.update([
+            Place(e.host, e.mark, sized and e.size or 1.0, e.zone)
+            for e, state in zip(self.hosts.entry, self.hosts.state, strict=True)
+            if e is not None and state is HostState.RUNNING
+        ])  # fmt: skip
+        if reason is not None:
+            logger.warning("subset reason=unusable {}", reason)
+        self.report(Narrowed(self.subsets.narrowed(False), self.subsets.narrowed(True)))
 
     def discovery_spoke(self) -> None:
         """Anything at all has come from discovery."""
--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -73,17 +73,14 @@
         self.acts: list[Action] = []
         self.sessions: dict[int, Held] = {}
         # hosts: parallel arrays under the host's index
-        self.listed: list[HostState] = []  # as the roster has it
-        self.state: list[HostState] = []  # as it counts: one taken out by hand counts as draining
+        self.listed, self.state = [], []  # as the roster has it; as it counts, by hand taken out as draining
         self.size, self.zone, self.mark, self.cell = [], [], [], []
-        self.born: list[float] = []
         self.held, self.dialing = [], []  # dials out and standing sessions; dials out
-        self.standing: list[dict[int, Held]] = []
+        self.born, self.standing = [], []  # the start, 0 if long ago; standing sessions
         self.figure, self.figure_at = [], []  # load over capacity, as last probed, and when
         self.prior, self.prior_at = [], []  # the same as another node has seen it, and when
         self.crowd: list[float | None] = []  # connections that it holds for all nodes, as last told
-        self.seen_at: list[float] = []  # the last answer to a probe
-        self.lookers: list[list[int]] = []  # sessions that wait for the host's figure
+        self.seen_at, self.lookers = [], []  # the last answer to a probe; sessions that wait for a figure
         self.unseen, self.probe_out = [], []  # no look until then, as one failed; a look's start, 0 if none
         self.pile, self.pile_at = [], []  # work piled up, as last noted, and when
         self.acted_at: list[float] = []  # when a report was last acted upon
@@ -94,8 +91,8 @@
         self.rights.grow(now, ROOM_POT)
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
         self.running, self.near, self.cold = [], [], []  # of those in the own zone, and cold at the last tick
-        self.mine: dict[int, None] = {}  # hosts with own standing connections
-        self.known: dict[int, None] = {}  # hosts with a figure that is not too old, oldest first
+        self.first, self.first_near = [], []  # the own subset of both, which is drawn before the rest
+        self.mine, self.known = {}, {}  # hosts with own connections; with a figure not too old, oldest first
         self.ailing, self.banned = {}, {}  # hosts that look ill; hosts taken out by hand, since when
         self.whole_size, self.most_ill = 0.0, False
         self.purse, self.sent = 0.0, {}  # probes that the sessions taken allow; dials by host and its start
@@ -346,8 +343,11 @@
                 self.orders[group] = [x & 0xFFFFF for x in mixed[:DRAWS]]
             yield room, iter(self.orders[s.group])
         else:
+            # Danger: drawn from all, nearly every session pays for new looks; of few, one serves several.
             if self.set.cross_price:
+                yield ROOM_NEAR, self._drawn(self.first_near)
                 yield ROOM_NEAR, self._drawn(self.near)
+            yield room, self._drawn(self.first)
             yield room, self._drawn(self.running)
         # Danger: a host nobody looks at stays full on paper, by an old figure, own sends or the mean; many
         # nodes that all look again would use up the probes that a host answers.
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -125,6 +125,13 @@
     settings: Settings
 
 
+class Narrowed(NamedTuple):
+    """The hosts that this node draws first: of all, and of its own zone."""
+
+    first: list[int]
+    near: list[int]
+
+
 class Crowded(NamedTuple):
     """Enough other nodes have seen the host at this load over capacity, past full."""
 
@@ -132,7 +139,7 @@
     load: float
 
 
-News = Up | Over | Left | Load | Looked | Listed | Banned | Retuned | Crowded
+News = Up | Over | Left | Load | Looked | Listed | Banned | Retuned | Crowded | Narrowed
 
 
 class Balancer:
@@ -184,6 +191,10 @@
         """Whether a listed host is sent nothing now by this node's choice; changes nothing."""
         return self._node.avoids(now, host)
 
+    @property
+    def settings(self) -> Settings:
+        return self._node.set
+
     @property
     def shares(self) -> Shares:
         """What the node tells other nodes and takes from them."""
@@ -228,6 +239,9 @@
                 return self._node.ban(now, host, out)
             case Crowded(host, load):
                 return self.shares.told_full(now, host, load)
+            case Narrowed(first, near):
+                self._node.first, self._node.first_near = first, near
+                return []
             case Retuned(settings):
                 return self._node.retune(now, settings)
         raise TypeError(f"no news: {news!r}")
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -24,6 +24,7 @@
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.patience import Patience
+from caperdeck.turns.subset import SubsetError, Subsets
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
 from caperdeck.wire.discovery import Discovery
@@ -47,6 +48,17 @@
     return lambda: (time.monotonic() + offset) * MS
 
 
+def subsets_of(config: Config) -> Subsets | None:
+    """By the own number on the list of nodes; None where there is none."""
+    if config.peers.me is None:
+        return None
+    try:
+        return Subsets(config.peers.me, config.settings.nodes, config.settings.zone)
+    except SubsetError as error:
+        logger.warning("subset reason=unusable {}", error)
+        return None
+
+
 class Service:
     def __init__(
         self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config],
@@ -68,6 +80,7 @@
             self.complain, Patience(config.settings.seed, config.settings.nodes), self.excused,
         )  # fmt: skip
         self.desk.source = self.discovery
+        self.desk.subsets = subsets_of(config)
         self.uses = uses  # None: it says nothing to its peers
         self.peers: Any = None  # its port for datagrams
         self.owned: Any = None  # what owners of work on behalf of the fleet have done here
@@ -269,6 +282,7 @@
             settings=replace(new.settings, seed=old.settings.seed, zone=old.settings.zone),
         )  # fmt: skip
         self.desk.budget.resize(new.sockets)
+        self.desk.subsets = subsets_of(self.config)
         self.desk.retune(new.settings, new.names, new.limits)
         if new.peers != old.peers:
             # Danger: the numbers of members mean others in another list.
--- a/caperdeck/turns/subset.py
+++ b/caperdeck/turns/subset.py
@@ -125,6 +125,11 @@
         self.all, self.near, self.refused = whole, near, ""
         return None
 
+    def narrowed(self, near: bool) -> list[int]:
+        """The hosts of the subset; none where it leaves nobody out."""
+        hosts = [p.host for p in self.pick(near)]
+        return hosts if len(hosts) < len((self.near if near else self.all).rows) else []
+
     def pick(self, near: bool, good: Callable[[int], bool] = lambda host: True) -> list[Part]:
         ring = self.near if near else self.all
         # of all nodes a zone has about the part that it has of all hosts
