--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -51,6 +51,24 @@
     assert dials(n.ask(START, ask(3)._replace(listener=1)))
 
 
+@pytest.mark.parametrize("cross_price", [0.0, 0.02])
+def test_the_own_subset_is_drawn_first_and_the_rest_once_it_has_no_room(cross_price):
+    n = node(12, cross_price=cross_price)
+    figures(n, [0.2] * 12)
+    n.first, n.first_near = [3, 4, 5], [3, 4]
+    assert set(placed(n, 12)) <= {3, 4, 5}
+    figures(n, [0.2] * 3 + [ROOM + 0.05] * 3 + [0.2] * 6)
+    assert {dials(n.ask(START, ask(i)))[0].host for i in range(100, 112)}.isdisjoint({3, 4, 5})
+
+
+def test_a_subset_of_hosts_that_have_gone_keeps_nobody_from_the_others():
+    n = node(6)
+    figures(n, [0.2] * 6)
+    n.first = [4, 5]
+    n.roster(START, RosterScope.CHANGES, [entry(h, state=HostState.GONE) for h in (4, 5)])
+    assert set(placed(n, 6)) <= {0, 1, 2, 3}
+
+
 def test_work_piled_up_counts_as_load():
     n = node(2)
     figures(n, [0.5, 0.5])
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,6 +1,7 @@
 """Choices that add up: subsets, turns, signals, further tries; properties over fleets of any size."""
 
 import pytest
+from helpers import desk, row
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -140,6 +141,29 @@
     assert s.update(places([1.0] * 21)) is None and s.refused == ""
 
 
+def test_a_node_is_told_its_subset_with_each_list_and_none_where_that_leaves_nobody_out():
+    d = desk(hosts=30)
+    d.subsets = Subsets(3, 40)
+    d.listed(True, [row(f"s-{h}", port=9000 + h) for h in range(30)])
+    first = d.balancer._node.first
+    assert len(first) in (8, 9) and first == d.subsets.narrowed(False)
+    gone = d.hosts.uid[first[0]]
+    d.listed(False, [row(gone, state="Gone")])
+    assert first[0] not in d.balancer._node.first and len(d.balancer._node.first) in (8, 9)
+    d.listed(True, [row(f"s-{h}", port=9000 + h) for h in range(5)])
+    assert d.balancer._node.first == []
+
+
+def test_a_list_with_one_mark_twice_leaves_the_last_subset_and_is_served():
+    d = desk(hosts=30)
+    d.subsets = Subsets(3, 40)
+    d.narrow()
+    first = d.balancer._node.first
+    d.hosts.entry[2] = d.hosts.entry[2]._replace(mark=d.hosts.entry[1].mark)
+    d.narrow()
+    assert d.balancer._node.first == first and d.subsets.refused
+
+
 def test_bounds_of_a_list():
     assert Subsets(0, 1).pick(False) == [] and Subsets(0, 0).update([]) is None
     with pytest.raises(SubsetError, match="over"):
