--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -2,6 +2,7 @@
 
 Usage:
   caperdeck serve [--config=FILE] [--log-level=LEVEL] [--sharing=FILE] [--owners=FILE]
+                  [--subsets]
   caperdeck check [--config=FILE] [--sharing=FILE] [--owners=FILE]
   caperdeck peers show ADDRESS
   caperdeck owner serve --config=FILE [--log-level=LEVEL]
@@ -33,6 +34,7 @@
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
   --sharing=FILE     What the node shares with its peers, TOML (deploy/sharing.toml); nothing if not given.
   --owners=FILE      The instances whose owners may act on this node, TOML (deploy/owners.toml).
+  --subsets          The node draws the hosts of a subset of its own first (docs/turns.md).
   --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
   --seed=N           Of all draws of a run; the scenario's own otherwise.
   --virtual          In virtual time, in this process, instead of real processes.
@@ -40,7 +42,7 @@
   --logs=DIR         Keep the nodes' logs.
   --runs=N           So many schedules at the most, 100 if not given.
   --out=FILE         The scenario file or page to write.
-  --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USE,USE or checkout:DIR.
+  --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USES, subsets, checkout:DIR.
   --base=WAY         What that is measured against, module if not given.
   --pairs=N          Seeds that both ways play, 10 if not given.
   --scenario=FILE    Check the rules on the history as well.
@@ -81,6 +83,7 @@
 
 def serve(
     config: Config, level: str, path: str | None, uses: Any = None, owners: Any = None,
+    subsets: bool = False,
 ) -> int:  # fmt: skip
     load_in_steps()
     from twisted.internet import reactor
@@ -91,7 +94,7 @@
     from caperdeck.ops.bans import BansError
 
     sink, reread = start_logging(level), lambda: reload_config(os.environ, path)
-    service = Service(reactor, config, sink, reread, uses=uses, owners=owners)
+    service = Service(reactor, config, sink, reread, uses=uses, owners=owners, subsets=subsets)
     try:
         service.start()
     except BansError as error:
@@ -158,7 +161,7 @@
     if arguments["check"]:
         print(f"node {config.name}: {len(config.names.listeners)} classes, {len(config.known)} known hosts")
         return 0
-    return serve(config, level, arguments["--config"], uses, owners)
+    return serve(config, level, arguments["--config"], uses, owners, arguments["--subsets"])
 
 
 def script() -> None:
--- a/caperdeck/lab/compare.py
+++ b/caperdeck/lab/compare.py
@@ -39,12 +39,15 @@
         if not isinstance(value, dict):
             raise ScenarioError(f"{rest}: no JSON object")
         return {"policy": "module", "settings": value}
+    if text == "subsets":
+        return {"policy": "module", "subsets": True}
     if kind == "sharing":
         return {"policy": "module", "sharing": [name for name in rest.split(",") if name]}
     if kind == "checkout" and (Path(rest) / "caperdeck" / "lab").is_dir():
         return {"checkout": rest}
     names = ", ".join(POLICIES)
-    raise ScenarioError(f"{text}: none of {names}, settings:FILE, sharing:USE, checkout:DIR with the rig")
+    others = "settings:FILE, sharing:USE, subsets, checkout:DIR with the rig"
+    raise ScenarioError(f"{text}: none of {names}, {others}")
 
 
 def one(path: str, seed: int, way: dict[str, Any]) -> tuple[dict[str, float], int]:
@@ -53,6 +56,7 @@
         return _elsewhere(path, seed, way["checkout"])
     scenario: Scenario = load(path)
     scenario.sharing = way.get("sharing", scenario.sharing)
+    scenario.subsets = way.get("subsets", scenario.subsets)
     fleet = VirtualFleet(scenario, seed, POLICIES[way["policy"]], way.get("settings"))
     events = fleet.run()
     return figures(events), len(judge(scenario, events))
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -212,7 +212,7 @@
         path.write_bytes(msgspec.json.encode(config))
         scratch = Path(self.folder) / f"{node}-{life}"
         scratch.mkdir()
-        words = ["serve", *self.sharing(), *self.owners(node)]
+        words = ["serve", *self.sharing(), *self.owners(node), *["--subsets"] * self.scenario.subsets]
         process = await self._spawn(node, words, EDGE_CONFIG=str(path), TMPDIR=str(scratch))
         began = time.monotonic()
         host, port = self.doors[node]
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -116,6 +116,7 @@
     net: Net = field(default_factory=Net)
     owners: int = 0  # instances that agree on owners of work on behalf of the fleet
     sharing: list[str] | None = None  # what the nodes share: uses by name; none of them is membership alone
+    subsets: bool = False  # the nodes draw the hosts of a subset of their own first
     fault: list[Fault] = field(default_factory=list)
 
     def uses(self) -> Uses | None:
--- a/caperdeck/lab/virtual.py
+++ b/caperdeck/lab/virtual.py
@@ -108,7 +108,10 @@
         def clock() -> float:
             return EPOCH + place.seconds() * 1000.0
 
-        copy = Copy(place, config, _NoLog(), lambda: config, clock, self.scenario.uses())
+        copy = Copy(
+            place, config, _NoLog(), lambda: config, clock, self.scenario.uses(),
+            subsets=self.scenario.subsets,
+        )  # fmt: skip
         copy.desk.balancer = Balancer(config.settings, copy.clock(), self.decides)
         place.exited = lambda: self.gone(node, "exit")
         self.places[node], self.services[node] = place, copy
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -63,6 +63,7 @@
     def __init__(
         self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config],
         clock: Callable[[], float] | None = None, uses: Any = None, owners: Any = None,
+        subsets: bool = False,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.config = config
@@ -80,7 +81,8 @@
             self.complain, Patience(config.settings.seed, config.settings.nodes), self.excused,
         )  # fmt: skip
         self.desk.source = self.discovery
-        self.desk.subsets = subsets_of(config)
+        self.narrows = subsets
+        self.desk.subsets = subsets_of(config) if subsets else None
         self.uses = uses  # None: it says nothing to its peers
         self.peers: Any = None  # its port for datagrams
         self.owned: Any = None  # what owners of work on behalf of the fleet have done here
@@ -282,7 +284,7 @@
             settings=replace(new.settings, seed=old.settings.seed, zone=old.settings.zone),
         )  # fmt: skip
         self.desk.budget.resize(new.sockets)
-        self.desk.subsets = subsets_of(self.config)
+        self.desk.subsets = subsets_of(self.config) if self.narrows else None
         self.desk.retune(new.settings, new.names, new.limits)
         if new.peers != old.peers:
             # Danger: the numbers of members mean others in another list.
