Rig: an instance tells when it stops itself, and the order to do so ends with the fault

The order to stop at the next act outlived its fault where the instance had no act to make, and it stopped for good at the first act of a later lease; the rig told of the sleep when it gave the order, some hundred milliseconds and a renewal before it. Change: the order is taken back as the fault ends, the instance tells of its sleep itself, a lost work has no holder to aim at.

--- a/caperdeck/lab/fleet.py
+++ b/caperdeck/lab/fleet.py
@@ -52,6 +52,8 @@
             self.roles[LEADER] = event["who"]
         elif event["ev"] == "held":
             self.roles[HOLDER + event["work"]] = event["who"]
+        elif event["ev"] == "lost" and self.roles.get(HOLDER + event["work"]) == event["who"]:
+            del self.roles[HOLDER + event["work"]]
 
     def standing_for(self, role: str) -> str | None:
         return self.roles.get(role)
--- a/caperdeck/lab/launch.py
+++ b/caperdeck/lab/launch.py
@@ -44,9 +44,16 @@
     logs.start_logging = start_logging
 
 
+def sleep() -> None:
+    from loguru import logger
+
+    logger.bind(event={"ev": "instance", "state": "asleep"}).debug("stops itself")
+    os.kill(os.getpid(), signal.SIGSTOP)
+
+
 def stop_at_act() -> None:
     """After SIGUSR1 the process stops itself between its last look at the lease and the act; after SIGUSR2
-    once the act is written and before its answer.
+    once the act is written and before its answer; SIGRTMIN takes that back.
     """
     import caperdeck.owner.instance as instance
 
@@ -55,17 +62,19 @@
     def send(*args: Any) -> Any:
         when, wanted[0] = wanted[0], ""
         if when == "before":
-            os.kill(os.getpid(), signal.SIGSTOP)
+            sleep()
         sent = errand(*args)
         if when == "after":
             from twisted.internet import reactor
 
             # the line goes out once the connection has come up
-            reactor.callLater(0.01, os.kill, os.getpid(), signal.SIGSTOP)
+            reactor.callLater(0.01, sleep)
         return sent
 
     instance.Errand = send
-    for number, when in ((signal.SIGUSR1, "before"), (signal.SIGUSR2, "after")):
+    # Danger: one that has no act to make keeps the order, and stops for good at the first act of a later
+    # lease.
+    for number, when in ((signal.SIGUSR1, "before"), (signal.SIGUSR2, "after"), (signal.SIGRTMIN, "")):
         signal.signal(number, lambda *_, when=when: wanted.__setitem__(0, when))
 
 
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -284,12 +284,13 @@
             self.life(node, "asleep")
 
     def stop_at_act(self, owner: str, after: bool) -> None:
-        if self._signal(owner, signal.SIGUSR2 if after else signal.SIGUSR1):
-            self.life(owner, "asleep")
+        self._signal(owner, signal.SIGUSR2 if after else signal.SIGUSR1)
 
     def wake(self, node: str) -> None:
         if self.alive(node):
             self.life(node, "awake")
+            if node[0] == "o":
+                self._signal(node, signal.SIGRTMIN)
             self._signal(node, signal.SIGCONT)
 
     def front(self, what: str, node: str) -> None:
