--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -107,6 +107,18 @@
     assert min(sent.values()) > 5 and others > 5
 
 
+def test_with_subsets_each_host_is_met_by_a_few_nodes_and_left_by_none(runs):
+    """Counted at the relay; a node killed, one asleep, one cut off from half of the hosts, late lists."""
+    scenario = load(str(FOLDER / "subsets.toml"))
+    meets = {n: set() for n in scenario.node_names()}
+    for e in read(str(runs[0] / "subsets")):
+        if e["ev"] == "dial":
+            meets[e["who"]].add(e["to"])
+    by = {h: sum(h in hosts for hosts in meets.values()) for h in scenario.host_names()}
+    # the arc of 10 hosts, a neighbour as hosts drain, and cold hosts, whose lots are drawn from all
+    assert max(map(len, meets.values())) <= 15 and min(by.values()) >= 2
+
+
 def test_no_process_of_a_run_is_left(runs):
     assert left_running(runs[0]) == []
 
