A release ends a lease that goes on being renewed; shares count on one number of nodes

A release was refused where a renewal was committed between the look and the command: against an owner that goes on renewing it would have been luck. Beside it, status told the token of a copy of the table that lags, and a hold that had ended unseen on a machine kept busy. Change: an operator's release goes by the token alone; status tells the owner's own token; a wish to give work back ends with its lease; nodes refuse shares counted over another number of nodes than theirs, and a node that the file names no more is gone from the census. Orders to stop at an act name the work, as either work's act would have used them up.

--- a/caperdeck/lab/faults.py
+++ b/caperdeck/lab/faults.py
@@ -37,8 +37,8 @@
 
     def wake(self, node: str) -> None: ...
 
-    def stop_at_act(self, owner: str, after: bool) -> None:
-        """The instance stops by itself just before its next act goes out, or just after."""
+    def stop_at_act(self, owner: str, work: str, after: bool) -> None:
+        """The instance stops by itself just before its next act of that work goes out, or just after."""
 
     def clock(self, node: str, offset: float, drift: float) -> None: ...
 
@@ -159,7 +159,8 @@
             elif do == "stop":
                 (hands.stop if on else hands.wake)(n)
             elif do in ON_OWNERS:
-                hands.stop_at_act(n, do == "stop-after-act") if on else hands.wake(n)
+                work = fault.of.removeprefix(HOLDER) if fault.of.startswith(HOLDER) else ""
+                hands.stop_at_act(n, work, do == "stop-after-act") if on else hands.wake(n)
             elif do == "slow":
                 self.slowed[n] = self.slowed.get(n, 0) + 1
                 if on:
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -19,6 +19,7 @@
 
 from .fleet import CLIENTS_FROM, LEAVES, Fleet
 from .history import Event
+from .launch import stop_signal
 from .ports import Ports
 from .scenario import MOST_PROCESSES, Scenario, ScenarioError, dump
 from .setup import node_config
@@ -283,8 +284,8 @@
         if self._signal(node, signal.SIGSTOP):
             self.life(node, "asleep")
 
-    def stop_at_act(self, owner: str, after: bool) -> None:
-        self._signal(owner, signal.SIGUSR2 if after else signal.SIGUSR1)
+    def stop_at_act(self, owner: str, work: str, after: bool) -> None:
+        self._signal(owner, stop_signal(work, after))
 
     def wake(self, node: str) -> None:
         if self.alive(node):
--- a/caperdeck/leases/census.py
+++ b/caperdeck/leases/census.py
@@ -35,10 +35,12 @@
         told = orjson.loads(state) if state else {}
         self.epoch: int = told.get("epoch", 0)
         floor = FLOOR / len(self.nodes)
-        self.want: dict[str, float] = told.get("want", {})  # shares of this epoch, by node
+        # shares of this epoch, by node; one that the file does not name any more has been declared gone
+        self.want = {n: x for n, x in told.get("want", {}).items() if n in self.nodes}
         self.living: int = told.get("living", 0)
         # Danger: a node that the file names anew was at its floor all along, whoever owned the work.
-        self.held: dict[str, float] = dict.fromkeys(self.nodes, floor) | told.get("held", {})
+        held = told.get("held", {})
+        self.held = {n: max(held.get(n, floor), floor) for n in self.nodes}
         self.lives: dict[str, int] = {}
         self.rounds = Rounds(self.nodes, EVERY, self.seed, now)
         self.rates: dict[str, tuple[int, int, float, float]] = {}  # life, tries, when, a second
@@ -76,8 +78,9 @@
         life = self.lives.get(node)
         if want is None or life is None or want > self.held[node] + CLOSE:
             # nothing of this epoch may be told yet; the question alone
-            return {"epoch": 0, "share": 0.0, "living": 0, "life": 0}
-        return {"epoch": self.epoch, "share": want, "living": self.living, "life": life}
+            return {"epoch": 0, "share": 0.0, "living": 0, "life": 0, "nodes": len(self.nodes)}
+        told = {"epoch": self.epoch, "share": want, "living": self.living}
+        return told | {"life": life, "nodes": len(self.nodes)}
 
     def answered(self, now: float, target: str, reply: Any) -> None:
         body = self.rounds.came(target, reply)
--- a/caperdeck/leases/runner.py
+++ b/caperdeck/leases/runner.py
@@ -127,7 +127,7 @@
             return
         command = holder.ask(now)
         if holder.token and self.wish is not None:
-            command, self.wish = self.wish | {"work": self.work.name, "token": holder.token}, None
+            command = self.wish | {"work": self.work.name, "token": holder.token}
             self._stop(command["do"])
             holder.token, self.ask_at = 0, now + holder.span
         if command is not None:
@@ -176,7 +176,8 @@
         """Nothing more is done under the token; answers to what is under way are not taken."""
         if self.token:
             self.out.append(Note("lost", self.token, reason=reason))
-            self.token, self.pending[STATE] = 0, None
+            # what an operator wished of this lease is no wish for a later one
+            self.token, self.pending[STATE], self.wish = 0, None, None
 
     def _lose(self, reason: str) -> None:
         self.holder.token, self.holder.lost = 0, reason
--- a/caperdeck/leases/table.py
+++ b/caperdeck/leases/table.py
@@ -26,7 +26,7 @@
             return {"no": "no-work-named"}
         do = {
             "acquire": self._acquire, "renew": self._renew, "give": self._give, "hand": self._hand,
-            "expire": self._expire, "save": self._save,
+            "expire": self._expire, "release": self._release, "save": self._save,
         }.get(command.get("do"))  # fmt: skip
         if do is None:
             return {"no": "unknown-command"}
@@ -104,6 +104,14 @@
         row.update(holder=None, heir=None)
         return {"ok": True}
 
+    def _release(self, work: str, c: dict[str, Any]) -> dict[str, Any]:
+        """An operator's: ended though it is renewed. The owner may still try; its token is refused."""
+        row = self.works.get(work)
+        if row is None or row["token"] != c.get("token"):
+            return {"no": "not-held"}
+        row.update(holder=None, heir=None)
+        return {"ok": True}
+
     def _save(self, work: str, c: dict[str, Any]) -> dict[str, Any]:
         """What the next owner goes on from; only the owner in force may write it."""
         if (row := self._held(work, c)) is None:
--- a/caperdeck/leases/target.py
+++ b/caperdeck/leases/target.py
@@ -109,6 +109,9 @@
             return "bad-act"
         if isinstance(share, bool) or not math.isfinite(share) or not 0 <= share <= 1:
             return "bad-share"
+        if body["nodes"] != self.nodes:
+            # Danger: its floor is a part of another number; the owner's sum would not be the fleet's.
+            return "other-count"
         if epoch and epoch < self.epoch:
             return "older-epoch"
         if epoch and body["life"] != self.life:
--- a/caperdeck/owner/commands.py
+++ b/caperdeck/owner/commands.py
@@ -80,8 +80,8 @@
         leader = "-" if s["leader"] is None else f"o{s['leader']}"
         print(f"o{number}  {s['role']}  term={s['term']} leader={leader} commit={s['commit']} log={s['log']} "
               f"voters={','.join(map(str, s['voters']))}")  # fmt: skip
-        for work, left in s["holds"].items():
-            print(f"    holds {work}, {left} ms left")
+        for work, row in s["holds"].items():
+            print(f"    holds {work} token={row['token']}, {row['left']} ms left")
         for work, reasons in s["refused"].items():
             print(f"    refused {work} " + " ".join(f"{r}={n}" for r, n in sorted(reasons.items())))
         if s["role"] == "leader":
--- a/caperdeck/owner/instance.py
+++ b/caperdeck/owner/instance.py
@@ -254,12 +254,15 @@
 
     def _on_status(self, body: dict[str, Any], then: Then) -> None:
         raft, now = self.raft, self.clock()
-        held = {w: max(r.holder.until - now, 0.0) for w, r in self.runners.items() if r.token}
+        # one that has been kept from running may have a lease that ended and have yet to see it
+        held = {w: r for w, r in self.runners.items() if r.token and r.holder.may_act(now)}
         then({
             "me": self.config.me, "role": raft.role.name.lower(), "term": raft.term, "leader": raft.leader,
             "voters": raft.members.voters, "learners": raft.members.learners, "log": raft.log.last,
             "commit": raft.commit, "snapshot": raft.log.snapshot.index, "dropped": self.net.dropped,
-            "events": self.counted, "holds": {w: round(left) for w, left in held.items()},
+            "events": self.counted,
+            # its own copy of the table below may lag behind what it was told
+            "holds": {w: {"token": r.token, "left": round(r.holder.until - now)} for w, r in held.items()},
             "refused": {w: r.refused for w, r in self.runners.items() if r.refused},
             "works": {
                 w: {"holder": row["holder"], "heir": row["heir"], "token": row["token"]}
@@ -298,7 +301,8 @@
         if row is None:
             then({"no": "unknown-work"})
         elif self._at_leader(body, then):
-            command = {"do": "expire", "work": body["work"], "token": row["token"], "renewed": row["renewed"]}
+            # Danger: by its count of renewals an owner that goes on renewing could not be ended.
+            command = {"do": "release", "work": body["work"], "token": row["token"]}
             self.driver.propose(orjson.dumps(command), 0, 0, then)
 
     def _on_members(self, body: dict[str, Any], then: Then) -> None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -112,6 +112,17 @@
     assert h.token == 2 and h.state == "far"
 
 
+def test_an_operator_ends_a_lease_that_goes_on_being_renewed():
+    """By the count of renewals that was read before, each renewal under way would save it."""
+    t = Table()
+    acquire(t)
+    t.apply({"do": "renew", "work": "w", "token": 1})
+    assert t.apply({"do": "release", "work": "w", "token": 0}) == {"no": "not-held"}
+    assert t.apply({"do": "release", "work": "w", "token": 1}) == {"ok": True}
+    assert t.apply({"do": "renew", "work": "w", "token": 1}) == {"no": "not-held"}
+    assert acquire(t, "b")["token"] == 2
+
+
 def test_a_new_leader_waits_a_whole_span_before_it_ends_a_lease():
     t = Table()
     acquire(t)
