--- a/caperdeck/owner/instance.py
+++ b/caperdeck/owner/instance.py
@@ -35,7 +35,8 @@
 WORKS = {HOSTS: Turning, CENSUS: Census}
 LEAST_WAIT = 2.0  # milliseconds between two turns with nothing coming in
 EXPIRE_AGAIN = 200.0
-AWAY = 250.0  # late by so much, the instance was asleep or starved
+LONGEST_WAIT = 250.0  # between two turns at the most
+SLEPT = 1250.0  # between two turns, the instance was asleep or starved
 WATCH = 10_000.0  # milliseconds that a watch waits at the most
 MOST_CALLS = 64  # that wait for the agreement
 
@@ -119,7 +120,7 @@
         if self.closed:
             return
         now = self.clock()
-        if now - self.turn_at > AWAY + 1000.0:
+        if now - self.turn_at > SLEPT:
             # leases and elections count by the clock, not by turns: nothing more is to be done about it
             logger.warning("owner away ms={:.0f}", now - self.turn_at)
         self.turn_at = now
@@ -131,7 +132,7 @@
         if self.closed:
             return
         now = self.clock()
-        due = min([self.raft.due, now + AWAY, *(r.due for r in self.runners.values())])
+        due = min([self.raft.due, now + LONGEST_WAIT, *(r.due for r in self.runners.values())])
         self.bell = self.reactor.callLater(max(due - now, LEAST_WAIT) / 1000.0, self._turn)
 
     def _soon(self) -> None:
