Read again: a function nobody called and a table that the last answers hold already

Need: a last read of the change. steps_in of the turns was called by nothing; the census kept the epoch of each node beside the answer that told it. Both go; behaviour is as it was. Left: the two one-question connections of an owner (asking.py, nodes.py) share their timer and their end, alike in shape and different in framing and in how they close.

--- a/caperdeck/lab/dealt.py
+++ b/caperdeck/lab/dealt.py
@@ -60,7 +60,7 @@
         )  # fmt: skip
         owners = tuple(
             (o.token, o.census.dump(), repr(o.census.rounds.under_way), repr(o.census.lives),
-             repr(o.census.told), o.census.dirty, o.census.changed_at, repr(o.census.rounds.replies),
+             o.census.dirty, o.census.changed_at, repr(o.census.rounds.replies),
              repr(o.census.rounds.next_at))
             for o in self.owners
         )  # fmt: skip
--- a/caperdeck/leases/census.py
+++ b/caperdeck/leases/census.py
@@ -44,7 +44,6 @@
         self.lives: dict[str, int] = {}
         self.rounds = Rounds(self.nodes, EVERY, self.seed, now)
         self.rates: dict[str, tuple[int, int, float, float]] = {}  # life, tries, when, a second
-        self.told: dict[str, int] = {}  # the epoch that a node has taken up
         self.changed_at = now
         self.dirty = False  # held has grown, or there is a new epoch: to be committed before it is told
 
@@ -89,14 +88,13 @@
             self.lives.pop(target, None)
             return
         self._rate(now, target, reply)
-        self.told[target] = reply["epoch"]
         self.lives[target] = reply["life"]
         # Danger: a share that was told under this epoch may be under way to the node still, and grow there;
         # only what the node says after the epoch's own word is its last.
         if body["epoch"] == self.epoch and reply["epoch"] == self.epoch:
             self.held[target] = reply["share"]
         wanted = self.want.get(target)
-        if wanted is not None and self.told[target] != self.epoch and wanted <= self.held[target] + CLOSE:
+        if wanted is not None and reply["epoch"] != self.epoch and wanted <= self.held[target] + CLOSE:
             self.rounds.soon(now, target)
 
     def _rate(self, now: float, node: str, reply: dict[str, Any]) -> None:
@@ -110,7 +108,7 @@
     def _plan(self, now: float) -> None:
         """A new epoch where other nodes live, or traffic has moved."""
         heard = self.rounds.heard(now, LIVES)
-        settled = all(self.told.get(n) == self.epoch for n in heard if n in self.want)
+        settled = all(heard[n]["epoch"] == self.epoch for n in heard if n in self.want)
         if not heard or now - self.changed_at < LEAST or not (settled or now - self.changed_at > 3 * LIVES):
             return
         living = [n for n in self.nodes if n in heard]
--- a/caperdeck/turns/turn.py
+++ b/caperdeck/turns/turn.py
@@ -35,8 +35,3 @@
     """
     place = mixed(mark, work, number, me) * max(nodes, 1)
     return step * min(place, MOST_STEPS)
-
-
-def steps_in(elapsed: float, step: float = STEP) -> float:
-    """How many nodes have done it by then, in the mean, if none hears of another."""
-    return elapsed / step
