--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -23,7 +23,7 @@
 from caperdeck.ops.upgrade import Upgrade
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
-from caperdeck.state.patience import Patience
+from caperdeck.state.backoff import BackOff
 from caperdeck.turns.subset import SubsetError, Subsets
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
@@ -78,7 +78,7 @@
         self.desk.accepting = self.accept
         self.discovery = Discovery(
             reactor, config.discovery, config.rev, self.desk.listed, self.discovery_spoke,
-            self.complain, Patience(config.settings.seed, config.settings.nodes), self.excused,
+            self.complain, BackOff(config.settings.seed, config.settings.nodes), self.excused,
         )  # fmt: skip
         self.desk.source = self.discovery
         self.narrows = subsets
--- a/caperdeck/state/patience.py
+++ b/caperdeck/state/backoff.py
@@ -10,7 +10,7 @@
 LONGEST = 16.0
 
 
-class Patience:
+class BackOff:
     """The span in which a node asks again; where in it, each node draws for itself."""
 
     def __init__(self, seed: int, nodes: int) -> None:
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -13,7 +13,7 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
-from caperdeck.state.patience import Patience
+from caperdeck.state.backoff import BackOff
 from caperdeck.state.timers import cancel
 
 LONGEST_LIST = 16 << 20
@@ -69,7 +69,7 @@
 
     def __init__(
         self, reactor: Any, address: str, rev: int, listed: Callable[[bool, Any], None],
-        spoke: Callable[[], None], complain: Callable[[str, str], None], patience: Patience,
+        spoke: Callable[[], None], complain: Callable[[str, str], None], back_off: BackOff,
         excused: Callable[[], bool] = lambda: False,
     ) -> None:  # fmt: skip
         self.reactor = reactor
@@ -83,7 +83,7 @@
         self.agent = Agent.usingEndpointFactory(reactor, _ByAddress(reactor), pool)
         self.body: _WatchBody | None = None
         self.asked = None
-        self.patience = patience
+        self.back_off = back_off
         self.silence = None
         self.retry = None
         self.reads = 0  # how often anything of the list has come
@@ -113,7 +113,7 @@
         """Watches another discovery from now on; the list last told holds until it speaks."""
         # Danger: another discovery may count its versions anew, and would be asked for none of its changes.
         self.address, self.rev = address, 0
-        self.patience.heard()
+        self.back_off.heard()
         asked, self.asked = self.asked, None
         self.leave()
         cancel(self.retry)
@@ -129,7 +129,7 @@
 
     def failed(self, asked: Any, failure: Any) -> None:
         if self.asked is asked:
-            if self.patience.fresh:  # once for each time that discovery is away
+            if self.back_off.fresh:  # once for each time that discovery is away
                 self.complain("discovery-unreached", failure.getErrorMessage())
             self.again(None)
 
@@ -164,13 +164,13 @@
         self.leave()
         cancel(self.silence)
         # Danger: what was told while the node was away counts as told, whether or not it still can read it.
-        wait = BACK if self.excused() else self.patience.next()
+        wait = BACK if self.excused() else self.back_off.next()
         self.retry = self.reactor.callLater(wait, self.start)
 
     def line(self, line: bytes) -> None:
         self.heard()
         self.spoke()
-        self.patience.heard()
+        self.back_off.heard()
         if not line:
             return
         try:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,7 @@
 from caperdeck.core.facade import Looked
 from caperdeck.core.model import HostState, Outcome, Report
 from caperdeck.state.addresses import Address
-from caperdeck.state.patience import Patience
+from caperdeck.state.backoff import BackOff
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.discovery import MOST_HOSTS, SILENT, Discovery, _WatchBody
 from caperdeck.wire.heads import HeadError, parse_head, parse_report
@@ -454,7 +454,7 @@
 def test_a_watch_goes_on_after_what_cannot_be_read(line):
     heard, said = [], []
     watch = Discovery(MemoryReactorClock(), "127.0.0.1:8500", 4, lambda *x: heard.append(x), lambda: None,
-                      lambda reason, text: said.append(reason), Patience(7, 3))  # fmt: skip
+                      lambda reason, text: said.append(reason), BackOff(7, 3))  # fmt: skip
     body = _WatchBody(watch)
     body.makeConnection(Wire())
     good = orjson.dumps({"rev": 5, "all": False, "targets": [row("s-1")] * 200})
@@ -466,7 +466,7 @@
 def test_a_watch_that_fell_silent_is_opened_anew():
     reactor, said = MemoryReactorClock(), []
     watch = Discovery(reactor, "127.0.0.1:8500", 4, None, lambda: None, lambda reason, _: said.append(reason),
-                      Patience(7, 3))  # fmt: skip
+                      BackOff(7, 3))  # fmt: skip
     watch.start()
     body = _WatchBody(watch)
     body.makeConnection(Wire())
@@ -482,7 +482,7 @@
 def test_a_discovery_that_cannot_be_reached_is_named_once_and_asked_again():
     reactor, said = MemoryReactorClock(), []
     watch = Discovery(reactor, "127.0.0.1:8500", 4, None, lambda: None, lambda reason, _: said.append(reason),
-                      Patience(7, 3))  # fmt: skip
+                      BackOff(7, 3))  # fmt: skip
     watch.start()
     for _ in range(3):
         reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(Refused()))
@@ -494,7 +494,7 @@
     # Danger: its text would end the silence, and let hosts that are held to drain take sessions again.
     heard, said = [], []
     watch = Discovery(MemoryReactorClock(), "127.0.0.1:8500", 4, None, lambda: heard.append(1),
-                      lambda reason, text: said.append(reason), Patience(7, 3))  # fmt: skip
+                      lambda reason, text: said.append(reason), BackOff(7, 3))  # fmt: skip
     body = _WatchBody(watch, granted=False)
     body.makeConnection(Wire())
     body.dataReceived(b"too many calls\n\n")
@@ -507,7 +507,7 @@
 def test_nodes_that_lose_discovery_together_all_get_the_list_again(nodes, takes, half, last):
     # Danger: discovery answers calls in turn, also those given up since; asked in step it helps nobody.
     each, gives_up = takes / nodes, 2.0  # it can take a call of every node in that time
-    waits = [Patience(zlib.crc32(b"%d" % n), nodes) for n in range(nodes)]
+    waits = [BackOff(zlib.crc32(b"%d" % n), nodes) for n in range(nodes)]
     calls = [(p.next(), n) for n, p in enumerate(waits)]
     heapq.heapify(calls)
     free, told = 0.0, []
@@ -524,7 +524,7 @@
 def test_a_node_asks_for_the_list_at_its_start_and_waits_only_when_it_lost_it():
     # Danger: hosts gone since the list that it was given would be sent sessions past their grace.
     reactor = MemoryReactorClock()
-    watch = Discovery(reactor, "127.0.0.1:8500", 4, None, lambda: None, lambda *_: None, Patience(7, 40))
+    watch = Discovery(reactor, "127.0.0.1:8500", 4, None, lambda: None, lambda *_: None, BackOff(7, 40))
     watch.start()
     assert len(reactor.tcpClients) == 1
     reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(Refused()))
@@ -537,7 +537,7 @@
     # Danger: a host that drains since would be listed as ready again, and be sent to past its grace.
     reactor, heard, said = MemoryReactorClock(), [], []
     watch = Discovery(reactor, "127.0.0.1:8500", 9, lambda *x: heard.append(x), lambda: None,
-                      lambda reason, _: said.append(reason), Patience(7, 3))  # fmt: skip
+                      lambda reason, _: said.append(reason), BackOff(7, 3))  # fmt: skip
     body = _WatchBody(watch)
     body.makeConnection(Wire())
     body.dataReceived(orjson.dumps({"rev": 8, "all": False, "targets": [row("s-0")]}) + b"\n")
@@ -549,7 +549,7 @@
 def test_a_list_of_too_many_hosts_is_named_and_the_last_one_kept():
     heard, said = [], []
     watch = Discovery(MemoryReactorClock(), "127.0.0.1:8500", 4, lambda *x: heard.append(x), lambda: None,
-                      lambda reason, _: said.append(reason), Patience(7, 3))  # fmt: skip
+                      lambda reason, _: said.append(reason), BackOff(7, 3))  # fmt: skip
     watch.line(orjson.dumps({"rev": 5, "all": True, "targets": [row("s-0")] * (MOST_HOSTS + 1)}))
     assert not heard and said == ["list-too-long"] and watch.rev == 4
 
@@ -678,7 +678,7 @@
 def watch_of(reactor, said, excused):
     watch = Discovery(
         reactor, "127.0.0.1:8500", 4, lambda *x: said.append(x), lambda: None,
-        lambda reason, _: said.append(reason), Patience(7, 200), lambda: bool(excused),
+        lambda reason, _: said.append(reason), BackOff(7, 200), lambda: bool(excused),
     )  # fmt: skip
     watch.start()
     body = _WatchBody(watch)
