One gate at the send: what held when the host was chosen is asked again as the connection is up

Need: a connection comes up to 1.5 s after its host was chosen; only drains and bans were asked again there. Forced on loopback, each failing on the program before: a client's end (or a further line) that lies unread beside the connection that comes up, and before a timer that dials on; a repeat whose window ran out meanwhile; a host that started anew meanwhile; the rest of a request line that the system took in part, which went out after its dial was given up (the library flushes before it closes). Not a fault: the time of the client (the connection's own time-out came first; the gate asks all the same), an end beside the host's UP in one turn.

Change: Node.still_allowed is asked at the send and shares _harmless with the gate at the choice; the client's socket is peeked at before a dial and before a request line; a dial cut off in its request line is reset. In the same gate: a repeat counts when it arrives (50 ms), goes to no host that has started since, and to the group that the first host had; a referenced session is refused only while the client can come again within the window, else torn down.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -210,7 +210,13 @@
             return
         match order:
             case Connect(_, dial, host, until):
-                self._dial(s, dial, host, until)
+                # Danger: a timer of this turn runs before the client's end is read, which lies there.
+                if s.client.unread() != b"":
+                    self._dial(s, dial, host, until)
+                    return
+                self._end(s, "client-left")
+                self.report(Left(s.index))
+                self.report(Over(s.index, dial, Outcome.NEVER_SENT, True))
             case Abandon():
                 self._end_dial(s, Outcome.WITHDRAWN)
             case Decline(_, back_off):
@@ -273,13 +279,24 @@
         s.conn = self.open_host(s, s.deadline, RESUME_TIME_OUT)
 
     def dial_open(self, conn: HostSide) -> None:
-        """The connection is up; the one place where a head goes out."""
+        """The connection is up; the one place where a request line goes out."""
         s = conn.session
         if self.later(partial(self.dial_open, conn)) or conn.ended:
             return
-        # Danger: a host may have begun to drain, or been taken out, while the connection came up.
-        may_send = s.head.at is not None or self.balancer.may_send(s.host)
-        if not may_send or not self.send_head(conn):
+        unread = s.client.unread()
+        if unread is None:
+            self._send(s, conn)
+        elif not unread:
+            self.client_gone(s.client, reset=False)
+        else:
+            # who does not wait for its answer is turned away once that has been read
+            self.reactor.callLater(0, self.dial_open, conn)
+
+    def _send(self, s: Session, conn: HostSide) -> None:
+        # Danger: what held when the host was chosen may have lapsed while its connection came up.
+        if s.head.at is None and not self.balancer.still_allowed(self.clock(), s.index):
+            self._end_dial(s, Outcome.NEVER_SENT)
+        elif not self.send_head(conn):
             self._end_dial(s, Outcome.UNREACHED)
         else:
             self.figures.relayed += 1
@@ -504,4 +521,6 @@
         for client in list(self.idle):
             if client.opened >= before:
                 break
-            client.close(linger=False)
+            # Danger: closed over a line that has come in this instant, the client would have no answer to it.
+            if not client.unread():
+                client.close(linger=self.budget.may_serve())
--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -57,6 +57,7 @@
 FAILURES = (Outcome.ERROR, Outcome.LATE, Outcome.UNREACHED, Outcome.RESET)
 CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
+ARRIVAL = 50.0  # until what is sent has arrived at its host
 COLD_PART = 0.75  # of a cold host's budget, for all nodes' parts together
 UNEVEN = 1.5  # times its even share of the fleet's room a node may fill: clients come unevenly
 UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
@@ -446,20 +447,41 @@
 
     def _allowed(self, now: float, s: Held, h: int) -> bool:
         over = s.answered or s.out or now >= s.deadline or len(s.dials) >= s.most_dials
-        if over or self.state[h] is not HostState.RUNNING:
-            return False
-        ran, listener = next((d for d in s.dials if d.may_have_run), None), s.listener
-        if ran is not None and listener.effect is not Effect.REPEATABLE:
-            if listener.effect is Effect.ONCE_ONLY or now - ran.at >= listener.memory_span:
-                return False
-            group = {Scope.ALL: None, Scope.ZONE: self.zone, Scope.CELL: self.cell}[listener.scope]
-            return group is None or group[ran.host] == group[h]
-        return True
+        return not over and self.state[h] is HostState.RUNNING and self._harmless(now, s, h, s.dials)
 
-    def _may_refuse(self, s: Held) -> bool:
-        kind = s.listener.effect, s.listener.scope
-        harmless = kind[0] is Effect.REPEATABLE or kind == (Effect.REFERENCED, Scope.ALL)
-        return harmless or not any(d.may_have_run for d in s.dials)
+    def still_allowed(self, now: float, sid: int) -> bool:
+        """The same at the send, once the connection is up: whether the dial that is out may go on."""
+        # Danger: meanwhile the host began to drain or started anew, or a window or the client's time ran out.
+        if (s := self.sessions.get(sid)) is None or s.answered or now >= s.deadline:
+            return False
+        h, before = s.dials[-1].host, s.dials[:-1]
+        same = self.state[h] is HostState.RUNNING and self.born[h] == s.dials[-1].born
+        return same and self._harmless(now, s, h, before)
+
+    def _harmless(self, now: float, s: Held, h: int, before: list[Sent]) -> bool:
+        """Whether nothing ran yet, or what ran makes the host drop the repeat."""
+        ran = self._ran(before)
+        if ran is None or s.listener.effect is Effect.REPEATABLE:
+            return True
+        # Danger: a repeat counts when it arrives; and a host that has started since remembers nothing.
+        late = now + ARRIVAL >= ran.at + s.listener.memory_span or self.born[h] > ran.at
+        return s.listener.effect is Effect.REFERENCED and not late and ran.group == self._group(s, h)
+
+    def _ran(self, dials: list[Sent]) -> Sent | None:
+        return next((d for d in dials if d.may_have_run), None)
+
+    def _group(self, s: Held, h: int) -> int:
+        """The hosts that drop repeats of what the host has run, as the roster has it now."""
+        return (0, self.zone[h], self.cell[h])[s.listener.scope]
+
+    def _may_refuse(self, s: Held, wait: float) -> bool:
+        ran, listener = self._ran(s.dials), s.listener
+        if ran is None or listener.effect is Effect.REPEATABLE:
+            return True
+        # Danger: a refusal invites the client to come again, which has to reach a host within the window.
+        back = self.now + wait + listener.handshake_target + ARRIVAL
+        kind = listener.effect, listener.scope
+        return kind == (Effect.REFERENCED, Scope.ALL) and back < ran.at + listener.memory_span
 
     # ---- sessions
 
@@ -473,7 +495,7 @@
     def taken_over(self, now: float, a: Ask, h: int) -> list[Action]:
         """A connection that stood before this node started; its dial 0 counts as made."""
         s = self._new(now, a)
-        s.dials.append(Sent(h, now))
+        s.dials.append(Sent(h, now, self.born[h], self._group(s, h)))
         self.held[h] += 1
         self._stand(s, now - MOVE_AGE)
         return []
@@ -504,8 +526,8 @@
                 yield Wake(WAIT_FOR_HOST, s.id)
             else:
                 break
-        if self._may_refuse(s):
-            wait = min(BACK_OFF * (1 + self.chance()), self.set.max_back_off) if self.set.back_off else 0.0
+        wait = min(BACK_OFF * (1 + self.chance()), self.set.max_back_off) if self.set.back_off else 0.0
+        if self._may_refuse(s, wait):
             yield Refuse(s.id, wait)
         else:
             yield TearDown(s.id)
@@ -528,7 +550,7 @@
             h, load = act.host, self._forecast(self.now, s)
             self.rights.spend(self.now, ROOM_POT, load)
             self.sent[h, self.born[h]] = self.sent.get((h, self.born[h]), 0) + 1
-            s.dials.append(Sent(h, self.now))
+            s.dials.append(Sent(h, self.now, self.born[h], self._group(s, h)))
             s.out = True
             self.held[h] += 1
             self.dialing[h] += 1
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -213,9 +213,13 @@
             n.able[h] = load
 
     def may_send(self, host: int) -> bool:
-        """Whether a connection to the host that has come up may still be sent its first line."""
+        """Whether anything new may go to the host."""
         return self._node.state[host] is HostState.RUNNING
 
+    def still_allowed(self, now: float, session: int) -> bool:
+        """Whether the session's dial, whose connection has come up, may still be sent its request line."""
+        return self._node.still_allowed(now, session)
+
     def _event(self, now: float, news: News) -> list[Action]:
         match news:
             case Up(session):
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -181,6 +181,8 @@
 
     host: int
     at: float
+    born: float  # the host's start, as the roster had it then
+    group: int  # of the hosts that drop repeats of it, as the roster had it then
     may_have_run: bool = True
 
 
--- a/caperdeck/lab/memory.py
+++ b/caperdeck/lab/memory.py
@@ -375,6 +375,10 @@
         self.write(data)
         return len(data)
 
+    def recv(self, size: int, flags: int) -> bytes:
+        """What has arrived has been read at once."""
+        raise BlockingIOError
+
     def doWrite(self) -> None:
         pass
 
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -28,6 +28,9 @@
 
     def close(self, last_line: bytes | None = None, linger: bool = True) -> None: ...
 
+    def unread(self) -> bytes | None:
+        """A byte of what has come and is not read yet; b"" if that is the end, None if there is nothing."""
+
     def abort(self) -> None: ...
 
 
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -13,7 +13,7 @@
 
 from caperdeck.state.timers import cancel
 
-from .lines import BoundedPort, LineConnection
+from .lines import LINGER, LINGER_SHORT, BoundedPort, LineConnection
 
 if TYPE_CHECKING:
     from caperdeck.state.sessions import Session
@@ -50,20 +50,26 @@
             self.desk.client_broke(self, "long-line")
 
     def close(self, last_line: bytes | None = None, linger: bool = True) -> None:
-        """Ends the connection after a last line, if any; without lingering where sockets are short."""
+        """Ends the connection after a last line, if any; hardly lingering where sockets are short."""
         if self.closing:
             return
         self.closing = True
         self.transport.unregisterProducer()
         if last_line is not None:
             self.pass_on(last_line)
-        if not linger:
-            self.transport.loseConnection()
-            return
-        self.end_sending(self.desk.reactor)
+        self.end_sending(self.desk.reactor, LINGER if linger else LINGER_SHORT)
         if self.paused:
             self.resumeProducing()
 
+    def unread(self) -> bytes | None:
+        """A byte of what has come and is not read yet; b"" if that is the end, None if there is nothing."""
+        try:
+            return self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
     def abort(self) -> None:
         self.closing = True
         self.transport.unregisterProducer()
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -23,7 +23,8 @@
     def __init__(self, desk: Desk, session: Session, until: float) -> None:
         self.desk = desk
         self.session = session
-        self.sent = False  # the head's last byte has been written
+        self.sent = False  # the request line's last byte has been written
+        self.cut = False  # the system took a part of it only; the rest waits in the transport
         self.taken_up = False  # it stood at another process of this node already
         self.until = until
         self.ended = False  # concluded; nothing that still comes counts
@@ -49,7 +50,8 @@
             sent = 0
         except OSError:
             return False
-        if sent < total:
+        self.cut = sent < total
+        if self.cut:
             # what is left follows as the socket drains; a break after this counts as a line that may have run
             self.transport.write(b"".join(pieces)[sent:])
         self.sent = True
@@ -71,7 +73,9 @@
             self.connector.disconnect()
             return
         self.transport.unregisterProducer()
-        if reset:
+        # Danger: the rest of a request line would still go out, and a dial that was given up would run beside
+        # the next one.
+        if reset or (self.cut and not self.session.up_at):
             self.transport.abortConnection()
         else:
             self.transport.loseConnection()
--- a/caperdeck/wire/lines.py
+++ b/caperdeck/wire/lines.py
@@ -11,6 +11,7 @@
 CRLF = b"\r\n"
 LONGEST_LINE = 4096
 LINGER = 0.8  # seconds in which what was written last has to go out
+LINGER_SHORT = 0.05  # the same while sockets are short
 
 
 class LineConnection(LineReceiver):
@@ -21,14 +22,14 @@
     def pass_on(self, line: bytes) -> None:
         self.transport.writeSequence((line, CRLF))
 
-    def linger(self, reactor: Any) -> None:
-        self.lingers = reactor.callLater(LINGER, self.transport.abortConnection)
+    def linger(self, reactor: Any, seconds: float = LINGER) -> None:
+        self.lingers = reactor.callLater(seconds, self.transport.abortConnection)
 
-    def end_sending(self, reactor: Any) -> None:
+    def end_sending(self, reactor: Any, seconds: float = LINGER) -> None:
         """Ends this side once all that was written has gone out, and waits a while for the other's end."""
         # Danger: closed with a line of the other side unread, the kernel resets it and our last line is lost.
         self.transport.loseWriteConnection()
-        self.linger(reactor)
+        self.linger(reactor, seconds)
 
     def stopProducing(self) -> None:
         """The other side of the session is gone; its own connectionLost sees to this one."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -158,3 +158,165 @@
     later = sum(w.next() for w in waits for _ in range(20)) / 4000
     refused = sum(w.next(REFUSED) for w in waits for _ in range(20)) / 4000
     assert 200 / later <= 680 and 200 / (later + ANSWER) <= 81 and 200 / refused <= 57  # calls a second
+
+
+# ---- from the decision to the first byte
+
+
+def lines_at(sock):
+    return read_all(sock)[0].split(b"\r\n")[:-1]
+
+
+@pytest.fixture
+def loop():
+    made = []
+
+    def make(**parts):
+        made.append(Loopback(**parts))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.close()
+
+
+@pytest.mark.parametrize("leaves", [lambda sock: sock.close(), reset], ids=["end", "reset"])
+def test_no_request_goes_out_for_a_client_whose_end_lies_there_unread(loop, leaves):
+    # Danger: the host's socket is looked at before the client's, and the request runs for nobody.
+    lo = loop()
+    client, s = lo.taken()
+    host = lo.hold(s)
+    leaves(client)
+    with lo.reactor.unwatched(s.client.transport):
+        lo.comes_up(s)
+    lo.reactor.settle()
+    assert not read_all(host)[0] and not lo.desk.sessions.table and lo.desk.figures.relayed == 0
+    assert not any(lo.desk.balancer._node.held + lo.desk.balancer._node.dialing)
+
+
+def test_no_dial_begins_for_a_client_whose_end_lies_there_as_the_timer_runs(loop):
+    # Danger: after a stall timers run before what lies in the sockets is read.
+    lo = loop(hosts=2)
+    client, s = lo.taken()
+    lo.reactor.until(lambda: any(peer.accept() for peer in lo.hosts))
+    client.close()
+    first = s.dial
+    lo.reactor.now += 0.2  # past the first dial's time-out of 180 ms, no sleep yet
+    with lo.reactor.unwatched(s.client.transport):
+        lo.reactor.settle()
+    lo.reactor.settle()
+    assert first == 0 and sum(peer.accept() for peer in lo.hosts) == 0 and not lo.desk.sessions.table
+    assert not any(lo.desk.balancer._node.held + lo.desk.balancer._node.dialing)
+
+
+def test_a_client_that_does_not_wait_is_turned_away_before_its_request_goes_out(loop):
+    lo = loop()
+    client, s = lo.taken()
+    host = lo.hold(s)
+    client.send(b"FURTHER\r\n")
+    with lo.reactor.unwatched(s.client.transport):
+        lo.comes_up(s)
+    lo.reactor.settle()
+    assert not read_all(host)[0] and lines_at(client) == [b"ERR"]
+
+
+def test_an_end_and_the_hosts_answer_in_one_turn_leave_nothing_behind(loop):
+    lo = loop()
+    client, s = lo.taken()
+    host = lo.host_side()
+    lo.reactor.until(lambda: s.conn.sent)
+    host.send(b"UP r1\r\n")
+    client.close()
+    lo.reactor.settle(60)
+    assert not lo.desk.sessions.table and lo.desk.budget.sessions == lo.desk.budget.clients == 0
+    assert read_all(host)[1]
+
+
+REFERENCED = {"effect": "deduplicated", "memorySpan": 0.3}
+
+
+def second_dial(lo):
+    """The first host took the request and said nothing; the dial to the second has not been seen to be up."""
+    client, s = lo.taken()
+    lo.reactor.until(lambda: any(peer.accept() for peer in lo.hosts) and s.conn.sent)
+    lo.reactor.now += 0.181
+    lo.reactor.runUntilCurrent()
+    assert s.dial == 1
+    return client, s, lo.hold(s)
+
+
+def test_a_repeat_whose_connection_comes_up_in_time_goes_out(loop):
+    lo = loop(hosts=2, listener=REFERENCED | {"memorySpan": 5.0})
+    client, s, host = second_dial(lo)
+    lo.comes_up(s)
+    assert lines_at(host)[0].startswith(b"OPEN ")
+
+
+def test_a_repeat_whose_window_ran_out_while_its_connection_came_up_is_not_sent(loop):
+    lo = loop(hosts=2, listener=REFERENCED, dialTimeout=1.0)
+    client, s, host = second_dial(lo)
+    lo.reactor.now += 0.15
+    lo.comes_up(s)
+    assert not read_all(host)[0] and lines_at(client) == [b"ERR"]
+
+
+@pytest.mark.parametrize("born", [0, START + 5000])
+def test_a_request_whose_host_started_anew_while_its_connection_came_up_goes_elsewhere(loop, born):
+    # Danger: what was paid for a warm host would reach a cold one, all dials under way at once.
+    lo = loop()
+    client, s = lo.taken()
+    host = lo.hold(s)
+    lo.desk.listed(False, [row("s-0", port=lo.hosts[0].port, boot=born)])
+    lo.comes_up(s)
+    assert bool(lines_at(host)) is not bool(born)
+
+
+@pytest.mark.parametrize("after, sent", [(0.1, True), (1.25, False)])
+def test_a_request_whose_time_is_up_as_its_connection_comes_up_is_not_sent(loop, after, sent):
+    lo = loop(mostDials=1, dialTimeout=5.0)
+    client, s = lo.taken()
+    host = lo.hold(s)
+    s.timer.cancel()  # a timer that runs after the sockets of its turn
+    lo.reactor.now += after
+    lo.desk.turn_at = lo.desk.read_clock()
+    lo.comes_up(s)
+    assert bool(lines_at(host)) is sent
+
+
+def test_what_is_left_of_a_request_line_does_not_follow_once_its_dial_is_given_up(loop):
+    # Danger: the library sends the rest before it closes, and the first dial runs beside the second.
+    lo = loop(hosts=2, listener=REFERENCED | {"memorySpan": 5.0})
+    client, s = lo.taken()
+    first, conn = lo.hold(s), s.conn
+    conn.send_head = lambda pieces: type(conn).send_head(Part(conn), pieces)
+    lo.reactor.addWriter(conn.connector.transport)
+    lo.reactor.until(lambda: conn.sent)
+    lo.reactor.removeWriter(conn.transport)  # no room at the system meanwhile
+    lo.reactor.now += 0.181
+    lo.reactor.runUntilCurrent()
+    assert s.dial == 1
+    lo.reactor.settle()
+    data, end = read_all(first)
+    assert len(data) == 10 and end
+
+
+class Part:
+    """A host connection whose system takes ten bytes of the request line."""
+
+    def __init__(self, conn):
+        self.__dict__["conn"] = conn
+
+    def __getattr__(self, name):
+        return self if name == "transport" else getattr(self.conn, name)
+
+    def __setattr__(self, name, value):
+        setattr(self.conn, name, value)
+
+    def getHandle(self):
+        return self
+
+    def sendmsg(self, pieces):
+        return self.conn.transport.getHandle().send(b"".join(pieces)[:10])
+
+    def write(self, data):
+        self.conn.transport.write(data)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -44,6 +44,42 @@
     assert fail(n, 1, 0, Outcome.LATE, START + 5001) == [TearDown(1)]
 
 
+@pytest.mark.parametrize("at, answer", [
+    (0, Refuse), (4148, Refuse), (4650, TearDown), (5001, TearDown)])  # fmt: skip
+def test_a_referenced_session_is_refused_only_while_its_client_can_come_again_in_the_window(at, answer):
+    # Danger: a refusal says that trying again is harmless; past the window the hosts would run it twice.
+    n = node(effect=Effect.REFERENCED, max_dials=1)
+    n.chance = lambda: 0.001
+    n.ask(START, ask(1, left=9000.0))
+    (act,) = fail(n, 1, 0, Outcome.LATE, START + at)
+    assert type(act) is answer
+
+
+@pytest.mark.parametrize("late, dialed", [(4949.0, True), (4951.0, False)])
+def test_a_repeat_is_sent_only_if_it_arrives_in_the_window(late, dialed):
+    n = node(effect=Effect.REFERENCED, scope=Scope.ZONE)
+    n.ask(START, ask(1, left=9000.0))
+    n.seen_at = [START + late] * 4
+    assert bool(dials(fail(n, 1, 0, Outcome.LATE, START + late))) is dialed
+
+
+def test_no_repeat_goes_to_a_host_that_has_started_since():
+    # Danger: its group alone knew of the first, and a process that starts remembers nothing.
+    n = node(1, effect=Effect.REFERENCED)
+    n.ask(START, ask(1))
+    n.roster(START + 10, RosterScope.CHANGES, [entry(0, born=START + 5)])
+    assert not dials(fail(n, 1, 0, Outcome.RESET, START + 20))
+
+
+def test_the_group_of_a_repeat_is_the_one_that_the_first_host_had():
+    # Danger: an entry that changes moves the host, and with it the hosts that are held to know of the first.
+    n = node(entries=[entry(0, cell=1)], effect=Effect.REFERENCED, scope=Scope.CELL)
+    n.ask(START, ask(1))
+    n.roster(START, RosterScope.CHANGES, [entry(0, cell=2), entry(1, cell=2), entry(2, cell=1)])
+    n.seen_at = [START] * 3
+    assert dials(fail(n, 1, 0, Outcome.ERROR))[0].host == 2
+
+
 def test_dials_end_and_the_answer_comes_at_once():
     n = node()
     n.ask(START, ask(1))
