--- a/caperdeck/core/settings.py
+++ b/caperdeck/core/settings.py
@@ -34,8 +34,9 @@
 
 def figure(
     table: Any, key: str, where: str, default: float | None = None, over: float = -math.inf,
+    least: float = -math.inf, most: float = math.inf,
 ) -> float:  # fmt: skip
-    """A finite number of the table, over the bound; with a default it may be absent."""
+    """A finite number of the table within the bounds; with a default it may be absent."""
     if default is not None and isinstance(table, dict) and key not in table:
         return default
     value = need(table, key, where)
@@ -44,6 +45,8 @@
         raise SettingsError(f"setting {where}{key} is no number: {value!r:.50}")
     if value <= over:
         raise SettingsError(f"setting {where}{key} is {value}, not over {over:g}")
+    if not least <= value <= most:
+        raise SettingsError(f"setting {where}{key} is {value}, not within {least:g} and {most:g}")
     return value
 
 
@@ -67,7 +70,7 @@
         listeners.append(Listener(
             effect=_choice(EFFECTS, need(row, "effect", where), "effect"),
             scope=_choice(SCOPES, row.get("group") or "all", "group"),
-            memory_span=figure(row, "memorySpan", where, 0.0) * MS,
+            memory_span=figure(row, "memorySpan", where, 0.0, least=0.0) * MS,
             handshake_target=target,
             message_target=aims[i] * MS if i < len(aims) else target,
             utility=figure(row, "utility", where, 1.0),
@@ -88,13 +91,13 @@
         may_probe=bool(limits.get("mayProbe", False)),
         figures=not {"x0", "x1"}.isdisjoint((setup.get("report") or {}).get("names") or ()),
         back_off=bool(limits.get("retryAfter", False)),
-        max_back_off=figure(limits, "maxRetryAfter", "limits.", 0.0) * MS,
-        cold_from=figure(rules, "coldFrom", "invariants."),
-        warm_after=figure(rules, "warmAfter", "invariants.") * MS,
-        fall_multiple=figure(rules, "fallMultiple", "invariants."),
-        fall_span=figure(rules, "fall", "invariants.") * MS,
+        max_back_off=figure(limits, "maxRetryAfter", "limits.", 0.0, least=0.0) * MS,
+        cold_from=figure(rules, "coldFrom", "invariants.", over=0.0, most=1.0),
+        warm_after=figure(rules, "warmAfter", "invariants.", least=0.0) * MS,
+        fall_multiple=figure(rules, "fallMultiple", "invariants.", over=0.0),
+        fall_span=figure(rules, "fall", "invariants.", over=0.0) * MS,
         subscribe=setup.get("discovery") == "subscribe",
-        ask_every=figure(rules, "askEvery", "invariants.", 10.0) * MS,
+        ask_every=figure(rules, "askEvery", "invariants.", 10.0, over=0.0) * MS,
         cross_price=figure(setup.get("prices", {}), "crossZone", "prices.", 0.0),
         sizes_stand=setup.get("weights") in ("nominal", "rough"),
     )
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -141,7 +141,7 @@
 
 def decode_limits(setup: dict[str, Any]) -> Limits:
     rows, limits = setup["listeners"], setup["limits"]
-    max_back_off = figure(limits, "maxRetryAfter", "limits.", 0.0) * MS
+    max_back_off = figure(limits, "maxRetryAfter", "limits.", 0.0, least=0.0) * MS
     return Limits(
         connect_time_out=figure(limits, "dialTimeout", "limits.", 0.25, over=0.0) * MS,
         probes=bool(limits.get("mayProbe", False)),
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -182,6 +182,24 @@
     assert client.transport.lines() == [b"UP r1"]
 
 
+def rules(**values):
+    return CONFIG | {"settings": SETUP | {"invariants": SETUP["invariants"] | values}}
+
+
+@pytest.mark.parametrize("config, field", [
+    (classes(ROW | {"memorySpan": -1}), "listeners[0].memorySpan"),
+    (classes(ROW | {"memorySpan": float("nan")}), "listeners[0].memorySpan"),
+    (classes(ROW, maxRetryAfter=-0.1), "limits.maxRetryAfter"), (rules(coldFrom=0), "invariants.coldFrom"),
+    (rules(coldFrom=1.5), "invariants.coldFrom"), (rules(warmAfter=-1), "invariants.warmAfter"),
+    (rules(fall=0), "invariants.fall"), (rules(fallMultiple=-2), "invariants.fallMultiple"),
+    (rules(askEvery=0), "invariants.askEvery"),
+])  # fmt: skip
+def test_a_window_a_wait_or_a_budget_that_cannot_be_is_named(tmp_path, config, field):
+    text = json.dumps(config).replace("NaN", '"NaN"')
+    with pytest.raises(ConfigError, match=field.replace("[", r"\[")):
+        load_config(write(tmp_path / "c", text))
+
+
 LONG = json.dumps(CONFIG)
 
 
