--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -285,6 +285,16 @@
     assert moved <= 0.01 * taken
 
 
+def test_hosts_that_looked_full_close_no_other_where_no_figures_come():
+    # Danger: the mean of what is known is full load then, for all hosts, and their room is the fleet's.
+    n = node(8, may_probe=False, figures=False)
+    for h in range(2):
+        n.taken_over(START, ask(900 + h, 10.0), h)
+        n.outcome(START, 900 + h, 0, Outcome.LATE, True)
+    n._survey(START)
+    assert {act.host for i in range(30) for act in dials(n.ask(START, ask(i)))} == {2, 3, 4, 5, 6, 7}
+
+
 def test_a_list_that_leaves_no_host_running_stops_nothing():
     n = node(2)
     standing(n, 0, [10.0] * 5)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -8,8 +8,11 @@
 import sys
 import time
 from dataclasses import replace
+from pathlib import Path
 
+import conftest
 import pytest
+from conftest import known_red
 from helpers import (
     CONFIG, OPEN, SETUP, START, accept, at_host, connect, desk, free_ports, logged, row, serve_lines,
     serve_list, service_over, settings, up, write,
@@ -324,3 +327,35 @@
         node.kill()
         node.wait()
         node.stderr.close()
+
+
+# ---- the list of known failures
+
+
+LINE = "tests/test_lifecycle.py::test_x | cause | issue 1"
+
+
+@pytest.mark.parametrize("text, wrong", [
+    ("\n".join(LINE.replace("_x", f"_{n}") for n in range(4)), "4 lines"),
+    ("tests/a.py::b | cause", "a line is"), ("a | | issue 1", "a line is"), (f"{LINE}\n{LINE}", "twice"),
+])  # fmt: skip
+def test_a_list_of_known_failures_that_cannot_be_fails_the_run(text, wrong):
+    with pytest.raises(pytest.UsageError, match=wrong):
+        known_red(text)
+
+
+RED, GREEN = "def test_red():\n    assert False\n", "def test_green():\n    pass\n"
+
+
+@pytest.mark.parametrize("tests, name, code", [
+    (RED + GREEN, "test_a.py::test_red", 0), (GREEN, "test_a.py::test_green", 1), (RED, "", 1),
+    (GREEN, "test_a.py::test_none", 4), (GREEN, "test_b.py::test_green", 4),
+])  # fmt: skip
+def test_only_a_failure_that_is_listed_passes(tmp_path, tests, name, code):
+    (tmp_path / "t").mkdir()
+    (tmp_path / "t" / "conftest.py").write_text(Path(conftest.__file__).read_text())
+    (tmp_path / "t" / "test_a.py").write_text(tests)
+    (tmp_path / "KNOWN-RED.txt").write_text(f"t/{name} | cause | issue 1\n" if name else "")
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "--rootdir", ".", "t"]
+    done = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True)
+    assert done.returncode == code and (code or "KNOWN RED t/test_a.py::test_red: cause" in done.stdout)
