--- a/caperdeck/core/settings.py
+++ b/caperdeck/core/settings.py
@@ -45,8 +45,9 @@
         raise SettingsError(f"setting {where}{key} is no number: {value!r:.50}")
     if value <= over:
         raise SettingsError(f"setting {where}{key} is {value}, not over {over:g}")
-    if not least <= value <= most:
-        raise SettingsError(f"setting {where}{key} is {value}, not within {least:g} and {most:g}")
+    if value < least or value > most:
+        bound = f"under {least:g}" if value < least else f"over {most:g}"
+        raise SettingsError(f"setting {where}{key} is {value}, {bound}")
     return value
 
 
