--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -224,7 +224,7 @@
         # Danger: drawn by each node for itself, what all of them send in a second scatters by its root, and
         # pushes one host in twenty over. Spread over the fleet by number, and taken up anew from the common
         # clock by a process that starts, the slots of all nodes together come due one after the other.
-        slot, pot, rate = self.each or self.mean_hint, h + 1, self.part_of_cold(now, h)
+        slot, pot, rate = self._mean_load(), h + 1, self.part_of_cold(now, h)
         if not slot:
             return math.inf
         if not self.in_turn[h]:
@@ -257,13 +257,17 @@
         fill = self._fills(h) or self.mean_hint * self.set.warm_after / self.set.fall_span
         return self._cold_rate(now, h) * fill / self.set.nodes
 
+    def _mean_load(self) -> float:
+        """Of a connection: of those that stand, or of those that asked while none is known."""
+        return self.each or self.mean_hint
+
     def _price(self, now: float, s: Held) -> float:
         # Danger: at the mean's price heavy sessions come by chance in one second, and a host is pushed over;
         # and clients that are refused ask again and again, heavy ones most, and double the mean of all.
-        return max(self._forecast(now, s), self.each or self.mean_hint)
+        return max(self._forecast(now, s), self._mean_load())
 
     def _open(self, now: float, s: Held, h: int) -> bool:
-        slot = self.each or self.mean_hint
+        slot = self._mean_load()
         return self._warmth(now, h) >= 1 or h in s.lots and self.rights.have(now, h + 1) >= slot
 
     def _pay(self, now: float, s: Held, h: int) -> bool:
@@ -271,7 +275,7 @@
         if not self._open(now, s, h):
             return False
         if self._warmth(now, h) < 1:
-            self.rights.spend(now, h + 1, self.each or self.mean_hint)
+            self.rights.spend(now, h + 1, self._mean_load())
         return True
 
     def _failed(self, now: float, h: int) -> None:
