The policy file's bookkeeping and arithmetic stand in modules of their own

Parts that decide nothing move beside it: the parallel arrays of hosts, how the roster and bans are entered there and the counts of own dials and streams (host_table.py, the base of Node), the smoothing of load notes (forecast.py), the warm-up's shape (warmup.py) and drawing without replacement (sampling.py).

Ruled out: a table that Node holds instead of a base; each decision would reach its arrays by one step more, and what other modules and tests read of Node would have to change with it.

No test was changed.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -11,11 +11,15 @@
 from itertools import chain, islice
 
 from .chance import chance
+from .forecast import forecast, take_load_note
+from .host_table import HostTable
 from .model import (
     NEVER_RAN, Action, Ask, Dial, Effect, Entry, Held, HostState, Move, Note, Outcome, Probe, Refuse, Report,
     RosterScope, Scope, Sent, Settings, TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
-from .rights import ROOM_POT, Rights
+from .rights import ROOM_POT
+from .sampling import without_replacement
+from .warmup import warm_time
 
 # ---- constants (milliseconds, or shares of full load)
 
@@ -48,7 +52,6 @@
 DRAWS = 16  # so many hosts are drawn for two that may have room
 GROUP_PRIME = 4294967291  # shuffles the hosts' marks for a group
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
-FORECAST_TAU = 8000.0  # the smoothing of the present-load hints
 TICK = 500.0
 FIRST_TIME_OUT = 0.6  # of the handshake target; each further dial has
 TIME_OUT_GROWTH = 1.5  # so many times more
@@ -68,41 +71,22 @@
 TICK_TOKEN = -1
 
 
-class Node:
+class Node(HostTable):
     """One balancer's decisions. It knows only what its own events have told it."""
 
     def __init__(self, settings: Settings, now: float) -> None:
+        super().__init__(settings)
         self.now, self.draws = now, 0
         self.acts: list[Action] = []
         self.sessions: dict[int, Held] = {}
-        # hosts: parallel arrays under the host's index
-        self.listed, self.state = [], []  # as the roster has it; as it counts, by hand taken out as draining
-        self.size, self.zone, self.mark, self.cell = [], [], [], []
-        self.held, self.dialing = [], []  # dials out and standing sessions; dials out
-        self.born, self.standing = [], []  # the start, 0 if long ago; standing sessions
-        self.figure, self.figure_at = [], []  # load over capacity, as last probed, and when
-        self.prior, self.prior_at = [], []  # the same as another node has seen it, and when
-        self.crowd: list[float | None] = []  # connections that it holds for all nodes, as last told
-        self.seen_at, self.lookers = [], []  # the last answer to a probe; sessions that wait for a figure
-        self.unseen, self.probe_out = [], []  # no look until then, as one failed; a look's start, 0 if none
-        self.pile, self.pile_at = [], []  # work piled up, as last noted, and when
-        self.acted_at: list[float] = []  # when a report was last acted upon
-        self.added, self.extra = [], []  # own load sent since the last report, with times, and its sum
-        self.ill, self.shunned = [], []  # failures, and until when
-        self.in_turn: list[bool] = []  # the own slots at a cold host go on from its start
-        self.able: list[float] = []  # load that fills it once warm, 0 while unknown
-        self.rights = Rights()  # own parts, in load: of the fleet's room; pot h + 1, of a cold host's budget
         self.rights.grow(now, ROOM_POT)
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
-        self.running, self.near, self.cold = [], [], []  # of those in the own zone, and cold at the last tick
-        self.first, self.first_near = [], []  # the own subset of both, which is drawn before the rest
-        self.mine, self.known = {}, {}  # hosts with own connections; with a figure not too old, oldest first
-        self.ailing, self.banned = {}, {}  # hosts that look ill; hosts taken out by hand, since when
-        self.whole_size, self.most_ill = 0.0, False
-        self.purse, self.sent = 0.0, {}  # probes that the sessions taken allow; dials by host and its start
+        self.first, self.first_near = [], []  # own subsets of running and near, drawn before the rest
+        self.known = {}  # hosts with a figure not too old, oldest first
+        self.ailing, self.most_ill = {}, False  # hosts that look ill; more than half of those known do
+        self.purse = 0.0  # probes that the sessions taken allow
         self.part = self.rights.saved[ROOM_POT] = math.inf  # own part of the fleet's room, all and left
         self.scarce, self.short_at = 0.0, -math.inf  # of the hosts, without room; when one was last lacking
-        self.orders: dict[int, list[int]] = {}  # hosts in the order drawn by a group
         self.mean_hint, self.asked, self.each = 0.0, 0, 0.0  # of all that asked, so many; of those that stand
         self.mean_figure, self.unit = None, 0.0  # load that fills a host of size 1, 0 while unknown
         self.watch_wait, self.watch_at = 250.0, math.inf
@@ -116,7 +100,7 @@
         self.set, self.fleet = settings, settings.nodes  # so many like this one send, unless told otherwise
         self.most_utility = max(c.utility for c in settings.listeners) or 1.0
         self.shortest = min(c.message_target for c in settings.listeners)
-        self._recount()
+        self._recount(self.now)
         return []
 
     def chance(self) -> float:
@@ -138,67 +122,19 @@
             return self._done()
         self.watch_wait = 250.0
         if scope is not RosterScope.CHANGES:
-            for h in set(range(len(self.state))).difference(e.host for e in entries):
-                self.listed[h] = HostState.GONE
+            self._drop_unlisted(entries)
         for e in entries:
             self._enter(now, e)
-        self._recount()
+        self._recount(self.now)
         return self._done()
 
     def ban(self, now: float, h: int, out: bool) -> list[Action]:
         """By hand: nothing new to the host from now until it is called back, whatever the roster says."""
         self.now = now
-        self._grow(now, h)
-        since = self.banned.pop(h, None)
-        if out:
-            self.banned[h] = now if since is None else since
-        elif since is not None:
-            # Danger: it was restarted meanwhile, and the roster that tells may come late; it counts as cold.
-            self.born[h] = self.born[h] if self.born[h] > since else now
-            self._forget(now, h)
-        self._recount()
+        self._enter_ban(now, h, out)
+        self._recount(self.now)
         return []
 
-    def _recount(self) -> None:
-        self.state = [max(x, HostState(h in self.banned)) for h, x in enumerate(self.listed)]
-        running = [h for h, state in enumerate(self.state) if state is HostState.RUNNING]
-        self.near = [h for h in running if self.zone[h] == self.set.zone]
-        self.cold = [h for h in running if self._warmth(self.now, h) < 1]
-        if running != self.running:
-            self.running, self.orders, self.whole_size = running, {}, sum(self.size[h] for h in running)
-
-    def _grow(self, now: float, h: int) -> None:
-        while len(self.listed) <= h:
-            for array, blank in (
-                (self.listed, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
-                (self.mark, 0), (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}),
-                (self.added, []), (self.extra, 0.0), (self.pile, 0.0), (self.pile_at, -math.inf),
-                (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
-                (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
-                (self.lookers, []), (self.crowd, None), (self.unseen, 0.0), (self.able, 0.0),
-                (self.prior, 0.0), (self.prior_at, -math.inf), (self.in_turn, False),
-            ):  # fmt: skip
-                array.append(blank)
-            self.rights.grow(now, len(self.listed))
-
-    def _enter(self, now: float, e: Entry) -> None:
-        h = e.host
-        self._grow(now, h)
-        if e.state is HostState.RUNNING and (self.listed[h] is HostState.GONE or e.born > self.born[h]):
-            self._forget(now, h)
-        # a listed size that is lowered by what the host holds says little of the host's own
-        self.size[h] = e.size or 1.0 if self.set.sizes_stand else 1.0
-        self.listed[h], self.zone[h], self.cell[h], self.mark[h] = e.state, e.zone, e.cell, e.mark
-        self.born[h] = max(e.born, self.born[h])
-
-    def _forget(self, now: float, h: int) -> None:
-        # Danger: a restarted process looks like the old one; what was known of that one is void.
-        self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
-        self.seen_at[h], self.probe_out[h], self.unseen[h] = -math.inf, 0.0, 0.0
-        self.prior_at[h] = -math.inf
-        self.rights.void(now, h + 1)
-        self.in_turn[h] = False
-
     def forget(self, now: float) -> None:
         """The node was away for longer than figures last."""
         # Danger: its own absence looks like the hosts'; old budgets and room were taken by others meanwhile.
@@ -207,13 +143,6 @@
         self.known.clear()
         self._survey(now)
 
-    def _warmth(self, now: float, h: int) -> float:
-        """The least share of its capacity that a host has now."""
-        age = now - self.born[h]
-        if not self.born[h] or age >= self.set.warm_after:
-            return 1.0
-        return self.set.cold_from + (1 - self.set.cold_from) * max(age, 0.0) / self.set.warm_after
-
     def _cold_rate(self, now: float, h: int) -> float:
         """Of what fills a cold host, so much all nodes together send it in a millisecond."""
         # a cold host takes new load no faster than would fill it over its warm-up
@@ -228,8 +157,7 @@
         if not slot:
             return math.inf
         if not self.in_turn[h]:
-            age, first = min(max(now - self.born[h], 0.0), self.set.warm_after), self.set.cold_from
-            grown = age * (first + (1 - first) / 2 * age / self.set.warm_after)
+            grown = warm_time(now - self.born[h], self.set.cold_from, self.set.warm_after)
             turn = rate / self._warmth(now, h) * grown / slot + self.set.me / self.set.nodes
             self.rights.settle(now, pot, (turn + self.mark[h] / 2**32) % 1 * slot)
             self.in_turn[h] = True
@@ -300,8 +228,7 @@
         if (s := self.sessions.get(sid)) is None:
             return []
         if kind is not Note.MESSAGE_DELAY:
-            s.smooth = value if s.present is None and s.usual is None else self._forecast(now, s)
-            s.present, s.noted = value, now
+            take_load_note(s, now, value, self.mean_hint)
         elif s.stands is not None:
             self._piled(now, s.dials[-1].host, value)
         return self._done()
@@ -319,10 +246,7 @@
             self._probe(now, h)
 
     def _forecast(self, now: float, s: Held) -> float:
-        """Smoothed mean of the session's load notes, else its usual load, else the mean of what is known."""
-        if s.present is None:
-            return self.mean_hint if s.usual is None else s.usual
-        return s.present + (s.smooth - s.present) * math.exp((s.noted - now) / FORECAST_TAU)
+        return forecast(s, now, self.mean_hint)
 
     # ---- placement
 
@@ -386,11 +310,8 @@
         yield math.inf, (h for h in self._drawn(self.running) if self._old(h, span))
 
     def _drawn(self, hosts: list[int]) -> Iterator[int]:
-        """Up to DRAWS of the hosts, in random order; the list is not touched."""
-        swapped: dict[int, int] = {}
-        for i in range(min(len(hosts), DRAWS)):
-            yield hosts[swapped.get(j := i + int(self.chance() * (len(hosts) - i)), j)]
-            swapped[j] = swapped.get(i, i)
+        """Up to DRAWS of the hosts, in random order."""
+        return without_replacement(hosts, DRAWS, self.chance)
 
     def _load(self, now: float, h: int) -> float:
         """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
@@ -466,10 +387,6 @@
         self.added[h] = [x for x in self.added[h] if x[0] > now - REPORT_LAG]
         self.extra[h] = sum(load for _, load in self.added[h])
 
-    def _add(self, now: float, h: int, load: float) -> None:
-        self.added[h].append((now, load))
-        self.extra[h] += load
-
     # ---- send gate: every dial passes here, and each rule stands here and nowhere else
 
     def _passes(self, now: float, s: Held, h: int) -> bool:
@@ -500,10 +417,6 @@
     def _ran(self, dials: list[Sent]) -> Sent | None:
         return next((d for d in dials if d.may_have_run), None)
 
-    def _group(self, s: Held, h: int) -> int:
-        """The hosts that drop repeats of what the host has run, as the roster has it now."""
-        return (0, self.zone[h], self.cell[h])[s.listener.scope]
-
     def _may_refuse(self, s: Held, wait: float) -> bool:
         ran, listener = self._ran(s.dials), s.listener
         if ran is None or listener.effect is Effect.REPEATABLE:
@@ -530,10 +443,6 @@
         self._stand(s, now - MOVE_AGE)
         return []
 
-    def _stand(self, s: Held, since: float) -> None:
-        h = s.dials[-1].host
-        s.stands, s.out, s.answered, self.standing[h][s.id], self.mine[h] = since, True, True, s, None
-
     def _new(self, now: float, a: Ask) -> Held:
         self.asked += 1
         self.mean_hint += ((1.0 if a.load is None else a.load) - self.mean_hint) * max(0.02, 1 / self.asked)
@@ -577,14 +486,10 @@
         if isinstance(act, Wake):
             s.wakes = self.now + act.after - SLACK
         elif isinstance(act, Dial):
-            h, load = act.host, self._forecast(self.now, s)
+            load = self._forecast(self.now, s)
             self.rights.spend(self.now, ROOM_POT, load)
-            self.sent[h, self.born[h]] = self.sent.get((h, self.born[h]), 0) + 1
-            s.dials.append(Sent(h, self.now, self.born[h], self._group(s, h)))
-            s.out = True
-            self.held[h] += 1
-            self.dialing[h] += 1
-            self._add(self.now, h, load)
+            self._enter_dial(self.now, s, act.host)
+            self._add(self.now, act.host, load)
         elif isinstance(act, (Refuse, TearDown)):
             s.answered = True
             del self.sessions[s.id]
--- /dev/null
+++ b/tests/test_core_parts.py
@@ -0,0 +1,121 @@
+"""The parts beside the policy that decide nothing, and the bounds of the policy's files."""
+
+import math
+import tomllib
+from collections import Counter
+from pathlib import Path
+
+import pytest
+from helpers import START, ask, entry, node, settings
+
+from caperdeck.core.forecast import FORECAST_TAU, forecast, take_load_note
+from caperdeck.core.host_table import HostTable
+from caperdeck.core.model import HostState, RosterScope
+from caperdeck.core.sampling import without_replacement
+from caperdeck.core.warmup import warm_share, warm_time
+
+ROOT = Path(__file__).parent.parent
+POLICY_LINES = 680  # of all policy files together
+POLICY_COLUMNS = 110
+
+
+def test_the_policy_files_keep_to_their_lines_and_columns():
+    policy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
+    texts = [(ROOT / name).read_text() for name in policy]
+    assert sum(text.count("\n") for text in texts) <= POLICY_LINES
+    assert max(len(line) for text in texts for line in text.split("\n")) <= POLICY_COLUMNS
+
+
+@pytest.mark.parametrize(
+    "age, share", [(-5.0, 0.3), (0.0, 0.3), (4000.0, 0.65), (8000.0, 1.0), (9000.0, 1.0)]
+)
+def test_a_host_warms_up_linearly(age, share):
+    assert warm_share(age, 0.3, 8000.0) == pytest.approx(share)
+
+
+def test_without_a_warm_up_a_host_is_warm_at_once():
+    assert warm_share(0.0, 0.3, 0.0) == 1.0
+
+
+@pytest.mark.parametrize("age", [-5.0, 0.0, 1000.0, 4000.0, 8000.0, 20000.0])
+def test_the_warm_time_is_the_sum_of_the_shares_up_to_the_end_of_the_warm_up(age):
+    steps = int(min(max(age, 0.0), 8000.0))
+    summed = sum(warm_share(i + 0.5, 0.3, 8000.0) for i in range(steps))
+    assert warm_time(age, 0.3, 8000.0) == pytest.approx(summed)
+
+
+def test_a_forecast_starts_at_the_hint_or_the_mean_and_goes_to_the_last_note_by_its_time_constant():
+    n = node(1)
+    n.taken_over(START, ask(1, load=10.0), 0)
+    n.taken_over(START, ask(2, load=None), 0)
+    hinted, unknown = n.sessions[1], n.sessions[2]
+    assert forecast(hinted, START, 30.0) == 10.0 and forecast(unknown, START, 30.0) == 30.0
+    take_load_note(hinted, START, 50.0, 30.0)
+    take_load_note(unknown, START, 50.0, 30.0)
+    assert forecast(hinted, START, 30.0) == 10.0 and forecast(unknown, START, 30.0) == 50.0
+    assert forecast(hinted, START + FORECAST_TAU, 30.0) == pytest.approx(50.0 - 40.0 / math.e)
+
+
+def test_a_sample_takes_one_number_an_item_and_leaves_the_list_as_it_was():
+    numbers, items = iter([0.0, 0.99, 0.0]), [5, 6, 7, 8]
+    assert list(without_replacement(items, 3, lambda: next(numbers))) == [5, 8, 7]
+    assert items == [5, 6, 7, 8] and next(numbers, None) is None
+
+
+def test_each_item_is_as_likely_first_and_none_comes_twice():
+    shares = [(i + 0.5) / 12 for i in range(12)]
+    firsts = Counter(
+        next(without_replacement([1, 2, 3, 4], 2, lambda share=share: share)) for share in shares
+    )
+    assert firsts == {1: 3, 2: 3, 3: 3, 4: 3}
+    for share in shares:
+        assert sorted(without_replacement([1, 2, 3, 4], 9, lambda share=share: share)) == [1, 2, 3, 4]
+
+
+def table(*entries) -> HostTable:
+    hosts = HostTable(settings())
+    for e in entries:
+        hosts._enter(START, e)
+    hosts._recount(START)
+    return hosts
+
+
+def test_a_table_tells_the_hosts_that_run_those_near_and_those_cold():
+    hosts = table(
+        entry(0), entry(1, zone=1), entry(2, HostState.DRAINING), entry(3, born=START - 4000.0, size=2.0),
+    )  # fmt: skip
+    assert (hosts.running, hosts.near, hosts.cold) == ([0, 1, 3], [0, 3], [3])
+    assert hosts.whole_size == 4.0 and hosts._warmth(START, 3) == pytest.approx(0.65)
+
+
+def test_a_host_that_starts_anew_loses_what_was_learned_and_keeps_its_own_sessions():
+    hosts = table(entry(0))
+    hosts.figure[0], hosts.ill[0], hosts.held[0] = 0.5, 3.0, 2
+    hosts._enter(START, entry(0, born=0.0))
+    assert (hosts.figure[0], hosts.ill[0]) == (0.5, 3.0)
+    hosts._enter(START, entry(0, born=START - 10.0))
+    assert (hosts.figure[0], hosts.ill[0], hosts.held[0]) == (None, 0.0, 2)
+
+
+def test_a_host_taken_out_by_hand_counts_as_draining_and_as_cold_once_it_is_back():
+    hosts = table(entry(0), entry(1))
+    hosts._enter_ban(START, 0, True)
+    hosts._recount(START)
+    assert (hosts.state[0], hosts.running) == (HostState.DRAINING, [1])
+    hosts._enter_ban(START + 5.0, 0, False)
+    hosts._recount(START + 5.0)
+    assert (hosts.running, hosts.cold, hosts.born[0]) == ([0, 1], [0], START + 5.0)
+
+
+def test_what_the_whole_roster_does_not_name_is_gone():
+    n = node(3)
+    n.roster(START, RosterScope.FULL, [entry(1)])
+    assert n.listed == [HostState.GONE, HostState.RUNNING, HostState.GONE]
+
+
+def test_a_dial_and_a_stream_count_at_their_host():
+    n = node(1)
+    n.ask(START, ask(1))
+    assert (n.held, n.dialing, n.sent, n.extra) == ([1], [1], {(0, 0.0): 1}, [10.0])
+    n.stands(START, 1)
+    assert (n.held, n.dialing, list(n.standing[0]), list(n.mine)) == ([1], [0], [1], [0])
