Lab: caperdeck lab slopes, the command that measures parts and keeps their record

The record had no command that fills it. Parts are modules with measure(small, say), named in one table; those asked for are looked up before anything is measured.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -16,6 +16,7 @@
   caperdeck lab search SCENARIO [--runs=N] [--seed=N] [--out=FILE]
   caperdeck lab compare SCENARIO... --against=WAY [--base=WAY] [--pairs=N] [--seed=N] [--json=FILE]
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
+  caperdeck lab slopes [--out=FILE] [--only=PARTS] [--small]
   caperdeck lab demo
   caperdeck (-h | --help)
 
@@ -29,7 +30,8 @@
   version  Print the version.
   lab      Run many copies of the program with faults between them (docs/lab.md): fleet plays a scenario,
            search looks for faults that break a rule, compare measures one way against another, report draws
-           a history, demo shows a small fleet. Exit code 0 all held, 1 broken, 2 bad input, 3 void.
+           a history, slopes measures what each part costs at several sizes and fits straight lines, demo
+           shows a small fleet. Exit code 0 all held, 1 broken, 2 bad input, 3 void.
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
@@ -42,7 +44,9 @@
   --json=FILE        Keep the history, one event a line, or the comparison.
   --logs=DIR         Keep the nodes' logs.
   --runs=N           So many schedules at the most, 100 if not given.
-  --out=FILE         The scenario file or page to write.
+  --out=FILE         The scenario file, page or record to write.
+  --only=PARTS       Measure these parts alone, with commas between; what FILE has of others is kept.
+  --small            At tiny sizes, to see that it works; the figures say nothing.
   --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USES, subsets, checkout:DIR.
   --base=WAY         What that is measured against, module if not given.
   --pairs=N          Seeds that both ways play, 10 if not given.
--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -144,6 +144,21 @@
     return HELD
 
 
+def slopes(arguments: dict[str, Any]) -> int:
+    from .slopes.command import run
+    from .slopes.errors import InputError, MeasuringError
+
+    try:
+        run(arguments["--out"], arguments["--only"], arguments["--small"], say)
+    except InputError as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return BAD
+    except MeasuringError as error:
+        print(f"void: {error}", file=sys.stderr)
+        return VOID
+    return HELD
+
+
 def demo(arguments: dict[str, Any]) -> int:
     from rich.console import Console
 
@@ -161,7 +176,7 @@
 
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, _interrupt)
-    verb = next(v for v in (fleet, search, compare, report, demo) if arguments[v.__name__])
+    verb = next(v for v in (fleet, search, compare, report, slopes, demo) if arguments[v.__name__])
     try:
         return verb(arguments)
     except ScenarioError as error:
--- /dev/null
+++ b/caperdeck/lab/slopes/command.py
@@ -0,0 +1,114 @@
+"""`caperdeck lab slopes`: measures what each part costs, fits the lines, and keeps the record.
+
+A part is a module of this package with `measure(small, say) -> list[Measurement]`. PARTS names them all.
+"""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from . import record as records
+from .errors import InputError
+from .record import Measurement
+from .table import rows
+
+Say = Callable[[str], None]
+Measure = Callable[[bool, Say], list[Measurement]]
+
+PARTS = {  # the part, and the module that measures it
+    "memory": "memory",
+    "connections": "connections",
+    "deliveries": "deliveries",
+    "hosts": "host_list",
+    "membership": "membership",
+    "owned": "owned_work",
+    "agreement": "agreement",
+    "configuration": "configuration",
+}
+SMALL = "small sizes; "  # begins the note of what was measured with --small
+
+
+def run(out: str | None, only: str | None, small: bool, say: Say) -> None:
+    """Measures the parts one after the other and writes the record after each.
+
+    Raises InputError before anything is measured, MeasuringError for a part that gave nothing to go by.
+    """
+    chosen = chosen_parts(only)
+    functions = [(name, function_of(name)) for name in chosen]
+    revision, kept = records.revision(), []
+    if out is not None:
+        check_writable(out)
+        if only is not None:
+            kept = kept_measurements(out, revision, small)
+    measured: list[Measurement] = []
+    for name, measure in functions:
+        say(f"part {name}")
+        measured += [marked(each, small) for each in measure(small, say)]
+        if out is not None:
+            # the revision is that of the start: a record that is kept in the work tree changes it
+            made = records.record(merged(kept, measured))
+            records.write(out, msgspec.structs.replace(made, revision=revision))
+    for row in rows(measured):
+        say(row)
+    if out is not None:
+        say(f"written: {out}")
+
+
+def chosen_parts(only: str | None) -> list[str]:
+    """All parts, or those of a list with commas, in the order of PARTS."""
+    if only is None:
+        return list(PARTS)
+    wanted = [name.strip() for name in only.split(",")]
+    for name in wanted:
+        if name not in PARTS:
+            raise InputError(f"--only: {name or 'nothing'} is no part; there are {', '.join(PARTS)}")
+    return [name for name in PARTS if name in wanted]
+
+
+def function_of(part: str) -> Measure:
+    """The function that measures a part; raises InputError where its module is not there."""
+    module = f"{__package__}.{PARTS[part]}"
+    try:
+        return importlib.import_module(module).measure
+    except ModuleNotFoundError as error:
+        if error.name != module:
+            raise
+        raise InputError(f"part {part}: there is no module {module}") from None
+
+
+def check_writable(out: str) -> None:
+    """Raises InputError for a place that no record can be written to, before minutes are spent."""
+    path = Path(out)
+    if path.is_dir() or not path.parent.is_dir():
+        raise InputError(f"--out: {out} is no place for a file")
+
+
+def kept_measurements(out: str, revision: str, small: bool) -> list[Measurement]:
+    """What the file has from earlier runs; raises InputError unless they fit with this one."""
+    if not Path(out).exists():
+        return []
+    try:
+        old = records.read(out)
+    except records.RecordError as error:
+        raise InputError(str(error)) from None
+    if old.revision != revision:
+        raise InputError(f"{out} is of revision {old.revision}, this is {revision}")
+    if old.machine != records.this_machine():
+        raise InputError(f"{out} was measured on another machine")
+    if any(each.note.startswith(SMALL) is not small for each in old.measurements):
+        raise InputError(f"{out} was measured {'at full size' if small else 'with --small'}")
+    return list(old.measurements)
+
+
+def marked(each: Measurement, small: bool) -> Measurement:
+    return msgspec.structs.replace(each, note=SMALL + each.note) if small else each
+
+
+def merged(kept: Sequence[Measurement], measured: Sequence[Measurement]) -> list[Measurement]:
+    """What was measured, beside what was kept under other names."""
+    names = {each.name for each in measured}
+    return [each for each in kept if each.name not in names] + list(measured)
--- /dev/null
+++ b/tests/test_lab_slopes_command.py
@@ -0,0 +1,135 @@
+"""`caperdeck lab slopes`: what is chosen, what is kept in a file of earlier runs, and what is refused."""
+
+import sys
+import types
+
+import pytest
+
+from caperdeck.__main__ import main
+from caperdeck.lab.slopes import command, record
+from caperdeck.lab.slopes.errors import MeasuringError
+from caperdeck.lab.slopes.line import Point
+from caperdeck.lab.slopes.record import Source, measurement, read
+from caperdeck.lab.slopes.table import rows
+
+
+def made(name, cost=3.0, note=""):
+    points = [Point(size, 7.0 + cost * size) for size in (1, 2, 4, 8)]
+    return measurement(name, "a stand-in's cost", "s", "things", Source.IN_PROCESS, points, note)
+
+
+@pytest.fixture
+def stand_ins(monkeypatch):
+    """Two parts whose modules are stand-ins, and one whose module is not there."""
+    monkeypatch.setattr(command, "PARTS", {"one": "stand_in_one", "two": "stand_in_two", "none": "stand_in"})
+    monkeypatch.setattr(record, "revision", lambda: "abc")
+    seen = []
+    for part in ("one", "two"):
+        module = types.ModuleType(f"{command.__package__}.stand_in_{part}")
+
+        def measure(small, say, part=part):
+            seen.append((part, small))
+            say(f"point of {part}")
+            return [made(f"{part}.cost", len(seen), "as told")]
+
+        module.measure = measure
+        monkeypatch.setitem(sys.modules, module.__name__, module)
+    return seen
+
+
+def slopes(*options):
+    return main(["lab", "slopes", *options])
+
+
+def test_parts_are_measured_in_the_order_of_the_table_and_their_lines_are_printed(stand_ins, capsys):
+    assert slopes("--only=two,one", "--small") == 0
+    assert stand_ins == [("one", True), ("two", True)]
+    printed = capsys.readouterr().out.splitlines()
+    assert printed[:4] == ["part one", "point of one", "part two", "point of two"]
+    assert printed[4].split() == ["measurement", "fixed", "slope", "r²", "unit", "against"]
+    assert printed[5].split()[:4] == ["one.cost", "7", "±", "0"]
+
+
+def test_what_a_file_has_of_other_parts_is_kept(stand_ins, tmp_path):
+    out = str(tmp_path / "slopes.json")
+    for only in ("one", "two", "one"):
+        assert slopes(f"--only={only}", f"--out={out}") == 0
+    kept = read(out)
+    assert [each.name for each in kept.measurements] == ["two.cost", "one.cost"]
+    assert [each.line.slope for each in kept.measurements] == pytest.approx([2.0, 3.0])
+    assert kept.revision == "abc" and kept.find("one.cost").note == "as told"
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        (lambda patch: patch.setattr(record, "revision", lambda: "def"), "is of revision abc, this is def"),
+        (lambda patch: patch.setattr(record, "this_machine", lambda: None), "measured on another machine"),
+    ],
+)
+def test_another_revision_or_machine_is_not_mixed_in(
+    stand_ins, tmp_path, monkeypatch, capsys, change, reason
+):
+    out = tmp_path / "slopes.json"
+    assert slopes("--only=one", f"--out={out}") == 0
+    before = out.read_bytes()
+    change(monkeypatch)
+    assert slopes("--only=two", f"--out={out}") == 2
+    error = capsys.readouterr().err
+    assert reason in error and error.count("\n") == 1
+    assert out.read_bytes() == before and len(stand_ins) == 1
+
+
+def test_small_sizes_are_marked_and_not_mixed_with_full_ones(stand_ins, tmp_path, capsys):
+    out = str(tmp_path / "slopes.json")
+    assert slopes("--only=one", "--small", f"--out={out}") == 0
+    assert read(out).find("one.cost").note == "small sizes; as told"
+    assert slopes("--only=two", f"--out={out}") == 2
+    assert "was measured with --small" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("options", "reason"),
+    [
+        (["--only=one,three"], "--only: three is no part; there are one, two, none"),
+        (["--only="], "--only: nothing is no part"),
+        (["--only=one,none"], "part none: there is no module caperdeck.lab.slopes.stand_in"),
+        ([], "part none: there is no module"),
+        (["--only=one", "--out=/nowhere/at/all.json"], "--out: /nowhere/at/all.json is no place for a file"),
+    ],
+)
+def test_bad_input_is_one_line_and_nothing_is_measured(stand_ins, capsys, options, reason):
+    assert slopes(*options) == 2
+    error = capsys.readouterr().err
+    assert error.startswith(f"caperdeck: {reason}") and error.count("\n") == 1
+    assert stand_ins == []
+
+
+def test_what_is_no_record_is_left_as_it_is(stand_ins, tmp_path, capsys):
+    out = tmp_path / "notes.txt"
+    out.write_text("not a record")
+    assert slopes("--only=one", f"--out={out}") == 2
+    assert out.read_text() == "not a record" and stand_ins == []
+
+
+def test_a_part_that_gives_nothing_is_void_and_what_was_measured_before_it_is_kept(
+    stand_ins, tmp_path, monkeypatch, capsys,
+):  # fmt: skip
+    def measure(small, say):
+        raise MeasuringError("2 valid points")
+
+    monkeypatch.setattr(sys.modules[f"{command.__package__}.stand_in_two"], "measure", measure)
+    out = str(tmp_path / "slopes.json")
+    assert slopes("--only=one,two", f"--out={out}") == 3
+    assert capsys.readouterr().err == "void: 2 valid points\n"
+    assert [each.name for each in read(out).measurements] == ["one.cost"]
+
+
+def test_a_curve_is_flagged_with_its_largest_residual():
+    points = [Point(size, size**2) for size in (1, 10, 100, 1000, 3000)]
+    curve = measurement("part.curve", "a square", "B", "things", Source.IN_PROCESS, points)
+    table = rows([made("part.line"), curve])
+    assert len(table) == 4
+    worst = max(curve.line.residuals, key=abs)
+    at = curve.points[curve.line.residuals.index(worst)].size
+    assert table[3] == f"  a curve: {worst:+.3g} B off its line at {at:g}"
