Lab: what a node costs, by connections, lines and hosts

The node's half of the slopes: real processes on loopback for memory, connections and deliveries, with one process for all hosts and one for all clients; the node's own classes in this process for the list of hosts.

--- a/caperdeck/lab/slopes/command.py
+++ b/caperdeck/lab/slopes/command.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from . import record as records
-from .errors import InputError
+from .errors import InputError, MeasuringError
+from .line import FitError
 from .record import Measurement
 from .table import rows
 
@@ -47,7 +48,10 @@
     measured: list[Measurement] = []
     for name, measure in functions:
         say(f"part {name}")
-        measured += [marked(each, small) for each in measure(small, say)]
+        try:
+            measured += [marked(each, small) for each in measure(small, say)]
+        except FitError as error:
+            raise MeasuringError(f"part {name}: {error}") from None
         if out is not None:
             # the revision is that of the start: a record that is kept in the work tree changes it
             made = records.record(merged(kept, measured))
--- /dev/null
+++ b/caperdeck/lab/slopes/deliveries.py
@@ -0,0 +1,170 @@
+"""Processor time of a delivery, and the time that it takes: a line from a host to a client, through a node.
+
+Lines go out at random moments (a Poisson process), whatever became of those before, at rising rates up to the
+first at which the node's process is full. Before each point the lines of the last one have all arrived.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from .bench import Bench, NodeProcess
+from .ends import PERCENTILES
+from .errors import MeasuringError
+from .line import Point
+from .record import Measurement, Source, measurement
+
+LENGTHS = (100, 1000)  # bytes of a line, its end among them
+FULL = 0.95  # of one processor, from which the node counts as full
+CAUGHT_UP = 0.97  # of the lines sent that have arrived as the sending ends, under which it is full too
+END_FULL = 0.9  # of one processor, from which the clients' process may be what limits
+DRAIN = 20.0  # seconds in which lines under way have to arrive
+LOOK = 0.02  # seconds between looks at that
+LEAD_IN = 0.5  # seconds at the lowest rate, before anything is kept
+
+
+class Sizes(msgspec.Struct, frozen=True):
+    """What is measured: rates in lines a second, times in seconds."""
+
+    rates: tuple[int, ...]
+    beside: tuple[int, ...]  # idle connections that stand beside those that lines come on
+    active: int  # connections that lines come on
+    seconds: float  # of a point
+    most_late: float  # 99 of 100 lines are sent no later than this after their moment, else the point is void
+    until_full: bool  # whether a full node ends the rise
+
+
+FULL_SIZES = Sizes(
+    rates=(
+        500, 1000, 2000, 3000, 4000, 5000, 6000, 7000, 8000, 9000, 10000, 12000, 14000, 16000, 20000, 24000,
+        32000, 40000,
+    ),
+    beside=(1000, 4000), active=200, seconds=2.5, most_late=0.01, until_full=True,
+)  # fmt: skip
+SMALL_SIZES = Sizes(
+    rates=(100, 200, 300, 400), beside=(20,), active=10, seconds=0.25, most_late=10.0, until_full=False
+)
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One rate, as measured."""
+
+    rate: float  # lines a second that were to be sent
+    delivered: float  # lines a second that had arrived as the sending ended
+    processor: float  # seconds a second of the node
+    percentiles: dict[str, float]  # seconds from host to client, by the names of PERCENTILES
+    full: bool
+    void: str = ""  # why the point says nothing about the node
+
+
+def measure(small: bool, say: Callable[[str], None]) -> list[Measurement]:
+    sizes = SMALL_SIZES if small else FULL_SIZES
+    made = []
+    with Bench() as bench:
+        for beside in sizes.beside:
+            with bench.node() as node:
+                node.open(beside, "i")
+                node.open(sizes.active, "a")
+                bench.hosts.ask("quiet")
+                bench.clients.ask("quiet")
+                for length in LENGTHS:
+                    runs = rise(bench, node, sizes, length, say)
+                    made += measurements(runs, sizes, length, beside)
+                node.close(reset=True)
+    return made
+
+
+def rise(bench: Bench, node: NodeProcess, sizes: Sizes, length: int, say: Callable[[str], None]) -> list[Run]:
+    """The rates from the lowest on, up to the first at which the node is full or an end is the limit."""
+    run_at(bench, node, sizes, sizes.rates[0], min(LEAD_IN, sizes.seconds), length)
+    runs = []
+    for rate in sizes.rates:
+        run = run_at(bench, node, sizes, rate, sizes.seconds, length)
+        runs.append(run)
+        times = ", ".join(f"{name} {value * 1000:.2f} ms" for name, value in run.percentiles.items())
+        state = f"void: {run.void}" if run.void else "full" if run.full else ""
+        say(f"{rate} lines of {length} B a second: processor {run.processor:.3f}, {times} {state}".rstrip())
+        if sizes.until_full and (run.full or run.void):
+            break
+    return runs
+
+
+def run_at(bench: Bench, node: NodeProcess, sizes: Sizes, rate: float, seconds: float, length: int) -> Run:
+    hosts, clients = bench.hosts, bench.clients
+    clients.ask("watch", length=length)
+    began, used = time.monotonic(), node.processor()
+    sent = hosts.ask("send", prefix="a", rate=rate, seconds=seconds, length=length)
+    span, used = time.monotonic() - began, node.processor() - used
+    got = clients.ask("received")
+    drain(bench, sent["sent"])
+    share = used / span
+    behind = sent["blocked"] > 0 or got["received"] < CAUGHT_UP * sent["sent"]
+    return Run(
+        rate=rate,
+        delivered=got["received"] / span,
+        processor=share,
+        percentiles=clients.ask("delays")["percentiles"],
+        full=share >= FULL or behind,
+        void=void(sizes, sent, got["processor"] / span),
+    )
+
+
+def void(sizes: Sizes, sent: dict[str, float], clients_share: float) -> str:
+    """Why a point says nothing about the node, if it does not."""
+    if sent["cut"]:
+        return f"{sent['cut']} lines went out in part"
+    if sent["late"] > sizes.most_late:
+        return f"the hosts' process was {sent['late'] * 1000:.0f} ms late"
+    if clients_share > END_FULL and sizes.until_full:
+        return f"the clients' process was full ({clients_share:.2f})"
+    return ""
+
+
+def drain(bench: Bench, sent: int) -> None:
+    """Waits until all that was sent has arrived."""
+    until = time.monotonic() + DRAIN
+    while (received := bench.clients.ask("received")["received"]) < sent:
+        if time.monotonic() > until:
+            raise MeasuringError(f"{received} of {sent} lines arrived")
+        time.sleep(LOOK)
+
+
+def measurements(runs: list[Run], sizes: Sizes, length: int, beside: int) -> list[Measurement]:
+    """The processor time, against what was delivered, and the percentiles, against what was sent."""
+    suffix = "" if beside == sizes.beside[0] else f"_beside_{beside}"
+    valid, note = [run for run in runs if not run.void], note_of(runs, sizes, beside)
+    made = [
+        measurement(
+            f"node.delivery_{length}{suffix}",
+            f"processor time a second while lines of {length} B are delivered", "s/s", "lines a second",
+            Source.PROCESSES, [Point(run.delivered, run.processor) for run in valid],
+            "the slope is one delivery; size as delivered; " + note,
+        )
+    ]  # fmt: skip
+    for name in PERCENTILES:
+        made.append(
+            measurement(
+                f"node.delivery_{name}_{length}{suffix}",
+                f"time of a line of {length} B from host to client, {name}", "s", "lines a second",
+                Source.PROCESSES, [Point(run.rate, run.percentiles[name]) for run in valid],
+                "size as sent; no line is expected near the full process; " + note,
+            )
+        )  # fmt: skip
+    return made
+
+
+def note_of(runs: list[Run], sizes: Sizes, beside: int) -> str:
+    told = [f"lines on {sizes.active} connections at random moments, {beside} idle ones beside"]
+    told.append(f"{sizes.seconds:g} s a point")
+    for run in runs:
+        if run.void:
+            told.append(f"void at {run.rate:g} and left out: {run.void}")
+        elif run.full:
+            told.append(
+                f"the node was full at {run.rate:g}: {run.delivered:.0f} delivered, processor "
+                f"{run.processor:.2f}; the times there grow with the seconds"
+            )
+    return "; ".join(told)
