Lab: tests of the node's slopes; a cost that never changes is a level line

The record could not be read back after a measurement of equal costs: the library gives no errors for a level line, and JSON has none to keep; such a line is exact now. Sizes past what the limit of descriptors allows are named and left out.

--- a/caperdeck/lab/slopes/bench.py
+++ b/caperdeck/lab/slopes/bench.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -114,6 +115,12 @@
         """Sessions that a node here can hold; each takes two descriptors."""
         return (self.descriptors - SPARE) // 2
 
+    def possible(self, sizes: Sequence[int], say: Callable[[str], None]) -> list[int]:
+        """The numbers of connections that the limit of descriptors allows; says which are left out."""
+        if left_out := [size for size in sizes if size > self.most_connections]:
+            say(f"left out, too many for {self.descriptors} descriptors: {left_out}")
+        return [size for size in sizes if size <= self.most_connections]
+
     def node(self) -> NodeProcess:
         return NodeProcess(self)
 
--- a/tests/test_lab_slopes.py
+++ b/tests/test_lab_slopes.py
@@ -23,6 +23,14 @@
     assert line.residuals[2] == pytest.approx(100**2 - line.at(100))
 
 
+def test_a_cost_that_never_changes_is_a_level_line_that_a_record_can_keep(tmp_path):
+    points = on_a_line(5.0, 0.0, [1, 2, 4, 8])
+    level = measurement("part.level", "messages", "messages", "members", Source.VIRTUAL_TIME, points)
+    write(tmp_path / "slopes.json", record([level]))
+    line = read(tmp_path / "slopes.json").find("part.level").line
+    assert line.fits and (line.at(1000), line.slope_error, line.residuals) == (5.0, 0.0, (0.0,) * 4)
+
+
 @pytest.mark.parametrize("sizes", [[], [1, 2, 3], [1, 1, 2, 2, 3, 3]])
 def test_a_line_needs_four_sizes(sizes):
     with pytest.raises(FitError, match="needs 4"):
