--- a/caperdeck/lab/slopes/bench.py
+++ b/caperdeck/lab/slopes/bench.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Generator, Sequence
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -121,6 +121,20 @@
             say(f"left out, too many for {self.descriptors} descriptors: {left_out}")
         return [size for size in sizes if size <= self.most_connections]
 
+    def nodes(
+        self, sizes: Sequence[int], small: bool, say: Callable[[str], None]
+    ) -> Generator[tuple[int, NodeProcess], None, None]:
+        """A new node for each possible number of connections; at small sizes, to save time, one for all."""
+        sizes = self.possible(sizes, say)
+        if small:
+            with self.node() as node:
+                for size in sizes:
+                    yield size, node
+            return
+        for size in sizes:
+            with self.node() as node:
+                yield size, node
+
     def node(self) -> NodeProcess:
         return NodeProcess(self)
 
