Lab: a doubtful point of the deliveries is measured again before it ends the rise

One late moment of a busy machine would have ended the rise with too few points and voided the part.

--- a/tests/test_lab_slopes_node.py
+++ b/tests/test_lab_slopes_node.py
@@ -263,6 +263,21 @@
     assert reason in cost.note
 
 
+def test_a_moment_in_which_the_machine_was_busy_does_not_end_the_rise(monkeypatch):
+    stand, said = StandIn(), []
+    send, late = stand.send, iter([0.001, 0.001, 0.7])
+
+    def send_late_once(**values):
+        return send(**values) | {"late": next(late, 0.001)}
+
+    stand.hosts = Answers(send=send_late_once)
+    monkeypatch.setattr(deliveries, "time", stand)
+    sizes = Sizes((1000, 2000, 3000), (50,), 10, 2.0, 0.01, True)
+    runs = deliveries.rise(stand, stand, sizes, 100, said.append)
+    assert [run.rate for run in runs] == [1000, 2000, 3000] and not any(run.void for run in runs)
+    assert len(said) == 4 and said[1].endswith("void: the hosts' process was 700 ms late")
+
+
 def test_lines_that_do_not_arrive_are_void(monkeypatch):
     stand = StandIn()
     monkeypatch.setattr(deliveries, "time", stand)
