Lab: caperdeck lab capacity, what the fleet needs at its target from measured lines

The operators' figures for the large fleet were in no file, and nothing said which role falls first there. The target is docs/capacity/target.toml, typed and checked whole; what the operators leave open is a field of its table of assumptions. Each amount is a figure that keeps the measurements, the assumptions and the furthest stretch in it; a measurement that the record lacks has no value and is named, exit code 1. The number of node processes a machine is the least that keeps steady load, delays and a returning zone within their bounds with a zone lost. Ranked first is what nothing carries and what others stand on. Ruled out: a straight line through delays up to a full node, which the last points bend; the next higher measured rate counts instead, and the line only past all of them. Ruled out too: the time in which a fleet that starts at once knows itself, set against the times between restarts; the two are not alike. No real lines yet.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -16,6 +16,7 @@
   caperdeck lab search SCENARIO [--runs=N] [--seed=N] [--out=FILE]
   caperdeck lab compare SCENARIO... --against=WAY [--base=WAY] [--pairs=N] [--seed=N] [--json=FILE]
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
+  caperdeck lab capacity --slopes=FILE --target=FILE [--json=FILE] [--page=FILE]
   caperdeck lab demo
   caperdeck (-h | --help)
 
@@ -30,6 +31,7 @@
   lab      Run many copies of the program with faults between them (docs/lab.md): fleet plays a scenario,
            search looks for faults that break a rule, compare measures one way against another, report draws
            a history, demo shows a small fleet. Exit code 0 all held, 1 broken, 2 bad input, 3 void.
+           capacity works out from measured lines what the fleet needs at its target (docs/CAPACITY.md).
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
@@ -39,13 +41,16 @@
   --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
   --seed=N           Of all draws of a run; the scenario's own otherwise.
   --virtual          In virtual time, in this process, instead of real processes.
-  --json=FILE        Keep the history, one event a line, or the comparison.
+  --json=FILE        Keep the history, one event a line, the comparison, or what was worked out.
   --logs=DIR         Keep the nodes' logs.
   --runs=N           So many schedules at the most, 100 if not given.
   --out=FILE         The scenario file or page to write.
   --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USES, subsets, checkout:DIR.
   --base=WAY         What that is measured against, module if not given.
   --pairs=N          Seeds that both ways play, 10 if not given.
+  --slopes=FILE      The record of measured lines.
+  --target=FILE      What is asked of the fleet, TOML (docs/capacity/target.toml).
+  --page=FILE        Rewrite the tables of this page, between its marks.
   --scenario=FILE    Check the rules on the history as well.
   -h --help          Show this text.
 """
--- /dev/null
+++ b/caperdeck/lab/capacity/command.py
@@ -0,0 +1,39 @@
+"""`caperdeck lab capacity`: reads a target and a record of slopes, and says what follows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from caperdeck.lab.slopes.record import RecordError, read
+
+from . import page, tables
+from .report import report
+from .target import TargetError, load
+
+
+class CapacityError(Exception):
+    """Bad input; the text is one line."""
+
+
+def run(
+    slopes: str, target: str, json: str | None, page_path: str | None, say: Callable[[str], None]
+) -> tuple[str, ...]:
+    """Says the tables; returns the names of measurements that the record lacks.
+
+    Raises CapacityError for files that cannot be used, OSError for those that cannot be opened.
+    """
+    try:
+        made = report(load(target), read(slopes))
+        text = tables.markdown(made)
+        if page_path:
+            page.rewrite(page_path, text)
+    except (TargetError, RecordError, page.PageError) as error:
+        raise CapacityError(str(error)) from None
+    if json:
+        encoded = msgspec.json.encode(made, order="deterministic")
+        Path(json).write_bytes(msgspec.json.format(encoded, indent=1) + b"\n")
+    say(text)
+    return made.missing
--- /dev/null
+++ b/caperdeck/lab/capacity/roles/__init__.py
@@ -0,0 +1,35 @@
+"""The roles of the fleet at the target, one module each; each makes its rows from a Fleet."""
+
+from ..fleet import Fleet
+from ..row import Role
+from . import (
+    configuration,
+    control,
+    control_machine,
+    discovery,
+    host,
+    machine,
+    membership,
+    process,
+    reconnect,
+    regions,
+    topics,
+)
+
+ROLES = (
+    process,
+    machine,
+    control,
+    membership,
+    configuration,
+    control_machine,
+    discovery,
+    host,
+    topics,
+    reconnect,
+    regions,
+)
+
+
+def roles(fleet: Fleet) -> tuple[Role, ...]:
+    return tuple(module.role(fleet) for module in ROLES)
--- /dev/null
+++ b/caperdeck/lab/capacity/roles/control.py
@@ -0,0 +1,81 @@
+"""What all node processes of one machine spend on control, against the machine's part for it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..figure import Figure, total
+from ..fleet import Fleet
+from ..load import DAY, tick_share
+from ..needs import Need
+from ..row import Kind, Role, Row, row
+from .configuration import apply_seconds, file_bytes, file_changes
+
+
+class Spent(NamedTuple):
+    """What one mechanism spends at one process."""
+
+    need: Need
+    what: str
+    amount: Figure
+
+
+def role(fleet: Fleet) -> Role:
+    control = fleet.target.control
+    return Role(
+        "Control at a node machine",
+        (
+            *_rows(fleet, Kind.PROCESSOR, "part of a core", "", processor(fleet), control.core_part),
+            *_rows(fleet, Kind.MEMORY, "memory", "B", memory(fleet), control.memory),
+            *_rows(fleet, Kind.MESSAGES, "bytes", "B/s", sent(fleet), control.bytes_per_second),
+        ),
+    )
+
+
+def _rows(
+    fleet: Fleet, kind: Kind, name: str, unit: str, parts: tuple[Spent, ...], bound: float
+) -> list[Row]:
+    """A row for each mechanism, over all processes of the machine, and one for the sum."""
+    rows = [
+        row(part.need, kind, f"{part.what}, {name}", unit, part.amount * fleet.processes, bound)
+        for part in parts
+    ]
+    whole = total(each.amount for each in rows)
+    return [*rows, row(Need.CONTROL_BUDGET, kind, f"all of it, {name}", unit, whole, bound)]
+
+
+def processor(fleet: Fleet) -> tuple[Spent, ...]:
+    """Parts of a core."""
+    lines, members, hosts = fleet.lines, fleet.members, fleet.assumed("hosts")
+    list_changes = fleet.assumed("hosts_replaced_a_day") / DAY
+    configurations = apply_seconds(fleet) * file_changes(fleet) / DAY
+    return (
+        Spent(Need.MEMBERSHIP, "membership", lines.at("peers.cpu", members)),
+        Spent(Need.OWNED_WORK, "acts of owners", lines.at("owned.cpu_node", members)),
+        Spent(Need.HOST_FIGURES, "the decisions' tick", tick_share(fleet.target, lines)),
+        Spent(Need.HOST_LIST, "changes of the list of hosts", lines.at("node.change", hosts) * list_changes),
+        Spent(Need.CONFIGURATION, "configurations, if something brought them", configurations),
+    )
+
+
+def memory(fleet: Fleet) -> tuple[Spent, ...]:
+    """Bytes."""
+    lines = fleet.lines
+    return (
+        Spent(Need.MEMBERSHIP, "membership", lines.at("peers.state_bytes", fleet.members)),
+        Spent(Need.HOST_LIST, "the list of hosts", lines.at("node.list_memory", fleet.assumed("hosts"))),
+        Spent(Need.CONFIGURATION, "the text of a configuration", file_bytes(fleet)),
+    )
+
+
+def sent(fleet: Fleet) -> tuple[Spent, ...]:
+    """Bytes a second."""
+    lines, members = fleet.lines, fleet.members
+    list_changes = fleet.assumed("hosts_replaced_a_day") / DAY
+    configurations = file_bytes(fleet) * file_changes(fleet) / DAY
+    return (
+        Spent(Need.MEMBERSHIP, "membership", lines.at("peers.bytes", members)),
+        Spent(Need.OWNED_WORK, "acts of owners", lines.at("owned.bytes", members) / members),
+        Spent(Need.HOST_LIST, "changes of the list of hosts", fleet.assumed("host_row_bytes") * list_changes),
+        Spent(Need.CONFIGURATION, "whole configurations, if something brought them", configurations),
+    )
--- /dev/null
+++ b/caperdeck/lab/capacity/roles/discovery.py
@@ -0,0 +1,63 @@
+"""Discovery: one service that every node process keeps a watch open at."""
+
+from __future__ import annotations
+
+from caperdeck.state.backoff import LOST
+from caperdeck.wire.discovery import ANSWER, MOST_HOSTS, SILENT
+
+from ..figure import Figure
+from ..fleet import Fleet
+from ..load import DAY
+from ..needs import Need
+from ..row import Kind, Role, row
+
+WAITS = 2  # spans of back-off that may pass until a watch that fell silent is open again
+
+
+def role(fleet: Fleet) -> Role:
+    members, hosts, row_bytes = fleet.members, fleet.assumed("hosts"), fleet.assumed("host_row_bytes")
+    changes = fleet.assumed("hosts_replaced_a_day") / DAY
+    calls = members / (LOST.longest / 2)
+    need = Need.HOST_LIST
+    return Role(
+        "Discovery",
+        (
+            row(need, Kind.STATE, "hosts on the list", "", hosts, MOST_HOSTS, "the program's own limit"),
+            row(need, Kind.STATE, "watches open at the service", "", members),
+            row(need, Kind.MESSAGES, "changes told, a second, over all watches", "/s", members * changes),
+            row(need, Kind.MESSAGES, "whole lists when all nodes start", "B", members * hosts * row_bytes),
+            row(
+                need,
+                Kind.MESSAGES,
+                "calls a second while it cannot be reached",
+                "/s",
+                calls,
+                fleet.assumed("discovery_calls"),
+                "each process calls after half of the longest wait, in the mean",
+            ),
+            row(
+                need,
+                Kind.PROCESSOR,
+                "a whole list taken: nothing else runs in the reactor so long",
+                "s",
+                fleet.lines.at("node.list", hosts),
+                fleet.delay_bound,
+            ),
+            row(
+                need,
+                Kind.PROCESSOR,
+                "one change taken at a process",
+                "s",
+                fleet.lines.at("node.change", hosts),
+                fleet.delay_bound,
+            ),
+            row(
+                need,
+                Kind.TIME,
+                "until a watch that fell silent is open again",
+                "s",
+                Figure(SILENT + ANSWER + WAITS * LOST.longest),
+                fleet.target.configuration.within,
+            ),
+        ),
+    )
--- /dev/null
+++ b/caperdeck/lab/capacity/roles/host.py
@@ -0,0 +1,53 @@
+"""A host: it holds its part of the connections and answers the probes of all node processes."""
+
+from __future__ import annotations
+
+from caperdeck.core.decide import ALL_LOOKS, PROBE_EVERY
+
+from ..figure import Figure
+from ..fleet import Fleet
+from ..load import MS, TICKS
+from ..needs import Need
+from ..row import Kind, Role, row
+
+
+def role(fleet: Fleet) -> Role:
+    target, hosts = fleet.target, fleet.assumed("hosts")
+    come = target.fleet.connections / fleet.assumed("connection_life")
+    return Role(
+        "Host",
+        (
+            row(Need.STANDING, Kind.STATE, "standing connections", "", target.fleet.connections / hosts),
+            row(
+                Need.DELIVERY,
+                Kind.MESSAGES,
+                "lines to nodes, a second",
+                "/s",
+                target.deliveries.per_second / hosts,
+            ),
+            row(Need.HOST_FIGURES, Kind.MESSAGES, "new connections, a second", "/s", come / hosts),
+            row(
+                Need.HOST_FIGURES,
+                Kind.MESSAGES,
+                "probes a second that no session pays for",
+                "/s",
+                Figure(ALL_LOOKS * MS / PROBE_EVERY),
+                note="of all nodes together, at any size",
+            ),
+            row(
+                Need.HOST_FIGURES,
+                Kind.MESSAGES,
+                "probes a second while it tells no figure yet",
+                "/s",
+                fleet.members * TICKS,
+                note="each process asks at each tick",
+            ),
+            row(
+                Need.HOST_FIGURES,
+                Kind.PROCESSOR,
+                "one placement at a node process",
+                "s",
+                fleet.lines.at("node.placement", hosts),
+            ),
+        ),
+    )
--- /dev/null
+++ b/caperdeck/lab/capacity/roles/process.py
@@ -0,0 +1,84 @@
+"""A node process: one reactor that relays lines for its part of the connections."""
+
+from __future__ import annotations
+
+from ..figure import total
+from ..fleet import Fleet
+from ..lines import delay_name, line_cost
+from ..load import busy, process_memory, utilisation, utilisation_parts
+from ..needs import Need
+from ..row import Kind, Role, Row, row
+
+SOCKETS = 2  # of a standing connection: the client's and the host's
+
+
+def role(fleet: Fleet) -> Role:
+    return Role("Node process", (*_state(fleet), *_processor(fleet), *_delays(fleet)))
+
+
+def _state(fleet: Fleet) -> list[Row]:
+    load, lost = fleet.load(), fleet.load(fleet.zone_machines)
+    return [
+        row(Need.STANDING, Kind.STATE, "standing connections", "", load.connections),
+        row(Need.STANDING, Kind.STATE, "the same with a zone lost", "", lost.connections),
+        row(
+            Need.STANDING,
+            Kind.STATE,
+            "descriptors with a zone lost",
+            "",
+            lost.connections * SOCKETS,
+            fleet.assumed("process_descriptors"),
+        ),
+        row(
+            Need.STANDING,
+            Kind.MEMORY,
+            "memory with a zone lost, the kernel's with it",
+            "B",
+            process_memory(fleet.target, fleet.lines, lost.connections),
+        ),
+        row(Need.DELIVERY, Kind.MESSAGES, "deliveries a second", "/s", load.lines),
+        row(Need.DELIVERY, Kind.MESSAGES, "the same with a zone lost", "/s", lost.lines),
+    ]
+
+
+def _processor(fleet: Fleet) -> list[Row]:
+    target, lines, load = fleet.target, fleet.lines, fleet.load()
+    bound = fleet.assumed("utilisation")
+    parts = utilisation_parts(target, lines, load)
+    quiet = total(parts.values())
+    lost = utilisation(target, lines, fleet.load(fleet.zone_machines))
+    return [
+        *(
+            row(Need.DELIVERY, Kind.PROCESSOR, f"{name}, part of a reactor, quiet machine", "", part)
+            for name, part in parts.items()
+        ),
+        row(Need.DELIVERY, Kind.PROCESSOR, "all of it, quiet machine", "", quiet, bound),
+        row(Need.DELIVERY, Kind.PROCESSOR, "all of it, busy machine", "", busy(target, quiet), bound),
+        row(Need.DELIVERY, Kind.PROCESSOR, "all of it, busy machine, a zone lost", "", lost, bound),
+    ]
+
+
+def _delays(fleet: Fleet) -> list[Row]:
+    target, lines, load = fleet.target, fleet.lines, fleet.load()
+    listeners = target.topics.largest_listeners / fleet.members
+    burst = busy(target, line_cost(lines, target.assumed, load.lines)) * listeners
+    return [
+        row(
+            Need.DELIVERY,
+            Kind.TIME,
+            "a delivery at the node, for the target's part of all",
+            "s",
+            lines.up_to(delay_name(target), load.lines),
+            fleet.delay_bound,
+            "at the next higher rate that was measured",
+        ),
+        row(
+            Need.DELIVERY,
+            Kind.TIME,
+            "until the last listener of one line of the largest topic has it",
+            "s",
+            burst,
+            fleet.delay_bound,
+            "its listeners evenly over all processes",
+        ),
+    ]
--- /dev/null
+++ b/caperdeck/lab/capacity/roles/regions.py
@@ -0,0 +1,47 @@
+"""Regions that lose each other: nothing in the program knows regions, only one fleet with zones."""
+
+from __future__ import annotations
+
+from ..figure import figure
+from ..fleet import Fleet
+from ..load import DAY
+from ..needs import Need
+from ..row import Kind, Role, row
+
+
+def role(fleet: Fleet) -> Role:
+    cut = figure(fleet.target.faults.region_cut)
+    changes = fleet.target.configuration.changes_a_day / DAY
+    need = Need.REGIONS
+    return Role(
+        "Regions",
+        (
+            row(
+                need,
+                Kind.STATE,
+                "members of the other region held dead in a cut, a part of them",
+                "",
+                fleet.lines.share_at("peers.false_deaths", fleet.members),
+                note="measured in a shorter cut than the target's",
+            ),
+            row(
+                need, Kind.STATE, "changes of configuration made while a region is cut off", "", changes * cut
+            ),
+            row(
+                need,
+                Kind.TIME,
+                "until a change is in force in a region cut off",
+                "s",
+                cut,
+                fleet.target.configuration.within,
+                "the cut alone",
+            ),
+            row(
+                need,
+                Kind.STATE,
+                "connections whose host is in the other region",
+                "",
+                fleet.assumed("cross_region_part") * fleet.target.fleet.connections,
+            ),
+        ),
+    )
--- /dev/null
+++ b/caperdeck/lab/capacity/target.py
@@ -0,0 +1,139 @@
+"""The target: what the operators ask of the fleet, and what had to be assumed beside it, from a TOML file."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from caperdeck.lifecycle.toml import TomlError, read_toml
+
+MOST = 10**15  # past every figure that a fleet can have; keeps infinite values out
+
+PERCENTILES = {0.5: "p50", 0.99: "p99", 0.999: "p999"}
+"""The parts of all deliveries whose delay is measured, and what the measurements call them."""
+
+Amount = Annotated[float, Meta(gt=0, le=MOST)]
+Count = Annotated[int, Meta(gt=0, le=MOST)]
+Part = Annotated[float, Meta(gt=0, le=1)]
+SeveralZones = Annotated[int, Meta(ge=2, le=1000)]  # with one zone nothing would be left when it is lost
+LineBytes = Annotated[
+    float, Meta(ge=100, le=1000)
+]  # both ends are measured, costs between them are interpolated
+
+
+class TargetError(Exception):
+    """The target cannot be used; the text names file, field and reason in one line."""
+
+
+class Table(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A table of the file, in which every key has to be given."""
+
+
+class FleetTarget(Table, frozen=True):
+    machines: SeveralZones
+    connections: Count
+    regions: Count
+    zones: SeveralZones  # of all regions together
+
+
+class Topics(Table, frozen=True):
+    shards: Count
+    largest_listeners: Count
+
+
+class Deliveries(Table, frozen=True):
+    per_second: Amount
+    within: Amount  # seconds
+    part_within: Part
+
+
+class Configuration(Table, frozen=True):
+    changes_a_day: Amount
+    within: Amount  # seconds
+
+
+class Control(Table, frozen=True):
+    """What one machine of the fleet may spend on control, and how many machines are set aside for it."""
+
+    core_part: Part
+    memory: Amount  # bytes
+    bytes_per_second: Amount
+    machines: Count
+
+
+class Faults(Table, frozen=True):
+    machines_failing_a_day: Amount
+    machines_replaced_a_day: Amount
+    racks_a_year: Amount
+    zones_a_year: Amount
+    region_cuts_a_year: Amount
+    region_cut: Amount  # seconds
+
+
+class Assumed(Table, frozen=True):
+    """What the operators have not said; docs/capacity-questions.md explains each field."""
+
+    machine_cores: Count
+    machine_memory: Amount
+    memory_part: Part
+    utilisation: Annotated[float, Meta(gt=0, lt=1)]
+    busy_times: Annotated[float, Meta(ge=1, le=100)]
+    line_bytes: LineBytes
+    delay_part: Part
+    connection_life: Amount
+    return_span: Amount
+    back_within: Amount
+    hosts: Count
+    host_row_bytes: Amount
+    hosts_replaced_a_day: Amount
+    listeners: Count
+    customers: Count
+    customer_bytes: Amount
+    peak_times: Annotated[float, Meta(ge=1, le=MOST)]
+    change_by_hand: Amount
+    address_bytes: Amount
+    membership_within: Amount
+    rack_machines: Count
+    cross_region_part: Part
+    discovery_calls: Amount
+    process_descriptors: Count
+
+
+class Target(Table, frozen=True):
+    fleet: FleetTarget
+    topics: Topics
+    deliveries: Deliveries
+    configuration: Configuration
+    control: Control
+    faults: Faults
+    assumed: Assumed
+
+
+def load(path: str) -> Target:
+    """Raises TargetError for a file that cannot be read, an unknown or missing key, or a bad value."""
+    try:
+        target = msgspec.convert(read_toml(path), Target)
+    except TomlError as error:
+        raise TargetError(f"{path}: {error}") from None
+    except msgspec.ValidationError as error:
+        raise TargetError(f"{path}: {error}") from None
+    for field, reason in _contradictions(target):
+        raise TargetError(f"{path}: {field}: {reason}")
+    return target
+
+
+def _contradictions(target: Target):
+    fleet, assumed = target.fleet, target.assumed
+    if fleet.regions > fleet.zones:
+        yield "fleet.regions", f"{fleet.regions} regions and {fleet.zones} zones"
+    if fleet.zones > fleet.machines:
+        yield "fleet.zones", f"{fleet.zones} zones and {fleet.machines} machines"
+    if assumed.rack_machines * fleet.zones > fleet.machines:
+        yield "assumed.rack_machines", f"{assumed.rack_machines} are more than a zone has"
+    if target.topics.largest_listeners > fleet.connections:
+        yield "topics.largest_listeners", "more than there are connections"
+    if target.deliveries.part_within not in PERCENTILES:
+        known = ", ".join(map(str, PERCENTILES))
+        yield "deliveries.part_within", f"{target.deliveries.part_within} is not measured, {known} are"
--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -144,6 +144,20 @@
     return HELD
 
 
+def capacity(arguments: dict[str, Any]) -> int:
+    from .capacity.command import CapacityError, run
+
+    files = (arguments[f"--{name}"] for name in ("slopes", "target", "json", "page"))
+    try:
+        missing = run(*files, say)
+    except CapacityError as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return BAD
+    if missing:
+        print(f"not measured: {', '.join(missing)}", file=sys.stderr)
+    return BROKEN if missing else HELD
+
+
 def demo(arguments: dict[str, Any]) -> int:
     from rich.console import Console
 
@@ -161,7 +175,7 @@
 
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, _interrupt)
-    verb = next(v for v in (fleet, search, compare, report, demo) if arguments[v.__name__])
+    verb = next(v for v in (fleet, search, compare, report, capacity, demo) if arguments[v.__name__])
     try:
         return verb(arguments)
     except ScenarioError as error:
