Pages: capacity at the target, and the questions that the target leaves open

The tables need a page that says how to read them, and each assumption a question behind it. The generated part stands between two marks; while docs/capacity/slopes.json is missing it says so and nothing else. Tests: page, slopes and target in the tree agree, and every field of the assumptions has its question.

--- a/tests/test_lab_capacity.py
+++ b/tests/test_lab_capacity.py
@@ -1,6 +1,7 @@
 """Capacity at the target: arithmetic on stand-in lines, bad input, the ranking, and the page in the tree."""
 
 import json
+import re
 from functools import cache
 from pathlib import Path
 
@@ -21,10 +22,12 @@
 from caperdeck.lab.capacity.target import TargetError, load
 from caperdeck.lab.capacity.text import amount, room
 from caperdeck.lab.slopes.line import Point
-from caperdeck.lab.slopes.record import Source, measurement, record, write
+from caperdeck.lab.slopes.record import Source, measurement, read, record, write
 
 ROOT = Path(__file__).resolve().parents[1]
 TARGET = ROOT / "docs/capacity/target.toml"
+SLOPES = ROOT / "docs/capacity/slopes.json"
+PAGE = ROOT / "docs/CAPACITY.md"
 
 SIZES = (1000, 2000, 4000, 8000)
 STAND_IN = {  # fixed and slope; invented, so that products are easy to check
@@ -395,3 +398,18 @@
     write(tmp_path / "slopes.json", stand_in(without=("peers.cpu", "raft.commit_cpu")))
     assert main(command(tmp_path / "slopes.json", TARGET)) == 1
     assert capsys.readouterr().err == "not measured: peers.cpu, raft.commit_cpu\n"
+
+
+def generated():
+    """What the page has to say for the files in the tree."""
+    return tables.markdown(report(load(str(TARGET)), read(SLOPES))) if SLOPES.exists() else page.MISSING
+
+
+def test_page_slopes_and_target_in_the_tree_agree():
+    assert page.between(PAGE.read_text()) == generated()
+
+
+def test_every_assumption_has_its_question():
+    text = (ROOT / "docs/capacity-questions.md").read_text()
+    fields = msgspec.to_builtins(load(str(TARGET)).assumed)
+    assert set(re.findall(r"`assumed\.(\w+)`", text)) == set(fields)
