Capacity: falling lines end where they were measured, small sizes are called that

A line with a slope under 0 gave a cost of 0 far past its points, which reads as if it were free. Past the measured sizes the cost at the largest counts now. A file that is too large to be agreed on as one entry counts against configuration, not against agreement.

--- a/caperdeck/lab/capacity/lines.py
+++ b/caperdeck/lab/capacity/lines.py
@@ -46,8 +46,11 @@
         return tuple(name for name in NAMES if self.find(name) is None)
 
     def at(self, name: str, size: Figure | float) -> Figure:
-        """The cost at a size, in the unit of the measurement; never under 0, where a line goes below it."""
-        return self._read(name, size, lambda line, value: max(line.at(value), 0.0))
+        """The cost at a size, in the unit of the measurement; never under 0, where a line goes below it.
+
+        A line that falls is not followed past the measured sizes: the cost at the largest counts.
+        """
+        return self._read(name, size, _cost)
 
     def up_to(self, name: str, size: Figure | float) -> Figure:
         """The cost at the least measured size that is no smaller; past all of them, that of the line."""
@@ -60,15 +63,15 @@
 
     def share_at(self, name: str, size: Figure | float) -> Figure:
         """The same of a part of a whole: never over 1 either."""
-        return self._read(name, size, lambda line, value: min(max(line.at(value), 0.0), 1.0))
+        return self._read(name, size, lambda found, value: min(_cost(found, value), 1.0))
 
     def each(self, name: str, size: Figure | float) -> Figure:
         """The cost of one more, up to a size; never under 0."""
-        return self._read(name, size, lambda line, value: max(line.slope, 0.0))
+        return self._read(name, size, lambda found, value: max(found.line.slope, 0.0))
 
     def fixed(self, name: str) -> Figure:
         """The cost at size 0; never under 0."""
-        return self._read(name, 0.0, lambda line, value: max(line.fixed, 0.0))
+        return self._read(name, 0.0, lambda found, value: max(found.line.fixed, 0.0))
 
     def _read(self, name: str, size: Figure | float, cost) -> Figure:
         size, found = figure(size), self.find(name)
@@ -77,7 +80,7 @@
         if size.value is None:
             return Figure(None, missing=size.missing, measured=frozenset({name}), assumed=size.assumed)
         return Figure(
-            cost(found.line, size.value),
+            cost(found, size.value),
             max(size.value / largest_size(found), size.stretch),
             size.measured | {name},
             size.missing,
@@ -86,6 +89,12 @@
         )
 
 
+def _cost(found: Measurement, size: float) -> float:
+    if found.line.slope < 0 and size > largest_size(found):
+        return max(found.points, key=lambda point: point.size).cost
+    return max(found.line.at(size), 0.0)
+
+
 def largest_size(measurement: Measurement) -> float:
     return max(point.size for point in measurement.points)
 
--- a/caperdeck/lab/capacity/roles/control_machine.py
+++ b/caperdeck/lab/capacity/roles/control_machine.py
@@ -125,7 +125,7 @@
             fleet.target.configuration.within,
         ),
         row(
-            need,
+            Need.CONFIGURATION,
             Kind.STATE,
             "a node's file, against what an owner may keep in one entry",
             "B",
--- a/caperdeck/lab/capacity/tables.py
+++ b/caperdeck/lab/capacity/tables.py
@@ -19,6 +19,9 @@
 from .target import Target
 from .text import NOT_MEASURED, amount, bound, number, origin, room, shown, stretch
 
+SMALL = "small sizes; "
+"""Begins the note of what `caperdeck lab slopes --small` has measured."""
+
 
 def table(heading: Sequence[str], rows: Iterable[Sequence[str]]) -> list[str]:
     lines = ["| " + " | ".join(heading) + " |", "| " + " | ".join("---" for _ in heading) + " |"]
@@ -49,6 +52,8 @@
         f"{machine.cores} cores, {amount(machine.memory_bytes, 'B')}, {machine.system}, "
         f"Python {machine.python}."
     ]
+    if any(each.note.startswith(SMALL) for each in record.measurements):
+        lines.append("**Measured at small sizes, to see that it works: the figures say nothing.**")
     if report.missing:
         lines.append(f"**{NOT_MEASURED}:** {', '.join(report.missing)}.")
     return lines
--- a/tests/test_lab_capacity.py
+++ b/tests/test_lab_capacity.py
@@ -111,6 +111,12 @@
     assert (fleet.lines.at("node.tick", 10) + 1).bent == {"node.tick"}
 
 
+def test_a_line_that_falls_is_not_followed_past_what_was_measured():
+    lines = Fleet(target(), stand_in(peers__bytes=(100.0, -1e-3))).lines
+    assert lines.at("peers.bytes", 4000).value == pytest.approx(96.0)
+    assert lines.at("peers.bytes", 80_000).value == pytest.approx(92.0)
+
+
 def test_a_delay_is_that_of_the_next_higher_measured_rate():
     lines = Fleet(target(), delays((0.01, 0.02, 0.1, 0.2))).lines
     assert lines.up_to("node.delivery_p99_100", 1001).value == 0.02
@@ -264,6 +270,12 @@
     assert "must run is **not measured**" in tables.markdown(made)
 
 
+def test_a_record_of_small_sizes_is_called_that():
+    small = [msgspec.structs.replace(each, note="small sizes; x") for each in stand_in().measurements]
+    assert "the figures say nothing" in tables.markdown(report(target(), record(small)))
+    assert "the figures say nothing" not in tables.markdown(report(target(), stand_in()))
+
+
 # ---- the ranking
 
 
