--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -17,6 +17,7 @@
   caperdeck lab compare SCENARIO... --against=WAY [--base=WAY] [--pairs=N] [--seed=N] [--json=FILE]
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
   caperdeck lab slopes [--out=FILE] [--only=PARTS] [--small]
+  caperdeck lab capacity --slopes=FILE --target=FILE [--json=FILE] [--page=FILE]
   caperdeck lab demo
   caperdeck (-h | --help)
 
@@ -31,7 +32,8 @@
   lab      Run many copies of the program with faults between them (docs/lab.md): fleet plays a scenario,
            search looks for faults that break a rule, compare measures one way against another, report draws
            a history, slopes measures what each part costs at several sizes and fits straight lines, demo
-           shows a small fleet. Exit code 0 all held, 1 broken, 2 bad input, 3 void.
+           shows a small fleet, capacity works out from measured lines what the fleet needs at its target
+           (docs/CAPACITY.md). Exit code 0 all held, 1 broken, 2 bad input, 3 void.
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
@@ -41,7 +43,7 @@
   --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
   --seed=N           Of all draws of a run; the scenario's own otherwise.
   --virtual          In virtual time, in this process, instead of real processes.
-  --json=FILE        Keep the history, one event a line, or the comparison.
+  --json=FILE        Keep the history, one event a line, the comparison, or what was worked out.
   --logs=DIR         Keep the nodes' logs.
   --runs=N           So many schedules at the most, 100 if not given.
   --out=FILE         The scenario file, page or record to write.
@@ -50,6 +52,9 @@
   --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USES, subsets, checkout:DIR.
   --base=WAY         What that is measured against, module if not given.
   --pairs=N          Seeds that both ways play, 10 if not given.
+  --slopes=FILE      The record of measured lines.
+  --target=FILE      What is asked of the fleet, TOML (docs/capacity/target.toml).
+  --page=FILE        Rewrite the tables of this page, between its marks.
   --scenario=FILE    Check the rules on the history as well.
   -h --help          Show this text.
 """
--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -159,6 +159,20 @@
     return HELD
 
 
+def capacity(arguments: dict[str, Any]) -> int:
+    from .capacity.command import CapacityError, run
+
+    files = (arguments[f"--{name}"] for name in ("slopes", "target", "json", "page"))
+    try:
+        missing = run(*files, say)
+    except CapacityError as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return BAD
+    if missing:
+        print(f"not measured: {', '.join(missing)}", file=sys.stderr)
+    return BROKEN if missing else HELD
+
+
 def demo(arguments: dict[str, Any]) -> int:
     from rich.console import Console
 
@@ -176,7 +190,8 @@
 
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, _interrupt)
-    verb = next(v for v in (fleet, search, compare, report, slopes, demo) if arguments[v.__name__])
+    verbs = (fleet, search, compare, report, slopes, capacity, demo)
+    verb = next(each for each in verbs if arguments[each.__name__])
     try:
         return verb(arguments)
     except ScenarioError as error:
