Timers are called timers: bell, set_bell and ring were words of our own

No change of behaviour: attribute and method names in the carrier, the owner's instance, the peers' port and the node's side of owned work. Core and facade keep theirs until the module is next touched.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -92,8 +92,8 @@
         self.accepting: Callable[[bool], None] = lambda on: None
         self.orders: deque[Order] = deque()
         self.at_work = False
-        self.bell = None
-        self.bell_at = 0.0
+        self.timer = None
+        self.timer_due = 0.0
 
     @abstractmethod
     def open_host(self, s: Session, until: float, time_out: float) -> HostSide:
@@ -148,7 +148,7 @@
         held, self.held = self.held, deque()
         for do in held:
             do()
-        self._ring()
+        self._timer_fired()
 
     def age(self) -> float:
         """How long a line that is read now may have lain there; 0 once all that did has been read."""
@@ -179,27 +179,27 @@
                 self._carry_out(self.orders.popleft())
         finally:
             self.at_work = False
-        self._set_bell()
+        self._set_timer()
 
-    def _set_bell(self) -> None:
+    def _set_timer(self) -> None:
         if self.away:
             return
         due, now = self.balancer.due, self.clock()
-        if self.bell is not None and self.bell.active():
-            if self.bell_at <= due:
+        if self.timer is not None and self.timer.active():
+            if self.timer_due <= due:
                 return
-            self.bell.cancel()
-        self.bell_at = due
-        self.bell = self.reactor.callLater(max(due - now, 0.0) / MS, self._ring)
+            self.timer.cancel()
+        self.timer_due = due
+        self.timer = self.reactor.callLater(max(due - now, 0.0) / MS, self._timer_fired)
 
-    def _ring(self) -> None:
+    def _timer_fired(self) -> None:
         self.clock()
         if self.away:
             return
         try:
             self.carry_out(self.balancer.tick(self.clock()))
         finally:
-            self._set_bell()
+            self._set_timer()
 
     def _carry_out(self, order: Order) -> None:
         if isinstance(order, Look):
--- a/caperdeck/lifecycle/owners.py
+++ b/caperdeck/lifecycle/owners.py
@@ -47,7 +47,7 @@
         life = int.from_bytes(os.urandom(6), "big") + 1
         self.target = Target(life, max(nodes, 1), self._listed, self._ill, self._well, desk.figures.tries)
         self.asking = Asking(reactor, owners, self.target.fence.learned)
-        self.bell: Any = None
+        self.timer: Any = None
         self.in_force: set[str] = set()  # uids that are out here by the fleet's word
 
     def act(self, work: str, token: str, body: str, then: Then) -> None:
@@ -81,7 +81,7 @@
         return self.target.is_out(self.desk.clock(), uid)
 
     def stop(self) -> None:
-        cancel(self.bell)
+        cancel(self.timer)
         self.asking.stop()
 
     def lines(self) -> list[str]:
@@ -98,16 +98,16 @@
             if uid not in by_hand:
                 self.desk.ban(uid, uid in wanted)
         self.in_force = wanted
-        cancel(self.bell)
-        self.bell = None
+        cancel(self.timer)
+        self.timer = None
         if self.target.out:
             wait = max(self.target.due - now, 0.0) / 1000.0 + BEHIND
-            self.bell = self.reactor.callLater(wait, self._ring)
+            self.timer = self.reactor.callLater(wait, self._timer_fired)
 
     in_force: set[str] = set()
 
-    def _ring(self) -> None:
-        self.bell = None
+    def _timer_fired(self) -> None:
+        self.timer = None
         self._take_out(self.desk.clock())
 
     def _listed(self) -> list[str]:
--- a/caperdeck/owner/instance.py
+++ b/caperdeck/owner/instance.py
@@ -71,7 +71,7 @@
         }  # fmt: skip
         # a process that begins has made no proposal yet; no two have the same numbers
         self.clients = {w: int.from_bytes(os.urandom(6), "big") * 2 + 2 for w in self.runners}
-        self.bell: Any = None
+        self.timer: Any = None
         self.calling = 0
         self.watching: list[tuple[str, int, float, Then]] = []  # work, token known, until when, who waits
         self.turn_at = now
@@ -92,7 +92,7 @@
             self.closed = True
             self.driver.end()
             self.net.close()
-            cancel(self.bell)
+            cancel(self.timer)
             # a write under way ends first: half of it would be cut as torn, and nothing rests on it
             self.pool.stop()
             self.storage.close()
@@ -115,8 +115,8 @@
 
     def _turn(self) -> None:
         """All that is due; whatever came in has led here too."""
-        cancel(self.bell)
-        self.bell = None
+        cancel(self.timer)
+        self.timer = None
         if self.closed:
             return
         now = self.clock()
@@ -133,11 +133,11 @@
             return
         now = self.clock()
         due = min([self.raft.due, now + LONGEST_WAIT, *(r.due for r in self.runners.values())])
-        self.bell = self.reactor.callLater(max(due - now, LEAST_WAIT) / 1000.0, self._turn)
+        self.timer = self.reactor.callLater(max(due - now, LEAST_WAIT) / 1000.0, self._turn)
 
     def _soon(self) -> None:
-        if self.bell is not None and not self.closed:
-            self.bell.reset(0)
+        if self.timer is not None and not self.closed:
+            self.timer.reset(0)
 
     def _watch(self, now: float) -> None:
         if self.warden is None or self.raft.role is not Role.LEADER:
--- a/caperdeck/wire/peers.py
+++ b/caperdeck/wire/peers.py
@@ -28,17 +28,17 @@
         self.addresses, self.everyone, self.age = addresses, everyone, age
         # Danger: two members with one address could speak for each other; neither is heard.
         self.members = {a: i for i, a in enumerate(addresses) if addresses.count(a) == 1}
-        self.bell: Any = None
+        self.timer: Any = None
         self.port: Any = None
         self.said: dict[str, int] = {}
         self.said_at = 0.0
 
     def listen(self, address: Address) -> None:
         self.port = self.reactor.listenUDP(address.port, self, interface=address.host)
-        self._set_bell()
+        self._set_timer()
 
     def stop(self) -> None:
-        cancel(self.bell)
+        cancel(self.timer)
         if self.port is not None:
             self.port.stopListening()
             self.port = None
@@ -48,15 +48,15 @@
         self._send(self.sharing.datagram(now, data, self.members.get(address), self.age()))
         self._say(now)
 
-    def _ring(self) -> None:
+    def _timer_fired(self) -> None:
         now = self.clock()
         self._send(self.sharing.tick(now))
-        self._set_bell()
+        self._set_timer()
         self._say(now)
 
-    def _set_bell(self) -> None:
+    def _set_timer(self) -> None:
         wait = max(self.sharing.due - self.clock(), 1.0)
-        self.bell = self.reactor.callLater(wait / MS, self._ring)
+        self.timer = self.reactor.callLater(wait / MS, self._timer_fired)
 
     def _send(self, sends: list[tuple[int, bytes]]) -> None:
         for member, data in sends:
--- a/tests/test_sharing_node.py
+++ b/tests/test_sharing_node.py
@@ -109,7 +109,7 @@
 
 def test_the_port_pings_and_a_peer_that_is_down_costs_nothing():
     d, port = made_port()
-    port._set_bell()
+    port._set_timer()
     for _ in range(400):
         d.reactor.advance(0.05)
     assert {to for _, to in port.transport.sent} == {("127.0.0.1", 7001)}
