--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 .PHONY: build test lint run check clean sites
 
 build:
-	bash .ci/venv
+	sh deploy/venv dev
 
 test: build
 	$(PYTHON) -m pytest -q
