wire: client and host connections name what they need of the desk; no circle of imports

wire/desk makes connections of wire/host and names those of wire/client; both of these named the desk's class, for type checkers alone. No module could be read before the other two, and the next import at run time would have failed at the start.

Ruled out: a module for what both need, as each needs another part of the desk and tells it other things.

Each of the two states that part as a Protocol, ClientHandler and HostHandler, as ops/succession does for its node.

--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -4,26 +4,48 @@
 
 import socket
 from contextlib import suppress
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ServerFactory
 from zope.interface import implementer
 
+from caperdeck.state.budget import SocketBudget
+from caperdeck.state.sessions import Session
 from caperdeck.state.timers import cancel
 
 from .lines import LINGER, LINGER_SHORT, BoundedPort, LineConnection
 
-if TYPE_CHECKING:
-    from caperdeck.state.sessions import Session
 
-    from .desk import Desk
+class ClientHandler(Protocol):
+    """What a client's connection needs of the desk, and what it tells it."""
+
+    reactor: Any
+    budget: SocketBudget
+
+    def clock(self) -> float:
+        """The time in milliseconds."""
+
+    def client_came(self, client: ClientConnection) -> None: ...
+
+    def first_line(self, client: ClientConnection, line: bytes) -> None: ...
+
+    def from_client(self, s: Session, line: bytes) -> None: ...
+
+    def client_broke(self, client: ClientConnection, reason: str) -> None:
+        """The client has sent what cannot be passed on."""
+
+    def client_gone(self, client: ClientConnection, reset: bool) -> None:
+        """The client has ended its side, or its connection is lost."""
+
+    def client_closed(self, client: ClientConnection) -> None:
+        """The socket is free."""
 
 
 @implementer(IHalfCloseableProtocol)
 class ClientConnection(LineConnection):
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, desk: ClientHandler) -> None:
         self.desk = desk
         self.session: Session | None = None
         self.opened = 0.0
@@ -113,7 +135,7 @@
 class ClientFactory(ServerFactory):
     noisy = False
 
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, desk: ClientHandler) -> None:
         self.desk = desk
 
     @property
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -2,25 +2,35 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from twisted.internet.error import ConnectionDone
 
 from caperdeck.core.model import Outcome
 from caperdeck.core.settings import MS
+from caperdeck.state.addresses import Address
+from caperdeck.state.sessions import Session
 from caperdeck.state.timers import cancel
 
 from .lines import LineConnection, OneConnection
 
-if TYPE_CHECKING:
-    from caperdeck.state.addresses import Address
-    from caperdeck.state.sessions import Session
 
-    from .desk import Desk
+class HostHandler(Protocol):
+    """What a connection to a host needs of the desk, and what it tells it."""
+
+    reactor: Any
+
+    def dial_open(self, conn: HostConnection) -> None: ...
+
+    def dial_failed(self, conn: HostConnection) -> None: ...
+
+    def from_host(self, conn: HostConnection, line: bytes) -> None: ...
+
+    def host_gone(self, conn: HostConnection, reset: bool) -> None: ...
 
 
 class HostConnection(LineConnection):
-    def __init__(self, desk: Desk, session: Session, until: float) -> None:
+    def __init__(self, desk: HostHandler, session: Session, until: float) -> None:
         self.desk = desk
         self.session = session
         self.sent = False  # the request line's last byte has been written
