--- a/caperdeck/lab/owned.py
+++ b/caperdeck/lab/owned.py
@@ -120,7 +120,7 @@
         for role in list(waiting):
             began, old = waiting[role]
             led = role == LEADER and e["ev"] == "leader" and e["leader"] == e["who"] and e["who"] not in old
-            held = role.startswith(HOLDER) and e["ev"] == "held" and e["work"] == role[len(HOLDER):]
+            held = role.startswith(HOLDER) and e["ev"] == "held" and e["work"] == role[len(HOLDER) :]
             if (led or held) and e["t"] >= began:
                 out.setdefault(role, []).append(e["t"] - began)
                 del waiting[role]
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -188,7 +188,8 @@
         reader = asyncio.StreamReader()
         pipe = os.fdopen(reading, "rb", 0)
         transport, _ = await asyncio.get_running_loop().connect_read_pipe(
-            lambda: asyncio.StreamReaderProtocol(reader), pipe)
+            lambda: asyncio.StreamReaderProtocol(reader), pipe
+        )
         try:
             while (line := await reader.readline()).endswith(b"\n"):
                 event = msgspec.json.decode(line)
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -132,9 +132,13 @@
         # without a second address there are no bans and no upgrades, and nothing of them is looked for
         scratch=scratch if admin else None,
         peers=Peers(
-            setup["limits"].get("peers") is True, raw.get("peers"), raw.get("peer_listen"), setup.get("me"),
-            raw.get("peers_all"), tuple(map(str, setup.get("tiers") or ())),
-        ),  # fmt: skip
+            setup["limits"].get("peers") is True,
+            raw.get("peers"),
+            raw.get("peer_listen"),
+            setup.get("me"),
+            raw.get("peers_all"),
+            tuple(map(str, setup.get("tiers") or ())),
+        ),
         keys=keys_of(raw),
     )
 
@@ -147,7 +151,7 @@
         probes=bool(limits.get("mayProbe", False)),
         reports=(setup.get("report") or {}).get("how") != "silent",
         max_back_off=max_back_off if limits.get("retryAfter") else 0.0,
-        longest_wait=MS * max(
-            figure(row, "hardLimit", f"listeners[{i}].", over=0.0) for i, row in enumerate(rows)),
+        longest_wait=MS
+        * max(figure(row, "hardLimit", f"listeners[{i}].", over=0.0) for i, row in enumerate(rows)),
         idle=max(figure(limits, "connIdle", "limits.", LEAST_IDLE), LEAST_IDLE) * MS,
     )
--- a/caperdeck/lifecycle/owners.py
+++ b/caperdeck/lifecycle/owners.py
@@ -67,7 +67,8 @@
             if reason == "asks-first":
                 self.asking.ask(work)
             logger.bind(event={"ev": "refused-at", "reason": reason, **values}).info(
-                "owner refused work={} token={} reason={}", work, number, reason)
+                "owner refused work={} token={} reason={}", work, number, reason
+            )
             then(no(reason))
             return
         logger.bind(event={
--- a/caperdeck/raft/core.py
+++ b/caperdeck/raft/core.py
@@ -642,4 +642,3 @@
         self._save()
         acts, self.acts = self.acts, []
         return acts
-
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -378,8 +378,11 @@
         n = len(self.started)
         config = self.config | {"admin_addr": f"127.0.0.1:{self.admin[n]}"}
         environment = os.environ | write(self.folder / f"c{n}", config) | {"TMPDIR": str(self.folder / "tmp")}
-        process = subprocess.Popen([sys.executable, "-m", "caperdeck", "serve"], env=environment,
-                                   stderr=open(self.folder / f"log{n}", "wb"))  # noqa: SIM115
+        process = subprocess.Popen(
+            [sys.executable, "-m", "caperdeck", "serve"],
+            env=environment,
+            stderr=open(self.folder / f"log{n}", "wb"),  # noqa: SIM115
+        )
         self.started.append(process)
         return process
 
