--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 lint: build
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 
 check: build
 	$(PYTHON) -m caperdeck check $(if $(CONFIG),--config=$(CONFIG))
