--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,14 @@
 .PHONY: build test lint run check clean sites
 
 build:
-	bash .ci/venv
+	sh deploy/venv dev
 
 test: build
 	$(PYTHON) -m pytest -q
 
 lint: build
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 
 check: build
 	$(PYTHON) -m caperdeck check $(if $(CONFIG),--config=$(CONFIG))
