Lab: what membership costs by the number of members, in virtual time

How bytes, memory and times of the membership grow is known by hand for four sizes only. The program's own Swim and codec run on a lean simulated network (the rig's in-memory one carries a whole node a member): traffic, processor time and memory while nothing happens, the time until a fleet knows itself, until a death is known, and who is held dead in a cut.

Costs that are all alike (every pair held dead in a small cut) gave a line whose numbers are none, which the record cannot read back: such points now have a level line.

--- a/caperdeck/lab/slopes/line.py
+++ b/caperdeck/lab/slopes/line.py
@@ -47,6 +47,9 @@
     costs = [point.cost for point in points]
     if len(set(sizes)) < LEAST_SIZES:
         raise FitError(f"{len(set(sizes))} sizes, a line needs {LEAST_SIZES}")
+    if len(set(costs)) == 1:
+        # nothing to correlate: the library answers with values that are no numbers
+        return Line(costs[0], 0.0, 0.0, 0.0, 1.0, (0.0,) * len(costs))
     found = linregress(sizes, costs)
     residuals = [
         cost - (found.intercept + found.slope * size) for size, cost in zip(sizes, costs, strict=True)
--- /dev/null
+++ b/tests/test_lab_slopes_fleet.py
@@ -0,0 +1,89 @@
+"""Cost slopes of what the fleet shares: membership, owned work, agreement, configuration; at tiny sizes."""
+
+import math
+
+import pytest
+
+from caperdeck.lab.slopes import membership
+from caperdeck.lab.slopes.line import Point, fit
+from caperdeck.lab.slopes.record import Source, record, write
+from caperdeck.peers.codec import State
+
+
+def quiet(_):
+    pass
+
+
+def by_name(measured):
+    return {each.name: each for each in measured}
+
+
+def check(measured, part, source, tmp_path):
+    """Names, four sizes, nothing under 0, numbers that are numbers, and a record that can be written."""
+    for each in measured:
+        assert each.name.startswith(f"{part}.") and each.what and each.unit and each.against and each.note
+        assert each.source is source
+        assert len({point.size for point in each.points}) >= 4
+        assert all(point.cost >= 0 for point in each.points)
+        line = each.line
+        assert all(map(math.isfinite, (line.fixed, line.slope, line.fixed_error, line.slope_error)))
+    write(tmp_path / "slopes.json", record(measured))
+
+
+def test_costs_that_are_all_alike_have_a_level_line():
+    line = fit([Point(size, 1.0) for size in range(4)])
+    assert (line.fixed, line.slope, line.slope_error, line.r_squared) == (1.0, 0.0, 0.0, 1.0)
+
+
+# ---- membership
+
+
+def test_membership_is_measured_in_virtual_time(tmp_path):
+    measured = membership.measure(True, quiet)
+    check(measured, "peers", Source.VIRTUAL_TIME, tmp_path)
+    found = by_name(measured)
+    assert found.keys() == {
+        "peers.bytes", "peers.messages", "peers.cpu", "peers.state_bytes", "peers.known", "peers.death",
+        "peers.false_deaths",
+    }  # fmt: skip
+    assert found["peers.state_bytes"].line.slope > 0 and found["peers.known"].line.slope > 0
+    assert all(point.cost <= 1 for point in found["peers.false_deaths"].points)
+
+
+def test_membership_costs_are_the_same_in_each_run_but_for_processor_time():
+    first, second = (membership.steady(10, 4000.0) for _ in range(2))
+    assert first._replace(cpu=0.0) == second._replace(cpu=0.0)
+    # a ping and its answer every two seconds at the mean: a datagram a second
+    assert first.messages == pytest.approx(1.0, rel=0.25)
+
+
+def test_a_killed_member_is_found_and_no_living_one():
+    fleet = membership.Fleet(10, 3, warm=True)
+    fleet.run(membership.SETTLE)
+    fleet.killed.add(4)
+    fleet.run(60_000.0)
+    states = [swim.state for swim in fleet.living]
+    assert all(state[4] is State.SILENT and state.count(State.SILENT) == 1 for state in states)
+
+
+def test_members_across_a_cut_hold_each_other_dead_and_come_back():
+    fleet = membership.Fleet(10, 3, warm=True)
+    fleet.region = 4
+    fleet.run(60_000.0)
+    assert membership.held_silent_across(fleet, 4) == 1.0
+    fleet.region = 0
+    fleet.run(60_000.0)
+    assert membership.held_silent_across(fleet, 4) == 0.0
+
+
+def test_what_takes_too_long_is_an_error():
+    fleet = membership.Fleet(4, 3, warm=True)
+    with pytest.raises(membership.SlowError, match="4 members"):
+        fleet.wait_for(lambda: False)
+
+
+def test_memory_counts_what_an_object_holds_once():
+    shared = [1.5, 2.5]
+    held = membership.memory([shared, shared])
+    assert held < 2 * membership.memory(shared) + membership.memory([]) + 16
+    assert membership.memory(State.ALIVE) == 0
