Lab: what applying a configuration costs, by file, listeners and customers

A reload holds the node's only loop, and how long it takes at a large fleet's file was never measured. The node's own service on a reactor in memory takes one file after another by the path of SIGHUP; medians, without the log's line.

--- a/tests/test_lab_slopes_fleet.py
+++ b/tests/test_lab_slopes_fleet.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from caperdeck.lab.slopes import membership
+from caperdeck.lab.slopes import configuration, membership
 from caperdeck.lab.slopes.line import Point, fit
 from caperdeck.lab.slopes.record import Source, record, write
 from caperdeck.peers.codec import State
@@ -87,3 +87,33 @@
     held = membership.memory([shared, shared])
     assert held < 2 * membership.memory(shared) + membership.memory([]) + 16
     assert membership.memory(State.ALIVE) == 0
+
+
+# ---- configuration
+
+
+def test_applying_a_configuration_is_measured_in_process(tmp_path):
+    measured = configuration.measure(True, quiet)
+    check(measured, "configuration", Source.IN_PROCESS, tmp_path)
+    found = by_name(measured)
+    assert found.keys() == {
+        "configuration.apply_by_size", "configuration.apply_by_listeners",
+        "configuration.apply_by_customers", "configuration.bytes_by_listeners",
+    }  # fmt: skip
+    assert found["configuration.bytes_by_listeners"].line.fits
+    assert all(point.cost > 0 for each in measured for point in each.points)
+
+
+def test_what_is_timed_puts_the_file_into_force(tmp_path):
+    node = configuration.Node(str(tmp_path), configuration.configuration(hosts=3, listeners=2, customers=1))
+    assert len(node.service.desk.hosts.uid) == 3
+    node.path.write_bytes(configuration.configuration(hosts=3, listeners=5, customers=4))
+    node.reload()
+    assert len(node.service.desk.names.listeners) == 5 and len(node.service.desk.names.customers) == 4
+
+
+def test_a_file_that_is_not_taken_is_no_measurement(tmp_path):
+    node = configuration.Node(str(tmp_path), configuration.configuration())
+    node.path.write_bytes(b"{}")
+    with pytest.raises(configuration.ReloadError, match="2 bytes"):
+        node.reload()
