Lab: what an agreed entry and an instance's start cost, on three real instances

What the agreement costs a fleet that grows has to rest on measured slopes. Three instances as processes are told to put entries by the calls that nodes and operators use; processor time and bytes written are the leader's process's own, times the caller's.

--- a/tests/test_lab_slopes_fleet.py
+++ b/tests/test_lab_slopes_fleet.py
@@ -1,10 +1,12 @@
 """Cost slopes of what the fleet shares: membership, owned work, agreement, configuration; at tiny sizes."""
 
 import math
+import time
 
 import pytest
 
-from caperdeck.lab.slopes import configuration, membership
+from caperdeck.lab.slopes import agreement, configuration, membership
+from caperdeck.lab.slopes.instances import Caller, InstanceError, Instances, Process
 from caperdeck.lab.slopes.line import Point, fit
 from caperdeck.lab.slopes.record import Source, record, write
 from caperdeck.peers.codec import State
@@ -18,11 +20,11 @@
     return {each.name: each for each in measured}
 
 
-def check(measured, part, source, tmp_path):
+def check(measured, part, sources, tmp_path):
     """Names, four sizes, nothing under 0, numbers that are numbers, and a record that can be written."""
     for each in measured:
         assert each.name.startswith(f"{part}.") and each.what and each.unit and each.against and each.note
-        assert each.source is source
+        assert each.source in sources
         assert len({point.size for point in each.points}) >= 4
         assert all(point.cost >= 0 for point in each.points)
         line = each.line
@@ -40,7 +42,7 @@
 
 def test_membership_is_measured_in_virtual_time(tmp_path):
     measured = membership.measure(True, quiet)
-    check(measured, "peers", Source.VIRTUAL_TIME, tmp_path)
+    check(measured, "peers", {Source.VIRTUAL_TIME}, tmp_path)
     found = by_name(measured)
     assert found.keys() == {
         "peers.bytes", "peers.messages", "peers.cpu", "peers.state_bytes", "peers.known", "peers.death",
@@ -76,7 +78,8 @@
     assert membership.held_silent_across(fleet, 4) == 0.0
 
 
-def test_what_takes_too_long_is_an_error():
+def test_what_takes_too_long_is_an_error(monkeypatch):
+    monkeypatch.setattr(membership, "LONGEST", 10_000.0)
     fleet = membership.Fleet(4, 3, warm=True)
     with pytest.raises(membership.SlowError, match="4 members"):
         fleet.wait_for(lambda: False)
@@ -94,7 +97,7 @@
 
 def test_applying_a_configuration_is_measured_in_process(tmp_path):
     measured = configuration.measure(True, quiet)
-    check(measured, "configuration", Source.IN_PROCESS, tmp_path)
+    check(measured, "configuration", {Source.IN_PROCESS}, tmp_path)
     found = by_name(measured)
     assert found.keys() == {
         "configuration.apply_by_size", "configuration.apply_by_listeners",
@@ -117,3 +120,77 @@
     node.path.write_bytes(b"{}")
     with pytest.raises(configuration.ReloadError, match="2 bytes"):
         node.reload()
+
+
+# ---- processes
+
+
+def test_an_instance_answers_every_call_and_ends_with_its_block(tmp_path):
+    with Instances(1, tmp_path) as instances:
+        instances.start()
+        leader = instances.leader()
+        with Caller(instances.addresses[leader]) as caller:
+            answers = caller.call_all([{"do": "status"}, {"do": "dance"}] * 4, at_once=3)
+        process = instances.processes[leader]
+        assert process.cpu() > 0 and process.written() > 0
+    assert [answer.get("role", answer.get("no")) for answer in answers] == ["leader", "unknown-call"] * 4
+    assert process.popen.returncode is not None and not instances.ports.kept
+
+
+def test_processes_end_where_a_measurement_fails(tmp_path):
+    with pytest.raises(ZeroDivisionError), Instances(1, tmp_path) as instances:
+        instances.start()
+        _ = 1 / 0
+    assert all(process.popen.returncode is not None for process in instances.processes)
+
+
+def test_an_instance_that_cannot_start_says_why(tmp_path):
+    with Instances(1, tmp_path) as instances:
+        instances.disk(0).write_text("a file where the folder should be")
+        instances.start()
+        with pytest.raises(InstanceError, match="exit 2: caperdeck: .*disk-0"):
+            instances.leader()
+
+
+def test_a_process_that_does_not_heed_its_end_is_killed(tmp_path, monkeypatch):
+    monkeypatch.setattr("caperdeck.lab.slopes.instances.ENDED", 0.1)
+    deaf = "import signal, time; signal.signal(signal.SIGTERM, signal.SIG_IGN); print(flush=True)"
+    process = Process(f"{deaf}; time.sleep(600)", log=tmp_path / "log")
+    while not (tmp_path / "log").read_bytes():
+        time.sleep(0.01)
+    process.end()
+    assert process.popen.returncode == -9
+
+
+# ---- agreement
+
+
+def test_agreement_is_measured_on_three_processes(tmp_path):
+    measured = agreement.measure(True, quiet)
+    check(measured, "raft", {Source.PROCESSES, Source.VIRTUAL_TIME}, tmp_path)
+    found = by_name(measured)
+    axes = {"entries proposed": "", "bytes of an entry": "_by_size"}
+    for cost in ("cpu", "bytes", "disk", "time"):
+        for against, ending in axes.items():
+            assert found.pop(f"raft.commit_{cost}{ending}").against == against
+    assert found.keys() == {"raft.start_time"}
+
+
+def test_more_and_larger_entries_write_and_send_more(tmp_path):
+    with Instances(1, tmp_path) as instances:
+        instances.start()
+        cluster = agreement.Cluster(instances)
+        small, many, large = (cluster.commit(*row, 4) for row in ((4, 100), (16, 100), (4, 4000)))
+    assert small.written < many.written and small.written < large.written
+    assert many.size == small.size < large.size
+    assert small.written >= 4 * small.size and large.written >= 4 * large.size
+    sent = agreement.bytes_sent(20, 100)
+    assert sent == agreement.bytes_sent(20, 100)
+    # to two others, in base 64
+    assert sent[1] > 20 * 2 * 4 / 3 * sent[0]
+
+
+def test_a_proposal_that_may_not_stand_is_no_measurement():
+    for answer in (None, {"no": "older-token"}):
+        with pytest.raises(agreement.ChangedError, match="answer 1"):
+            agreement._stood([{"ok": True}, answer])
