Lab: what owned work costs its owner and a node, by the number of nodes

Each act of an owner has a connection of its own, so an owner's load grows with its nodes, and nobody had measured how. One instance as a process owns census and hosts; its nodes are stand-ins in one other process, each the program's own target behind the program's second address on a port of its own, which count connections and bytes.

The notes of the bytes that the agreement sends say that heartbeats send unconfirmed entries again.

--- a/caperdeck/lab/slopes/agreement.py
+++ b/caperdeck/lab/slopes/agreement.py
@@ -289,9 +289,9 @@
         say(f"agreement: {sent / sizes.batch:.0f} B sent an entry of {size} B, in virtual time")
     note = (
         f"{INSTANCES} instances in virtual time, nothing lost, messages {ON_THE_WAY[0]:g} ms under way, "
-        f"writes 0.2 to 8 ms; {PILED}; of messages as "
-        "encoded, to both others, heartbeats among them, and entries that a heartbeat sends again before they "
-        "are confirmed, the more the slower the disks; without the headers of TCP and IP"
+        f"writes 0.2 to 8 ms; {PILED}; of messages as encoded, to both others, heartbeats among them, and "
+        "entries that a heartbeat sends again before they are confirmed, the more the slower the disks; "
+        "without the headers of TCP and IP"
     )
     return [
         _made("commit_bytes", "bytes that the leader sends to commit so many entries", "B",
--- a/caperdeck/lab/slopes/instances.py
+++ b/caperdeck/lab/slopes/instances.py
@@ -113,6 +113,13 @@
     def status(self, number: int) -> dict[str, Any] | None:
         return ask(self.addresses[number], CLUSTER, {"do": "status"})
 
+    def count(self, number: int, event: str) -> int:
+        """How often that has happened at an instance; raises InstanceError where it does not answer."""
+        status = self.status(number)
+        if status is None:
+            raise InstanceError(f"o{number} does not answer")
+        return status["events"].get(event, 0)
+
     def until_answered(self, number: int) -> None:
         """Raises InstanceError."""
         self._wait(lambda: self.status(number) is not None, "no answer")
--- a/tests/test_lab_slopes_fleet.py
+++ b/tests/test_lab_slopes_fleet.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from caperdeck.lab.slopes import agreement, configuration, membership
+from caperdeck.lab.slopes import agreement, configuration, membership, owned_work
 from caperdeck.lab.slopes.instances import Caller, InstanceError, Instances, Process
 from caperdeck.lab.slopes.line import Point, fit
 from caperdeck.lab.slopes.record import Source, record, write
@@ -194,3 +194,30 @@
     for answer in (None, {"no": "older-token"}):
         with pytest.raises(agreement.ChangedError, match="answer 1"):
             agreement._stood([{"ok": True}, answer])
+
+
+# ---- owned work
+
+
+def test_owned_work_is_measured_on_an_instance_and_nodes(tmp_path):
+    measured = owned_work.measure(True, quiet)
+    check(measured, "owned", {Source.PROCESSES}, tmp_path)
+    found = by_name(measured)
+    assert found.keys() == {"owned.connections", "owned.bytes", "owned.cpu_owner", "owned.cpu_node"}
+    assert found["owned.bytes"].points[-1].cost > 0
+    # a node has one act of each of two works under way at a time, in rounds of over half a second
+    assert 0 < found["owned.connections"].points[-1].cost < 16 * 2 * 4
+
+
+def test_nodes_that_do_not_come_up_are_an_error(tmp_path, monkeypatch):
+    monkeypatch.setattr(owned_work, "TARGETS", "import sys; print('no reactor'); sys.exit(3)")
+    with pytest.raises(InstanceError, match="exit 3: no reactor"), owned_work.targets(1, tmp_path):
+        pass
+
+
+def test_leases_that_were_lost_in_a_measurement_are_in_the_note():
+    sizes = owned_work.Sizes((4, 8, 12, 16), 0.0, 1.0)
+    found = {count: owned_work.Load(1.0 * count, 1.0, 0.1, 0.1, lost=0) for count in sizes.nodes}
+    assert all("measured: none" in each.note for each in owned_work._measurements(found, sizes))
+    found[8] = found[8]._replace(lost=2)
+    assert all("measured: 2 at 8;" in each.note for each in owned_work._measurements(found, sizes))
