--- a/tests/test_lab_slopes_fleet.py
+++ b/tests/test_lab_slopes_fleet.py
@@ -1,5 +1,6 @@
 """Cost slopes of what the fleet shares: membership, owned work, agreement, configuration; at tiny sizes."""
 
+import gc
 import math
 import time
 
@@ -85,6 +86,13 @@
         fleet.wait_for(lambda: False)
 
 
+def test_the_garbage_collector_is_on_again_after_a_simulation_that_fails():
+    with pytest.raises(ZeroDivisionError), membership.uncollected():
+        assert not gc.isenabled()
+        _ = 1 / 0
+    assert gc.isenabled()
+
+
 def test_memory_counts_what_an_object_holds_once():
     shared = [1.5, 2.5]
     held = membership.memory([shared, shared])
