Lab: what the fleet's parts cannot measure ends the command with one line

An instance that does not start, a simulation that takes too long and a file that is not taken were assertions, which the command would have answered with a traceback; they are errors of measuring now.

--- a/caperdeck/lab/slopes/configuration.py
+++ b/caperdeck/lab/slopes/configuration.py
@@ -22,6 +22,7 @@
 from caperdeck.lifecycle.logs import Sink
 from caperdeck.lifecycle.service import Service
 
+from .errors import MeasuringError
 from .line import Point
 from .record import Measurement, Source, measurement
 
@@ -45,7 +46,7 @@
 SMALL = Sizes((10, 20, 40, 80), (1, 5, 10, 20), (10, 20, 40, 80), REPEATS_SMALL)
 
 
-class ReloadError(AssertionError):
+class ReloadError(MeasuringError):
     """The service did not take a configuration that was made for it."""
 
 
--- a/caperdeck/lab/slopes/instances.py
+++ b/caperdeck/lab/slopes/instances.py
@@ -20,6 +20,8 @@
 from caperdeck.raft.transport import CALL
 from caperdeck.state.addresses import Address
 
+from .errors import MeasuringError
+
 CLUSTER = "slopes"
 LOOPBACK = "127.0.0.1"
 LOOK = 0.005  # seconds between two looks at a process that starts
@@ -35,7 +37,7 @@
 SERVE = OWN_END + "from caperdeck.__main__ import main\nsys.exit(main(sys.argv[1:]))"
 
 
-class InstanceError(AssertionError):
+class InstanceError(MeasuringError):
     """A process has not started, has ended, or does not answer in time."""
 
 
--- a/caperdeck/lab/slopes/line.py
+++ b/caperdeck/lab/slopes/line.py
@@ -48,7 +48,7 @@
     if len(set(sizes)) < LEAST_SIZES:
         raise FitError(f"{len(set(sizes))} sizes, a line needs {LEAST_SIZES}")
     if len(set(costs)) == 1:
-        # nothing to correlate: the library answers with values that are no numbers
+        # the library leaves the errors of a level line undefined, and JSON has no such figure
         return Line(costs[0], 0.0, 0.0, 0.0, 1.0, (0.0,) * len(costs))
     found = linregress(sizes, costs)
     residuals = [
--- a/caperdeck/lab/slopes/membership.py
+++ b/caperdeck/lab/slopes/membership.py
@@ -22,6 +22,7 @@
 from caperdeck.peers.codec import State
 from caperdeck.peers.swim import PERIOD, Send, Swim
 
+from .errors import MeasuringError
 from .line import Point
 from .record import Measurement, Source, measurement
 
@@ -59,7 +60,7 @@
 SMALL = Sizes(known=(8, 16, 24, 32), warm=(10, 20, 30, 40), cut=(10, 20, 30, 50), steady=5 * SECOND)
 
 
-class SlowError(AssertionError):
+class SlowError(MeasuringError):
     """What is waited for has not come in LONGEST."""
 
 
--- a/tests/test_lab_slopes_fleet.py
+++ b/tests/test_lab_slopes_fleet.py
@@ -7,6 +7,7 @@
 import pytest
 
 from caperdeck.lab.slopes import agreement, configuration, membership, owned_work
+from caperdeck.lab.slopes.errors import MeasuringError
 from caperdeck.lab.slopes.instances import Caller, InstanceError, Instances, Process
 from caperdeck.lab.slopes.line import Point, fit
 from caperdeck.lab.slopes.record import Source, record, write
@@ -21,6 +22,11 @@
     return {each.name: each for each in measured}
 
 
+def test_what_a_part_cannot_measure_is_one_line_of_the_command():
+    for error in (InstanceError, membership.SlowError, configuration.ReloadError):
+        assert issubclass(error, MeasuringError)
+
+
 def check(measured, part, sources, tmp_path):
     """Names, four sizes, nothing under 0, numbers that are numbers, and a record that can be written."""
     for each in measured:
