--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -16,6 +16,8 @@
   caperdeck lab search SCENARIO [--runs=N] [--seed=N] [--out=FILE]
   caperdeck lab compare SCENARIO... --against=WAY [--base=WAY] [--pairs=N] [--seed=N] [--json=FILE]
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
+  caperdeck lab slopes [--out=FILE] [--only=PARTS] [--small]
+  caperdeck lab capacity --slopes=FILE --target=FILE [--json=FILE] [--page=FILE]
   caperdeck lab demo
   caperdeck (-h | --help)
 
@@ -29,7 +31,9 @@
   version  Print the version.
   lab      Run many copies of the program with faults between them (docs/lab.md): fleet plays a scenario,
            search looks for faults that break a rule, compare measures one way against another, report draws
-           a history, demo shows a small fleet. Exit code 0 all held, 1 broken, 2 bad input, 3 void.
+           a history, slopes measures what each part costs at several sizes and fits straight lines, demo
+           shows a small fleet, capacity works out from measured lines what the fleet needs at its target
+           (docs/CAPACITY.md). Exit code 0 all held, 1 broken, 2 bad input, 3 void.
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
@@ -39,13 +43,18 @@
   --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
   --seed=N           Of all draws of a run; the scenario's own otherwise.
   --virtual          In virtual time, in this process, instead of real processes.
-  --json=FILE        Keep the history, one event a line, or the comparison.
+  --json=FILE        Keep the history, one event a line, the comparison, or what was worked out.
   --logs=DIR         Keep the nodes' logs.
   --runs=N           So many schedules at the most, 100 if not given.
-  --out=FILE         The scenario file or page to write.
+  --out=FILE         The scenario file, page or record to write.
+  --only=PARTS       Measure these parts alone, with commas between; what FILE has of others is kept.
+  --small            At tiny sizes, to see that it works; the figures say nothing.
   --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USES, subsets, checkout:DIR.
   --base=WAY         What that is measured against, module if not given.
   --pairs=N          Seeds that both ways play, 10 if not given.
+  --slopes=FILE      The record of measured lines.
+  --target=FILE      What is asked of the fleet, TOML (docs/capacity/target.toml).
+  --page=FILE        Rewrite the tables of this page, between its marks.
   --scenario=FILE    Check the rules on the history as well.
   -h --help          Show this text.
 """
@@ -53,40 +62,28 @@
 from __future__ import annotations
 
 import gc
-import importlib
 import os
 import signal
 import sys
-import time
 from typing import Any
 
-from docopt import docopt
+from caperdeck.lifecycle.loading import COMMAND, NODE, load_in_steps
 
-from caperdeck import __version__
-from caperdeck.lifecycle.config import Config, ConfigError, load_config, reload_config
+load_in_steps(COMMAND)
 
-PARTS = (
-    "twisted.internet.defer", "twisted.internet.tcp", "twisted.internet.reactor", "twisted.web.client",
-    "caperdeck.lifecycle.service",
-)  # fmt: skip
-STEP = 0.001  # seconds
-LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+from docopt import docopt  # noqa: E402
 
+from caperdeck import __version__  # noqa: E402
+from caperdeck.lifecycle.config import Config, ConfigError, load_config, reload_config  # noqa: E402
 
-def load_in_steps() -> None:
-    """Loads what a node needs, with a short wait after each part."""
-    # Danger: hundreds of nodes that start together on few cores each take minutes for the half second that
-    # loading costs, and one that is seen to wait for nothing all that time is taken for stuck.
-    for name in PARTS:
-        importlib.import_module(name)
-        time.sleep(STEP)
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
 def serve(
     config: Config, level: str, path: str | None, uses: Any = None, owners: Any = None,
     subsets: bool = False,
 ) -> int:  # fmt: skip
-    load_in_steps()
+    load_in_steps(NODE)
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
