Lab: simulated members draw from seeds that are far apart

A death among 2920 members was never known in a trial: one of three killed members was pinged by nobody in 120 s of virtual time, and from 50 s on living members were held for silent. The members' seeds were numbers in a row. The program draws by a crc, so the draws of two seeds differ by one constant, and for seeds in a row that is a small one: thousands of members shuffle their rounds alike, ping the same members at once, past what those answer, and never ping some. Each member's seed is drawn now, as a node has one of its own.

--- a/caperdeck/lab/slopes/membership.py
+++ b/caperdeck/lab/slopes/membership.py
@@ -29,7 +29,7 @@
 SECOND = 1000.0  # milliseconds
 DELAY = (1.0, 25.0)  # milliseconds that a datagram takes, drawn evenly
 LEAST_WAIT = 1.0  # milliseconds between two turns of a member, as the node's socket has it
-SEED = 20
+SEED, SEED_BITS = 20, 32  # of the runs; of a member's own, drawn from it
 FLEET = codec.fleet_mark(0, ())  # a mark; its value changes no cost
 NINE_IN_TEN = 0.9
 REGION = 2 / 5  # of the members, which a cut separates from the others
@@ -74,7 +74,9 @@
     def __init__(self, members: int, seed: int, warm: bool) -> None:
         super().__init__()
         self.draw = random.Random(seed)
-        self.members = [Swim(i, members, i + 1, seed + i, self.now) for i in range(members)]
+        # Danger: with seeds in a row members draw alike, ping the same ones at once, and never ping some.
+        seeds = [self.draw.getrandbits(SEED_BITS) for _ in range(members)]
+        self.members = [Swim(i, members, i + 1, seeds[i], self.now) for i in range(members)]
         self.killed: set[int] = set()
         self.region = 0  # members under this number are cut off from the others; 0 for no cut
         self.messages = self.bytes = self.spent = 0  # sent; nanoseconds in the protocol's code
--- a/tests/test_lab_slopes_fleet.py
+++ b/tests/test_lab_slopes_fleet.py
@@ -235,3 +235,8 @@
     assert all("measured: none" in each.note for each in owned_work._measurements(found, sizes))
     found[8] = found[8]._replace(lost=2)
     assert all("measured: 2 at 8;" in each.note for each in owned_work._measurements(found, sizes))
+
+
+def test_members_draw_from_seeds_that_are_far_apart():
+    seeds = sorted(swim.seed for swim in membership.Fleet(40, 3, warm=True).members)
+    assert min(b - a for a, b in zip(seeds, seeds[1:], strict=False)) > 1000
