--- /dev/null
+++ b/caperdeck/distribution/choice.py
@@ -0,0 +1,34 @@
+"""Rendezvous hashing: which publisher a node prefers, with nothing agreed between nodes.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (IEEE/ACM ToN 1998). When a
+publisher goes, only its own nodes move, and they spread over all that are left.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class Place(NamedTuple):
+    """A publisher, or a node, by name with where it stands."""
+
+    name: str
+    zone: str
+    region: str
+
+
+def weight(node: str, publisher: str) -> bytes:
+    return hashlib.blake2b(f"{node}\0{publisher}".encode(), digest_size=8).digest()
+
+
+def preferred(node: Place, publishers: Iterable[Place]) -> list[Place]:
+    """All publishers, the best first: of the node's zone, then of its region, then any."""
+
+    def rank(publisher: Place) -> tuple[int, bytes]:
+        if publisher.region != node.region:
+            return 2, weight(node.name, publisher.name)
+        return int(publisher.zone != node.zone), weight(node.name, publisher.name)
+
+    return sorted(publishers, key=rank)
--- /dev/null
+++ b/caperdeck/distribution/document.py
@@ -0,0 +1,146 @@
+"""A version's document and the changes between two documents.
+
+A document is a JSON object. Its digest is BLAKE2b over its canonical JSON (keys sorted), so that two
+processes that hold the same document name it alike. Changes name keys by their path; a list is replaced
+whole.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any, NamedTuple
+
+import orjson
+
+Document = dict[str, Any]
+
+LARGEST_DOCUMENT = 2 << 20  # bytes of canonical JSON; a whole version fits into one frame of the instances
+DEEPEST = 16  # objects and lists inside each other
+DIGEST_SIZE = 16  # bytes
+EMPTY: Document = {}
+
+
+class DocumentError(Exception):
+    """A document or its changes cannot be taken; the text has the field and the reason."""
+
+
+class Change(NamedTuple):
+    """The value of one key, or its removal."""
+
+    path: tuple[str, ...]
+    value: Any = None
+    removed: bool = False
+
+
+def canonical(value: Any) -> bytes:
+    """The same bytes for the same JSON value, whatever the order of its keys."""
+    try:
+        return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    except (TypeError, orjson.JSONEncodeError) as error:
+        raise DocumentError(f"document: {error}") from None
+
+
+def digest(document: Document) -> str:
+    return hashlib.blake2b(canonical(document), digest_size=DIGEST_SIZE).hexdigest()
+
+
+def check(document: Any) -> None:
+    """Raises DocumentError unless it is a JSON object within the stated size and depth."""
+    if not isinstance(document, dict):
+        raise DocumentError("document: no JSON object")
+    _check_depth(document, "document", DEEPEST)
+    if (size := len(canonical(document))) > LARGEST_DOCUMENT:
+        raise DocumentError(f"document: {size} bytes, over {LARGEST_DOCUMENT}")
+
+
+def _check_depth(value: Any, field: str, left: int) -> None:
+    if not isinstance(value, dict | list):
+        return
+    if not left:
+        raise DocumentError(f"{field}: deeper than {DEEPEST}")
+    rows = value.items() if isinstance(value, dict) else enumerate(value)
+    for key, below in rows:
+        _check_depth(below, f"{field}.{key}", left - 1)
+
+
+def difference(old: Document, new: Document) -> tuple[Change, ...]:
+    """The changes that make the new document out of the old one, in the order of their paths."""
+    return tuple(_difference(old, new, ()))
+
+
+def _difference(old: Document, new: Document, path: tuple[str, ...]) -> list[Change]:
+    changes = []
+    for key in sorted(old.keys() | new.keys()):
+        here = (*path, key)
+        if key not in new:
+            changes.append(Change(here, removed=True))
+        elif key not in old:
+            changes.append(Change(here, new[key]))
+        elif isinstance(old[key], dict) and isinstance(new[key], dict):
+            if old[key] is not new[key]:
+                changes += _difference(old[key], new[key], here)
+        # Danger: True, 1 and 1.0 are equal in Python and are not the same JSON.
+        elif old[key] is not new[key] and canonical(old[key]) != canonical(new[key]):
+            changes.append(Change(here, new[key]))
+    return changes
+
+
+def apply(document: Document, changes: tuple[Change, ...], expected: str) -> Document:
+    """A new document with exactly the expected digest, or DocumentError; the old one stays as it was."""
+    result = patched(document, changes)
+    if (found := digest(result)) != expected:
+        raise DocumentError(f"digest: {found} after the changes, {expected} was expected")
+    return result
+
+
+def patched(document: Document, changes: tuple[Change, ...]) -> Document:
+    """The same without a look at the digest, for changes that were taken before."""
+    result = dict(document)
+    copied = {id(result): result}
+    for change in changes:
+        _apply_one(result, change, copied)
+    return result
+
+
+def _apply_one(result: Document, change: Change, copied: dict[int, Document]) -> None:
+    field = ".".join(change.path)
+    target = result
+    for key in change.path[:-1]:
+        below = target.get(key)
+        if not isinstance(below, dict):
+            raise DocumentError(f"{field}: {key} is no object")
+        # Danger: objects are shared with the old document, which may be in force; the path is copied, once.
+        if id(below) not in copied:
+            below = target[key] = dict(below)
+            copied[id(below)] = below
+        target = below
+    last = change.path[-1]
+    if not change.removed:
+        target[last] = change.value
+    elif last in target:
+        del target[last]
+    else:
+        raise DocumentError(f"{field}: is not there to be removed")
+
+
+def encode_changes(changes: tuple[Change, ...]) -> list[Any]:
+    """As JSON: rows of path and value, or of the path alone where the key is removed."""
+    return [[list(c.path)] if c.removed else [list(c.path), c.value] for c in changes]
+
+
+def decode_changes(rows: Any) -> tuple[Change, ...]:
+    """The changes, or DocumentError with the row that is wrong."""
+    if not isinstance(rows, list):
+        raise DocumentError("changes: no list")
+    return tuple(_decode_change(row, f"changes.{k}") for k, row in enumerate(rows))
+
+
+def _decode_change(row: Any, field: str) -> Change:
+    if not isinstance(row, list) or not 1 <= len(row) <= 2:
+        raise DocumentError(f"{field}: not a path, or a path and a value")
+    path = row[0]
+    if not isinstance(path, list) or not 1 <= len(path) <= DEEPEST:
+        raise DocumentError(f"{field}: a path of 1 to {DEEPEST} keys is needed")
+    if not all(isinstance(key, str) for key in path):
+        raise DocumentError(f"{field}: a key that is no text")
+    return Change(tuple(path), row[1] if len(row) == 2 else None, removed=len(row) == 1)
--- /dev/null
+++ b/caperdeck/distribution/messages.py
@@ -0,0 +1,224 @@
+"""What a node and a publisher say to each other, and its JSON. Ages and waits are float milliseconds.
+
+A node's questions carry its number, which grows over all its lives; a publisher's messages carry the number
+of the subscription they belong to. So what is late or doubled is told from what is new, on both sides.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import orjson
+
+from .document import DIGEST_SIZE, Change, DocumentError, check, decode_changes, encode_changes
+
+LONGEST_NAME = 64  # characters
+LONGEST_REASON = 200
+HIGHEST_NUMBER = 1 << 53
+LONGEST_AGE = 86_400_000.0
+
+
+class MessageError(Exception):
+    """A message that cannot be taken; the text has the field and the reason."""
+
+
+class Refusal(NamedTuple):
+    """The version that a node cannot serve, and why."""
+
+    revision: int
+    reason: str
+
+
+# ---- from a node
+
+
+class Subscribe(NamedTuple):
+    """Opens a watch; `number` names the subscription. Says what is in force, as Acknowledge does.
+
+    `whole`: a delta did not fit; the next version has to be a snapshot.
+    """
+
+    node: str
+    zone: str
+    region: str
+    number: int
+    revision: int
+    digest: str
+    stale: bool
+    refused: Refusal | None = None
+    whole: bool = False
+
+
+class Acknowledge(NamedTuple):
+    """What this node has in force as it says so; and the question whether that is the newest.
+
+    Sent each HEARTBEAT, after each change of what is in force, and after a refusal.
+    """
+
+    node: str
+    subscription: int
+    number: int
+    revision: int
+    digest: str
+    stale: bool
+    refused: Refusal | None = None
+
+
+# ---- from a publisher
+
+
+class Snapshot(NamedTuple):
+    """A whole version."""
+
+    subscription: int
+    revision: int
+    digest: str
+    document: dict[str, Any]
+
+
+class Delta(NamedTuple):
+    """A version as the changes on one that the node has in force."""
+
+    subscription: int
+    base: int  # revision that the changes are on
+    revision: int
+    digest: str  # of the result
+    changes: tuple[Change, ...]
+
+
+class Heartbeat(NamedTuple):
+    """The answer to the question of that number: the newest version here.
+
+    `age` is how long ago the read was begun by which the quorum confirmed that there was no newer one; None
+    where that is too long ago to count. `queued`: a snapshot for this node waits for its turn.
+    """
+
+    subscription: int
+    number: int
+    revision: int
+    digest: str
+    age: float | None
+    queued: bool = False
+
+
+class Busy(NamedTuple):
+    """Too many subscribe at once: come again after a time drawn from `wait`."""
+
+    subscription: int
+    wait: float
+
+
+class Closed(NamedTuple):
+    """The publisher has ended this subscription."""
+
+    subscription: int
+    reason: str
+
+
+FromNode = Subscribe | Acknowledge
+FromPublisher = Snapshot | Delta | Heartbeat | Busy | Closed
+Message = FromNode | FromPublisher
+
+
+# ---- JSON
+
+
+def encode(message: Message) -> bytes:
+    row: dict[str, Any] = {"kind": type(message).__name__.lower(), **message._asdict()}
+    if isinstance(message, Delta):
+        row["changes"] = encode_changes(message.changes)
+    if isinstance(message, FromNode):
+        row["refused"] = message.refused and message.refused._asdict()
+    return orjson.dumps(row)
+
+
+def decode(data: bytes) -> Message:
+    """The message, or MessageError."""
+    try:
+        row = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise MessageError(f"message: no JSON: {error}") from None
+    if not isinstance(row, dict):
+        raise MessageError("message: no JSON object")
+    kind = row.pop("kind", None)
+    known = KINDS.get(kind) if isinstance(kind, str) else None
+    if known is None:
+        raise MessageError("kind: unknown")
+    if unknown := sorted(row.keys() - set(known._fields)):
+        raise MessageError(f"{kind}.{unknown[0]}: unknown")
+    return known(**{field: _field(kind, field, row) for field in known._fields})
+
+
+def _field(kind: str, field: str, row: dict[str, Any]) -> Any:
+    if field not in row:
+        raise MessageError(f"{kind}.{field}: missing")
+    try:
+        return READERS[field](row[field])
+    except (ValueError, DocumentError) as error:
+        raise MessageError(f"{kind}.{field}: {error}") from None
+
+
+def _name(value: Any) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= LONGEST_NAME or not value.isprintable():
+        raise ValueError(f"not a text of 1 to {LONGEST_NAME} printable characters")
+    return value
+
+
+def _reason(value: Any) -> str:
+    if not isinstance(value, str) or len(value) > LONGEST_REASON or not value.isprintable():
+        raise ValueError(f"not a line of up to {LONGEST_REASON} characters")
+    return value
+
+
+def _number(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value < HIGHEST_NUMBER:
+        raise ValueError("no whole number from 0")
+    return value
+
+
+def _digest(value: Any) -> str:
+    if not isinstance(value, str) or len(value) != 2 * DIGEST_SIZE or value.strip("0123456789abcdef"):
+        raise ValueError(f"not {2 * DIGEST_SIZE} digits of a digest")
+    return value
+
+
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError("neither true nor false")
+    return value
+
+
+def _time(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError("no number of milliseconds")
+    if not 0 <= value <= LONGEST_AGE:
+        raise ValueError(f"not from 0 to {LONGEST_AGE:g} milliseconds")
+    return float(value)
+
+
+def _age(value: Any) -> float | None:
+    return None if value is None else _time(value)
+
+
+def _refusal(value: Any) -> Refusal | None:
+    if value is None:
+        return None
+    if not isinstance(value, dict) or value.keys() != {"revision", "reason"}:
+        raise ValueError("neither null nor a revision with its reason")
+    return Refusal(_number(value["revision"]), _reason(value["reason"]))
+
+
+def _document(value: Any) -> dict[str, Any]:
+    check(value)
+    return value
+
+
+KINDS: dict[str, type] = {kind.__name__.lower(): kind for kind in Message.__args__}
+READERS: dict[str, Callable[[Any], Any]] = {
+    "node": _name, "zone": _name, "region": _name, "subscription": _number, "number": _number,
+    "revision": _number, "base": _number, "digest": _digest, "stale": _flag, "whole": _flag,
+    "queued": _flag, "refused": _refusal,
+    "document": _document, "changes": decode_changes, "age": _age, "wait": _time, "reason": _reason,
+}  # fmt: skip
--- /dev/null
+++ b/caperdeck/distribution/status.py
@@ -0,0 +1,75 @@
+"""What is in force where, from the nodes' own words alone. Silence is never counted as consent."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .messages import Refusal
+
+HEARD_FOR = 6000.0  # ms; words that are older do not count
+
+
+class StatusRow(NamedTuple):
+    """The last words of one node, as one publisher heard them."""
+
+    node: str
+    number: int  # of the words; the highest of one node is the latest, whichever publisher heard it
+    revision: int
+    digest: str
+    stale: bool  # the node itself could not confirm that it has the newest
+    refused: Refusal | None
+    age: float  # ms since the words came in
+
+
+class Status(NamedTuple):
+    """What one publisher knows."""
+
+    publisher: str
+    confirmed: bool  # a quorum has confirmed lately that there is no newer version
+    revision: int
+    digest: str
+    rows: tuple[StatusRow, ...]
+
+
+class Summary(NamedTuple):
+    """What all publishers that answered know together. Names are sorted."""
+
+    confirmed: bool  # False: there may be a newer version than `revision`
+    revision: int  # the newest version
+    in_force: tuple[str, ...]
+    of: int  # nodes expected
+    oldest: int | None  # the oldest revision that a node has in force; None where nobody was heard
+    refused: tuple[tuple[str, Refusal], ...]
+    not_heard: tuple[str, ...]
+    stale: tuple[str, ...]
+    unexpected: tuple[str, ...]  # heard, and not on the list of nodes
+
+
+def summarise(statuses: Iterable[Status], expected: Iterable[str]) -> Summary:
+    """At least one status is needed; the newest version is a confirmed publisher's, if there is one."""
+    statuses, names = list(statuses), set(expected)
+    newest = max(statuses, key=lambda status: (status.confirmed, status.revision))
+    latest = _latest(statuses)
+    rows = [row for name, row in sorted(latest.items()) if name in names]
+    version = newest.revision, newest.digest
+    return Summary(
+        confirmed=newest.confirmed,
+        revision=newest.revision,
+        in_force=tuple(row.node for row in rows if (row.revision, row.digest) == version),
+        of=len(names),
+        oldest=min((row.revision for row in rows), default=None),
+        refused=tuple((row.node, row.refused) for row in rows if row.refused is not None),
+        not_heard=tuple(sorted(names - latest.keys())),
+        stale=tuple(row.node for row in rows if row.stale),
+        unexpected=tuple(sorted(latest.keys() - names)),
+    )
+
+
+def _latest(statuses: list[Status]) -> dict[str, StatusRow]:
+    """By node the last words of all publishers; left out where they are too old."""
+    latest: dict[str, StatusRow] = {}
+    for row in (row for status in statuses for row in status.rows):
+        if row.node not in latest or row.number > latest[row.node].number:
+            latest[row.node] = row
+    return {name: row for name, row in latest.items() if row.age <= HEARD_FOR}
