Distribution: properties under drawn faults in virtual time, with planted faults

lab/distribution.py plays seven instances over one agreed log, six nodes, and faults: instances killed, asleep, cut off from the others; a region cut off; messages lost, doubled, late; nodes restarted and replaced. Checked all along: no revision goes back; only committed versions come into force; whole ones; within 9 s where a current publisher is reached, for the rest counted from the moment one is; a status says what nodes said, when it was so; a node that calls itself current has the newest of 6 s ago.

--- /dev/null
+++ b/tests/test_distribution_properties.py
@@ -0,0 +1,142 @@
+"""What distribution promises, under drawn faults; and planted faults, each of which breaks its property."""
+
+from functools import cache
+from random import Random
+
+import pytest
+from hypothesis import HealthCheck, Phase, find, given, seed, settings
+from hypothesis import strategies as st
+from hypothesis.errors import NoSuchExample
+
+from caperdeck.distribution.document import DocumentError, difference
+from caperdeck.distribution.publisher import Publisher
+from caperdeck.distribution.subscriber import Subscriber
+from caperdeck.lab.distribution import Fault, Instance, Publish, play
+
+RULES = ["back", "committed", "whole", "in-force", "status", "current"]
+FAULTS_END = 32_000  # ms; what began by then has ended
+SPAN = FAULTS_END + 12_000.0
+
+KINDS = ["kill", "sleep", "isolate", "cut", "torment", "restart", "replace"]
+SPANS = [300.0, 1000.0, 4000.0, 13_000.0]
+changes = st.lists(st.builds(
+    Publish, at=st.sampled_from([20.0, 150.0, 700.0, 1500.0, 2500.0, 5000.0]),
+    refused_by_half=st.sampled_from([False, False, False, True]),
+), min_size=1, max_size=4)  # fmt: skip
+
+
+def schedule_of(scenes):
+    """Each fault with changes published after its beginning."""
+    later = [change._replace(at=change.at + fault.at) for fault, during in scenes for change in during]
+    return tuple(later), tuple(fault for fault, _ in scenes)
+
+
+def schedules(kinds=KINDS, spans=SPANS):
+    faults = st.builds(
+        Fault, do=st.sampled_from(kinds), of=st.integers(0, 6), span=st.sampled_from(spans),
+        at=st.integers(0, 180).map(lambda tenths: tenths * 100.0),
+    )  # fmt: skip
+    return st.lists(st.tuples(faults, changes), min_size=1, max_size=5).map(schedule_of)
+
+
+limits = settings(
+    max_examples=50, derandomize=True, database=None, deadline=None,
+    suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+
+
+@cache  # all rules are checked in each play, and the same schedules are drawn for each
+def played(schedule):
+    return play(*schedule, SPAN)
+
+
+@pytest.mark.parametrize("rule", RULES)
+@seed(41)
+@limits
+@given(schedule=schedules())
+def test_a_property_holds_under_faults(rule, schedule):
+    assert [breach for breach in played(schedule).breaches if breach.rule == rule] == []
+
+
+def test_the_plays_are_not_empty():
+    """They commit versions and lose proposals, and all of it comes into force."""
+    cut_off = play([Publish(3000.0)], [Fault("isolate", 0, 2900.0, 8000.0)], SPAN)
+    assert len(cut_off.log) == 0
+    calm = play([Publish(at * 2000.0 + 1000.0) for at in range(5)], [], 20_000.0)
+    assert [node.file.revision for node in calm.nodes] == [5] * 6
+    assert len(calm.words) > 6 * 15
+
+
+# ---- planted faults
+
+
+class GoesBack(Subscriber):
+    def _is_newer(self, revision):
+        return revision != self.held.revision
+
+
+class StaysAtUnconfirmed(Subscriber):
+    def _must_leave(self, message):
+        return message.revision < self.highest
+
+
+class TakesAnyBase(Subscriber):
+    def _document(self, message):
+        try:
+            return super()._document(message)
+        except DocumentError:
+            document = dict(self.held.document)
+            document.update((change.path[0], change.value) for change in message.changes)
+            return document
+
+
+class SendsTheLastStepOnly(Publisher):
+    def _delta(self, words):
+        steps = self.table.steps
+        return difference(steps[-2].document, steps[-1].document) if len(steps) > 1 else None
+
+
+class AlwaysConfirmed(Publisher):
+    def age(self, now):
+        return 0.0
+
+
+class CountsSilence(Publisher):
+    def status(self, now):
+        status = super().status(now)
+        sent = {node: s.sent for node, s in self.subscriptions.items() if s.sent is not None}
+        rows = [
+            row._replace(revision=sent[row.node], digest=status.digest) if row.node in sent else row
+            for row in status.rows
+        ]
+        return status._replace(rows=tuple(rows))
+
+
+class PublishesProposals(Instance):
+    def proposed(self, entry):
+        self.machine.apply(entry)
+        self.send(self.publisher.changed(self.world.now))
+
+
+LONG_ISOLATION = schedules(["isolate"], [13_000.0])
+PLANTED = [
+    ("back", {"subscriber_kind": GoesBack}, schedules(["torment", "replace"], [1000.0, 4000.0])),
+    ("committed", {"instance_kind": PublishesProposals}, schedules()),
+    ("whole", {"subscriber_kind": TakesAnyBase, "publisher_kind": SendsTheLastStepOnly}, schedules()),
+    ("in-force", {"subscriber_kind": StaysAtUnconfirmed}, LONG_ISOLATION),
+    ("in-force", {"publisher_kind": AlwaysConfirmed}, LONG_ISOLATION),
+    ("status", {"publisher_kind": CountsSilence}, schedules()),
+    ("current", {"publisher_kind": AlwaysConfirmed}, LONG_ISOLATION),
+]
+
+
+@pytest.mark.parametrize("rule, kinds, drawn", PLANTED)
+def test_a_planted_fault_is_found(rule, kinds, drawn):
+    def breaks(schedule):
+        return any(breach.rule == rule for breach in play(*schedule, SPAN, **kinds).breaches)
+
+    search = settings(limits, max_examples=150, phases=[Phase.generate])
+    try:
+        find(drawn, breaks, settings=search, random=Random(41))
+    except NoSuchExample:
+        pytest.fail(f"nothing breaks {rule!r}")
