Distribution: a refusal's reason is one line of bounded length; a history of 32 versions

Need: a reason is the text of an error of the node; with line ends or too long the publisher would drop the node's words, and it would count as not heard. Each version of the history holds its own copies of the objects on the changed paths: 128 of them would be four times the memory that 32 take.

--- a/caperdeck/distribution/messages.py
+++ b/caperdeck/distribution/messages.py
@@ -122,6 +122,11 @@
 Message = FromNode | FromPublisher
 
 
+def one_line(reason: str) -> str:
+    """As a refusal may carry it, whatever an error's text holds."""
+    return "".join(c if c.isprintable() else " " for c in reason)[:LONGEST_REASON]
+
+
 # ---- JSON
 
 
--- a/caperdeck/distribution/subscriber.py
+++ b/caperdeck/distribution/subscriber.py
@@ -17,6 +17,7 @@
 from .document import EMPTY, Document, DocumentError, apply, digest
 from .messages import (
     Acknowledge, Busy, Closed, Delta, FromNode, FromPublisher, Heartbeat, Refusal, Snapshot, Subscribe,
+    one_line,
 )  # fmt: skip
 
 HEARTBEAT = 1000.0  # between two questions
@@ -159,7 +160,7 @@
     def refused(self, now: float, revision: int, reason: str) -> list[Action]:
         """The node cannot serve that version; the one before stays in force."""
         if self.applying is not None and self.applying.revision == revision:
-            self.applying, self.refusal = None, Refusal(revision, reason)
+            self.applying, self.refusal = None, Refusal(revision, one_line(reason))
             self._after_applying(now)
         return self._done()
 
--- a/caperdeck/distribution/table.py
+++ b/caperdeck/distribution/table.py
@@ -14,7 +14,7 @@
     digest, encode_changes, patched,
 )  # fmt: skip
 
-MOST_HISTORY = 128  # versions that a delta can begin at; who has an older one takes a snapshot
+MOST_HISTORY = 32  # versions that a delta can begin at, each with its document; before that, a snapshot
 LARGEST_HISTORY = 4 << 20  # bytes of the changes between them
 
 
