--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -466,6 +466,16 @@
     assert in_force(world) == [31] * 6 and world.breaches == []
 
 
+def test_a_node_replaced_without_a_quorum_gets_what_is_committed_and_does_not_call_it_current():
+    world = play([Publish(1000.0)], [Fault("cut", 0, 4000.0, 30_000.0)], 10_000.0)
+    node = world.nodes[4]
+    node.die(True)
+    node.start()
+    world.run(8000.0)
+    assert node.file.revision == 1 and node.subscriber.state(world.now) is State.STARTING
+    assert world.breaches == []
+
+
 def test_thirty_changes_in_one_minute_are_in_force_in_time():
     world = play([Publish(1000.0 + 2000.0 * k) for k in range(30)], [], 62_000.0)
     assert in_force(world) == [30] * 6 and world.breaches == []
