Distribution: nodes that are stopped and woken are played, with a planted fault of their own

Change: half of the nodes may doze; what comes lies there until they are woken. A node that counts from when it read the answer is found.

--- a/caperdeck/lab/distribution.py
+++ b/caperdeck/lab/distribution.py
@@ -49,7 +49,7 @@
 class Fault(NamedTuple):
     """`do`: kill, sleep or isolate an instance (from the other instances); cut the south off; torment all
     links of nodes (messages lost, doubled, late); restart seven in ten nodes, or replace them, their files
-    lost. Times in ms."""
+    lost; doze: half of the nodes are stopped. Times in ms."""
 
     do: str
     of: int  # instance
@@ -67,27 +67,48 @@
     text: str
 
 
-class Instance:
+class Process:
+    """What comes while it is stopped lies there until it is woken."""
+
+    def __init__(self) -> None:
+        self.up, self.asleep = True, False
+        self.inbox: list[tuple[Callable, tuple]] = []
+
+    @property
+    def runs(self) -> bool:
+        return self.up and not self.asleep
+
+    def act(self, do: Callable, *args: Any) -> None:
+        """Now, or when the process is woken."""
+        if self.asleep:
+            self.inbox.append((do, args))
+        elif self.up:
+            do(*args)
+
+    def wake(self) -> None:
+        self.asleep = False
+        inbox, self.inbox = self.inbox, []
+        for do, args in inbox:
+            self.act(do, *args)
+
+
+class Instance(Process):
     """A control machine: a copy of the agreed table, and a publisher."""
 
     def __init__(self, world: World, number: int) -> None:
+        super().__init__()
         self.world, self.number = world, number
         region, zone = ZONES[number]
         self.place = Place(f"p{number}", zone, region)
         self.machine = Sessions(Versions(HISTORY))
         self.applied = 0
-        self.up, self.asleep, self.isolated = True, False, False
-        self.inbox: list[tuple[Callable, tuple]] = []
+        self.isolated = False
         self.start()
 
     @property
     def table(self) -> Versions:
         return self.machine.machine
 
-    @property
-    def runs(self) -> bool:
-        return self.up and not self.asleep
-
     def start(self) -> None:
         """On its own disk: subscribers are forgotten, the table is not."""
         kept = self.machine.dump()
@@ -96,19 +117,6 @@
         self.publisher = self.world.publisher_kind(self.place.name, self.table, self.world.now)
         self.up, self.inbox = True, []
 
-    def act(self, do: Callable, *args: Any) -> None:
-        """Now, or when the process is woken."""
-        if self.asleep:
-            self.inbox.append((do, args))
-        elif self.up:
-            do(*args)
-
-    def wake(self) -> None:
-        self.asleep = False
-        inbox, self.inbox = self.inbox, []
-        for do, args in inbox:
-            self.act(do, *args)
-
     def look(self) -> None:
         """Reads the newest from the leader; the answer comes a little later."""
         if self.runs:
@@ -136,10 +144,11 @@
             self.world.to_node(self.number, send.node, send.message)
 
 
-class Node:
+class Node(Process):
     """A node process with its file; every other one cannot serve versions of a certain kind."""
 
     def __init__(self, world: World, number: int, region: str, zone: str) -> None:
+        super().__init__()
         self.world, self.number = world, number
         self.place = Place(f"n{number}", zone, region)
         self.file = NOTHING  # what is in force too
@@ -149,7 +158,7 @@
         self.start()
 
     def start(self) -> None:
-        self.up, self.life, self.refusal = True, self.life + 1, None
+        self.up, self.life, self.refusal, self.inbox = True, self.life + 1, None, []
         publishers = [instance.place for instance in self.world.instances]
         seed, first = self.number * 101 + self.life, self.life << 32
         kind = self.world.subscriber_kind
@@ -157,20 +166,20 @@
         self.carry_out([])
 
     def die(self, replaced: bool) -> None:
-        self.up = False
+        self.up, self.asleep = False, False
         if replaced:
             self.file, self.highest = NOTHING, 0
 
     def tick(self, timer: int) -> None:
-        if self.up and timer == self.timers:
+        if timer == self.timers:
             self.carry_out(self.subscriber.tick(self.world.now))
 
-    def receive(self, life: int, publisher: str, message: FromPublisher) -> None:
-        if self.up:  # a late message may come to a later life
-            self.carry_out(self.subscriber.receive(self.world.now, publisher, message))
+    def receive(self, publisher: str, message: FromPublisher) -> None:
+        """A late message may come to a later life."""
+        self.carry_out(self.subscriber.receive(self.world.now, publisher, message))
 
     def lost(self, life: int, publisher: str) -> None:
-        if self.up and life == self.life:
+        if life == self.life:
             self.carry_out(self.subscriber.lost(self.world.now, publisher))
 
     def carry_out(self, actions: list[Action]) -> None:
@@ -178,14 +187,15 @@
             if isinstance(action, Send):
                 self.world.to_publisher(self, action.publisher, action.message)
             elif isinstance(action, Apply):
-                self.world.at(self.world.draw.uniform(*APPLY), self.put_in_force, self.life, action.version)
+                wait = self.world.draw.uniform(*APPLY)
+                self.world.at(wait, self.act, self.put_in_force, self.life, action.version)
             elif isinstance(action, Leave):
                 self.world.left(self, action.publisher)
         self.timers += 1
-        self.world.at(max(self.subscriber.due - self.world.now, 1.0), self.tick, self.timers)
+        self.world.at(max(self.subscriber.due - self.world.now, 1.0), self.act, self.tick, self.timers)
 
     def put_in_force(self, life: int, version: Held) -> None:
-        if not self.up or life != self.life:
+        if life != self.life:
             return
         if version.document.get("refused") and self.number % 2:
             self.refusal = version.revision, "refused: not by this node"
@@ -311,14 +321,14 @@
         if not self.linked(node, instance):
             return
         if not instance.up:
-            self.at(self.latency(), node.lost, node.life, name)
+            self.at(self.latency(), node.act, node.lost, node.life, name)
             return
         self.deliver(node.place.name, name, instance.act, instance.receive, message)
 
     def to_node(self, number: int, name: str, message: FromPublisher) -> None:
         node, instance = self.node_of[name], self.instances[number]
         if self.linked(node, instance):
-            self.deliver(instance.place.name, name, node.receive, node.life, instance.place.name, message)
+            self.deliver(instance.place.name, name, node.act, node.receive, instance.place.name, message)
 
     def left(self, node: Node, name: str) -> None:
         number, instance = self.subscriptions[node.place.name, name], self.instance_of[name]
@@ -350,6 +360,11 @@
                     if node.up:
                         node.die(fault.do == "replace")
                         self.at(fault.span, node.start)
+            case "doze":
+                for node in self.draw.sample(self.nodes, len(self.nodes) // 2):
+                    if node.runs:
+                        node.asleep = True
+                        self.at(fault.span, node.wake)
 
     def heal(self, do: str) -> None:
         setattr(self, do, getattr(self, do) - 1)
@@ -371,20 +386,21 @@
 
     def check(self) -> None:
         self.check_leader()
+        current = [instance for i, instance in enumerate(self.instances) if self.is_current(i)]
         for node in self.nodes:
-            self.check_in_force(node)
+            self.check_in_force(node, current)
             self.check_current(node)
         if round(self.now / CHECK) % 5 == 0:
             self.check_status()
         self.at(CHECK, self.check)
 
-    def check_in_force(self, node: Node) -> None:
-        for number, instance in enumerate(self.instances):
-            reaches = node.up and not self.torment and self.linked(node, instance) and self.is_current(number)
-            if not reaches:
-                self.reached.pop((node.number, number), None)
+    def check_in_force(self, node: Node, current: list[Instance]) -> None:
+        for instance in self.instances:
+            link = node.number, instance.number
+            if instance in current and node.runs and not self.torment and self.linked(node, instance):
+                self.reached.setdefault(link, self.now)
             else:
-                self.reached.setdefault((node.number, number), self.now)
+                self.reached.pop(link, None)
         since = min(self.reached.get((node.number, i), math.inf) for i in range(len(ZONES)))
         if self.now - since < IN_FORCE_WITHIN:
             return
@@ -397,7 +413,7 @@
 
     def check_current(self, node: Node) -> None:
         """A node that calls itself current has the newest version of a moment not long ago."""
-        if node.up and node.subscriber.state(self.now) is State.CURRENT:
+        if node.runs and node.subscriber.state(self.now) is State.CURRENT:
             wanted = self.newest_before(self.now - CONFIRMED_WITHIN)
             if node.file.revision < wanted:
                 self.breach("current", f"{node.place.name} calls {node.file.revision} current, not {wanted}")
--- a/tests/test_distribution_properties.py
+++ b/tests/test_distribution_properties.py
@@ -17,7 +17,7 @@
 FAULTS_END = 32_000  # ms; what began by then has ended
 SPAN = FAULTS_END + 12_000.0
 
-KINDS = ["kill", "sleep", "isolate", "cut", "torment", "restart", "replace"]
+KINDS = ["kill", "sleep", "isolate", "cut", "torment", "restart", "replace", "doze"]
 SPANS = [300.0, 1000.0, 4000.0, 13_000.0]
 changes = st.lists(st.builds(
     Publish, at=st.sampled_from([20.0, 150.0, 700.0, 1500.0, 2500.0, 5000.0]),
@@ -90,6 +90,12 @@
             return document
 
 
+class CountsFromTheAnswer(Subscriber):
+    def _confirm(self, message):
+        self.questions[message.number] = self.heard_at
+        super()._confirm(message)
+
+
 class SendsTheLastStepOnly(Publisher):
     def _delta(self, words):
         steps = self.table.steps
@@ -127,6 +133,7 @@
     ("in-force", {"publisher_kind": AlwaysConfirmed}, LONG_ISOLATION),
     ("status", {"publisher_kind": CountsSilence}, schedules()),
     ("current", {"publisher_kind": AlwaysConfirmed}, LONG_ISOLATION),
+    ("current", {"subscriber_kind": CountsFromTheAnswer}, schedules(["doze"], [13_000.0])),
 ]
 
 
