Lab: a scale run of hollow nodes beside real ones, with instances and checks

Need: the whole target has never run on one machine; by hand only its membership was tried. Change: caperdeck lab scale. A hollow process runs many nodes' Service without the front for clients; real serve processes under clients' load and owner instances run beside them; processor time, memory, datagrams, bytes and owners' connections are measured; an instance, a rack and a real node are killed in turn.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -15,6 +15,8 @@
   caperdeck lab fleet SCENARIO [--seed=N] [--virtual] [--json=FILE] [--logs=DIR]
   caperdeck lab search SCENARIO [--runs=N] [--seed=N] [--out=FILE]
   caperdeck lab compare SCENARIO... --against=WAY [--base=WAY] [--pairs=N] [--seed=N] [--json=FILE]
+  caperdeck lab scale SCENARIO [--nodes=N] [--processes=N] [--seconds=N] [--json=FILE] [--out=FILE]
+                      [--logs=DIR]
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
   caperdeck lab demo
   caperdeck (-h | --help)
@@ -29,7 +31,8 @@
   version  Print the version.
   lab      Run many copies of the program with faults between them (docs/lab.md): fleet plays a scenario,
            search looks for faults that break a rule, compare measures one way against another, report draws
-           a history, demo shows a small fleet. Exit code 0 all held, 1 broken, 2 bad input, 3 void.
+           a history, demo shows a small fleet, scale plays hollow nodes beside real ones, up to the whole
+           target. Exit code 0 all held, 1 broken, 2 bad input, 3 void.
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
@@ -46,6 +49,9 @@
   --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USES, subsets, checkout:DIR.
   --base=WAY         What that is measured against, module if not given.
   --pairs=N          Seeds that both ways play, 10 if not given.
+  --nodes=N          Hollow nodes; the scenario's own otherwise, as with the next two.
+  --processes=N      Processes that the hollow nodes share.
+  --seconds=N        Of the steady span, in which the cost is measured.
   --scenario=FILE    Check the rules on the history as well.
   -h --help          Show this text.
 """
--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -128,8 +128,18 @@
 
 def report(arguments: dict[str, Any]) -> int:
     from .report import page
+    from .scale.result import is_result
+    from .scale.result import read as read_result
 
     path = arguments["FILE"]
+    if is_result(path):
+        from .scale.page import page as scale_page
+
+        out = arguments["--out"] or f"{path}.html"
+        with open(out, "w", encoding="utf-8") as file:
+            file.write(scale_page(read_result(path)))
+        say(f"written: {out}")
+        return HELD
     try:
         events = read(path)
     except ValueError as error:
@@ -144,6 +154,12 @@
     return HELD
 
 
+def scale(arguments: dict[str, Any]) -> int:
+    from .scale.command import scale as play_scale
+
+    return play_scale(arguments)
+
+
 def demo(arguments: dict[str, Any]) -> int:
     from rich.console import Console
 
@@ -161,7 +177,7 @@
 
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, _interrupt)
-    verb = next(v for v in (fleet, search, compare, report, demo) if arguments[v.__name__])
+    verb = next(v for v in (fleet, search, compare, report, demo, scale) if arguments[v.__name__])
     try:
         return verb(arguments)
     except ScenarioError as error:
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -207,7 +207,8 @@
         life = self.lives[node] = self.lives.get(node, 0) + 1
         config = node_config(
             self.scenario, node, self.listen[node], self.agents[node], life, self.seed, self.seen_peers[node],
-            self.everyone[node], "{}:{}".format(*self.peers[node]), admin=self.admins.get(node),
+            self.everyone[node], "{}:{}".format(*self.peers[node]), self.extra_settings(node),
+            admin=self.admins.get(node),
         )  # fmt: skip
         path = Path(self.folder) / f"{node}.json"
         path.write_bytes(msgspec.json.encode(config))
@@ -226,6 +227,10 @@
             await asyncio.sleep(0.02)
         self._say_crash(node, process)
 
+    def extra_settings(self, node: str) -> dict[str, Any] | None:
+        """Settings of a node's configuration that differ from the scenario's."""
+        return None
+
     def owners(self, node: str) -> list[str]:
         if not self.scenario.owners:
             return []
--- /dev/null
+++ b/caperdeck/lab/scale/hollow.py
@@ -0,0 +1,202 @@
+"""A process of many hollow nodes: the service of `caperdeck serve` without the front for clients.
+
+Each node has its own service object, datagram socket, second address and watch on discovery, as a `serve`
+process with --sharing and --owners has; docs/scale.md lists what is left out. The process is told its plan by
+one line on its standard input and ends with it.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import sys
+import time
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+import psutil
+from twisted.internet import reactor, stdio
+from twisted.protocols.basic import LineOnlyReceiver
+
+from caperdeck.lab.launch import PR_SET_PDEATHSIG
+from caperdeck.lab.scenario import Scenario, decode
+from caperdeck.lab.setup import node_config
+from caperdeck.ledger.sharing import Uses
+from caperdeck.lifecycle.config import Config, decode_config
+from caperdeck.lifecycle.logs import start_logging
+from caperdeck.lifecycle.service import Service
+from caperdeck.ops.front import Caller, Front
+from caperdeck.owner.config import Owners
+from caperdeck.peers.swim import State
+from caperdeck.state.addresses import parse_address
+
+from .beat import BEAT, Beats
+from .plan import Order, Plan, Sample
+from .traffic import Traffic, count_received_datagrams, count_traffic
+
+MOST = 0.9  # of the members
+NO_CLIENTS = "127.0.0.1:9"  # where a hollow node would listen for clients
+
+
+class CountedFront(Front):
+    def __init__(self, reactor: Any, calls: Any, traffic: Traffic) -> None:
+        super().__init__(reactor, calls)
+        self.traffic = traffic
+
+    def came(self, caller: Caller) -> None:
+        self.traffic.connections_in += 1
+        super().came(caller)
+
+
+class HollowNode(Service):
+    """A service that takes no clients, minds no signals and leaves its process's log alone."""
+
+    def start_control(self, traffic: Traffic) -> None:
+        self.know(self.config.known)
+        self.discovery.start()
+        CountedFront(self.reactor, self.calls, traffic).listen(self.config.admin)
+        self.keep_sweeping()
+        self.takes = True
+        self.join()
+        if self.peers is not None:
+            count_received_datagrams(traffic, self.peers)
+
+    def accept(self, on: bool) -> None:
+        """There is no port for clients."""
+
+    def exit(self, code: int = 0) -> None:
+        """The process ends as a whole."""
+
+
+def knows(states: list[State], members: int) -> float:
+    """The share of the members that a view has as alive."""
+    return states.count(State.ALIVE) / members
+
+
+def holds_dead(swim: Any, watched: list[int]) -> bool:
+    """Whether 9 in 10 of the watched members that the view ever knew are silent in it."""
+    seen = [i for i in watched if swim.life[i]]
+    return bool(seen) and sum(swim.state[i] is State.SILENT for i in seen) >= MOST * len(seen)
+
+
+def holds_alive(swim: Any, lives: dict[int, int]) -> bool:
+    """Whether 9 in 10 of the watched members are alive in another life than the one given."""
+    back = sum(swim.state[i] is State.ALIVE and swim.life[i] > life for i, life in lives.items())
+    return bool(lives) and back >= MOST * len(lives)
+
+
+class HollowProcess:
+    def __init__(self, plan: Plan, traffic: Traffic, write: Any) -> None:
+        self.plan, self.traffic, self.write = plan, traffic, write
+        self.scenario: Scenario = decode(plan.scenario)
+        self.sink = start_logging("ERROR")
+        self.nodes: list[HollowNode] = []
+        self.watched: list[int] = []
+        self.lives: list[dict[int, int]] = []  # by node: of the members that are watched, as it knew them
+        self.beats = Beats(plan.beat_ms)
+        self.base_uss = psutil.Process().memory_full_info().uss
+        self.made_s = 0.0
+        self.encode = msgspec.json.Encoder().encode
+        self.owners = Owners(plan.cluster, tuple(parse_address(a) for a in plan.instances))
+        self.uses = Uses(**dict.fromkeys(plan.sharing, True))
+
+    def start(self) -> None:
+        reactor.callLater(0, self.start_next)
+        reactor.callLater(self.plan.sample, self.tell)
+
+    def start_next(self) -> None:
+        began, i = time.process_time(), len(self.nodes)
+        config = self.config(self.plan.numbers[i], self.plan.addresses[i])
+        node = HollowNode(reactor, config, self.sink, lambda: config, uses=self.uses, owners=self.owners)
+        node.start_control(self.traffic)
+        self.nodes.append(node)
+        self.made_s += time.process_time() - began
+        if self.ready:
+            self.beats.zero(time.monotonic())
+            self.beat()
+        else:
+            reactor.callLater(0, self.start_next)
+
+    @property
+    def ready(self) -> bool:
+        return len(self.nodes) == len(self.plan.numbers)
+
+    def config(self, number: int, address: str) -> Config:
+        plan = self.plan
+        raw = node_config(
+            self.scenario, f"n{number}", NO_CLIENTS, plan.discovery, plan.life, plan.seed, (), "", address,
+            settings={"fleetSize": len(plan.peers)}, admin=address,
+        )  # fmt: skip
+        config = decode_config(raw)
+        # a process reads its own list of peers; here each node's is taken apart on its own all the same
+        return replace(config, peers=config.peers._replace(addresses=plan.peers, everyone=None))
+
+    def beat(self) -> None:
+        self.beats.beat(time.monotonic())
+        reactor.callLater(BEAT, self.beat)
+
+    def views(self) -> list[Any]:
+        return [node.peers.sharing.swim for node in self.nodes if node.peers is not None]
+
+    def order(self, order: Order) -> None:
+        if order.zero_beats:
+            self.beats.zero(time.monotonic())
+        if order.watch is not None:
+            self.watched = order.watch
+            self.lives = [{i: swim.life[i] for i in order.watch} for swim in self.views()]
+
+    def tell(self) -> None:
+        reactor.callLater(self.plan.sample, self.tell)
+        self.write(self.encode(self.sample()) + b"\n")
+
+    def sample(self) -> Sample:
+        views = self.views()
+        shares = [knows(swim.state, swim.members) for swim in views]
+        watched, lives = self.watched, self.lives
+        return Sample(
+            nodes=len(views), ready=self.ready, know_most=sum(share >= MOST for share in shares),
+            known=sum(shares) / max(len(shares), 1),
+            told=sum(node.owned.target.epoch > 0 for node in self.nodes),
+            watched_dead=sum(holds_dead(swim, watched) for swim in views),
+            watched_alive=sum(map(holds_alive, views, lives)),
+            cpu=time.process_time(), base_uss=self.base_uss, traffic=self.traffic, late=self.beats.late,
+            made_s=self.made_s,
+        )  # fmt: skip
+
+
+class Orders(LineOnlyReceiver):
+    """Standard input: the plan, then what to watch."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = 16 << 20
+    process: HollowProcess | None = None
+
+    def __init__(self, traffic: Traffic) -> None:
+        self.traffic = traffic
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.process is None:
+            plan = msgspec.json.decode(line, type=Plan)
+            self.process = HollowProcess(plan, self.traffic, self.transport.write)
+            self.process.start()
+        else:
+            self.process.order(msgspec.json.decode(line, type=Order))
+
+    def connectionLost(self, reason: Any) -> None:
+        os._exit(0)
+
+
+def main() -> int:
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() == 1:
+        return 1
+    traffic = count_traffic()
+    stdio.StandardIO(Orders(traffic))
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/caperdeck/lab/scale/lists.py
@@ -0,0 +1,37 @@
+"""A process that is discovery for all hollow nodes: an empty list, and an empty line every two seconds."""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import sys
+
+from twisted.internet import reactor, stdio
+from twisted.internet.protocol import Protocol
+
+from caperdeck.lab.discovery import Agent, Roster
+from caperdeck.lab.launch import PR_SET_PDEATHSIG
+from caperdeck.state.addresses import parse_address
+
+OPEN = b"open\n"
+
+
+class UntilInputEnds(Protocol):
+    def connectionLost(self, reason: object) -> None:
+        os._exit(0)
+
+
+def main() -> int:
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() == 1:
+        return 1
+    address = parse_address(sys.argv[1])
+    Agent(reactor, Roster(), {}).listen(address.host, address.port)
+    stdio.StandardIO(UntilInputEnds()).write(OPEN)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/caperdeck/lab/scale/real_nodes.py
@@ -0,0 +1,117 @@
+"""The real part of a run: `serve` processes under clients' load, hosts, and the instances.
+
+The rig's fleet with real processes, but that the real nodes are members of the whole fleet: datagrams and
+owners' acts go straight between processes, clients, hosts and discovery through the relay as always.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+from caperdeck.lab.real import HEADROOM, START, Helper, RealFleet, VoidError
+
+from .instances import Agreement, told_nodes
+from .places import Places
+from .scenario import ScaleScenario
+
+PARTS = ("hosts", "agents", "clients", "relay")
+
+
+def plain(address: tuple[str, int]) -> str:
+    return "{}:{}".format(*address)
+
+
+class RealPart(RealFleet):
+    """Opened and played by the run; `everyone_else` has the hollow nodes' addresses by number."""
+
+    def __init__(self, scale: ScaleScenario, places: Places, logs: str | None = None) -> None:
+        super().__init__(scale.real_part(), scale.seed, logs=logs)
+        self.scale = scale
+        self.hollow_addresses = places.of_racks(scale.racks())
+        self.agreement = Agreement()
+        self.history.watchers.append(self.agreement.take)
+        self.killed: dict[str, int] = {}  # by the run itself, so often
+
+    def extra_settings(self, node: str) -> dict[str, Any]:
+        return {"fleetSize": self.scale.members}
+
+    async def open_parts(self) -> None:
+        nodes, hosts = self.scenario.node_names(), self.scenario.host_names()
+        owners = self.scenario.owner_names()
+        for role in PARTS:
+            self.parts[role] = Helper(self, role)
+            await self.parts[role].start()
+        ends = await self.parts["hosts"].ask("open")
+        self._take_ports(nodes, owners)
+        ways = [[n, h, ends[h]] for n in nodes for h in hosts]
+        ways += [["clients", n, self.doors[n]] for n in nodes]
+        opened = await self.parts["relay"].ask("open", ways=ways, peers={})
+        at = {(a, b): address for a, b, address in opened["streams"]}
+        places = {n: {h: plain(at[n, h]) for h in hosts} for n in nodes}
+        agents = await self.parts["agents"].ask("open", places=places)
+        more = await self.parts["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
+        self.agents = {a: plain(address) for a, _, address in more}
+        self._tell_addresses(nodes, owners)
+        await self.parts["clients"].ask("open", doors={n: at["clients", n] for n in nodes})
+        await self._measure_relay()
+
+    def _take_ports(self, nodes: list[str], owners: list[str]) -> None:
+        def port(kind: int) -> tuple[str, int]:
+            return "127.0.0.1", self.taken.take(kind)
+
+        self.doors = {name: port(socket.SOCK_STREAM) for name in nodes + owners}
+        self.peers = {n: port(socket.SOCK_DGRAM) for n in nodes}
+        self.listen = {name: plain(address) for name, address in self.doors.items()}
+        self.admins = {n: plain(port(socket.SOCK_STREAM)) for n in nodes}
+
+    def _tell_addresses(self, nodes: list[str], owners: list[str]) -> None:
+        hollow = self.hollow_addresses
+        self.everybody = [plain(self.peers[n]) for n in nodes] + [hollow[i] for i in sorted(hollow)]
+        self.seen_peers = dict.fromkeys(nodes, self.everybody)
+        self.everyone = dict.fromkeys(nodes, "")
+        instances = {o[1:]: self.listen[o] for o in owners}
+        self.seen_owners = dict.fromkeys(owners + nodes, instances)
+        second = self.admins | {f"n{i}": hollow[i] for i in sorted(hollow)}
+        self.seen_admins = dict.fromkeys(owners, told_nodes(second))
+
+    async def _measure_relay(self) -> None:
+        self.head = asyncio.get_running_loop().create_future()
+        await self.parts["relay"].ask("headroom")
+        await asyncio.wait_for(self.head, START)
+        if self.per_s < HEADROOM * self.scenario.clients.rate:
+            carries = f"the relay carries {self.per_s:.0f} connections a second"
+            raise VoidError(f"{carries}, {self.scenario.clients.rate:g} are asked")
+
+    async def start_all(self) -> None:
+        """Instances and real nodes; one that does not come up is found by `missing`."""
+        owners = [self._start_owner(o) for o in self.scenario.owner_names()]
+        await asyncio.gather(*(self._start(n) for n in self.scenario.node_names()), *owners)
+
+    async def start_clients(self) -> None:
+        await self._zero()
+        await self.parts["clients"].ask("start")
+
+    async def stop_clients(self) -> None:
+        await self.parts["clients"].ask("stop")
+
+    def kill(self, name: str) -> None:
+        self.killed[name] = self.killed.get(name, 0) + 1
+        super().kill(name)
+
+    def missing(self) -> list[str]:
+        """Real nodes and instances that do not live, or have ended though the run did not kill them."""
+        ends: dict[str, int] = {}
+        for e in self.history.events:
+            if e["ev"] in ("life", "instance") and e["state"] in ("killed", "exit"):
+                ends[e["who"]] = ends.get(e["who"], 0) + 1
+        names = self.scenario.node_names() + self.scenario.owner_names()
+        return [n for n in names if not self.alive(n) or ends.get(n, 0) > self.killed.get(n, 0)]
+
+    def role_by_pid(self) -> dict[int, str]:
+        """Roles of its processes by their ids."""
+        found = {part.process.pid: "rig" for part in self.parts.values() if part.process is not None}
+        for name, process in self.processes.items():
+            found[process.pid] = "real nodes" if name[0] == "n" else "instances"
+        return found
