--- a/caperdeck/lab/scale/measured.py
+++ b/caperdeck/lab/scale/measured.py
@@ -89,6 +89,7 @@
     breaches: list[str] = field(default_factory=list)  # of the four rules and of owned work
     tries: int = 0  # clients' first lines
     served: int = 0  # that an UP answered
+    answers: dict[str, int] = field(default_factory=dict)  # by kind
     late: dict[str, Late] = field(default_factory=dict)  # by process
 
     @property
