Scale run: an interrupt that meets a beat or a reading ends the run at once

Cause: what runs beside the steps kept any exception until the run's end, and a signal is raised wherever the process is just then. Change: the steps are cancelled. Measured: a test that raises it in a beat.

--- a/caperdeck/lab/scale/run.py
+++ b/caperdeck/lab/scale/run.py
@@ -45,6 +45,7 @@
         self.lives: list[int] = [0] * s.hollow.processes
         self.beats = Beats(s.lateness.beat_ms)
         self.tasks: list[asyncio.Task] = []
+        self.steps: asyncio.Task | None = None
 
     def play(self) -> Measured:
         """Raises VoidError where the rig itself failed."""
@@ -59,9 +60,14 @@
         with tempfile.TemporaryDirectory(prefix="caperdeck-scale-") as folder:
             self.folder = self.real.folder = folder
             try:
-                await self._steps()
+                self.steps = asyncio.ensure_future(self._steps())
+                await self.steps
             except TimeoutError:
                 raise VoidError("a part of the rig did not answer in its time") from None
+            except asyncio.CancelledError:
+                # by what runs beside the steps, which has left its reason
+                if self.real.failed is None:
+                    raise
             finally:
                 self.real.over = True
                 await self._close()
@@ -99,8 +105,9 @@
                     await do()
                     await asyncio.sleep(seconds)
             except Exception as error:
-                # what ends it is raised once the run is over
+                # Danger: an interrupt is raised wherever the process is just then, here too.
                 self.real.failed = self.real.failed or error
+                self.steps.cancel()
 
         self.tasks.append(asyncio.ensure_future(again()))
 
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -1,5 +1,6 @@
 """The scale run: its files, its checks on made-up measurements, and a small run of real processes."""
 
+import asyncio
 import copy
 import os
 import subprocess
@@ -9,6 +10,7 @@
 import msgspec
 import pytest
 
+from caperdeck.lab.cli import InterruptedRunError
 from caperdeck.lab.scale import checks
 from caperdeck.lab.scale.beat import BEAT, Beats, Late
 from caperdeck.lab.scale.checks import Verdict, judge
@@ -18,7 +20,9 @@
 from caperdeck.lab.scale.measured import Cost, Fault, Measured, NodeCost, Reading, RoleUse, View
 from caperdeck.lab.scale.places import Places
 from caperdeck.lab.scale.plan import Sample
+from caperdeck.lab.scale.progress import Progress
 from caperdeck.lab.scale.result import conclude, is_result, read, write
+from caperdeck.lab.scale.run import ScaleRun
 from caperdeck.lab.scale.scenario import decode, load
 from caperdeck.lab.scale.table import lines
 from caperdeck.lab.scale.traffic import Traffic
@@ -358,3 +362,17 @@
     assert m.cost.node.datagrams_s > 0 and m.cost.node.connections_s > 0 and m.cost.node.core_share > 0
     assert m.views[-1].told > 0.9 and m.views[-1].known > 0.1
     assert left_running(tmp_path) == []
+
+
+def test_an_interrupt_beside_the_steps_ends_the_run_at_once(monkeypatch):
+    async def endless(run):
+        run._every(BEAT, run._beat)
+        await asyncio.Event().wait()
+
+    async def interrupted(run):
+        raise InterruptedRunError
+
+    monkeypatch.setattr(ScaleRun, "_steps", endless)
+    monkeypatch.setattr(ScaleRun, "_beat", interrupted)
+    with pytest.raises(InterruptedRunError):
+        ScaleRun(scenario(), Progress()).play()
