--- a/caperdeck/lab/scale/real_nodes.py
+++ b/caperdeck/lab/scale/real_nodes.py
@@ -10,6 +10,7 @@
 import socket
 from typing import Any
 
+from caperdeck.lab.history import Event
 from caperdeck.lab.real import HEADROOM, START, Helper, RealFleet, VoidError
 
 from .instances import Agreement, told_nodes
@@ -33,6 +34,8 @@
         self.agreement = Agreement()
         self.history.watchers.append(self.agreement.take)
         self.killed: dict[str, int] = {}  # by the run itself, so often
+        self.states: dict[str, str] = {}  # of real nodes and instances, the last
+        self.history.watchers.append(self._mind_state)
 
     def extra_settings(self, node: str) -> dict[str, Any]:
         return {"fleetSize": self.scale.members}
@@ -101,13 +104,21 @@
         super().kill(name)
 
     def missing(self) -> list[str]:
-        """Real nodes and instances that do not live, or have ended though the run did not kill them."""
+        """Real nodes and instances that do not answer, or have ended though the run did not kill them."""
         ends: dict[str, int] = {}
         for e in self.history.events:
             if e["ev"] in ("life", "instance") and e["state"] in ("killed", "exit"):
                 ends[e["who"]] = ends.get(e["who"], 0) + 1
         names = self.scenario.node_names() + self.scenario.owner_names()
-        return [n for n in names if not self.alive(n) or ends.get(n, 0) > self.killed.get(n, 0)]
+        return [n for n in names if not self.answers(n) or ends.get(n, 0) > self.killed.get(n, 0)]
+
+    def answers(self, name: str) -> bool:
+        """Whether it lives and has answered in this life; the rig waits for that for a while and goes on."""
+        return self.alive(name) and self.states.get(name) == "up"
+
+    def _mind_state(self, event: Event) -> None:
+        if event["ev"] in ("life", "instance"):
+            self.states[event["who"]] = event["state"]
 
     def role_by_pid(self) -> dict[int, str]:
         """Roles of its processes by their ids."""
--- a/caperdeck/lab/scale/run.py
+++ b/caperdeck/lab/scale/run.py
@@ -259,7 +259,7 @@
         fault.dead_s = self.now() - fault.at
         start = asyncio.ensure_future(real._start(name))
         done, _ = await asyncio.wait([start], timeout=bound)
-        if done and real.alive(name):
+        if done and real.answers(name):
             fault.back_s = self.now() - fault.at
         else:
             start.cancel()
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -21,6 +21,7 @@
 from caperdeck.lab.scale.places import Places
 from caperdeck.lab.scale.plan import Sample
 from caperdeck.lab.scale.progress import Progress
+from caperdeck.lab.scale.real_nodes import RealPart
 from caperdeck.lab.scale.result import conclude, is_result, read, write
 from caperdeck.lab.scale.run import ScaleRun
 from caperdeck.lab.scale.scenario import decode, load
@@ -378,3 +379,27 @@
     monkeypatch.setattr(ScaleRun, "_beat", interrupted)
     with pytest.raises(InterruptedRunError):
         ScaleRun(scenario(), Progress()).play()
+
+
+class Alive:
+    returncode = None
+
+
+def test_a_real_node_that_lives_and_does_not_answer_is_missing():
+    places = Places()
+    real = RealPart(scenario(), places)
+    places.close()
+    names = real.scenario.node_names() + real.scenario.owner_names()
+    for name in names:
+        real.processes[name] = Alive()
+        real.life(name, "up")
+    assert real.missing() == []
+    real.life("n1", "killed")
+    assert real.missing() == ["n1"] and not real.answers("n1")
+    real.killed["n1"] = 1
+    assert real.missing() == ["n1"]
+    real.life("n1", "up")
+    assert real.missing() == [] and real.answers("n1")
+    real.life("o0", "killed")
+    real.life("o0", "up")
+    assert real.missing() == ["o0"]
