--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -128,8 +128,18 @@
 
 def report(arguments: dict[str, Any]) -> int:
     from .report import page
+    from .scale.result import is_result
+    from .scale.result import read as read_result
 
     path = arguments["FILE"]
+    if is_result(path):
+        from .scale.page import page as scale_page
+
+        out = arguments["--out"] or f"{path}.html"
+        with open(out, "w", encoding="utf-8") as file:
+            file.write(scale_page(read_result(path)))
+        say(f"written: {out}")
+        return HELD
     try:
         events = read(path)
     except ValueError as error:
@@ -173,6 +183,12 @@
     return BROKEN if missing else HELD
 
 
+def scale(arguments: dict[str, Any]) -> int:
+    from .scale.command import scale as play_scale
+
+    return play_scale(arguments)
+
+
 def demo(arguments: dict[str, Any]) -> int:
     from rich.console import Console
 
@@ -190,7 +206,7 @@
 
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, _interrupt)
-    verbs = (fleet, search, compare, report, slopes, capacity, demo)
+    verbs = (fleet, search, compare, report, scale, slopes, capacity, demo)
     verb = next(each for each in verbs if arguments[each.__name__])
     try:
         return verb(arguments)
