Budgets are called budgets and probe credit by its name: pot and purse were words of our own

No change of behaviour. The label pot of the figure app_peers_sent_cold stays, as operators' pages may read it. A count's pot is its subject: dials, ended dials, or the start of a cold host.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -17,7 +17,7 @@
     NEVER_RAN, Action, Ask, Dial, Effect, Entry, Held, HostState, Move, Note, Outcome, Probe, Refuse, Report,
     RosterScope, Scope, Sent, Settings, TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
-from .rights import ROOM_POT
+from .rights import ROOM_BUDGET
 from .sampling import without_replacement
 from .warmup import warm_time
 
@@ -79,13 +79,13 @@
         self.now, self.draws = now, 0
         self.acts: list[Action] = []
         self.sessions: dict[int, Held] = {}
-        self.rights.grow(now, ROOM_POT)
+        self.rights.grow(now, ROOM_BUDGET)
         self.alike = math.sqrt(settings.nodes)  # how many nodes are held to do as this one does
         self.first, self.first_near = [], []  # own subsets of running and near, drawn before the rest
         self.known = {}  # hosts with a figure not too old, oldest first
         self.ailing, self.most_ill = {}, False  # hosts that look ill; more than half of those known do
-        self.purse = 0.0  # probes that the sessions taken allow
-        self.part = self.rights.saved[ROOM_POT] = math.inf  # own part of the fleet's room, all and left
+        self.probe_credit = 0.0  # probes that the sessions taken allow
+        self.part = self.rights.saved[ROOM_BUDGET] = math.inf  # own part of the fleet's room, all and left
         self.scarce, self.short_at = 0.0, -math.inf  # of the hosts, without room; when one was last lacking
         self.mean_hint, self.asked, self.each = 0.0, 0, 0.0  # of all that asked, so many; of those that stand
         self.mean_figure, self.unit = None, 0.0  # load that fills a host of size 1, 0 while unknown
@@ -154,21 +154,21 @@
         # Danger: drawn by each node for itself, what all of them send in a second scatters by its root, and
         # pushes one host in twenty over. Spread over the fleet by number, and taken up anew from the common
         # clock by a process that starts, the slots of all nodes together come due one after the other.
-        slot, pot, rate = self._mean_load(), h + 1, self.part_of_cold(now, h)
+        slot, budget, rate = self._mean_load(), h + 1, self.part_of_cold(now, h)
         if not slot:
             return math.inf
         if not self.in_turn[h]:
             # Danger: counted only from the first session that met the host, a node that had none meanwhile
             # has no slot open as a wave comes, and all of the wave goes to the warm hosts.
-            known = self._turns(self.rights.at[pot], h, slot)
-            self.rights.settle(now, pot, (self._turns(now, h, slot) - math.floor(known)) * slot)
+            known = self._turns(self.rights.at[budget], h, slot)
+            self.rights.settle(now, budget, (self._turns(now, h, slot) - math.floor(known)) * slot)
             self.in_turn[h] = True
-        self.rights.mint(now, pot, rate, math.inf)
+        self.rights.mint(now, budget, rate, math.inf)
         # Danger: kept open for long, slots that lay idle are used at once when clients come in a wave. Those
         # of this time and of the rule's span are the budget and most of what is put down to chance.
         calls = rate * self.set.nodes * self.set.fall_span / COLD_PART / slot
         lasts = ((1 + 1.5 * (calls**-0.5 + 1 / calls)) / COLD_PART - 1) * self.set.fall_span
-        self.rights.lapse(pot, slot, slot + rate * lasts)
+        self.rights.lapse(budget, slot, slot + rate * lasts)
         return slot
 
     def _turns(self, now: float, h: int, slot: float) -> float:
@@ -261,7 +261,7 @@
     def _choose(self, s: Held) -> Generator[list[Probe], None, int]:
         """The lesser-loaded of two random hosts that may be sent to and have room; -1 if there is none."""
         # Danger: many nodes see the same room in one report; each filling it would overfill it many times.
-        if self.rights.have(self.now, ROOM_POT) <= 0:
+        if self.rights.have(self.now, ROOM_BUDGET) <= 0:
             self.short_at = self.now
             return -1
         looks, after, margin = 0, math.inf, 0.0 if s.group is None else GROUP_MARGIN
@@ -363,7 +363,7 @@
         self.most_ill = 2 * len(self.ailing) > len(self.known.keys() | self.ailing.keys())
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         if not known:
-            self.part = self.rights.saved[ROOM_POT] = math.inf
+            self.part = self.rights.saved[ROOM_BUDGET] = math.inf
             return
         # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
         # while the others are away; what the hosts hold for all nodes says more where it is told.
@@ -384,7 +384,7 @@
         if self.unit:
             share = min(UNEVEN / self.set.nodes, 1.0) / len(rooms)
             self.part = self.unit * self.whole_size * share * sum(rooms)
-            self.rights.mint(now, ROOM_POT, self.part / REPORT_LAG, self.part)
+            self.rights.mint(now, ROOM_BUDGET, self.part / REPORT_LAG, self.part)
         self.scarce = sum(r == 0 for r in rooms) / len(rooms)
         # Danger: the fewer hosts have room, the more nodes draw the same one and fill it many times over.
         self.alike = self.fleet ** (0.5 + 0.5 * self.scarce)
@@ -395,7 +395,7 @@
         # whether they are ill, nobody tells; and taken for all that is known, they are more than half ill.
         self.most_ill = 2 * len(self.ailing) > len(self.running)
         self.mean_figure, self.scarce = None, 0.0
-        self.part = self.rights.saved[ROOM_POT] = math.inf
+        self.part = self.rights.saved[ROOM_BUDGET] = math.inf
         # Danger: not knowing what fills a host, cold ones would be sent next to nothing, and the rest it all.
         self._learn_unit(self.set.nodes * sum(own), self.whole_size * FULL_LOAD)
 
@@ -471,7 +471,7 @@
     def _new(self, now: float, a: Ask) -> Held:
         self.asked += 1
         self.mean_hint += ((1.0 if a.load is None else a.load) - self.mean_hint) * max(0.02, 1 / self.asked)
-        self.purse += 1
+        self.probe_credit += 1
         s = self.sessions[a.session] = Held(
             a.session, self.set.listeners[a.listener], self.set.max_dials, now, now + a.left, a.load,
             a.group, smooth=a.load or 0.0)  # fmt: skip
@@ -512,7 +512,7 @@
             s.wakes = self.now + act.after - SLACK
         elif isinstance(act, Dial):
             load = self._forecast(self.now, s)
-            self.rights.spend(self.now, ROOM_POT, load)
+            self.rights.spend(self.now, ROOM_BUDGET, load)
             self._enter_dial(self.now, s, act.host)
             self._add(self.now, act.host, load)
         elif isinstance(act, (Refuse, TearDown)):
@@ -579,12 +579,12 @@
         self.cold = [h for h in self.cold if self._warmth(now, h) < 1]
         self._survey(now)
         rate = max(ALL_LOOKS * len(self.mine) / self.set.nodes, 1.0) / PROBE_EVERY
-        self.purse = min(self.purse + TICK * rate, len(self.mine) + 1)
+        self.probe_credit = min(self.probe_credit + TICK * rate, len(self.mine) + 1)
         # Danger: an overfilled host goes unseen where few sessions pay, or while it has told no figure yet.
         lack = PROBE_EVERY * self.set.figures
         age = [now - t + lack * (f is None) for t, f in zip(self.seen_at, self.figure, strict=True)]
         for h in sorted(self.mine, key=lambda h: (-age[h], h)):
-            if age[h] < PROBE_EVERY or self.purse < 1:
+            if age[h] < PROBE_EVERY or self.probe_credit < 1:
                 break
             if not (self.set.may_probe and self.set.figures):
                 # Danger: where figures are told but none is there yet, many nodes with few connections each
@@ -594,7 +594,7 @@
                     limit = max(COUNT_TRIGGER * mean, mean + 1)
                     self._relieve(now, h, self.held[h], limit, False, SETTLE)
             elif now >= self.unseen[h] and self.state[h] is HostState.RUNNING and self._probe(now, h):
-                self.purse -= 1
+                self.probe_credit -= 1
 
     def _probe(self, now: float, h: int) -> bool:
         if not self.set.may_probe or (self.probe_out[h] and now - self.probe_out[h] < PROBE_LOST):
@@ -609,7 +609,7 @@
             self.seen_at[h] = now
             if self.state[h] is HostState.RUNNING:
                 self._learn(now, h, report)
-                self.purse += self.set.figures and self.figure[h] is None
+                self.probe_credit += self.set.figures and self.figure[h] is None
         elif self.state[h] is HostState.RUNNING:
             # Danger: a host that drains or is gone tells nothing and looks like the mean; each session that
             # waits would look again at once, and all nodes together do so by the hundred.
--- a/caperdeck/core/host_table.py
+++ b/caperdeck/core/host_table.py
@@ -38,7 +38,7 @@
         self.sent: dict[tuple[int, float], int] = {}  # dials by host and its start
         self.added: list[list[tuple[float, float]]] = []  # own load sent since the last report, with times
         self.extra: list[float] = []  # and its sum
-        self.rights = Rights()  # own parts, in load: of the fleet's room; pot h + 1, of a cold host's budget
+        self.rights = Rights()  # own parts, in load: of the fleet's room, and at h + 1 of cold hosts
         self.in_turn: list[bool] = []  # the own slots at a cold host go on from its start
         # reports and health
         self.figure: list[float | None] = []  # load over capacity, as last probed
--- a/caperdeck/core/rights.py
+++ b/caperdeck/core/rights.py
@@ -1,20 +1,20 @@
 """Rights: what one node may still send of budgets that the whole fleet keeps. Bookkeeping, no decisions.
 
-A pot is a budget of the fleet, a host's or the room of all hosts. Each node's rights in it grow by time at a
-fixed part of the fleet's rate, whatever it hears, and at most `cap` of them are saved. A right can be lent:
-the lender has it no more from the moment that it says so, and the borrower until an end on its own clock,
-counted from before it asked. docs/ledger-design.md has the argument for the sum over all nodes.
+A budget is of the fleet: that of a cold host, or the room of all hosts. Each node's rights in it grow by time
+at a fixed part of the fleet's rate, whatever it hears, and at most `cap` of them are saved. A right can be
+lent: the lender has it no more from the moment that it says so, and the borrower until an end on its own
+clock, counted from before it asked. docs/ledger-design.md has the argument for the sum over all nodes.
 """
 
 from __future__ import annotations
 
 import math
 
-ROOM_POT = 0  # the room of all hosts; host h's pot is h + 1
+ROOM_BUDGET = 0  # the room of all hosts; host h's budget is h + 1
 
 
 class Rights:
-    """Parallel arrays under the pot's number; amounts in any one unit, times in float milliseconds."""
+    """Parallel arrays under the budget's number; amounts in any one unit, times in float milliseconds."""
 
     def __init__(self) -> None:
         self.saved: list[float] = []
@@ -22,56 +22,56 @@
         self.loan: list[float] = []
         self.until: list[float] = []  # the end of the loan
 
-    def grow(self, now: float, pot: int) -> None:
-        while len(self.saved) <= pot:
+    def grow(self, now: float, budget: int) -> None:
+        while len(self.saved) <= budget:
             for array, blank in (
                 (self.saved, 0.0), (self.at, now), (self.loan, 0.0), (self.until, -math.inf),
             ):  # fmt: skip
                 array.append(blank)
 
-    def void(self, now: float, pot: int) -> None:
-        """Nothing saved, nothing borrowed: the pot is another one, or the node was away."""
-        self.settle(now, pot, 0.0)
+    def void(self, now: float, budget: int) -> None:
+        """Nothing saved, nothing borrowed: the budget is another one, or the node was away."""
+        self.settle(now, budget, 0.0)
 
-    def mint(self, now: float, pot: int, rate: float, cap: float) -> float:
+    def mint(self, now: float, budget: int, rate: float, cap: float) -> float:
         """What has grown since it was last looked at is saved up to the cap; returns all at hand."""
         # Danger: a clock that goes back would make rights out of nothing when it goes on.
-        self.saved[pot] = min(self.saved[pot] + rate * max(now - self.at[pot], 0.0), cap)
-        self.at[pot] = max(self.at[pot], now)
-        return self.have(now, pot)
+        self.saved[budget] = min(self.saved[budget] + rate * max(now - self.at[budget], 0.0), cap)
+        self.at[budget] = max(self.at[budget], now)
+        return self.have(now, budget)
 
-    def lapse(self, pot: int, slot: float, most: float) -> None:
+    def lapse(self, budget: int, slot: float, most: float) -> None:
         """Whole slots of the own over so much lapse; what has grown towards the next one stays."""
-        if (over := self.saved[pot] - most) > 0:
-            self.saved[pot] -= math.ceil(over / slot) * slot
+        if (over := self.saved[budget] - most) > 0:
+            self.saved[budget] -= math.ceil(over / slot) * slot
 
-    def borrowed(self, now: float, pot: int) -> float:
+    def borrowed(self, now: float, budget: int) -> float:
         # Danger: a node that slept past the end would spend what has since grown anew at its lender.
-        return self.loan[pot] if now < self.until[pot] else 0.0
+        return self.loan[budget] if now < self.until[budget] else 0.0
 
-    def have(self, now: float, pot: int) -> float:
-        return self.saved[pot] + self.borrowed(now, pot)
+    def have(self, now: float, budget: int) -> float:
+        return self.saved[budget] + self.borrowed(now, budget)
 
-    def settle(self, now: float, pot: int, amount: float) -> None:
+    def settle(self, now: float, budget: int, amount: float) -> None:
         """All at hand, borrowed or not, has become so much."""
-        self.saved[pot], self.at[pot], self.loan[pot] = amount, now, 0.0
+        self.saved[budget], self.at[budget], self.loan[budget] = amount, now, 0.0
 
-    def spend(self, now: float, pot: int, amount: float) -> None:
+    def spend(self, now: float, budget: int, amount: float) -> None:
         """What is borrowed goes first, as it ends; the own may go under 0 and has to grow back."""
-        lent = min(self.borrowed(now, pot), amount)
-        self.loan[pot] = self.borrowed(now, pot) - lent
-        self.saved[pot] -= amount - lent
+        lent = min(self.borrowed(now, budget), amount)
+        self.loan[budget] = self.borrowed(now, budget) - lent
+        self.saved[budget] -= amount - lent
 
-    def lend(self, pot: int, most: float) -> float:
+    def lend(self, budget: int, most: float) -> float:
         """Gives away up to so much of the own; what is borrowed is never lent on, its end would be lost."""
-        amount = max(min(self.saved[pot], most), 0.0)
-        self.saved[pot] -= amount
+        amount = max(min(self.saved[budget], most), 0.0)
+        self.saved[budget] -= amount
         return amount
 
-    def borrow(self, now: float, pot: int, amount: float, until: float) -> None:
-        """Loans of one pot end together, at the earliest end of any: never later than each by itself."""
+    def borrow(self, now: float, budget: int, amount: float, until: float) -> None:
+        """Loans of one budget end together, at the earliest end of any: never later than each by itself."""
         if now >= until or not amount > 0:
             return
-        held = self.borrowed(now, pot)
-        self.until[pot] = min(self.until[pot], until) if held else until
-        self.loan[pot] = held + amount
+        held = self.borrowed(now, budget)
+        self.until[budget] = min(self.until[budget], until) if held else until
+        self.loan[budget] = held + amount
--- a/caperdeck/core/shares.py
+++ b/caperdeck/core/shares.py
@@ -7,7 +7,7 @@
 
 from .decide import FIGURE_LIFE, FRESH, FULL_LOAD, ILL, SETTLE, TRIGGER, Node
 from .model import Action, HostState
-from .rights import ROOM_POT
+from .rights import ROOM_BUDGET
 
 SHORT_SPAN = 250.0  # a node is short for so long after a session found no host or no room
 KEPT = 0.5  # of what it saves a node lends the rest
@@ -47,7 +47,7 @@
         n = self.node
         if now - n.short_at > SHORT_SPAN:
             return []
-        short = [(ROOM_POT, n.part)] if n.rights.have(now, ROOM_POT) <= 0 and n.part < math.inf else []
+        short = [(ROOM_BUDGET, n.part)] if n.rights.have(now, ROOM_BUDGET) <= 0 and n.part < math.inf else []
         return short + [(h + 1, n.each) for h in n.cold if n.rights.have(now, h + 1) < n.each]
 
     def figures(self, now: float) -> list[tuple[int, float, float]]:
@@ -77,24 +77,24 @@
 
     # ---- rights
 
-    def lend(self, now: float, pot: int, most: float) -> float:
+    def lend(self, now: float, budget: int, most: float) -> float:
         """Gives away up to a half of what is saved; the node has it no more."""
         n, cap = self.node, self.node.part
-        if pot != ROOM_POT:
-            if pot - 1 not in n.cold:
+        if budget != ROOM_BUDGET:
+            if budget - 1 not in n.cold:
                 return 0.0
-            rate = n.part_of_cold(now, pot - 1)
+            rate = n.part_of_cold(now, budget - 1)
             cap = rate * n.set.fall_span
             # Danger: a lot that was won is a whole session's, more than is ever saved; it is in use.
-            if n.rights.saved[pot] <= cap:
-                n.rights.mint(now, pot, rate, cap)
-        saved = n.rights.saved[pot]
-        return n.rights.lend(pot, min(most, saved * (1 - KEPT))) if saved <= cap < math.inf else 0.0
+            if n.rights.saved[budget] <= cap:
+                n.rights.mint(now, budget, rate, cap)
+        saved = n.rights.saved[budget]
+        return n.rights.lend(budget, min(most, saved * (1 - KEPT))) if saved <= cap < math.inf else 0.0
 
-    def borrow(self, now: float, pot: int, amount: float, until: float) -> None:
+    def borrow(self, now: float, budget: int, amount: float, until: float) -> None:
         n = self.node
-        if n.part < math.inf if pot == ROOM_POT else pot - 1 in n.cold:
-            n.rights.borrow(now, pot, amount, until)
+        if n.part < math.inf if budget == ROOM_BUDGET else budget - 1 in n.cold:
+            n.rights.borrow(now, budget, amount, until)
 
     def told_full(self, now: float, h: int, figure: float) -> list[Action]:
         """Other nodes' looks show the host past full load: this node's share of the excess goes."""
--- a/caperdeck/lab/copies.py
+++ b/caperdeck/lab/copies.py
@@ -1,6 +1,6 @@
 """Many copies of what a node shares, without the rest of it, in virtual time on a network with faults.
 
-They spend a pot of rights at drawn moments; what all spent in any span is held against the bound of
+They spend a budget of rights at drawn moments; what all spent in any span is held against the bound of
 docs/ledger-design.md.
 """
 
@@ -22,7 +22,7 @@
 
 @dataclass
 class Stub:
-    """Decisions with one pot of rights, and what they were told."""
+    """Decisions with one budget of rights, and what they were told."""
 
     rights: Rights = field(default_factory=Rights)
     short: bool = False
@@ -44,12 +44,12 @@
     def mint(self, now: float) -> float:
         return self.rights.mint(now, 0, RATE, RATE * SAVED)
 
-    def lend(self, now: float, pot: int, most: float) -> float:
+    def lend(self, now: float, budget: int, most: float) -> float:
         self.mint(now)
-        return self.rights.lend(pot, most)
+        return self.rights.lend(budget, most)
 
-    def borrow(self, now: float, pot: int, amount: float, until: float) -> None:
-        self.rights.borrow(now, pot, amount, until)
+    def borrow(self, now: float, budget: int, amount: float, until: float) -> None:
+        self.rights.borrow(now, budget, amount, until)
 
     def told(self, now: float, host: int, figure: float, seen: float) -> None:
         self.priors[host] = figure, seen
--- a/caperdeck/lab/orders.py
+++ b/caperdeck/lab/orders.py
@@ -141,8 +141,8 @@
         elif n.life == life:  # otherwise no number of this life is the answer's
             n.loans.take(now, a, number, [(0, amount)], lambda *grant: self.borrow(n, rights, *grant))
 
-    def borrow(self, n: Copy, rights: tuple, pot: int, amount: float, until: float) -> None:
-        n.rights.borrow(self.now(n.me), pot, amount, n.end(until))
+    def borrow(self, n: Copy, rights: tuple, budget: int, amount: float, until: float) -> None:
+        n.rights.borrow(self.now(n.me), budget, amount, n.end(until))
         n.lent += tuple((right, until) for right in rights)
 
     def mint(self, n: Copy) -> None:
--- a/caperdeck/ledger/counts.py
+++ b/caperdeck/ledger/counts.py
@@ -17,9 +17,9 @@
 
 
 class Count(NamedTuple):
-    """What a member has done since this life began; `pot` says what is counted."""
+    """What a member has done since this life began; `subject` says what is counted."""
 
-    pot: int
+    subject: int
     member: int
     life: int
     value: int
@@ -37,15 +37,15 @@
     """All counts heard of, the own among them. Merging is in any order, any number of times."""
 
     def __init__(self) -> None:
-        self.kept: dict[tuple[int, int, int], _Kept] = {}  # by pot, member, life
-        # the highest life and value left out, by pot and member
+        self.kept: dict[tuple[int, int, int], _Kept] = {}  # by subject, member, life
+        # the highest life and value left out, by subject and member
         self.closed: dict[tuple[int, int], tuple[int, int]] = {}
         self.lives: dict[int, int] = {}  # the highest life heard of
         self.turns = [0, 0]  # whose counts are passed on next: of the own ones, of others'
 
     def merge(self, now: float, c: Count) -> str | None:
         """Takes the count in; the reason if it is not taken."""
-        key = c.pot, c.member, c.life
+        key = c.subject, c.member, c.life
         kept = self.kept.get(key)
         if kept is None:
             # Danger: a count that was left out and comes again late would be added once more.
@@ -71,27 +71,27 @@
     def age(self, now: float) -> None:
         """Leaves out what has not risen for long; it comes back, whole, once it has risen."""
         for key in [k for k, kept in self.kept.items() if now - kept.rose_at > AGE]:
-            pot, member, life = key
+            subject, member, life = key
             value = self.kept.pop(key).value
-            self.closed[pot, member] = max(self.closed.get((pot, member), (0, 0)), (life, value))
+            self.closed[subject, member] = max(self.closed.get((subject, member), (0, 0)), (life, value))
         # Danger: hosts come and go for as long as a node lives, and each would leave a mark here.
         while len(self.closed) > MOST:
             del self.closed[next(iter(self.closed))]
 
-    def total(self, pot: int) -> int:
-        return sum(kept.value for (p, _, _), kept in self.kept.items() if p == pot)
+    def total(self, subject: int) -> int:
+        return sum(kept.value for (p, _, _), kept in self.kept.items() if p == subject)
 
-    def rate(self, now: float, pot: int, besides: int) -> tuple[float, int]:
+    def rate(self, now: float, subject: int, besides: int) -> tuple[float, int]:
         """What the members but one add in a millisecond, and from how many of them that is known."""
         rows = [
             kept.rate for (p, member, life), kept in self.kept.items()
-            if p == pot and member != besides and life == self.lives[member] and now - kept.rose_at <= AGE
+            if p == subject and member != besides and life == self.lives[member] and now - kept.rose_at <= AGE
             and kept.timed
         ]  # fmt: skip
         return sum(rows), len(rows)
 
-    def own_rate(self, pot: int, member: int, life: int) -> float:
-        kept = self.kept.get((pot, member, life))
+    def own_rate(self, subject: int, member: int, life: int) -> float:
+        kept = self.kept.get((subject, member, life))
         return 0.0 if kept is None else kept.rate
 
     def rows(self, most: int, first: int) -> Iterator[Count]:
--- a/caperdeck/ledger/loans.py
+++ b/caperdeck/ledger/loans.py
@@ -33,12 +33,14 @@
         self, asker: int, life: int, nonce: int, wants: list[tuple[int, float]],
         lend: Callable[[int, float], float],
     ) -> list[tuple[int, float]]:  # fmt: skip
-        """What is lent for a question, pot by pot, once."""
+        """What is lent for a question, budget by budget, once."""
         key = asker, life, nonce
         # Danger: a question that was doubled on its way would be lent to twice, and one of the two be lost.
         if key in self.answered:
             return []
-        grants = [(pot, amount) for pot, most in wants if most > 0 and (amount := lend(pot, most)) > 0]
+        grants = [
+            (budget, amount) for budget, most in wants if most > 0 and (amount := lend(budget, most)) > 0
+        ]
         if grants:
             if len(self.answered) >= REMEMBERED:
                 del self.answered[next(iter(self.answered))]
@@ -57,11 +59,11 @@
             return None
         del self.asked[nonce]
         until = asked[1] + LOAN
-        for pot, amount in grants:
+        for budget, amount in grants:
             if now >= until:
                 # Danger: read after a sleep or a long way, the lender has long had it grow anew.
                 self.late += amount
             else:
                 self.borrowed += amount
-                borrow(pot, amount, until)
+                borrow(budget, amount, until)
         return asked[1]
--- a/caperdeck/ledger/marked.py
+++ b/caperdeck/ledger/marked.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from caperdeck.core.facade import Crowded, News
-from caperdeck.core.rights import ROOM_POT
+from caperdeck.core.rights import ROOM_BUDGET
 from caperdeck.core.shares import Shares
 
 from .judgements import ILL_EVERYWHERE, Kind
@@ -14,7 +14,7 @@
 
 
 def host_pot(mark: int, born: float) -> int:
-    """The pot of what is sent to one start of a host."""
+    """The budget of what is sent to one start of a host."""
     return max(zlib.crc32(int(born).to_bytes(8, "big", signed=True), mark), ENDED + 1)
 
 
@@ -34,9 +34,9 @@
             self.index = {m: i for i, m in enumerate(marks) if m not in twice}
         return self.index.get(mark)
 
-    def _pot(self, mark: int) -> int | None:
+    def _budget(self, mark: int) -> int | None:
         if mark == ROOM:
-            return ROOM_POT
+            return ROOM_BUDGET
         h = self._host(mark)
         return None if h is None else h + 1
 
@@ -53,7 +53,9 @@
 
     def wants(self, now: float) -> list[tuple[int, float]]:
         mark = self.shares.node.mark
-        return [(ROOM if pot == ROOM_POT else mark[pot - 1], x) for pot, x in self.shares.wants(now)]
+        return [
+            (ROOM if budget == ROOM_BUDGET else mark[budget - 1], x) for budget, x in self.shares.wants(now)
+        ]
 
     def counts(self) -> list[tuple[int, int]]:
         s, mark = self.shares, self.shares.node.mark
@@ -61,12 +63,12 @@
         cold = [(host_pot(mark[h], born), count) for h, born, count in s.sent_cold()]
         return [(DIALS, s.dialled()), (ENDED, s.ended()), *cold]
 
-    def lend(self, now: float, pot: int, most: float) -> float:
-        own = self._pot(pot)
+    def lend(self, now: float, budget: int, most: float) -> float:
+        own = self._budget(budget)
         return 0.0 if own is None else self.shares.lend(now, own, most)
 
-    def borrow(self, now: float, pot: int, amount: float, until: float) -> None:
-        if (own := self._pot(pot)) is not None:
+    def borrow(self, now: float, budget: int, amount: float, until: float) -> None:
+        if (own := self._budget(budget)) is not None:
             self.shares.borrow(now, own, amount, until)
 
     def told(self, now: float, host: int, figure: float, seen: float) -> None:
--- a/caperdeck/ledger/notes.py
+++ b/caperdeck/ledger/notes.py
@@ -27,8 +27,8 @@
     """Pots are hosts' marks, 0 is the room of all; loads in milliseconds of work a second, ages in ms."""
 
     counts: list[Count] = field(default_factory=list)
-    wants: list[tuple[int, float]] = field(default_factory=list)  # pot, at the most so much
-    grants: list[tuple[int, float]] = field(default_factory=list)  # pot, so much is lent
+    wants: list[tuple[int, float]] = field(default_factory=list)  # budget, at the most so much
+    grants: list[tuple[int, float]] = field(default_factory=list)  # budget, so much is lent
     seen: list[tuple[int, float, float]] = field(default_factory=list)  # host, load over capacity, age
     judged: list[Judgement] = field(default_factory=list)
     ill_everywhere: bool = False
--- a/caperdeck/ledger/sharing.py
+++ b/caperdeck/ledger/sharing.py
@@ -24,7 +24,7 @@
 JUDGE_EVERY = 500.0
 HEARD_WITHIN = 30_000.0  # what `hearing` is stated for
 TAKEN = 200.0  # datagrams a second that are looked at, at the most
-ROOM = 0  # the pot of the room of all hosts
+ROOM = 0  # the budget of the room of all hosts
 DIALS, ENDED = 0, 1  # counts of all hosts together: dials, and those that ended
 COUNT_ROWS, SEEN_ROWS, JUDGED_ROWS, WANT_ROWS = 4, 10, 4, 4
 FULL_SPAN = 1500.0  # a look that shows a host past full load counts for so long
@@ -50,7 +50,7 @@
 class Shown(NamedTuple):
     """What the decisions tell of themselves; hosts under their marks."""
 
-    counts: list[tuple[int, int]]  # pot and value, growing: dials, those ended, dials to cold hosts
+    counts: list[tuple[int, int]]  # subject and value, growing: dials, those ended, dials to cold hosts
     figures: list[tuple[int, float, float]]  # host, load over capacity, seen at
     words: list[tuple[int, Word, float]]  # host, what, seen at
     ill_everywhere: bool
@@ -64,9 +64,9 @@
 
     def wants(self, now: float) -> list[tuple[int, float]]: ...
 
-    def lend(self, now: float, pot: int, most: float) -> float: ...
+    def lend(self, now: float, budget: int, most: float) -> float: ...
 
-    def borrow(self, now: float, pot: int, amount: float, until: float) -> None: ...
+    def borrow(self, now: float, budget: int, amount: float, until: float) -> None: ...
 
     def told(self, now: float, host: int, figure: float, seen: float) -> None: ...
 
@@ -168,8 +168,8 @@
         shown, me = self.decisions.show(now), self.swim.me
         n = Notes(ill_everywhere=shown.ill_everywhere)
         if self.uses.weight:
-            for pot, value in shown.counts:
-                self.counts.merge(now, Count(pot, me, self.swim.life[me], min(value, LARGEST)))
+            for subject, value in shown.counts:
+                self.counts.merge(now, Count(subject, me, self.swim.life[me], min(value, LARGEST)))
             n.counts = list(self.counts.rows(COUNT_ROWS, me))
         if kind is Kind.ACK and self.uses.prior:
             # hosts with room are what another lacks; each node tells of those that it has looked at itself
@@ -216,8 +216,8 @@
 
     # ---- loans
 
-    def _allowed(self, pot: int) -> bool:
-        return self.uses.room if pot == ROOM else self.uses.cold
+    def _allowed(self, budget: int) -> bool:
+        return self.uses.room if budget == ROOM else self.uses.cold
 
     def _give(
         self, now: float, m: Message, wants: list[tuple[int, float]],
@@ -226,16 +226,16 @@
             self.swim.drop("too-many")
             return [], []
 
-        def lend(pot: int, most: float) -> float:
-            return notes.as_sent(self.decisions.lend(now, pot, most)) if self._allowed(pot) else 0.0
+        def lend(budget: int, most: float) -> float:
+            return notes.as_sent(self.decisions.lend(now, budget, most)) if self._allowed(budget) else 0.0
 
         grants = self.loans.give(m.sender, m.life, m.nonce, wants[:WANT_ROWS], lend)
         answer = self.swim.bare(Kind.GIVE, self.swim.me, m.nonce)
         return ([Send(m.sender, answer)] if grants else []), grants
 
     def _take(self, now: float, m: Message, grants: list[tuple[int, float]]) -> None:
-        def borrow(pot: int, amount: float, until: float) -> None:
-            self.decisions.borrow(now, pot, amount, until)
+        def borrow(budget: int, amount: float, until: float) -> None:
+            self.decisions.borrow(now, budget, amount, until)
 
         since = self.loans.take(now, m.sender, m.nonce, grants, borrow)
         if since is None:
@@ -329,9 +329,10 @@
             "judgements_kept": len(self.judgements.rows),
         }  # fmt: skip
         lines = [f"app_peers_{name} {value}" for name, value in rows.items()]
-        for pot, value in self.decisions.show(now).counts:
-            if pot not in (DIALS, ENDED):
-                lines.append(f'app_peers_sent_cold{{pot="{pot:08x}"}} {max(self.counts.total(pot), value)}')
+        for subject, value in self.decisions.show(now).counts:
+            if subject not in (DIALS, ENDED):
+                sent = max(self.counts.total(subject), value)
+                lines.append(f'app_peers_sent_cold{{pot="{subject:08x}"}} {sent}')
         dropped = sorted(swim.dropped.items())
         return lines + [f'app_peers_dropped_total{{reason="{name}"}} {count}' for name, count in dropped]
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -249,7 +249,7 @@
 def by_counts(n, hosts):
     """The moves of a node whose probes have all been answered without a figure, and of its next tick."""
     acts = [act for h in hosts for act in n.probed(START, h, Outcome.GOOD, Report())]
-    n.seen_at, n.purse = [START - 3000.0] * len(n.state), 100.0
+    n.seen_at, n.probe_credit = [START - 3000.0] * len(n.state), 100.0
     return [act for act in acts + n.bell(START, -1) if isinstance(act, Move)]
 
 
@@ -280,7 +280,7 @@
             taken += 1
             n.taken_over(START - 60000, ask(sid, 10.0), rnd.randrange(60))
             n.sessions[sid].stands = START - 60000
-        n.seen_at, n.purse = [START - 3000.0] * 60, 100.0
+        n.seen_at, n.probe_credit = [START - 3000.0] * 60, 100.0
         moved += sum(isinstance(act, Move) for act in n.bell(START, -1))
     assert moved <= 0.01 * taken
 
@@ -367,7 +367,7 @@
     for h in range(4):
         standing(n, h, [10.0] * 3, first=100 * h)
     figures(n, [0.5] * 4)
-    n.purse, seen = 0.0, []
+    n.probe_credit, seen = 0.0, []
     for tick in range(1, 9):
         acts = n.bell(START + 500.0 * tick, -1)
         seen += [a.host for a in acts if isinstance(a, Probe)]
--- a/tests/test_host_record.py
+++ b/tests/test_host_record.py
@@ -8,7 +8,7 @@
 
 from caperdeck.core.host_record import HostRecord, RecordError, record_of, take_records
 from caperdeck.core.model import HostState, Outcome, Refuse, Report, RosterScope
-from caperdeck.core.rights import ROOM_POT
+from caperdeck.core.rights import ROOM_BUDGET
 
 
 def successor_of(n, entries=None, now=START, **changes):
@@ -33,7 +33,7 @@
     n.unit = 100.0
     figures(n, [0.9, 0.9, 0.5])
     later = successor_of(n)
-    assert later.part == pytest.approx(n.part) and later.rights.have(START, ROOM_POT) <= later.part
+    assert later.part == pytest.approx(n.part) and later.rights.have(START, ROOM_BUDGET) <= later.part
 
 
 def test_what_was_sent_since_the_last_figure_still_counts():
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -117,8 +117,8 @@
     c = Counts()
     c.merge(0.0, Count(0, 1, 5, 1))
     assert c.merge(0.0, Count(0, 1, 5, MOST_RISE + 2)) == "count-jumps"
-    for pot in range(MOST):
-        reason = c.merge(0.0, Count(pot + 1, 1, 5, 1))
+    for budget in range(MOST):
+        reason = c.merge(0.0, Count(budget + 1, 1, 5, 1))
     assert reason == "too-many-counts" and len(c.kept) == MOST
 
 
--- a/tests/test_ledger_bound.py
+++ b/tests/test_ledger_bound.py
@@ -22,7 +22,7 @@
     def clone(self):
         c = super().clone()
         c.loans.take = lambda now, member, number, grants, borrow: [
-            borrow(pot, amount, c.loans.asked[number][1] + LOAN) for pot, amount in grants
+            borrow(budget, amount, c.loans.asked[number][1] + LOAN) for budget, amount in grants
         ]  # fmt: skip
         return c
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -10,7 +10,7 @@
 from caperdeck.core.model import (
     Dial, Effect, HostState, Outcome, Refuse, RosterScope, Scope, TearDown, Withdraw,
 )  # fmt: skip
-from caperdeck.core.rights import ROOM_POT
+from caperdeck.core.rights import ROOM_BUDGET
 
 
 def fail(n, sid, dial, result, at=START):
@@ -156,7 +156,7 @@
         if i not in fleet or rnd.random() < killed:
             fleet[i] = made(i, asks, now)
         n, asks, load = fleet[i], asks + 1, rnd.choice(loads)
-        n.seen_at, n.figure, n.figure_at, n.rights.saved[ROOM_POT] = [now] * 2, [0.0, 0.5], [now] * 2, 1e9
+        n.seen_at, n.figure, n.figure_at, n.rights.saved[ROOM_BUDGET] = [now] * 2, [0.0, 0.5], [now] * 2, 1e9
         sent += [(at, load) for dial in dials(n.ask(now, ask(asks, load))) if dial.host == 0]
     return sent
 
@@ -202,7 +202,7 @@
         n = node(entries=[entry(0, born=START), entry(1)], nodes=2, me=me)
         n.unit, n.mean_hint, n.asked = FILLS, 10.0, 1000
         n.rights.void(known_at, 1)
-        n.seen_at, n.figure, n.figure_at, n.rights.saved[ROOM_POT] = [now] * 2, [0.0, 0.5], [now] * 2, 1e9
+        n.seen_at, n.figure, n.figure_at, n.rights.saved[ROOM_BUDGET] = [now] * 2, [0.0, 0.5], [now] * 2, 1e9
         sent += sum(dial.host == 0 for i in range(60) for dial in dials(n.ask(now, ask(i))))
     return sent
 
--- a/tests/test_sharing_node.py
+++ b/tests/test_sharing_node.py
@@ -14,7 +14,7 @@
     write,
 )  # fmt: skip
 
-from caperdeck.core.rights import ROOM_POT
+from caperdeck.core.rights import ROOM_BUDGET
 from caperdeck.core.shares import Shares
 from caperdeck.ledger.marked import Marked
 from caperdeck.ledger.sharing import ROOM, Uses, life_from
@@ -143,9 +143,9 @@
 
 def test_a_node_lends_half_of_the_room_that_it_saves_and_only_once_it_knows_it():
     d, s, _ = shares()
-    assert s.lend(d.clock(), ROOM_POT, 10.0) == 0.0
-    s.node.part, s.node.rights.saved[ROOM_POT] = 8.0, 8.0
-    assert s.lend(d.clock(), ROOM_POT, 10.0) == 4.0 and s.lend(d.clock(), ROOM_POT, 1.0) == 1.0
+    assert s.lend(d.clock(), ROOM_BUDGET, 10.0) == 0.0
+    s.node.part, s.node.rights.saved[ROOM_BUDGET] = 8.0, 8.0
+    assert s.lend(d.clock(), ROOM_BUDGET, 10.0) == 4.0 and s.lend(d.clock(), ROOM_BUDGET, 1.0) == 1.0
 
 
 def test_a_lot_that_was_won_is_not_lent():
@@ -153,7 +153,7 @@
     s.node.unit = 1000.0
     s.node.rights.settle(d.clock(), 2, 500.0)  # far over what is ever saved
     assert s.node.cold == [1] and s.lend(d.clock(), 2, 500.0) == 0.0
-    assert s.lend(d.clock(), 1, 500.0) == 0.0  # a warm host has no such pot
+    assert s.lend(d.clock(), 1, 500.0) == 0.0  # a warm host has no such budget
 
 
 def test_a_loan_of_a_cold_hosts_budget_stakes_on_the_next_lot_and_ends():
@@ -168,7 +168,7 @@
 def test_a_node_is_short_only_while_a_session_has_just_found_no_room():
     d, s, m = shares()
     n, now = s.node, d.clock()
-    n.part, n.rights.saved[ROOM_POT] = 8.0, 0.0
+    n.part, n.rights.saved[ROOM_BUDGET] = 8.0, 0.0
     assert m.wants(now) == []
     n.short_at = now
     assert m.wants(now) == [(ROOM, 8.0)] and m.wants(now + 1000) == []
