--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -15,6 +15,8 @@
   caperdeck lab fleet SCENARIO [--seed=N] [--virtual] [--json=FILE] [--logs=DIR]
   caperdeck lab search SCENARIO [--runs=N] [--seed=N] [--out=FILE]
   caperdeck lab compare SCENARIO... --against=WAY [--base=WAY] [--pairs=N] [--seed=N] [--json=FILE]
+  caperdeck lab scale SCENARIO [--nodes=N] [--processes=N] [--seconds=N] [--json=FILE] [--out=FILE]
+                      [--logs=DIR]
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
   caperdeck lab slopes [--out=FILE] [--only=PARTS] [--small]
   caperdeck lab capacity --slopes=FILE --target=FILE [--json=FILE] [--page=FILE]
@@ -33,7 +35,8 @@
            search looks for faults that break a rule, compare measures one way against another, report draws
            a history, slopes measures what each part costs at several sizes and fits straight lines, demo
            shows a small fleet, capacity works out from measured lines what the fleet needs at its target
-           (docs/CAPACITY.md). Exit code 0 all held, 1 broken, 2 bad input, 3 void.
+           (docs/CAPACITY.md), scale plays hollow nodes beside real ones, up to the whole target. Exit code
+           0 all held, 1 broken, 2 bad input, 3 void.
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
@@ -55,6 +58,9 @@
   --slopes=FILE      The record of measured lines.
   --target=FILE      What is asked of the fleet, TOML (docs/capacity/target.toml).
   --page=FILE        Rewrite the tables of this page, between its marks.
+  --nodes=N          Hollow nodes; the scenario's own otherwise, as with the next two.
+  --processes=N      Processes that the hollow nodes share.
+  --seconds=N        Of the steady span, in which the cost is measured.
   --scenario=FILE    Check the rules on the history as well.
   -h --help          Show this text.
 """
--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -19,6 +19,7 @@
     Abandon, Balancer, Banned, Connect, Decline, GiveUp, Left, Listed, Look, Looked, Narrowed, News, Order,
     Over, Retuned, SendAway,
 )  # fmt: skip
+from caperdeck.core.host_record import HostRecord, RecordError
 from caperdeck.core.model import HostState, Outcome, Settings
 from caperdeck.core.settings import MS, Names
 from caperdeck.state.budget import SocketBudget
@@ -92,8 +93,8 @@
         self.accepting: Callable[[bool], None] = lambda on: None
         self.orders: deque[Order] = deque()
         self.at_work = False
-        self.bell = None
-        self.bell_at = 0.0
+        self.timer = None
+        self.timer_due = 0.0
 
     @abstractmethod
     def open_host(self, s: Session, until: float, time_out: float) -> HostSide:
@@ -148,7 +149,7 @@
         held, self.held = self.held, deque()
         for do in held:
             do()
-        self._ring()
+        self._timer_fired()
 
     def age(self) -> float:
         """How long a line that is read now may have lain there; 0 once all that did has been read."""
@@ -179,27 +180,27 @@
                 self._carry_out(self.orders.popleft())
         finally:
             self.at_work = False
-        self._set_bell()
+        self._set_timer()
 
-    def _set_bell(self) -> None:
+    def _set_timer(self) -> None:
         if self.away:
             return
         due, now = self.balancer.due, self.clock()
-        if self.bell is not None and self.bell.active():
-            if self.bell_at <= due:
+        if self.timer is not None and self.timer.active():
+            if self.timer_due <= due:
                 return
-            self.bell.cancel()
-        self.bell_at = due
-        self.bell = self.reactor.callLater(max(due - now, 0.0) / MS, self._ring)
+            self.timer.cancel()
+        self.timer_due = due
+        self.timer = self.reactor.callLater(max(due - now, 0.0) / MS, self._timer_fired)
 
-    def _ring(self) -> None:
+    def _timer_fired(self) -> None:
         self.clock()
         if self.away:
             return
         try:
             self.carry_out(self.balancer.tick(self.clock()))
         finally:
-            self._set_bell()
+            self._set_timer()
 
     def _carry_out(self, order: Order) -> None:
         if isinstance(order, Look):
@@ -344,6 +345,23 @@
         index, told = self.hosts.index, zip(uids, memory["able"], strict=True)
         self.balancer.remember(memory, {index[uid]: load for uid, load in told if uid in index})
 
+    def rows(self) -> list[dict[str, Any]]:
+        """The list of hosts as it holds now, for another process of this node, with what was seen of each."""
+        rows = self.hosts.rows()
+        for row in rows:
+            row["seen"] = self.balancer.host_record(self.hosts.index[row["uid"]]).as_message()
+        return rows
+
+    def take_records(self, rows: list[dict[str, Any]]) -> None:
+        """What another process of this node has seen of the hosts of its list."""
+        records = {}
+        for row in rows:
+            try:
+                records[self.hosts.index[row["uid"]]] = HostRecord.from_message(row.get("seen", {}))
+            except RecordError as error:
+                logger.warning("host uid={} reason=bad-record {}", row["uid"], error)
+        self.balancer.take_records(self.clock(), records)
+
     def handed_on(self, s: Session) -> None:
         """Another process of this node has the session now; it has not ended."""
         s.client.closing = s.conn.ended = True
