--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -100,7 +100,6 @@
         self.set, self.fleet = settings, settings.nodes  # so many like this one send, unless told otherwise
         self.most_utility = max(c.utility for c in settings.listeners) or 1.0
         self.shortest = min(c.message_target for c in settings.listeners)
-        self.told = settings.may_probe and settings.figures  # hosts tell figures when probed
         self._recount(self.now)
         return []
 
@@ -330,7 +329,7 @@
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
         # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
-        return figure + self.alike * self.extra[h] / self._fills(h) if self.unit and self.told else figure
+        return figure + self.alike * self.extra[h] / self._fills(h) if self.unit else figure
 
     def _fills(self, h: int) -> float:
         """The load that fills a host once it is warm: by what it bore itself, if not far from the mean."""
@@ -354,10 +353,6 @@
         while self.known and now - self.figure_at[oldest := next(iter(self.known))] >= FIGURE_LIFE:
             del self.known[oldest]
         self.ailing = {h: None for h in self.ailing if self.ill[h] >= ILL}
-        own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
-        if not self.told:
-            self._survey_untold(own)
-            return
         # Danger: the room of a host that drains or is gone is no room.
         known = [(self.figure[h], h) for h in self.running if h in self.known and self.figure[h] is not None]
         self.most_ill = 2 * len(self.ailing) > len(self.known.keys() | self.ailing.keys())
@@ -365,6 +360,7 @@
         if not known:
             self.part = self.rights.saved[ROOM_BUDGET] = math.inf
             return
+        own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
         # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
         # while the others are away; what the hosts hold for all nodes says more where it is told.
         told = [(f, h) for f, h in known if self.crowd[h] is not None and self._warmth(now, h) >= 1]
@@ -377,7 +373,9 @@
                 self.able[h] += (able - self.able[h]) * (UNIT_SMOOTH if self.able[h] else 1.0)
         if not told:
             loads, full = self.set.nodes * sum(own), self.mean_figure * self.whole_size
-        self._learn_unit(loads, full)
+        # Danger: a list may leave no host running while figures of the last ones are still known.
+        if loads and full:
+            self.unit += (loads / full - self.unit) * (max(UNIT_SMOOTH, 1 / self.asked) if self.unit else 1.0)
         # Danger: what cold hosts lack is room on paper; taken for that, it is sent to the warm ones.
         most = {h: self._cold_rate(now, h) * REPORT_LAG for h in self.cold}
         rooms = [max(min(ROOM - f - self._pile(now, h), most.get(h, ROOM)), 0.0) for f, h in known]
@@ -389,22 +387,6 @@
         # Danger: the fewer hosts have room, the more nodes draw the same one and fill it many times over.
         self.alike = self.fleet ** (0.5 + 0.5 * self.scarce)
 
-    def _survey_untold(self, own: list[float]) -> None:
-        """The same where hosts tell no figures: of each, only the own connections and outcomes are known."""
-        # Danger: taken for the mean, a few hosts that look full would close all the others, whose room, and
-        # whether they are ill, nobody tells; and taken for all that is known, they are more than half ill.
-        self.most_ill = 2 * len(self.ailing) > len(self.running)
-        self.mean_figure, self.scarce = None, 0.0
-        self.part = self.rights.saved[ROOM_BUDGET] = math.inf
-        # Danger: not knowing what fills a host, cold ones would be sent next to nothing, and the rest it all.
-        self._learn_unit(self.set.nodes * sum(own), self.whole_size * FULL_LOAD)
-
-    def _learn_unit(self, loads: float, full: float) -> None:
-        """Smooths in the load that fills a host of size 1: so much load fills hosts of so much size."""
-        # Danger: a list may leave no host running while figures of the last ones are still known.
-        if loads and full:
-            self.unit += (loads / full - self.unit) * (max(UNIT_SMOOTH, 1 / self.asked) if self.unit else 1.0)
-
     def _know(self, now: float, h: int, figure: float) -> None:
         self.figure[h], self.figure_at[h] = figure, now
         self.known.pop(h, None)
