--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -19,7 +19,6 @@
     Abandon, Balancer, Banned, Connect, Decline, GiveUp, Left, Listed, Look, Looked, Narrowed, News, Order,
     Over, Retuned, SendAway,
 )  # fmt: skip
-from caperdeck.core.host_record import HostRecord, RecordError
 from caperdeck.core.model import HostState, Outcome, Settings
 from caperdeck.core.settings import MS, Names
 from caperdeck.state.budget import SocketBudget
@@ -345,23 +344,6 @@
         index, told = self.hosts.index, zip(uids, memory["able"], strict=True)
         self.balancer.remember(memory, {index[uid]: load for uid, load in told if uid in index})
 
-    def rows(self) -> list[dict[str, Any]]:
-        """The list of hosts as it holds now, for another process of this node, with what was seen of each."""
-        rows = self.hosts.rows()
-        for row in rows:
-            row["seen"] = self.balancer.host_record(self.hosts.index[row["uid"]]).as_message()
-        return rows
-
-    def take_records(self, rows: list[dict[str, Any]]) -> None:
-        """What another process of this node has seen of the hosts of its list."""
-        records = {}
-        for row in rows:
-            try:
-                records[self.hosts.index[row["uid"]]] = HostRecord.from_message(row.get("seen", {}))
-            except RecordError as error:
-                logger.warning("host uid={} reason=bad-record {}", row["uid"], error)
-        self.balancer.take_records(self.clock(), records)
-
     def handed_on(self, s: Session) -> None:
         """Another process of this node has the session now; it has not ended."""
         s.client.closing = s.conn.ended = True
--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -157,10 +157,9 @@
         if not slot:
             return math.inf
         if not self.in_turn[h]:
-            # Danger: counted only from the first session that met the host, a node that had none meanwhile
-            # has no slot open as a wave comes, and all of the wave goes to the warm hosts.
-            known = self._turns(self.rights.at[budget], h, slot)
-            self.rights.settle(now, budget, (self._turns(now, h, slot) - math.floor(known)) * slot)
+            grown = warm_time(now - self.born[h], self.set.cold_from, self.set.warm_after)
+            turn = rate / self._warmth(now, h) * grown / slot + self.set.me / self.set.nodes
+            self.rights.settle(now, budget, (turn + self.mark[h] / 2**32) % 1 * slot)
             self.in_turn[h] = True
         self.rights.mint(now, budget, rate, math.inf)
         # Danger: kept open for long, slots that lay idle are used at once when clients come in a wave. Those
@@ -170,12 +169,6 @@
         self.rights.lapse(budget, slot, slot + rate * lasts)
         return slot
 
-    def _turns(self, now: float, h: int, slot: float) -> float:
-        """So many slots of the own had come due at a cold host by then, by the clock that all nodes share."""
-        grown = warm_time(now - self.born[h], self.set.cold_from, self.set.warm_after)
-        rate = self.part_of_cold(now, h) / self._warmth(now, h)
-        return rate * grown / slot + self.set.me / self.set.nodes + self.mark[h] / 2**32
-
     def _lot(self, now: float, s: Held, h: int) -> bool:
         """Whether a slot at a cold host is open to the session."""
         slot, price = self._slot(now, h), self._price(now, s)
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -9,11 +9,9 @@
 
 import heapq
 import math
-from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 from .decide import Node
-from .host_record import HostRecord, record_of, take_records
 from .model import (
     Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Settings,
     TearDown, Wake, Watch, Withdraw,
@@ -214,14 +212,6 @@
         for h, load in able.items():
             n.able[h] = load
 
-    def host_record(self, host: int) -> HostRecord:
-        """What was seen of the host lately, for another process of this node."""
-        return record_of(self._node, host)
-
-    def take_records(self, now: float, records: Mapping[int, HostRecord]) -> None:
-        """The same at that process, under the indices that the hosts have there."""
-        take_records(self._node, now, records)
-
     def may_send(self, host: int) -> bool:
         """Whether anything new may go to the host."""
         return self._node.state[host] is HostState.RUNNING
--- a/caperdeck/ops/succession.py
+++ b/caperdeck/ops/succession.py
@@ -10,7 +10,7 @@
 from typing import Any, Protocol
 
 VERSION = 1
-ROWS = 100  # hosts told in one packet
+ROWS = 200  # hosts told in one packet
 LIST_WAIT = 1.0  # seconds that the successor waits for discovery's first word
 ANSWER_WAIT = 2.0  # and for the incumbent's
 BAN_WAIT = 0.5  # and each for the other's word that a ban is in force
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -114,7 +114,7 @@
         uids = node.desk.hosts.uid[: len(memory["able"])]
         state = {"rev": node.discovery.rev, "bans": list(node.bans.uids), "told_at": node.desk.told_at,
                  "memory": memory, "uids": uids}  # fmt: skip
-        return node.desk.rows(), state, [node.port.fileno()]
+        return node.desk.hosts.rows(), state, [node.port.fileno()]
 
     def stop_taking(self) -> None:
         logger.info("upgrade reason=given sessions={}", len(self.node.desk.sessions.table))
@@ -177,8 +177,6 @@
             hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
         # Danger: a process that knows no host's measure yet takes the cold ones' for all, and starves them.
         node.desk.remember(state["memory"], state["uids"])
-        # Danger: nor does it know which hosts are full or fail, and its clients come by the hundred at once.
-        node.desk.take_records(rows)
         node.desk.told_at, node.discovery.rev = state["told_at"], state["rev"]
         node.listen(fds[0])
         node.discovery.start()
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -195,27 +195,6 @@
     assert len(sent_cold(1, nodes, rate)) >= part * budget
 
 
-def sent_cold_by_a_wave(known_at):
-    """What two nodes that know a cold host since then send it of 120 sessions, 2 s after its start."""
-    sent, now = 0, START + 2000
-    for me in range(2):
-        n = node(entries=[entry(0, born=START), entry(1)], nodes=2, me=me)
-        n.unit, n.mean_hint, n.asked = FILLS, 10.0, 1000
-        n.rights.void(known_at, 1)
-        n.seen_at, n.figure, n.figure_at, n.rights.saved[ROOM_BUDGET] = [now] * 2, [0.0, 0.5], [now] * 2, 1e9
-        sent += sum(dial.host == 0 for i in range(60) for dial in dials(n.ask(now, ask(i))))
-    return sent
-
-
-def test_a_wave_finds_slots_open_at_nodes_that_had_no_session_since_the_host_came():
-    budget = 2.5 * (0.3 + 0.7 * 2 / 8) * FILLS / 8000.0 * 100.0
-    assert 0.5 * budget <= sent_cold_by_a_wave(START) <= budget
-
-
-def test_nodes_that_have_just_started_have_no_slots_of_the_time_before():
-    assert sent_cold_by_a_wave(START + 2000) <= 2
-
-
 def test_nodes_whose_slots_come_due_in_step_push_a_cold_host_over():
     assert max(over(sent_cold(seed, 200, 1600, me=lambda i: 0)) for seed in range(3)) > 0
 
