Slopes: instances' processor time by the process's own clock, as nodes' is, not by ticks

The fleet's parts had a reading of their own, in psutil's ticks of 10 ms, beside process.processor_seconds. One function serves both.

--- a/caperdeck/lab/slopes/instances.py
+++ b/caperdeck/lab/slopes/instances.py
@@ -21,6 +21,7 @@
 from caperdeck.state.addresses import Address
 
 from .errors import MeasuringError
+from .process import processor_seconds
 
 CLUSTER = "slopes"
 LOOPBACK = "127.0.0.1"
@@ -59,8 +60,7 @@
 
     def cpu(self) -> float:
         """Seconds of processor time, of user and system, so far."""
-        times = self.figures.cpu_times()
-        return times.user + times.system
+        return processor_seconds(self.popen.pid)
 
     def written(self) -> int:
         """Bytes that it has handed to write() so far: files and the log, not sockets."""
