--- a/caperdeck/lab/slopes/connections.py
+++ b/caperdeck/lab/slopes/connections.py
@@ -13,7 +13,7 @@
 SIZES = (500, 1000, 2000, 4000, 8000)
 SMALL_SIZES = (20, 40, 60, 80)
 IDLE = 5.0  # seconds for which the idle node is watched
-SMALL_IDLE = 0.6  # longer than a node's fixed intervals (250 ms, 500 ms): a shorter one may see it sleep throughout
+SMALL_IDLE = 0.6  # longer than a node's fixed intervals, 250 and 500 ms; less may see it do nothing
 LINGER = 1.0  # seconds after the last end in which the node still tidies up
 SMALL_LINGER = 0.05
 
