--- a/caperdeck/distribution/messages.py
+++ b/caperdeck/distribution/messages.py
@@ -145,6 +145,11 @@
         row = orjson.loads(data)
     except orjson.JSONDecodeError as error:
         raise MessageError(f"message: no JSON: {error}") from None
+    return message_of(row)
+
+
+def message_of(row: Any) -> Message:
+    """The message that a decoded JSON value stands for, or MessageError; the value is used up."""
     if not isinstance(row, dict):
         raise MessageError("message: no JSON object")
     kind = row.pop("kind", None)
--- /dev/null
+++ b/caperdeck/distribution/stream.py
@@ -0,0 +1,56 @@
+"""Messages of a watch as frames on the instances' port. Pure: bytes and values in, values and bytes out.
+
+A frame is the instances' own (raft/codec.py: version, name of the cluster, kind, JSON value), behind its
+length in four bytes. A node may send little; a publisher a whole version.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+import orjson
+
+from caperdeck.raft.codec import FrameError, frame, unwrap
+
+from .document import LARGEST_DOCUMENT
+from .messages import FromNode, FromPublisher, Message, MessageError, message_of
+from .messages import encode as encode_message
+
+WATCH = "watch"  # kind of frame
+LENGTH = struct.Struct("!I")
+LONGEST_FROM_NODE = 8 << 10  # bytes of a frame
+LONGEST_FROM_PUBLISHER = LARGEST_DOCUMENT + (64 << 10)
+
+
+def encode(message: Message, cluster: str) -> bytes:
+    """The whole frame, its length first."""
+    data = frame(cluster, WATCH, orjson.Fragment(encode_message(message)))
+    return LENGTH.pack(len(data)) + data
+
+
+def decode_from_publisher(data: bytes, cluster: str) -> FromPublisher:
+    """The message of a frame without its length; raises FrameError."""
+    if len(data) > LONGEST_FROM_PUBLISHER:
+        raise FrameError("too-long")
+    name, fields = unwrap(data, cluster)
+    return _message(name, fields, FromPublisher)
+
+
+def message_from_node(name: Any, fields: Any, size: int) -> FromNode:
+    """The message of an unwrapped frame that had so many bytes; raises FrameError."""
+    if size > LONGEST_FROM_NODE:
+        raise FrameError("too-long")
+    return _message(name, fields, FromNode)
+
+
+def _message(name: Any, fields: Any, allowed: Any) -> Any:
+    if name != WATCH:
+        raise FrameError("unknown-kind")
+    try:
+        message = message_of(fields)
+    except MessageError:
+        raise FrameError("bad-message") from None
+    if not isinstance(message, allowed):
+        raise FrameError("wrong-direction")
+    return message
--- a/caperdeck/raft/codec.py
+++ b/caperdeck/raft/codec.py
@@ -30,7 +30,7 @@
     return frame(cluster, NAMES[type(message)], [_plain(value) for value in message])
 
 
-def frame(cluster: str, name: str, fields: list) -> bytes:
+def frame(cluster: str, name: str, fields: Any) -> bytes:
     return orjson.dumps([VERSION, cluster, name, fields])
 
 
