--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -11,6 +11,8 @@
   caperdeck owner hand-over WORK TO --config=FILE
   caperdeck owner release WORK --config=FILE
   caperdeck owner (add | remove | lead) NUMBER --config=FILE
+  caperdeck config publish FILE --instances=FILE [--on=REVISION]
+  caperdeck config status --instances=FILE [--nodes=N]
   caperdeck version
   caperdeck lab fleet SCENARIO [--seed=N] [--virtual] [--json=FILE] [--logs=DIR]
   caperdeck lab search SCENARIO [--runs=N] [--seed=N] [--out=FILE]
@@ -30,6 +32,9 @@
   owner    Instances that agree on who owns work on behalf of the fleet (docs/owner.md): serve runs one,
            status prints all, watch each change of a work's owner, hand-over gives work to another, release
            ends a lease whatever its owner does, add and remove change who agrees, lead hands the lead to one.
+  config   Versions of the configuration that the instances agree on (docs/distribution.md): publish commits
+           the file as the next one, status says at which nodes the newest is in force. Exit code 0 done, 1
+           not known or not confirmed, 2 bad input or refused.
   version  Print the version.
   lab      Run many copies of the program with faults between them (docs/lab.md): fleet plays a scenario,
            search looks for faults that break a rule, compare measures one way against another, report draws
@@ -42,6 +47,8 @@
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
   --sharing=FILE     What the node shares with its peers, TOML (deploy/sharing.toml); nothing if not given.
   --owners=FILE      The instances whose owners may act on this node, TOML (deploy/owners.toml).
+  --instances=FILE   The instances to ask, TOML (deploy/owners.toml).
+  --on=REVISION      Refuse to publish on any other version than this; on the newest if not given.
   --subsets          The node draws the hosts of a subset of its own first (docs/turns.md).
   --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
   --seed=N           Of all draws of a run; the scenario's own otherwise.
@@ -58,7 +65,8 @@
   --slopes=FILE      The record of measured lines.
   --target=FILE      What is asked of the fleet, TOML (docs/capacity/target.toml).
   --page=FILE        Rewrite the tables of this page, between its marks.
-  --nodes=N          Hollow nodes; the scenario's own otherwise, as with the next two.
+  --nodes=N          Hollow nodes; the scenario's own otherwise, as with the next two. Of config status, a
+                     file with the names of all nodes, one a line.
   --processes=N      Processes that the hollow nodes share.
   --seconds=N        Of the steady span, in which the cost is measured.
   --scenario=FILE    Check the rules on the history as well.
@@ -133,6 +141,10 @@
         from caperdeck.ops.show import show_peers
 
         return show_peers(arguments["ADDRESS"])
+    if arguments["config"]:
+        from caperdeck.distribution.commands import main as configuration
+
+        return configuration(arguments)
     if arguments["owner"] and not arguments["serve"]:
         from caperdeck.owner.commands import main as command
 
--- /dev/null
+++ b/caperdeck/distribution/commands.py
@@ -0,0 +1,217 @@
+"""`caperdeck config publish` and `caperdeck config status`: what an operator asks of the instances.
+
+Exit codes: 0 done, 1 not known or not confirmed, 2 bad input or refused: nothing is committed.
+"""
+
+from __future__ import annotations
+
+import secrets
+import sys
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import orjson
+
+from caperdeck.core.settings import SettingsError
+from caperdeck.lifecycle.config import decode_config
+from caperdeck.owner.commands import ask
+from caperdeck.owner.config import OwnerError, Owners, load_owners
+from caperdeck.state.addresses import Address, AddressError
+
+from .document import LARGEST_DOCUMENT, Document, DocumentError, check, digest
+from .messages import LONGEST_NAME, MessageError
+from .status import Status, decode_status, summarise
+from .table import Versions, propose
+
+PATIENCE = 10.0  # seconds in which a call is tried at one instance after another
+PAUSE = 0.1  # seconds between two rounds
+LARGEST_FILE = 2 * LARGEST_DOCUMENT  # bytes; blanks do not count to a document's size
+MOST_NODES = 10_000
+# Every node has its own; in their place while the rest is checked.
+OWN_KEYS = {"name": "node", "listen": "127.0.0.1:1", "admin_addr": "127.0.0.1:2", "seed": "0"}
+
+Ask = Callable[[Address, str, Any], Any]  # address, cluster, body; the answer, None if none came
+
+
+class InputError(Exception):
+    """What was given cannot be used; the text has the field and the reason."""
+
+
+class UnknownError(Exception):
+    """Nobody answered who can tell."""
+
+
+class Newest(NamedTuple):
+    """The newest version, as of after it was asked for."""
+
+    revision: int
+    document: Document
+
+
+def main(arguments: dict[str, Any]) -> int:
+    try:
+        owners = load_owners(arguments["--instances"])
+        if arguments["status"]:
+            names = read_names(arguments["--nodes"]) if arguments["--nodes"] else None
+            return status(owners, names)
+        return publish(owners, read_document(arguments["FILE"]), read_revision(arguments["--on"]))
+    except (OwnerError, DocumentError, InputError) as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return 2
+    except UnknownError as error:
+        print(f"caperdeck: {error}", file=sys.stderr)
+        return 1
+
+
+# ---- publish
+
+
+def publish(owners: Owners, document: Document, on: int | None, ask: Ask = ask) -> int:
+    """`on`: the revision that the document was made from; None for the newest, whichever that is."""
+    newest = read_newest(owners, ask)
+    versions = Versions()
+    known = [newest.revision, 0, digest(newest.document), ""]
+    versions.load({"oldest": [known, newest.document], "later": []})
+    command = propose(versions, newest.revision if on is None else on, document, 0)
+    body = {"do": "publish", **{field: command[field] for field in ("on", "digest", "changes")}}
+    # By these two the repeats of a call that was not answered are applied once.
+    body |= {"client": secrets.randbits(52) | 1, "serial": 1}
+    for answer in answers(owners, body, ask):
+        if "refused" in answer:
+            raise InputError(answer["refused"])
+        if answer.get("ok") is True:
+            print(f"revision {answer['revision']} committed, digest {answer['digest']}")
+            return 0
+    raise UnknownError("no answer: the version may be committed or not; `config status` tells the newest")
+
+
+def read_newest(owners: Owners, ask: Ask) -> Newest:
+    for answer in answers(owners, {"do": "versions", "document": True}, ask):
+        revision, document = answer.get("revision"), answer.get("document")
+        if isinstance(document, dict) and digest(document) == answer.get("digest"):
+            return Newest(revision, document)
+    raise UnknownError("no instance answered that knows the newest version; nothing was proposed")
+
+
+def answers(owners: Owners, body: dict[str, Any], ask: Ask) -> Iterator[dict[str, Any]]:
+    """Answers of one instance after another, until PATIENCE ends; at least one round."""
+    end = time.monotonic() + PATIENCE
+    while True:
+        for address in owners.instances:
+            answer = ask(address, owners.cluster, body)
+            if isinstance(answer, dict):
+                yield answer
+        if time.monotonic() >= end:
+            return
+        time.sleep(PAUSE)
+
+
+def read_document(path: str) -> Document:
+    """Raises InputError or DocumentError."""
+    try:
+        with open(path, "rb") as file:
+            data = file.read(LARGEST_FILE + 1)
+    except OSError as error:
+        raise InputError(f"{path}: {error.strerror}") from None
+    if len(data) > LARGEST_FILE:
+        raise InputError(f"{path}: over {LARGEST_FILE} bytes")
+    try:
+        document = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise InputError(f"{path}: no JSON: {error}") from None
+    check(document)
+    check_config(document)
+    return document
+
+
+def check_config(document: Document) -> None:
+    """As `caperdeck check` does, but for what is each node's own. Raises InputError."""
+    try:
+        decode_config(OWN_KEYS | document)
+    except (SettingsError, AddressError) as error:
+        raise InputError(f"document: {error}") from None
+    except (TypeError, ValueError, AttributeError, KeyError, OverflowError) as error:
+        raise InputError(f"document: a value of the wrong kind: {error}") from None
+
+
+def read_revision(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise InputError(f"--on: {text!r:.50} is no revision")
+    return int(text)
+
+
+# ---- status
+
+
+def status(owners: Owners, names: list[str] | None, ask: Ask = ask) -> int:
+    """`names` are all nodes; where None, only those that were heard are told of."""
+    known = read_statuses(owners, ask)
+    heard = [status for status in known.values() if status is not None]
+    if not heard:
+        raise UnknownError("no instance answered")
+    for line in lines_of(known, heard, names):
+        print(line)
+    return 0 if any(status.confirmed for status in heard) else 1
+
+
+def read_statuses(owners: Owners, ask: Ask) -> dict[Address, Status | None]:
+    """What each instance knows; ages as of now, which is after the last answer."""
+    asked = time.monotonic()
+    with ThreadPoolExecutor(len(owners.instances)) as pool:
+        body = {"do": "distribution"}
+        said = list(pool.map(lambda address: ask(address, owners.cluster, body), owners.instances))
+    passed = (time.monotonic() - asked) * 1000.0
+    return {address: _status(answer, passed) for address, answer in zip(owners.instances, said, strict=True)}
+
+
+def _status(answer: Any, passed: float) -> Status | None:
+    try:
+        status = decode_status(answer)
+    except MessageError:
+        return None
+    # Danger: words that were fresh when the first instance answered may be too old once the last one has.
+    return status._replace(rows=tuple(row._replace(age=row.age + passed) for row in status.rows))
+
+
+def lines_of(
+    known: dict[Address, Status | None], heard: list[Status], names: list[str] | None,
+) -> list[str]:  # fmt: skip
+    expected = {row.node for status in heard for row in status.rows} if names is None else names
+    summary = summarise(heard, expected)
+    certain = "confirmed" if summary.confirmed else "not confirmed: there may be a newer one"
+    lines = [f"revision {summary.revision}, {certain}"]
+    of = summary.of if names is not None else f"{summary.of} that were heard (without --nodes)"
+    lines.append(f"in force at {len(summary.in_force)} of {of}")
+    lines.append(f"oldest revision {'-' if summary.oldest is None else summary.oldest}")
+    lines += [f"refused {node} revision={no.revision} {no.reason}" for node, no in summary.refused]
+    lists = {"not heard of": summary.not_heard, "stale": summary.stale, "unexpected": summary.unexpected}
+    lines += [f"{what}: {' '.join(nodes)}" for what, nodes in lists.items() if nodes]
+    for (host, port), status in known.items():
+        if status is None:
+            lines.append(f"instance {host}:{port} no answer")
+        elif not status.confirmed:
+            lines.append(f"instance {host}:{port} {status.publisher} unconfirmed, revision {status.revision}")
+    return lines
+
+
+def read_names(path: str) -> list[str]:
+    """One name a line; raises InputError."""
+    try:
+        lines = Path(path).read_text("utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        raise InputError(f"{path}: {getattr(error, 'strerror', None) or 'no text'}") from None
+    names = [line.strip() for line in lines if line.strip()]
+    if not 0 < len(names) <= MOST_NODES:
+        raise InputError(f"{path}: {len(names)} names, 1 to {MOST_NODES} are possible")
+    for name in names:
+        if len(name) > LONGEST_NAME or not name.isprintable():
+            raise InputError(f"{path}: {name!r:.50} is no name")
+    if len(set(names)) < len(names):
+        twice = next(name for name in names if names.count(name) > 1)
+        raise InputError(f"{path}: {twice!r:.50} twice")
+    return names
--- a/caperdeck/distribution/messages.py
+++ b/caperdeck/distribution/messages.py
@@ -158,7 +158,14 @@
         raise MessageError("kind: unknown")
     if unknown := sorted(row.keys() - set(known._fields)):
         raise MessageError(f"{kind}.{unknown[0]}: unknown")
-    return known(**{field: _field(kind, field, row) for field in known._fields})
+    return known(**check_fields(kind, known._fields, row))
+
+
+def check_fields(kind: str, fields: tuple[str, ...], row: Any) -> dict[str, Any]:
+    """These fields of a JSON object, each checked as in messages; raises MessageError."""
+    if not isinstance(row, dict):
+        raise MessageError(f"{kind}: no JSON object")
+    return {field: _field(kind, field, row) for field in fields}
 
 
 def _field(kind: str, field: str, row: dict[str, Any]) -> Any:
@@ -229,6 +236,6 @@
 READERS: dict[str, Callable[[Any], Any]] = {
     "node": _name, "zone": _name, "region": _name, "subscription": _number, "number": _number,
     "revision": _number, "base": _number, "digest": _digest, "stale": _flag, "whole": _flag,
-    "queued": _flag, "refused": _refusal,
+    "queued": _flag, "confirmed": _flag, "refused": _refusal, "publisher": _name,
     "document": _document, "changes": decode_changes, "age": _age, "wait": _time, "reason": _reason,
 }  # fmt: skip
--- a/caperdeck/distribution/status.py
+++ b/caperdeck/distribution/status.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from .messages import Refusal
+from .messages import MessageError, Refusal, check_fields
 
 HEARD_FOR = 6000.0  # ms; words that are older do not count
 
@@ -73,3 +73,22 @@
         if row.node not in latest or row.number > latest[row.node].number:
             latest[row.node] = row
     return {name: row for name, row in latest.items() if row.age <= HEARD_FOR}
+
+
+# ---- JSON, as an instance tells it to an operator
+
+
+def encode_status(status: Status) -> dict[str, Any]:
+    rows = [row._asdict() | {"refused": row.refused and row.refused._asdict()} for row in status.rows]
+    return status._asdict() | {"rows": rows}
+
+
+def decode_status(value: Any) -> Status:
+    """Raises MessageError, with field and reason."""
+    if not isinstance(value, dict) or not isinstance(value.get("rows"), list):
+        raise MessageError("status: no JSON object with rows")
+    rows = tuple(StatusRow(**check_fields("row", StatusRow._fields, row)) for row in value["rows"])
+    if any(row.age is None for row in rows):
+        raise MessageError("row.age: missing")
+    fields = tuple(field for field in Status._fields if field != "rows")
+    return Status(rows=rows, **check_fields("status", fields, value))
--- a/caperdeck/distribution/table.py
+++ b/caperdeck/distribution/table.py
@@ -10,12 +10,13 @@
 from typing import Any, NamedTuple
 
 from .document import (
-    DIGEST_SIZE, EMPTY, Change, Document, DocumentError, apply, canonical, check, decode_changes, difference,
-    digest, encode_changes, patched,
+    DIGEST_SIZE, EMPTY, LARGEST_DOCUMENT, Change, Document, DocumentError, apply, canonical, check,
+    decode_changes, difference, digest, encode_changes, patched,
 )  # fmt: skip
 
 MOST_HISTORY = 32  # versions that a delta can begin at, each with its document; before that, a snapshot
 LARGEST_HISTORY = 4 << 20  # bytes of the changes between them
+LARGEST_CHANGES = LARGEST_DOCUMENT + (512 << 10)  # bytes of one command's; in base 64 it fits into a frame
 
 
 class Version(NamedTuple):
@@ -50,9 +51,16 @@
     rows = encode_changes(difference(table.document, document))
     if not rows:
         raise DocumentError("changes: none, this document is the newest version")
+    check_changes(rows)
     return {"do": "publish", "on": on, "term": term, "digest": digest(document), "changes": rows}
 
 
+def check_changes(rows: list[Any]) -> None:
+    """Raises DocumentError where they are too large for one command or delta."""
+    if (size := len(canonical(rows))) > LARGEST_CHANGES:
+        raise DocumentError(f"changes: {size} bytes, over {LARGEST_CHANGES}")
+
+
 class Versions:
     """The replicated table. An answer has `ok`, or `no` with field and reason; refused changes nothing.
 
@@ -91,10 +99,14 @@
             self.steps.append(Step(Version(*version), document, changes, len(canonical(changes))))
 
     def delta(self, revision: int, known: str) -> tuple[Change, ...] | None:
-        """The changes from that version to the newest; None where it is too old, or has another digest."""
+        """The changes from that version to the newest; None where it is too old, or has another digest, or
+        where the whole document is not longer than they could be.
+        """
         for step in self.steps:
             if step.version.revision == revision and step.version.digest == known:
-                return difference(step.document, self.document)
+                changes = difference(step.document, self.document)
+                # Danger: a path is written with each change, and so they may not fit into a frame.
+                return changes if len(canonical(encode_changes(changes))) <= LARGEST_DOCUMENT else None
         return None
 
     def _publish(self, command: Any) -> Version:
@@ -107,7 +119,9 @@
             raise DocumentError(f"term: {term} is older than {self.newest.term}, that of the newest")
         if not isinstance(known := command.get("digest"), str):
             raise DocumentError("digest: no text")
-        document = apply(self.document, decode_changes(command.get("changes")), known)
+        changes = decode_changes(command.get("changes"))
+        check_changes(command["changes"])
+        document = apply(self.document, changes, known)
         check(document)
         if known == self.newest.digest:
             raise DocumentError("changes: none, this document is the newest version")
--- a/caperdeck/owner/instance.py
+++ b/caperdeck/owner/instance.py
@@ -14,6 +14,7 @@
 from twisted.python.threadpool import ThreadPool
 
 from caperdeck.core.chance import chance
+from caperdeck.distribution.server import Distribution
 from caperdeck.leases.census import Census
 from caperdeck.leases.holding import Warden
 from caperdeck.leases.runner import Act, Note, Propose, Runner
@@ -29,6 +30,7 @@
 from caperdeck.raft.transport import Net, Then
 from caperdeck.state.timers import cancel
 
+from .agreed import Agreed, for_versions, is_for_leases
 from .config import OwnerConfig
 from .nodes import Errand, line_of
 
@@ -39,6 +41,7 @@
 SLEPT = 1250.0  # between two turns, the instance was asleep or starved
 WATCH = 10_000.0  # milliseconds that a watch waits at the most
 MOST_CALLS = 64  # that wait for the agreement
+LARGEST_COMMAND = 1 << 20  # bytes of a command for the leases; what an owner keeps is far below that
 
 
 class Instance:
@@ -52,8 +55,9 @@
         self.reactor, self.config, self.clock, self.ended = reactor, config, clock, ended
         self.storage = Storage(config.folder, config.cluster, config.me, Members(config.first))
         self.seed, self.draws = zlib.crc32(f"{config.cluster}/{config.me}".encode(), os.getpid()), 0
-        self.table = Table()
-        self.machine = Sessions(self.table)
+        self.agreed = Agreed()
+        self.table = self.agreed.leases
+        self.machine = Sessions(self.agreed)
         log, now = self.storage.log, clock()
         self.machine.load(log.snapshot.data)
         raft = Raft(config.me, self.storage.term, self.storage.vote, log_copy(log), self.seed, now)
@@ -62,6 +66,9 @@
         self.net = Net(
             reactor, config.cluster, config.me, config.instances, self._receive, self._call, self._chance,
         )  # fmt: skip
+        self.distribution = Distribution(
+            self.driver, self.net, self.agreed.versions, f"o{config.me}", self._at_leader, for_versions,
+        )  # fmt: skip
         self.warden: Warden | None = None
         self.expiring: dict[str, float] = {}
         names = list(config.nodes)
@@ -92,6 +99,7 @@
             self.closed = True
             self.driver.end()
             self.net.close()
+            self.distribution.close()
             cancel(self.timer)
             # a write under way ends first: half of it would be cut as torn, and nothing rests on it
             self.pool.stop()
@@ -127,12 +135,14 @@
         self.driver.tick()
         self._watch(now)
         self._tell_watchers()
+        self.distribution.turn()
         for work in self.runners:
             self._run(work)
         if self.closed:
             return
         now = self.clock()
-        due = min([self.raft.due, now + LONGEST_WAIT, *(r.due for r in self.runners.values())])
+        runners = (r.due for r in self.runners.values())
+        due = min([self.raft.due, now + LONGEST_WAIT, self.distribution.due, *runners])
         self.timer = self.reactor.callLater(max(due - now, LEAST_WAIT) / 1000.0, self._turn)
 
     def _soon(self) -> None:
@@ -204,7 +214,7 @@
         handler = {
             "propose": self._on_propose, "token": self._on_token, "status": self._on_status,
             "leave": self._on_leave, "release": self._on_release, "members": self._on_members,
-            "transfer": self._on_transfer, "watch": self._on_watch,
+            "transfer": self._on_transfer, "watch": self._on_watch, **self.distribution.calls,
         }.get(do) if isinstance(do, str) else None  # fmt: skip
         if handler is None or self.closed:
             then({"no": "unknown-call"})
@@ -240,8 +250,12 @@
         client, serial = body["client"], body["serial"]
         if not all(isinstance(x, int) and 0 <= x < 1 << 53 for x in (client, serial)):
             raise ValueError
+        data = orjson.dumps(body["command"])
+        # Danger: an entry that fits into no frame would be sent to the others again for ever.
+        if len(data) > LARGEST_COMMAND or not is_for_leases(body["command"]):
+            raise ValueError
         if self.raft.role is Role.LEADER:
-            self.driver.propose(orjson.dumps(body["command"]), client, serial, then)
+            self.driver.propose(data, client, serial, then)
         else:
             then(None)
 
@@ -251,7 +265,9 @@
         if not isinstance(work, str):
             raise ValueError
         if self._at_leader(body, then):
-            self.driver.read(lambda table: then(None if table is None else {"token": token_of(table, work)}))
+            self.driver.read(
+                lambda agreed: then(None if agreed is None else {"token": token_of(agreed.leases, work)})
+            )
 
     def _on_status(self, body: dict[str, Any], then: Then) -> None:
         raft, now = self.raft, self.clock()
--- a/caperdeck/raft/transport.py
+++ b/caperdeck/raft/transport.py
@@ -9,7 +9,7 @@
 
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.protocol import ClientFactory, ServerFactory
 from twisted.protocols.basic import Int32StringReceiver
@@ -21,7 +21,7 @@
 from .codec import LONGEST, FrameError, encode, frame, message_of, unwrap
 from .core import Message
 
-BACKLOG = 64
+BACKLOG = 256  # a crowd of nodes may come at once
 MOST_CONNECTIONS = 96  # that others opened
 MOST_CALLS = 256  # of one connection that wait for their answers
 CONNECT = 1.0  # seconds
@@ -33,6 +33,16 @@
 Then = Callable[[Any], None]
 
 
+class Taker(Protocol):
+    """Who has taken over a connection that others opened, from the first frame of its kind on."""
+
+    def frame(self, name: Any, fields: Any, size: int) -> None:
+        """Raises FrameError: the connection ends."""
+
+    def lost(self) -> None:
+        """The connection has ended, whoever ended it."""
+
+
 class Frames(Int32StringReceiver):
     """Either side of a connection. What is no frame of this cluster is counted and ends the connection."""
 
@@ -41,6 +51,8 @@
     def __init__(self, net: Net, link: Link | None = None) -> None:
         self.net, self.link = net, link
         self.full = False  # more waits to go out than should
+        self.taker: Taker | None = None
+        self.aborted = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -69,17 +81,32 @@
         return True
 
     def stringReceived(self, data: bytes) -> None:
+        if self.aborted:
+            return  # it came in one piece with what was no frame
         try:
-            self.net.came(self, *unwrap(data, self.net.cluster))
+            name, fields = unwrap(data, self.net.cluster)
+            if self.taker is None and self.link is None:
+                self.taker = self.net.taken(self, name)
+            if self.taker is not None:
+                self.taker.frame(name, fields, len(data))
+            else:
+                self.net.came(self, name, fields)
         except FrameError as error:
             self.net.drop(str(error))
-            self.transport.abortConnection()
+            self.abort()
 
     def lengthLimitExceeded(self, length: int) -> None:
         self.net.drop("too-long")
+        self.abort()
+
+    def abort(self) -> None:
+        """Ends it at once; nothing more of it is taken."""
+        self.aborted = True
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Any) -> None:
+        if self.taker is not None:
+            self.taker.lost()
         if self.link is not None:
             self.link.down()
         self.net.open.pop(self, None)
@@ -159,6 +186,7 @@
         self.receive, self.call, self.chance = receive, call, chance
         self.links = {i: Link(self, a) for i, a in addresses.items() if i != me}
         self.open: dict[Frames, None] = {}
+        self.takers: dict[str, Callable[[Frames], Taker]] = {}  # by kind of frame
         self.dropped: dict[str, int] = {}
         self.calls = 0
         self.closed = False
@@ -197,6 +225,15 @@
         else:
             link.ask(body, then)
 
+    def taken(self, conn: Frames, name: Any) -> Taker | None:
+        """Who takes that connection over from now on, if anybody; raises FrameError."""
+        take = self.takers.get(name) if isinstance(name, str) and not self.closed else None
+        if take is None:
+            return None
+        taker = take(conn)
+        del self.open[conn]
+        return taker
+
     def came(self, conn: Frames, name: Any, fields: Any) -> None:
         """Raises FrameError."""
         if self.closed:
--- /dev/null
+++ b/tests/test_distribution_processes.py
@@ -0,0 +1,356 @@
+"""Three instances as processes, nodes on real sockets: the program's own connections and state machine."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+import tomli_w
+from helpers import CONFIG, free_ports
+from twisted.internet.selectreactor import SelectReactor
+
+from caperdeck.distribution import commands
+from caperdeck.distribution.choice import Place, preferred
+from caperdeck.distribution.connection import WatchConnection
+from caperdeck.distribution.messages import Acknowledge, Heartbeat, Subscribe
+from caperdeck.distribution.stream import LONGEST_FROM_NODE, decode_from_publisher, encode
+from caperdeck.distribution.subscriber import NOTHING, Apply, Leave, State, Subscriber
+from caperdeck.owner.commands import ask
+from caperdeck.owner.config import load_owners
+from caperdeck.owner.process import steady
+from caperdeck.raft.codec import frame
+
+ROOT = Path(__file__).parents[1]
+COUNT = 3
+PLACES = [Place(f"o{i}", "a", "north") for i in range(COUNT)]
+
+
+class Instances:
+    def __init__(self, folder):
+        self.folder, self.ports = folder, free_ports(COUNT)
+        addresses = {str(i): f"127.0.0.1:{port}" for i, port in enumerate(self.ports)}
+        self.owners_file = folder / "owners.toml"
+        self.owners_file.write_text(tomli_w.dumps({"cluster": "t", "instances": addresses}))
+        self.owners = load_owners(str(self.owners_file))
+        self.files = []
+        for i in range(COUNT):
+            self.files.append(folder / f"o{i}.toml")
+            row = {"cluster": "t", "me": i, "folder": str(folder / f"d{i}"), "instances": addresses}
+            self.files[i].write_text(tomli_w.dumps(row))
+        self.processes = [self.start(i) for i in range(COUNT)]
+
+    def start(self, i):
+        words = [sys.executable, "-B", "-m", "caperdeck", "owner", "serve", f"--config={self.files[i]}"]
+        return subprocess.Popen(words, cwd=ROOT, stderr=subprocess.DEVNULL)
+
+    def ask(self, i, do):
+        return ask(self.owners.instances[i], "t", {"do": do})
+
+    def leader(self):
+        """Known to lead; None while none is."""
+        for i in range(COUNT):
+            if self.processes[i].poll() is None and (said := self.ask(i, "versions")) is not None:
+                led = self.ask(i, "status")["leader"]
+                return led if said else None
+        return None
+
+    def kill(self, i):
+        self.processes[i].kill()
+        self.processes[i].wait()
+
+    def stop(self):
+        for process in self.processes:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+
+
+@pytest.fixture(scope="module")
+def instances(tmp_path_factory):
+    made = Instances(tmp_path_factory.mktemp("instances"))
+    try:
+        until(lambda: made.leader() is not None, 20.0)
+        yield made
+    finally:
+        made.stop()
+
+
+class Node:
+    """A subscriber over the program's own connection, which puts versions into force at once."""
+
+    def __init__(self, reactor, instances, name, refuses=(), number=1, places=PLACES):
+        self.reactor, self.instances, self.refuses = reactor, instances, refuses
+        self.subscriber = Subscriber(Place(name, "a", "north"), places, NOTHING, number, 7, steady())
+        self.connection, self.first = None, None
+        self.revisions, self.reasons = [], []
+
+    @property
+    def revision(self):
+        return self.subscriber.held.revision
+
+    @property
+    def is_current(self):
+        return self.subscriber.state(steady()) is State.CURRENT
+
+    def pump(self):
+        if steady() >= self.subscriber.due:
+            self.do(self.subscriber.tick(steady()))
+
+    def do(self, actions):
+        for action in actions:
+            if isinstance(action, Apply):
+                self.put_in_force(action.version)
+            elif isinstance(action, Leave):
+                if self.connection is not None:
+                    self.connection.close()
+            elif isinstance(action.message, Subscribe):
+                self.first = action.message
+                address = self.instances.owners.instances[int(action.publisher[1:])]
+                self.connection = WatchConnection(self.reactor, address, "t", self)
+            else:
+                self.connection.send(action.message)
+
+    def put_in_force(self, version):
+        if version.revision in self.refuses:
+            self.do(self.subscriber.refused(steady(), version.revision, "no such class"))
+            return
+        self.revisions.append(version.revision)
+        self.do(self.subscriber.applied(steady(), version.revision))
+
+    def opened(self, connection):
+        connection.send(self.first)
+
+    def received(self, connection):
+        pass
+
+    def message(self, connection, message):
+        self.do(self.subscriber.receive(steady(), self.subscriber.publisher, message))
+
+    def lost(self, connection, reason):
+        self.reasons.append(reason)
+        self.do(self.subscriber.lost(steady(), self.subscriber.publisher))
+
+    def close(self):
+        if self.connection is not None:
+            self.connection.close()
+
+
+class Fleet:
+    """Nodes that share a reactor, driven by the test."""
+
+    def __init__(self, instances):
+        self.reactor, self.instances, self.nodes = SelectReactor(), instances, []
+        self.reactor.startRunning(installSignalHandlers=False)
+
+    def node(self, name, **more):
+        self.nodes.append(Node(self.reactor, self.instances, name, **more))
+        return self.nodes[-1]
+
+    def until(self, what, seconds=9.0):
+        def stepped():
+            self.reactor.iterate(0.005)
+            for node in self.nodes:
+                node.pump()
+            return what()
+
+        return until(stepped, seconds, 0.0)
+
+    def beside(self, do, *args):
+        """The result of what waits for others, the nodes running all the while."""
+        found = []
+        thread = threading.Thread(target=lambda: found.append(do(*args)))
+        thread.start()
+        self.until(lambda: not thread.is_alive(), 30.0)
+        return found[0]
+
+    def publish(self, document):
+        assert self.beside(commands.publish, self.instances.owners, document, None) == 0
+
+    def say(self, *words):
+        done = self.beside(command, *words)
+        return done.returncode, done.stdout + done.stderr
+
+    def close(self):
+        for node in self.nodes:
+            node.close()
+        for _ in range(5):
+            self.reactor.iterate(0.001)
+
+
+@pytest.fixture
+def fleet(instances):
+    made = Fleet(instances)
+    yield made
+    made.close()
+
+
+def command(*words):
+    return subprocess.run([sys.executable, "-B", "-m", "caperdeck", "config", *map(str, words)], cwd=ROOT,
+                          capture_output=True, text=True, timeout=30, check=False)  # fmt: skip
+
+
+def until(what, seconds, pause=0.05):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if got := what():
+            return got
+        time.sleep(pause)
+    raise AssertionError("not in its time")
+
+
+def watcher_of(i, prefix):
+    """The name of a node that prefers the instance of that number."""
+    names = (f"{prefix}{k}" for k in range(100))
+    return next(n for n in names if preferred(Place(n, "a", "north"), PLACES)[0].name == f"o{i}")
+
+
+def newest(instances):
+    return until(lambda: next(filter(None, (instances.ask(i, "versions") for i in range(COUNT))), None), 9.0)
+
+
+def connected(instances, i):
+    return socket.create_connection(instances.owners.instances[i], 5.0)
+
+
+def read_message(wire):
+    length = int.from_bytes(wire.recv(4, socket.MSG_WAITALL), "big")
+    return decode_from_publisher(wire.recv(length, socket.MSG_WAITALL), "t")
+
+
+# ---- commands
+
+
+def test_a_version_is_published_and_its_status_told_and_bad_ones_are_refused(instances, fleet, tmp_path):
+    one, two = fleet.node("n0"), fleet.node("n1", refuses=(2,))
+    file, names = tmp_path / "version.json", tmp_path / "names"
+    file.write_text(json.dumps(CONFIG))
+    names.write_text("n0\nn1\nn9\n")
+    asked = f"--instances={instances.owners_file}"
+    code, text = fleet.say("publish", file, asked)
+    assert (code, text[:20]) == (0, "revision 1 committed")
+    fleet.until(lambda: one.revision == two.revision == 1 and one.is_current and two.is_current)
+    assert one.subscriber.held.document == CONFIG
+    assert fleet.say("publish", file, asked) == (
+        2, "caperdeck: changes: none, this document is the newest version\n",
+    )  # fmt: skip
+    file.write_text(json.dumps(CONFIG | {"seed": "1"}))
+    code, text = fleet.say("publish", file, asked, "--on=0")
+    assert (code, text) == (2, "caperdeck: on: builds on 0, 1 is the newest\n")
+    assert fleet.say("publish", file, asked, "--on=1")[0] == 0
+    fleet.until(lambda: one.revision == 2 and two.subscriber.refusal is not None and one.is_current)
+    code, text = fleet.say("status", asked, f"--nodes={names}")
+    lines = text.splitlines()
+    assert code == 0 and lines[:3] == ["revision 2, confirmed", "in force at 1 of 3", "oldest revision 1"]
+    assert "refused n1 revision=2 no such class" in lines and "not heard of: n9" in lines
+    assert newest(instances)["revision"] == 2
+
+
+# ---- frames
+
+
+@pytest.mark.parametrize("data, reason", [
+    (len(b"{").to_bytes(4, "big") + b"{", "no-json"), (b"\xff" * 4, "too-long"),
+    (encode(Subscribe("x", "a", "b", 1, 0, "0" * 32, False), "other"), "other-cluster"),
+    (encode(Acknowledge("x", 1, 2, 0, "0" * 32, False), "t"), "no-subscription"),
+    (encode(Subscribe("x", "a", "b", 1, 0, "0" * 32, False), "t") + b"\x00\x00\xff\xff", "too-long"),
+    ((9000).to_bytes(4, "big") + frame("t", "watch", {"a": "x" * 9000})[:9000], "no-json"),
+])  # fmt: skip
+def test_a_damaged_foreign_or_oversized_frame_is_counted_and_ends_the_connection(instances, data, reason):
+    def dropped():
+        return instances.ask(0, "status")["dropped"].get(reason, 0)
+
+    before = dropped()
+    with connected(instances, 0) as wire:
+        wire.settimeout(5.0)
+        wire.sendall(data)
+        try:
+            while wire.recv(65536):
+                pass
+        except ConnectionResetError:
+            pass
+    assert dropped() == before + 1
+    assert LONGEST_FROM_NODE < 0xFFFF
+
+
+# ---- faults
+
+
+def test_a_slow_reader_holds_nobody_up_and_is_ended(instances, fleet):
+    """It reads one byte a second, and says nothing."""
+    at = instances.leader()
+    quick = fleet.node(watcher_of(at, "q"))
+    start = newest(instances)["revision"]
+    with socket.socket() as slow:
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.connect(instances.owners.instances[at])
+        slow.settimeout(1.0)
+        slow.sendall(encode(Subscribe("slow", "a", "north", 1, 0, "0" * 32, True), "t"))
+        for k in (1, 2, 3):
+            fleet.publish({"big": str(k) * (1 << 20)})
+            fleet.until(lambda k=k: quick.revision == start + k, 4.0)
+            slow.recv(1)
+        said = instances.ask(at, "distribution")
+        assert [row["revision"] for row in said["rows"] if row["node"] == "slow"] == [0]
+
+        def ended():
+            rows = instances.ask(at, "distribution")["rows"]
+            return all(row["node"] != "slow" for row in rows)
+
+        fleet.until(lambda: fleet.beside(ended), 15.0)
+    assert quick.revisions == sorted(set(quick.revisions)) and not quick.reasons
+
+
+def test_an_instance_that_was_stopped_wakes_with_old_data_and_nobody_takes_it_for_new(instances, fleet):
+    at = (instances.leader() + 1) % COUNT
+    node = fleet.node(watcher_of(at, "s"))
+    fleet.publish({"step": 0})
+    first = newest(instances)["revision"]
+    fleet.until(lambda: node.revision == first and node.is_current)
+    with connected(instances, at) as wire:
+        wire.settimeout(9.0)
+        wire.sendall(
+            encode(Subscribe("raw", "a", "north", 1, first, node.subscriber.held.digest, False), "t")
+        )
+        while not isinstance(read_message(wire), Heartbeat):
+            pass
+        instances.processes[at].send_signal(signal.SIGSTOP)
+        try:
+            fleet.publish({"step": 1})
+            fleet.until(lambda: node.revision == first + 1 and node.is_current)
+            wire.sendall(encode(Acknowledge("raw", 1, 2, first, node.subscriber.held.digest, False), "t"))
+            # as long as a confirmation counts
+            end = steady() + 2500.0
+            fleet.until(lambda: steady() > end)
+        finally:
+            instances.processes[at].send_signal(signal.SIGCONT)
+        told = read_message(wire)
+        while not isinstance(told, Heartbeat):
+            told = read_message(wire)
+    assert told.number == 2 and (told.age is None or told.revision == first + 1)
+    fleet.publish({"step": 2})
+    fleet.until(lambda: node.revision == first + 2 and node.is_current)
+    assert node.revisions == sorted(set(node.revisions))
+    until(lambda: (said := instances.ask(at, "distribution")) and said["revision"] == first + 2, 9.0)
+
+
+def test_a_leader_killed_right_after_the_commit_leaves_the_version_to_the_others(instances, fleet):
+    leader = instances.leader()
+    node = fleet.node(watcher_of(leader, "k"))
+    fleet.publish({"step": 10})
+    before = newest(instances)["revision"]
+    fleet.until(lambda: node.revision == before and node.is_current)
+    # The nodes do not run from the commit until the leader is dead.
+    assert commands.publish(instances.owners, {"step": 11}, None) == 0
+    instances.kill(leader)
+    fleet.until(lambda: node.revision == before + 1 and node.subscriber.publisher not in (None, f"o{leader}"))
+    fleet.until(lambda: node.is_current)
+    fleet.publish({"step": 12})
+    fleet.until(lambda: node.revision == before + 2)
+    instances.processes[leader] = instances.start(leader)
+    until(lambda: (said := instances.ask(leader, "distribution")) and said["revision"] == before + 2, 15.0)
+    assert node.revisions == sorted(set(node.revisions))
--- /dev/null
+++ b/tests/test_distribution_server.py
@@ -0,0 +1,386 @@
+"""Distribution at an instance: the agreed table, connections of nodes, confirmations, and commands."""
+
+import json
+import socket
+
+import orjson
+import pytest
+from helpers import CONFIG
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+
+from caperdeck.distribution import commands
+from caperdeck.distribution.confirming import EVERY, Confirming
+from caperdeck.distribution.document import DocumentError, digest
+from caperdeck.distribution.messages import Acknowledge, MessageError, Refusal, Snapshot, Subscribe
+from caperdeck.distribution.publisher import CONFIRMED_FOR, UNANSWERED, Publisher
+from caperdeck.distribution.status import Status, StatusRow, decode_status, encode_status
+from caperdeck.distribution.stream import LONGEST_FROM_NODE, decode_from_publisher, encode
+from caperdeck.distribution.table import LARGEST_CHANGES, Versions, propose
+from caperdeck.distribution.watching import MOST_UNSENT, TURNED_AWAY, Watches
+from caperdeck.owner.agreed import Agreed, for_versions
+from caperdeck.owner.config import Owners
+from caperdeck.raft.codec import LONGEST, frame
+from caperdeck.raft.codec import encode as encode_raft
+from caperdeck.raft.core import Append
+from caperdeck.raft.log import Entry, Kind
+from caperdeck.raft.sessions import Sessions
+from caperdeck.raft.transport import Net
+from caperdeck.state.addresses import Address
+
+EMPTY = digest({})
+ACQUIRE = {"work": "hosts", "do": "acquire", "holder": "o1", "span": 1500.0}
+
+
+def publish(versions, document, term=1):
+    answer = versions.apply(propose(versions, versions.newest.revision, document, term))
+    assert answer["ok"], answer
+
+
+# ---- the agreed machine
+
+
+def test_a_command_reaches_the_table_of_its_key_alone():
+    agreed = Agreed()
+    command = propose(agreed.versions, 0, {"a": 1}, 1)
+    assert agreed.apply(command) == {"no": "no-work-named"}
+    assert agreed.apply(for_versions(ACQUIRE)) == {"no": "do: unknown command"}
+    assert agreed.apply(for_versions(command) | ACQUIRE) == {"no": "two-tables"}
+    assert agreed.apply([]) == {"no": "no-work-named"}
+    assert (agreed.versions.newest.revision, agreed.leases.works) == (0, {})
+    assert agreed.apply(for_versions(command))["revision"] == 1 and agreed.leases.works == {}
+    assert agreed.apply(ACQUIRE)["token"] == 1 and agreed.versions.newest.revision == 1
+
+
+def test_files_without_versions_load_and_files_with_them_come_back_whole():
+    old = Sessions(Agreed().leases)
+    old.apply(Entry(1, Kind.COMMAND, orjson.dumps(ACQUIRE), 7, 1))
+    new = Sessions(Agreed())
+    new.load(old.dump())
+    assert new.machine.leases.row("hosts")["token"] == 1 and new.machine.versions.newest.revision == 0
+    assert new.dump() == old.dump()  # which an instance of before could load
+    publish(new.machine.versions, {"a": 1})
+    copy = Sessions(Agreed())
+    copy.load(new.dump())
+    assert copy.dump() == new.dump() and copy.machine.versions.document == {"a": 1}
+    copy.load(old.dump())
+    assert copy.machine.versions.newest.revision == 0 and copy.machine.leases.row("hosts")["token"] == 1
+
+
+def test_the_largest_changes_fit_into_a_frame_between_instances_and_larger_ones_are_refused():
+    command = orjson.dumps(for_versions({"changes": "x" * LARGEST_CHANGES}))
+    append = Append(1, 0, 1, 1, (Entry(1, Kind.COMMAND, command, 1, 1),), 1, 1)
+    assert len(encode_raft(append, "c" * 64)) < LONGEST
+    versions, key = Versions(), "k" * 2000
+    publish(versions, {key: {"x": 0}})
+    first = versions.newest
+    with pytest.raises(DocumentError, match="changes: .* bytes, over"):
+        propose(versions, 1, {key: {str(i): 0 for i in range(1500)}}, 1)
+    publish(versions, {key: {str(i): 0 for i in range(900)}})
+    publish(versions, {key: {str(i): 0 for i in range(1800)}})
+    assert versions.delta(first.revision, first.digest) is None  # a snapshot is shorter
+
+
+# ---- connections
+
+
+class World:
+    """An instance's port and publisher, in memory."""
+
+    def __init__(self, most=8):
+        self.now = 0.0
+        self.versions = Versions()
+        publish(self.versions, {"a": 1})
+        self.publisher = Publisher("o0", self.versions, 0.0)
+        addresses = {0: ("127.0.0.1", 1), 1: ("127.0.0.1", 2)}
+        self.net = Net(MemoryReactorClock(), "t", 0, addresses, lambda m: None, lambda b, then: then("yes"),
+                       lambda: 0.5)  # fmt: skip
+        self.watches = Watches(self.publisher, "t", lambda: self.now, self.net.drop, most)
+        self.net.takers["watch"] = self.watches.take
+
+    def open(self):
+        conn, wire = self.net.buildProtocol(None), Wire()
+        wire.setTcpNoDelay, wire.getHandle = lambda on: None, lambda: socket.socket()
+        conn.makeConnection(wire)
+        return conn, wire
+
+    def subscribed(self, node="n", number=1, **more):
+        conn, wire = self.open()
+        conn.dataReceived(encode(subscribe(node, number, **more), "t"))
+        return conn, wire
+
+
+class Wire(StringTransport):
+    def __init__(self):
+        super().__init__()
+        self.aborted = self.reads = False
+
+    def abortConnection(self):
+        self.aborted = True
+
+    def pauseProducing(self):
+        self.reads = False
+
+    def resumeProducing(self):
+        self.reads = True
+
+    def messages(self):
+        data, found = self.value(), []
+        self.clear()
+        while data:
+            end = 4 + int.from_bytes(data[:4], "big")
+            found.append(decode_from_publisher(data[4:end], "t"))
+            data = data[end:]
+        return found
+
+    def kinds(self):
+        return [type(message).__name__ for message in self.messages()]
+
+
+def subscribe(node="n", number=1, **more):
+    return Subscribe(node, "a", "north", number, 0, EMPTY, False, **more)
+
+
+def acknowledge(world, node="n", subscription=1, number=2):
+    newest = world.versions.newest
+    return Acknowledge(node, subscription, number, newest.revision, newest.digest, False)
+
+
+def test_a_node_gets_the_version_then_changes_and_the_end_of_its_connection_ends_its_watch():
+    world = World()
+    conn, wire = world.subscribed()
+    assert wire.kinds() == ["Snapshot", "Heartbeat"] and not world.net.open
+    conn.dataReceived(encode(acknowledge(world), "t"))
+    assert wire.kinds() == ["Heartbeat"]
+    publish(world.versions, {"a": 2})
+    world.watches.send(world.publisher.changed(0.0))
+    assert wire.kinds() == ["Delta"]
+    conn.connectionLost(None)
+    assert not world.publisher.subscriptions and not world.watches.open and not world.watches.subscribed
+
+
+def framed(data):
+    return len(data).to_bytes(4, "big") + data
+
+
+@pytest.mark.parametrize("data, reason", [
+    (encode(subscribe(number=2), "t"), "second-subscription"),
+    (encode(Acknowledge("n", 3, 4, 0, EMPTY, False), "t"), "other-subscription"),
+    (encode(Acknowledge("m", 1, 4, 0, EMPTY, False), "t"), "other-subscription"),
+    (encode(Snapshot(1, 1, EMPTY, {}), "t"), "wrong-direction"),
+    (encode(subscribe(number=2), "other"), "other-cluster"), (framed(b"{"), "no-json"),
+    (framed(frame("t", "call", [1, {}])), "unknown-kind"), (framed(frame("t", "watch", {})), "bad-message"),
+    ((LONGEST_FROM_NODE + 1).to_bytes(4, "big"), "too-long"),
+])  # fmt: skip
+def test_a_frame_that_is_none_ends_the_watch_and_nothing_after_it_is_taken(data, reason):
+    world = World()
+    conn, wire = world.subscribed()
+    wire.clear()
+    conn.dataReceived(data + encode(acknowledge(world), "t"))
+    assert world.net.dropped == {reason: 1} and wire.aborted and not wire.value()
+    assert world.publisher.subscriptions["n"].words == subscribe()
+
+
+@pytest.mark.parametrize("data, reason", [
+    (encode(Acknowledge("n", 1, 2, 0, EMPTY, False), "t"), "no-subscription"),
+    (framed(frame("t", "watch", {"kind": "subscribe", "node": "x" * LONGEST_FROM_NODE})), "too-long"),
+])  # fmt: skip
+def test_a_connection_that_begins_wrongly_is_ended(data, reason):
+    world = World()
+    conn, wire = world.open()
+    conn.dataReceived(data + encode(subscribe(), "t"))
+    assert world.net.dropped == {reason: 1} and wire.aborted and not world.publisher.subscriptions
+    conn.connectionLost(None)
+    assert not world.watches.open
+
+
+def test_a_node_that_comes_again_ends_its_older_connection_and_late_ones_are_refused():
+    world = World()
+    first, first_wire = world.subscribed(number=5)
+    _, second_wire = world.subscribed(number=6)
+    assert first_wire.aborted and not second_wire.aborted
+    first.connectionLost(None)
+    assert world.publisher.subscriptions["n"].number == 6
+    for number in (6, 5):
+        _, late = world.subscribed(number=number)
+        assert late.aborted and late.value() == b""
+    assert world.net.dropped == {"old-subscription": 2}
+    assert world.publisher.subscriptions["n"].number == 6
+
+
+def test_beyond_the_bound_nodes_are_told_to_come_later_and_far_beyond_it_they_are_cut_off():
+    world = World(most=2)
+    made = [world.subscribed(f"n{i}") for i in range(3 + TURNED_AWAY)]
+    assert [made[k][1].kinds() for k in (0, 2)] == [["Snapshot", "Heartbeat"], ["Busy"]]
+    assert made[2][1].disconnecting and len(world.publisher.subscriptions) == 2
+    assert made[-1][1].aborted and world.net.dropped["too-many-watches"] == TURNED_AWAY + 1
+    made[0][0].connectionLost(None)
+    for conn, _ in made[2:]:
+        conn.connectionLost(None)
+    assert world.subscribed("m")[1].kinds() == ["Snapshot", "Heartbeat"]
+
+
+def test_a_node_that_does_not_read_is_not_read_from_and_is_cut_off_past_the_bound():
+    world = World()
+    conn, wire = world.subscribed()
+    watch = next(iter(world.watches.open))
+    wire.producer.pauseProducing()
+    assert not wire.reads
+    wire.producer.resumeProducing()
+    assert wire.reads
+    wire.producer.pauseProducing()
+    watch.put(b"x" * MOST_UNSENT)
+    assert not wire.aborted
+    watch.put(b"x")
+    assert wire.aborted and world.net.dropped == {"not-read": 1}
+
+
+def test_a_watch_that_leaves_a_version_unanswered_is_closed():
+    world = World()
+    _, wire = world.subscribed()
+    wire.clear()
+    world.now = UNANSWERED + 1.0
+    world.publisher.subscriptions["n"].heard_at = world.now
+    world.watches.send(world.publisher.tick(world.now))
+    assert wire.kinds() == ["Closed"] and wire.disconnecting
+
+
+# ---- confirmations
+
+
+def test_an_answer_counts_from_when_it_was_asked_and_once_the_own_table_is_there():
+    versions = Versions()
+    publisher = Publisher("o0", versions, 0.0)
+    confirming = Confirming(publisher)
+    assert confirming.asks(10.0) and not confirming.asks(10.0 + EVERY - 1) and confirming.asks(10.0 + EVERY)
+    confirming.answered(10.0, 1)
+    assert publisher.age(20.0) is None
+    publish(versions, {"a": 1})
+    confirming.applied()
+    assert publisher.age(20.0) == 10.0 and not confirming.waiting
+    assert publisher.age(10.0 + CONFIRMED_FOR + 1) is None
+
+
+# ---- commands
+
+OWNERS = Owners("t", (Address("127.0.0.1", 1), Address("127.0.0.1", 2)))
+
+
+class Instances:
+    """What they answer, in turn; what they were asked."""
+
+    def __init__(self, *said):
+        self.said, self.asked = list(said), []
+
+    def __call__(self, address, cluster, body):
+        self.asked.append(body)
+        return self.said.pop(0) if len(self.said) > 1 else self.said[0]
+
+
+NOTHING_YET = {"revision": 0, "digest": EMPTY, "document": {}}
+
+
+def test_a_call_without_answer_is_repeated_under_its_numbers(capsys):
+    ask = Instances(
+        None, NOTHING_YET, None, {"no": "too-many-calls"}, {"ok": True, "revision": 1, "digest": "d"}
+    )
+    assert commands.publish(OWNERS, {"a": 1}, None, ask) == 0
+    assert capsys.readouterr().out == "revision 1 committed, digest d\n"
+    calls = [body for body in ask.asked if body["do"] == "publish"]
+    assert len(calls) == 3 and calls[0] == calls[1] == calls[2] and calls[0]["on"] == 0
+
+
+def test_without_any_answer_it_is_told_as_unknown(monkeypatch):
+    monkeypatch.setattr(commands, "PATIENCE", 0.0)
+    with pytest.raises(commands.UnknownError, match="may be committed or not"):
+        commands.publish(OWNERS, {"a": 1}, None, Instances(NOTHING_YET, None))
+    with pytest.raises(commands.UnknownError, match="nothing was proposed"):
+        commands.publish(
+            OWNERS, {"a": 1}, None, Instances({"revision": 1, "digest": EMPTY, "document": {"a": 1}})
+        )
+
+
+def test_what_the_table_refuses_is_bad_input():
+    with pytest.raises(commands.InputError, match="on: builds on 0, 1 is the newest"):
+        commands.publish(OWNERS, {"a": 1}, None,
+                         Instances(NOTHING_YET, {"refused": "on: builds on 0, 1 is the newest"}))  # fmt: skip
+
+
+def file(tmp_path, value):
+    path = tmp_path / "version.json"
+    path.write_text(value if isinstance(value, str) else json.dumps(value))
+    return path
+
+
+@pytest.mark.parametrize("value, words", [
+    ("{", "no JSON"), ([], "document: no JSON object"), ({}, "document: .*settings is missing"),
+    (CONFIG | {"settings": CONFIG["settings"] | {"listeners": [{"name": "x"}]}}, "document: .*listeners"),
+    (CONFIG | {"limits": {"sockets": 1}}, "document: limits.sockets"), (CONFIG | {"limits": 7}, "wrong kind"),
+    (CONFIG | {"x": "y" * (2 << 20)}, "document: .* bytes, over"),
+])  # fmt: skip
+def test_a_file_that_cannot_be_a_version_is_named_in_one_line_with_exit_code_2(
+    value, words, tmp_path, capsys
+):
+    instances = tmp_path / "owners.toml"
+    instances.write_text('cluster = "t"\n[instances]\n0 = "127.0.0.1:1"\n')
+    arguments = {
+        "status": False,
+        "FILE": str(file(tmp_path, value)),
+        "--instances": str(instances),
+        "--on": None,
+    }
+    assert commands.main(arguments) == 2
+    said = capsys.readouterr().err
+    assert said.startswith("caperdeck: ") and said.count("\n") == 1
+    with pytest.raises(Exception, match=words):
+        commands.read_document(arguments["FILE"])
+
+
+STATUS = Status("o1", True, 2, "a" * 32, (
+    StatusRow("n0", 5, 2, "a" * 32, False, None, 100.0),
+    StatusRow("n1", 6, 1, "b" * 32, True, Refusal(2, "no such class"), 200.0),
+))  # fmt: skip
+
+
+def test_a_status_comes_back_whole_and_a_damaged_one_is_none():
+    said = json.loads(json.dumps(encode_status(STATUS)))
+    assert decode_status(said) == STATUS
+    for damage in (
+        {"rows": 1},
+        {"confirmed": 1},
+        {"rows": [{}]},
+        {"rows": [said["rows"][0] | {"age": None}]},
+    ):
+        with pytest.raises(MessageError):
+            decode_status(said | damage)
+    with pytest.raises(MessageError):
+        decode_status(None)
+
+
+def test_status_prints_what_is_known_and_counts_no_silence_as_consent(capsys):
+    said = encode_status(STATUS)
+    names = ["n0", "n1", "n2"]
+    assert commands.status(OWNERS, names, lambda *call: said if call[0].port == 1 else None) == 0
+    assert capsys.readouterr().out.splitlines() == [
+        "revision 2, confirmed", "in force at 1 of 3", "oldest revision 1",
+        "refused n1 revision=2 no such class", "not heard of: n2", "stale: n1",
+        "instance 127.0.0.1:2 no answer",
+    ]  # fmt: skip
+    alone = encode_status(STATUS._replace(confirmed=False, rows=()))
+    assert commands.status(OWNERS, ["n0"], lambda *call: alone if call[0].port == 1 else None) == 1
+    assert "in force at 0 of 1" in (said := capsys.readouterr().out)
+    assert "o1 unconfirmed" in said and "not confirmed: there may be" in said
+
+
+def test_words_that_grew_old_while_others_were_asked_do_not_count(monkeypatch):
+    times = iter([0.0, 7.0])
+    monkeypatch.setattr(commands.time, "monotonic", lambda: next(times))
+    known = commands.read_statuses(OWNERS, lambda *call: encode_status(STATUS))
+    assert {row.age for status in known.values() for row in status.rows} == {7100.0, 7200.0}
+
+
+@pytest.mark.parametrize("text, words", [("", "0 names"), ("a\na\n", "'a' twice"), ("x" * 65, "is no name")])
+def test_a_list_of_nodes_that_cannot_be_used_is_named(text, words, tmp_path):
+    path = tmp_path / "nodes"
+    path.write_text(text)
+    with pytest.raises(commands.InputError, match=words):
+        commands.read_names(str(path))
