--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from caperdeck.lifecycle.loading import COMMAND, NODE
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -55,6 +57,38 @@
     assert {"caperdeck.wire.client", "caperdeck.wire.desk", "caperdeck.wire.host"} <= set(order)
 
 
+def reached(root: Path, package: str, names: set[str]) -> set[str]:
+    """All modules that loading these loads, of the package and of others."""
+    files = {module_name(path, root): path for path in (root / package).rglob("*.py")}
+    found, left = set(), set(names)
+    while left:
+        name = left.pop()
+        found.add(name)
+        if name in files:
+            left |= imported_names(files[name], root) - found
+    return found
+
+
+OFF = ("distribution", "ledger", "leases", "owner", "peers", "raft")  # in `run`
+PURE = (
+    "choice", "confirming", "document", "messages", "publisher", "status", "stream", "subscriber", "table",
+)  # fmt: skip
+
+
+def test_a_node_in_service_loads_none_of_the_parts_that_are_off():
+    roots = {name for name in (*COMMAND, *NODE, "caperdeck.__main__") if name.startswith("caperdeck.")}
+    loaded = reached(ROOT, "caperdeck", roots)
+    assert "caperdeck.wire.desk" in loaded
+    assert [name for name in loaded if name.startswith(tuple(f"caperdeck.{part}." for part in OFF))] == []
+
+
+def test_what_is_decided_in_distribution_knows_no_network_and_no_process():
+    loaded = reached(ROOT, "caperdeck", {f"caperdeck.distribution.{name}" for name in PURE})
+    assert "caperdeck.raft.codec" in loaded and "orjson" in loaded
+    banned = ("twisted", "socket", "loguru", "caperdeck.wire", "caperdeck.lifecycle", "caperdeck.owner")
+    assert [name for name in loaded if name.startswith(banned)] == []
+
+
 CIRCLES = {
     "absolute": ("import p.b", "import p.a"),
     "absolute name": ("from p.b import X", "from p.a import Y"),
