Distribution: a proposal past its bound or past the check is refused by real instances

Need: nothing held that a version by way of a lease's call, or an entry longer than a frame, does not get in.

--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -20,6 +20,7 @@
 from caperdeck.distribution.messages import Acknowledge, Heartbeat, Subscribe
 from caperdeck.distribution.stream import LONGEST_FROM_NODE, decode_from_publisher, encode
 from caperdeck.distribution.subscriber import NOTHING, Apply, Leave, State, Subscriber
+from caperdeck.distribution.table import LARGEST_CHANGES
 from caperdeck.owner.commands import ask
 from caperdeck.owner.config import load_owners
 from caperdeck.owner.process import steady
@@ -250,6 +251,20 @@
     assert newest(instances)["revision"] == 2
 
 
+def test_a_proposal_past_its_bound_or_past_the_check_is_refused_and_the_next_one_stands(instances, fleet):
+    address = instances.owners.instances[instances.leader()]
+    before = newest(instances)["revision"]
+    for command in ({"versions": {"do": "publish"}}, {"work": "x" * (2 << 20)}):
+        body = {"do": "propose", "command": command, "client": 2, "serial": 1}
+        assert ask(address, "t", body) == {"no": "bad-call"}
+    changes = [[["a"], "x" * LARGEST_CHANGES]]
+    body = {"do": "publish", "on": before, "digest": "", "changes": changes, "client": 4, "serial": 1}
+    assert ask(address, "t", body)["refused"].startswith("changes: ")
+    assert newest(instances)["revision"] == before
+    fleet.publish({"step": "next"})
+    assert newest(instances)["revision"] == before + 1
+
+
 # ---- frames
 
 
