Distribution: a version may hold what is alike at all nodes and leave the rest to each

Need: publish asked for a whole file, and a node takes a version's keys over its own file's. Change: the check lays the document over a file that stands in for a node's own; an empty one is a version too (each node on its own file).

--- a/caperdeck/distribution/commands.py
+++ b/caperdeck/distribution/commands.py
@@ -30,8 +30,15 @@
 PAUSE = 0.1  # seconds between two rounds
 LARGEST_FILE = 2 * LARGEST_DOCUMENT  # bytes; blanks do not count to a document's size
 MOST_NODES = 10_000
-# Every node has its own; in their place while the rest is checked.
-OWN_KEYS = {"name": "node", "listen": "127.0.0.1:1", "admin_addr": "127.0.0.1:2", "seed": "0"}
+# A node's own file, over which a version is checked where there is no node.
+STAND_IN: dict[str, Any] = {
+    "name": "check", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "0",
+    "settings": {
+        "fleetSize": 1, "dcs": ["check"], "locality": "check", "limits": {"mostDials": 1},
+        "invariants": {"coldFrom": 1.0, "warmAfter": 1.0, "fallMultiple": 1.0, "fall": 1.0},
+        "listeners": [{"name": "check", "effect": "idempotent", "handshakeTarget": 1.0, "hardLimit": 1.0}],
+    },
+}  # fmt: skip
 
 Ask = Callable[[Address, str, Any], Any]  # address, cluster, body; the answer, None if none came
 
@@ -128,9 +135,14 @@
 
 
 def check_config(document: Document) -> None:
-    """As `caperdeck check` does, but for what is each node's own. Raises InputError."""
+    """As `caperdeck check` does, with the document over a file that stands in for a node's own: a version
+    may hold what is alike at all nodes, and leave the rest to each. Raises InputError.
+    """
+    settings = document.get("settings", {})
+    if not isinstance(settings, dict):
+        raise InputError("settings: no JSON object")
     try:
-        decode_config(OWN_KEYS | document)
+        decode_config(STAND_IN | document | {"settings": STAND_IN["settings"] | settings})
     except (SettingsError, AddressError) as error:
         raise InputError(f"document: {error}") from None
     except (TypeError, ValueError, AttributeError, KeyError, OverflowError) as error:
