Peers: a list of peers is no longer compared with itself when it is taken

Cause: to leave out members with one address, each address was counted over the whole list: 4 million comparisons at 2,001 members. Change: addresses are counted once, by hash. The same members are left out.

--- a/caperdeck/wire/peers.py
+++ b/caperdeck/wire/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -27,7 +28,8 @@
         self.reactor, self.clock, self.sharing = reactor, clock, sharing
         self.addresses, self.everyone, self.age = addresses, everyone, age
         # Danger: two members with one address could speak for each other; neither is heard.
-        self.members = {a: i for i, a in enumerate(addresses) if addresses.count(a) == 1}
+        times = Counter(addresses)
+        self.members = {a: i for i, a in enumerate(addresses) if times[a] == 1}
         self.timer: Any = None
         self.port: Any = None
         self.said: dict[str, int] = {}
--- a/tests/test_sharing_node.py
+++ b/tests/test_sharing_node.py
@@ -21,6 +21,8 @@
 from caperdeck.lifecycle.config import ConfigError, decode_config
 from caperdeck.lifecycle.sharing import PeersError, load_uses, make_port, parse_peers
 from caperdeck.ops.show import show_peers
+from caperdeck.state.addresses import Address
+from caperdeck.wire.peers import PeerPort
 
 PEERS = ["127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003"]
 SHARED = {
@@ -61,6 +63,29 @@
         parse_peers(peers, listen, me)
 
 
+class ComparedAddress(Address):
+    """Counts how often an address is compared with another."""
+
+    comparisons = 0
+
+    def __eq__(self, other):
+        ComparedAddress.comparisons += 1
+        return tuple.__eq__(self, other)
+
+    __hash__ = Address.__hash__
+
+
+def test_members_with_one_address_are_not_heard_and_the_list_is_not_compared_with_itself():
+    addresses = [ComparedAddress("10.0.0.1", 1000 + i) for i in range(2000)]
+    addresses.append(ComparedAddress("10.0.0.1", 1000))
+    ComparedAddress.comparisons = 0
+    port = PeerPort(None, None, None, addresses)
+    # by hash: some addresses share the upper bits of their hash with others, and are compared with these
+    assert ComparedAddress.comparisons < 10 * len(addresses)
+    assert addresses[0] not in port.members
+    assert port.members == {address: i for i, address in enumerate(addresses) if 0 < i < 2000}
+
+
 @pytest.mark.parametrize("changes, line", [
     ({"peers": None}, "reason=unusable"),
     ({"settings": SETUP | {"me": 1}}, "reason=not-allowed"),
