Scale run: five node processes a machine as the page of capacity asks for, and two parts of the target

Need: the target's file had two processes a machine, 1,460 members; docs/CAPACITY.md has come to five, 3,650. Tests hold files and page together. None of the three is played yet.

--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -34,6 +34,8 @@
 ROOT = Path(__file__).parents[1]
 FOLDER = ROOT / "caperdeck" / "lab" / "scenarios" / "scale"
 SMALL, TARGET = FOLDER / "small.toml", FOLDER / "target.toml"
+PARTS = {400: FOLDER / "400.toml", 1460: FOLDER / "1460.toml"}  # of the target, by their hollow nodes
+CAPACITY = ROOT / "docs" / "CAPACITY.md"
 VOID, BAD_INPUT = 3, 2
 TRIES = 3  # where the machine was too slow to say anything
 PATIENCE = 240  # seconds for one small run, which takes under 30 on a machine with room
@@ -79,7 +81,8 @@
 def test_the_shipped_scenarios_are_the_target_and_its_small_likeness():
     small, target = load(str(SMALL)), load(str(TARGET))
     assert (target.machines, target.instances) == (730, 7)
-    assert target.members == target.target_nodes == 730 * target.processes_a_machine
+    assert target.members == target.target_nodes == 730 * target.processes_a_machine == 3650
+    assert f"A machine must run **{target.processes_a_machine}** node processes." in CAPACITY.read_text()
     assert (small.hollow_nodes, small.real.nodes, small.instances) == (90, 3, 3)
     assert (small.budget, small.limits) == (target.budget, target.limits)
     assert (target.limits.processes, target.limits.memory_mb) == (200, 12 * 1024)
@@ -88,6 +91,15 @@
     assert waits <= 15
 
 
+@pytest.mark.parametrize(("nodes", "path"), PARTS.items())
+def test_a_part_of_the_target_is_held_to_what_the_whole_is(nodes, path):
+    part, target = load(str(path)), load(str(TARGET))
+    assert (part.hollow_nodes, part.real.nodes, part.instances) == (nodes, 3, 7)
+    assert part.target_nodes == target.target_nodes
+    assert (part.budget, part.limits, part.lateness) == (target.budget, target.limits, target.lateness)
+    assert (part.sharing, part.real, part.bounds.owner) == (target.sharing, target.real, target.bounds.owner)
+
+
 def test_the_command_line_sets_nodes_processes_and_the_steady_span():
     scenario = load(str(SMALL), nodes=50, processes=4, seconds=9)
     assert (scenario.hollow_nodes, len(scenario.racks()), scenario.spans.steady) == (50, 4, 9.0)
