Membership: a message after a start no longer looks at each member that nobody has heard of

Cause: whom a message tells of besides the news was found by a look at one member after the other, two words and three beats a message. After a start of 3,650 members nearly none is known, so each message looked at all. Change: who was ever heard of is marked in bytes that are searched in one call; the same members in the same turn. The slopes' rig, which begins with all known, sets the mark too.

--- a/caperdeck/lab/slopes/membership.py
+++ b/caperdeck/lab/slopes/membership.py
@@ -90,6 +90,7 @@
         for swim in self.members:
             swim.state = [State.ALIVE] * len(lives)
             swim.life = list(lives)
+            swim.ever_heard = bytearray([1]) * len(lives)
             swim.beats = [1] * len(lives)
             swim.news_at = [self.now] * len(lives)
 
--- a/caperdeck/peers/swim.py
+++ b/caperdeck/peers/swim.py
@@ -77,13 +77,14 @@
         # members: parallel arrays under the member's number
         self.state = [State.SILENT] * members
         self.life = [0] * members
+        self.ever_heard = bytearray(members)  # 1 where there is a life, to be searched fast
         self.incarnations = [0] * members
         self.beats = [0] * members
         self.since = [now] * members  # in this state
         self.direct_at = [-math.inf] * members  # when the last ping that it has answered was sent
         self.news_at = [-math.inf] * members  # when it was last seen to be further on, by whatever way
         self.returns = [0] * members  # new lives seen
-        self.state[me], self.life[me] = State.ALIVE, max(life, 1)
+        self.state[me], self.life[me], self.ever_heard[me] = State.ALIVE, max(life, 1), 1
         self.round: list[int] = []
         self.news: deque[list] = deque()  # [member, times left], the newest first
         self.filler = self.beating = 0  # whose state and beat go along next
@@ -331,6 +332,7 @@
         if state is not self.state[i] or life != self.life[i]:
             self.since[i] = now
         self.state[i], self.life[i], self.incarnations[i] = state, life, incarnation
+        self.ever_heard[i] = 1
         self._spread(i)
 
     def _spread(self, i: int) -> None:
@@ -352,22 +354,27 @@
         self.news = deque(x for x in self.news if x[1] > 0)
         members = list(dict.fromkeys(doubted + [x[0] for x in chosen]))
         least = min(max(FILLERS, len(members)), self.members)
-        for _ in range(self.members):
+        for _ in range(self.ever_heard.count(1)):
             if len(members) >= least:
                 break
-            self.filler = (self.filler + 1) % self.members
-            if self.life[self.filler] and self.filler not in members:
+            self.filler = self._next_heard(self.filler)
+            if self.filler not in members:
                 members.append(self.filler)
         return tuple(self._update(i) for i in members)
 
+    def _next_heard(self, i: int) -> int:
+        """The member after that one, in turn, that was ever heard of; this node itself always was."""
+        # Danger: after a start most members are unheard of; a look at each made a message cost by the fleet.
+        following = self.ever_heard.find(1, i + 1)
+        return following if following >= 0 else self.ever_heard.find(1)
+
     def _beats(self) -> tuple[Beat, ...]:
         """The own beat, and those of members with the newest news in turn."""
         rows = [Beat(self.me, self.life[self.me] & 0xFFFF, self.beat)]
-        for _ in range(self.members):
+        for _ in range(self.ever_heard.count(1)):
             if len(rows) >= min(BEATS, self.members):
                 break
-            self.beating = (self.beating + 1) % self.members
-            i = self.beating
+            self.beating = i = self._next_heard(self.beating)
             if i != self.me and self.beats[i] and self.state[i] is State.ALIVE:
                 rows.append(Beat(i, self.life[i] & 0xFFFF, self.beats[i]))
         return tuple(rows)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -24,6 +24,37 @@
     return s.take(now, Message(Kind.PING, sender, life, 0, 1, tuple(updates)))
 
 
+class CountedLooks(list):
+    """Counts how often one of its items is asked for."""
+
+    looks = 0
+
+    def __getitem__(self, i):
+        CountedLooks.looks += 1
+        return super().__getitem__(i)
+
+
+def test_a_message_costs_by_the_members_that_were_heard_of_and_tells_of_them_in_turn():
+    s = swim(members=4000)
+    for member in (1500, 3000):
+        heard(s, member, updates=[Update(2000, State.ALIVE, 4, 0)])
+        s.news.clear()
+    s.life, s.beats, s.state = CountedLooks(s.life), CountedLooks(s.beats), CountedLooks(s.state)
+    CountedLooks.looks = 0
+    told = [u.member for _ in range(4) for u in heard(s, 3000)[0][0].message.updates]
+    assert CountedLooks.looks < 4 * 50
+    assert set(told) == {0, 1500, 2000, 3000}
+
+
+@given(st.sets(st.integers(1, 99)), st.integers(0, 99))
+def test_the_next_member_heard_of_is_the_next_by_number_and_after_the_last_the_first(members, after):
+    s = swim(members=100)
+    for member in members:
+        heard(s, member)
+    by_number = [i for i in (*range(after + 1, 100), *range(after + 1)) if s.life[i]]
+    assert s._next_heard(after) == by_number[0]
+
+
 lives, words = st.integers(1, 2**32 - 1), st.integers(0, 65535)
 updates = st.builds(Update, st.integers(0, 4), st.sampled_from(State), lives, words)
 beats = st.builds(Beat, st.integers(0, 4), words, words)
