Scale run: the collector leaves a process's made nodes out, and the machine's busy cores are told

Cause: while a hollow process made 92 nodes of 3,653 members the collector walked them 522 times, 0.51 s of processor time, up to 135 ms in one go; no node in a process of its own has that. Where a run is void nothing said whether it or other work had filled the machine. Change: the collector is off while nodes are made and then looks at what comes later only. The table tells how many of the machine's cores were busy in the steady span, and how many by the run.

--- a/caperdeck/lab/scale/hollow.py
+++ b/caperdeck/lab/scale/hollow.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import ctypes
+import gc
 import os
 import signal
 import sys
@@ -77,16 +78,26 @@
 
 def holds_dead(swim: Any, watched: list[int]) -> bool:
     """Whether 9 in 10 of the watched members that the view ever knew are silent in it."""
-    seen = [i for i in watched if swim.life[i]]
-    return bool(seen) and sum(swim.state[i] is State.SILENT for i in seen) >= MOST * len(seen)
+    seen, silent = [i for i in watched if swim.life[i]], State.SILENT
+    return bool(seen) and sum(swim.state[i] is silent for i in seen) >= MOST * len(seen)
 
 
 def holds_alive(swim: Any, lives: dict[int, int]) -> bool:
     """Whether 9 in 10 of the watched members are alive in another life than the one given."""
-    back = sum(swim.state[i] is State.ALIVE and swim.life[i] > life for i, life in lives.items())
+    alive = State.ALIVE
+    back = sum(swim.state[i] is alive and swim.life[i] > life for i, life in lives.items())
     return bool(lives) and back >= MOST * len(lives)
 
 
+def collect_from_now_on() -> None:
+    """Lets the collector look at what is made after this call only.
+
+    It walks all nodes of the process in one go otherwise, a pause that no node with a process of its own has.
+    """
+    gc.freeze()
+    gc.enable()
+
+
 class HollowProcess:
     def __init__(self, plan: Plan, traffic: Traffic, write: Any) -> None:
         self.plan, self.traffic, self.write = plan, traffic, write
@@ -103,6 +114,8 @@
         self.uses = Uses(**dict.fromkeys(plan.sharing, True))
 
     def start(self) -> None:
+        # Danger: the collector would walk all nodes made so far again and again while more are made.
+        gc.disable()
         reactor.callLater(0, self.start_next)
         reactor.callLater(self.plan.sample, self.tell)
 
@@ -114,6 +127,7 @@
         self.nodes.append(node)
         self.made_s += time.process_time() - began
         if self.ready:
+            collect_from_now_on()
             self.beats.zero(time.monotonic())
             self.beat()
         else:
--- a/caperdeck/lab/scale/measure.py
+++ b/caperdeck/lab/scale/measure.py
@@ -30,7 +30,7 @@
             # one that ends meanwhile uses nothing any more
             with suppress(psutil.NoSuchProcess, psutil.ZombieProcess):
                 self._add(uses, roles.get(process.pid, OTHER), process)
-        reading = Reading(time.monotonic() - self.began, uses)
+        reading = Reading(time.monotonic() - self.began, uses, machine_cpu_s())
         self.readings.append(reading)
         return reading
 
@@ -43,6 +43,19 @@
         use.uss_mb += memory.uss / MB
 
 
+def machine_cpu_s() -> float:
+    """Processor time that the whole machine has spent since its start, in seconds."""
+    times = psutil.cpu_times()
+    # time of guests is within the user's already; time stolen by other machines is work that waits
+    idle = times.idle + times.iowait + times.guest + times.guest_nice
+    return sum(times) - idle
+
+
+def busy_cores(before: Reading, after: Reading) -> float:
+    """Cores of the machine that were busy between two readings, with all else that ran there."""
+    return max(after.machine_cpu_s - before.machine_cpu_s, 0.0) / max(after.at - before.at, 1e-9)
+
+
 def cores_used(before: Reading, after: Reading) -> dict[str, float]:
     """Cores that each role kept busy between two readings."""
     span = max(after.at - before.at, 1e-9)
--- a/caperdeck/lab/scale/measured.py
+++ b/caperdeck/lab/scale/measured.py
@@ -22,6 +22,7 @@
 class Reading(msgspec.Struct):
     at: float  # seconds since the start of the run
     roles: dict[str, RoleUse]
+    machine_cpu_s: float = 0.0  # processor time of the whole machine, whoever used it, since it was started
 
     @property
     def processes(self) -> int:
@@ -58,6 +59,13 @@
     make_s: float  # processor time to make one hollow node
     connections_s: float  # of owners, over all hollow nodes
     cores: dict[str, float]  # used by each role
+    machine_cores: int = 0  # that the machine has
+    busy_cores: float = 0.0  # of these that were busy, whoever used them
+
+    @property
+    def own_cores(self) -> float:
+        """That the run kept busy."""
+        return sum(self.cores.values())
 
 
 class Fault(msgspec.Struct):
--- a/caperdeck/lab/scale/run.py
+++ b/caperdeck/lab/scale/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import tempfile
 import time
 from collections import Counter
@@ -16,7 +17,7 @@
 from caperdeck.owner.config import MOST_NODES
 
 from .beat import BEAT, Beats, Late
-from .measure import MB, Meter, cores_used, node_cost
+from .measure import MB, Meter, busy_cores, cores_used, node_cost
 from .measured import Cost, Fault, Measured, Reading, View
 from .places import Places
 from .plan import Order, Plan
@@ -199,7 +200,8 @@
         self.measured.cost = Cost(
             node, process_mb=sum(s.base_uss for s in samples) / len(samples) / MB,
             make_s=sum(s.made_s for s in samples) / nodes, connections_s=node.connections_s * nodes,
-            cores=cores_used(began, ended),
+            cores=cores_used(began, ended), machine_cores=os.cpu_count() or 0,
+            busy_cores=busy_cores(began, ended),
         )  # fmt: skip
 
     async def _until(self, held: Callable[[], bool], span: float) -> float | None:
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import copy
+import gc
 import os
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import msgspec
@@ -14,9 +16,9 @@
 from caperdeck.lab.scale import checks
 from caperdeck.lab.scale.beat import BEAT, Beats, Late
 from caperdeck.lab.scale.checks import Verdict, judge
-from caperdeck.lab.scale.hollow import holds_alive, holds_dead, knows
+from caperdeck.lab.scale.hollow import collect_from_now_on, holds_alive, holds_dead, knows
 from caperdeck.lab.scale.instances import Agreement, told_nodes
-from caperdeck.lab.scale.measure import MB, cores_used, node_cost
+from caperdeck.lab.scale.measure import MB, busy_cores, cores_used, machine_cpu_s, node_cost
 from caperdeck.lab.scale.measured import Cost, Fault, Measured, NodeCost, Reading, RoleUse, View
 from caperdeck.lab.scale.places import Places
 from caperdeck.lab.scale.plan import Sample
@@ -135,6 +137,18 @@
     assert holds_alive(swim, {1: 5})
 
 
+def test_the_collector_leaves_out_what_was_made_before_it_was_let_on():
+    frozen = gc.get_freeze_count()
+    gc.disable()
+    try:
+        collect_from_now_on()
+        assert gc.isenabled() and gc.get_freeze_count() > frozen
+        assert len(gc.get_objects()) < gc.get_freeze_count()
+    finally:
+        gc.enable()
+        gc.unfreeze()
+
+
 def test_a_beat_is_late_from_the_limit_on_and_counts_for_as_long_as_it_was():
     beats = Beats(150.0)
     beats.zero(10.0)
@@ -189,6 +203,26 @@
     assert used == {"a": 1.5, "b": 0.0}
 
 
+def test_what_others_do_on_the_machine_is_told_beside_what_the_run_took():
+    before, after = Reading(1.0, {}, machine_cpu_s=100.0), Reading(3.0, {}, machine_cpu_s=112.0)
+    assert busy_cores(before, after) == 6.0
+    m = measured()
+    m.cost = msgspec.structs.replace(
+        m.cost, cores={"hollow nodes": 2.5, "rig": 1.0}, machine_cores=8, busy_cores=6.0
+    )
+    said = "6.0 of the machine's 8 cores were busy in the steady span, 3.5 by the run"
+    assert said in lines(conclude(scenario(), m))
+
+
+def test_the_machines_processor_time_goes_on_and_is_less_than_all_its_cores_have():
+    began, at = machine_cpu_s(), time.monotonic()
+    while time.monotonic() - at < 0.1:
+        pass
+    spent, span = machine_cpu_s() - began, time.monotonic() - at
+    # the kernel counts in hundredths of a second, a core each
+    assert 0.05 <= spent <= os.cpu_count() * (span + 0.05)
+
+
 # ---- the checks, on made-up measurements
 
 
