--- a/caperdeck/lab/scale/measure.py
+++ b/caperdeck/lab/scale/measure.py
@@ -44,7 +44,7 @@
 
 
 def machine_times() -> tuple[float, float]:
-    """Seconds of processor time since its start that the machine has spent, and that its host kept from it."""
+    """Seconds of processor time, since its start, that the machine spent and that its host kept from it."""
     times = psutil.cpu_times()
     # time of guests is within the user's already
     idle = times.idle + times.iowait + times.guest + times.guest_nice
