--- a/caperdeck/lab/scale/hollow.py
+++ b/caperdeck/lab/scale/hollow.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import ctypes
+import gc
 import os
 import signal
 import sys
@@ -77,16 +78,26 @@
 
 def holds_dead(swim: Any, watched: list[int]) -> bool:
     """Whether 9 in 10 of the watched members that the view ever knew are silent in it."""
-    seen = [i for i in watched if swim.life[i]]
-    return bool(seen) and sum(swim.state[i] is State.SILENT for i in seen) >= MOST * len(seen)
+    seen, silent = [i for i in watched if swim.life[i]], State.SILENT
+    return bool(seen) and sum(swim.state[i] is silent for i in seen) >= MOST * len(seen)
 
 
 def holds_alive(swim: Any, lives: dict[int, int]) -> bool:
     """Whether 9 in 10 of the watched members are alive in another life than the one given."""
-    back = sum(swim.state[i] is State.ALIVE and swim.life[i] > life for i, life in lives.items())
+    alive = State.ALIVE
+    back = sum(swim.state[i] is alive and swim.life[i] > life for i, life in lives.items())
     return bool(lives) and back >= MOST * len(lives)
 
 
+def collect_from_now_on() -> None:
+    """Lets the collector look at what is made after this call only.
+
+    It walks all nodes of the process in one go otherwise, a pause that no node with a process of its own has.
+    """
+    gc.freeze()
+    gc.enable()
+
+
 class HollowProcess:
     def __init__(self, plan: Plan, traffic: Traffic, write: Any) -> None:
         self.plan, self.traffic, self.write = plan, traffic, write
@@ -99,21 +110,25 @@
         self.base_uss = psutil.Process().memory_full_info().uss
         self.made_s = 0.0
         self.encode = msgspec.json.Encoder().encode
-        self.owners = Owners(plan.cluster, tuple(parse_address(a) for a in plan.instances))
-        self.uses = Uses(**dict.fromkeys(plan.sharing, True))
+        owners = Owners(plan.cluster, tuple(parse_address(a) for a in plan.instances))
+        # what `serve` is given by its flags, by keyword; another part of control is one more row
+        self.flags: dict[str, Any] = {"uses": Uses(**dict.fromkeys(plan.sharing, True)), "owners": owners}
 
     def start(self) -> None:
+        # Danger: the collector would walk all nodes made so far again and again while more are made.
+        gc.disable()
         reactor.callLater(0, self.start_next)
         reactor.callLater(self.plan.sample, self.tell)
 
     def start_next(self) -> None:
         began, i = time.process_time(), len(self.nodes)
         config = self.config(self.plan.numbers[i], self.plan.addresses[i])
-        node = HollowNode(reactor, config, self.sink, lambda: config, uses=self.uses, owners=self.owners)
+        node = HollowNode(reactor, config, self.sink, lambda: config, **self.flags)
         node.start_control(self.traffic)
         self.nodes.append(node)
         self.made_s += time.process_time() - began
         if self.ready:
+            collect_from_now_on()
             self.beats.zero(time.monotonic())
             self.beat()
         else:
--- a/caperdeck/lab/scale/measure.py
+++ b/caperdeck/lab/scale/measure.py
@@ -30,7 +30,7 @@
             # one that ends meanwhile uses nothing any more
             with suppress(psutil.NoSuchProcess, psutil.ZombieProcess):
                 self._add(uses, roles.get(process.pid, OTHER), process)
-        reading = Reading(time.monotonic() - self.began, uses)
+        reading = Reading(time.monotonic() - self.began, uses, *machine_times())
         self.readings.append(reading)
         return reading
 
@@ -43,6 +43,21 @@
         use.uss_mb += memory.uss / MB
 
 
+def machine_times() -> tuple[float, float]:
+    """Seconds of processor time, since its start, that the machine spent and that its host kept from it."""
+    times = psutil.cpu_times()
+    # time of guests is within the user's already
+    idle = times.idle + times.iowait + times.guest + times.guest_nice
+    return sum(times) - idle - times.steal, times.steal
+
+
+def machine_cores(before: Reading, after: Reading) -> tuple[float, float]:
+    """Cores of the machine that were busy between two readings, whoever used them, and stolen ones."""
+    span = max(after.at - before.at, 1e-9)
+    busy = after.machine_cpu_s - before.machine_cpu_s
+    return max(busy, 0.0) / span, max(after.stolen_s - before.stolen_s, 0.0) / span
+
+
 def cores_used(before: Reading, after: Reading) -> dict[str, float]:
     """Cores that each role kept busy between two readings."""
     span = max(after.at - before.at, 1e-9)
--- a/caperdeck/lab/scale/table.py
+++ b/caperdeck/lab/scale/table.py
@@ -34,6 +34,10 @@
                    f"{1000 * m.cost.make_s:.0f} ms of processor time")  # fmt: skip
         out.append(f"owners to hollow nodes: {m.cost.connections_s:.0f} connections a second, "
                    f"{node.connections_s:.2f} to each")  # fmt: skip
+        if m.cost.machine_cores:
+            busy = f"{m.cost.busy_cores:.1f} of the machine's {m.cost.machine_cores} cores were busy"
+            own, stolen = m.cost.own_cores, m.cost.stolen_cores
+            out.append(f"{busy} in the steady span, {own:.1f} by the run; its host kept {stolen:.1f} from it")
     worst = max(m.late.items(), key=lambda row: row[1].share, default=None)
     if worst is not None:
         out.append(f"latest process: {worst[0]}, {worst[1].share:.1%} of its time late")
--- a/caperdeck/peers/swim.py
+++ b/caperdeck/peers/swim.py
@@ -77,13 +77,14 @@
         # members: parallel arrays under the member's number
         self.state = [State.SILENT] * members
         self.life = [0] * members
+        self.ever_heard = bytearray(members)  # 1 where there is a life, to be searched fast
         self.incarnations = [0] * members
         self.beats = [0] * members
         self.since = [now] * members  # in this state
         self.direct_at = [-math.inf] * members  # when the last ping that it has answered was sent
         self.news_at = [-math.inf] * members  # when it was last seen to be further on, by whatever way
         self.returns = [0] * members  # new lives seen
-        self.state[me], self.life[me] = State.ALIVE, max(life, 1)
+        self.state[me], self.life[me], self.ever_heard[me] = State.ALIVE, max(life, 1), 1
         self.round: list[int] = []
         self.news: deque[list] = deque()  # [member, times left], the newest first
         self.filler = self.beating = 0  # whose state and beat go along next
@@ -120,7 +121,9 @@
         return direct, sum(now - at <= span for i, at in enumerate(self.news_at) if i != self.me)
 
     def alive(self) -> list[int]:
-        return [i for i, state in enumerate(self.state) if state is State.ALIVE and i != self.me]
+        # Danger: an enumeration's member is looked up by a call, which is most of a look at all members.
+        alive = State.ALIVE
+        return [i for i, state in enumerate(self.state) if state is alive and i != self.me]
 
     # ---- time
 
@@ -159,8 +162,9 @@
             if self.state[member] is State.ALIVE:
                 self._set(now, member, State.SUSPECTED, self.life[member], self.incarnations[member])
         last = SUSPICION * PERIOD * max(math.log10(self.members), 1.0) * (1 + self.aware)
+        suspected = State.SUSPECTED
         for i, state in enumerate(self.state):
-            if state is State.SUSPECTED and now - self.since[i] >= last:
+            if state is suspected and now - self.since[i] >= last:
                 self._set(now, i, State.SILENT, self.life[i], self.incarnations[i])
         old = now - 2 * PERIOD * MOST_AWARE
         self.out = {n: x for n, x in self.out.items() if x[1] > old}
@@ -198,7 +202,8 @@
 
     def one_to_ask(self, now: float) -> int | None:
         """A member drawn among the living, or not heard of yet, for a question beside the round; or None."""
-        alive = [i for i in range(self.members) if self.state[i] is State.ALIVE or not self.life[i]]
+        known_alive = State.ALIVE
+        alive = [i for i in range(self.members) if self.state[i] is known_alive or not self.life[i]]
         alive.remove(self.me)
         if not alive or self.doubled or not self.asks.take(now):
             return None
@@ -331,6 +336,7 @@
         if state is not self.state[i] or life != self.life[i]:
             self.since[i] = now
         self.state[i], self.life[i], self.incarnations[i] = state, life, incarnation
+        self.ever_heard[i] = 1
         self._spread(i)
 
     def _spread(self, i: int) -> None:
@@ -352,22 +358,27 @@
         self.news = deque(x for x in self.news if x[1] > 0)
         members = list(dict.fromkeys(doubted + [x[0] for x in chosen]))
         least = min(max(FILLERS, len(members)), self.members)
-        for _ in range(self.members):
+        for _ in range(self.ever_heard.count(1)):
             if len(members) >= least:
                 break
-            self.filler = (self.filler + 1) % self.members
-            if self.life[self.filler] and self.filler not in members:
+            self.filler = self._next_heard(self.filler)
+            if self.filler not in members:
                 members.append(self.filler)
         return tuple(self._update(i) for i in members)
 
+    def _next_heard(self, i: int) -> int:
+        """The member after that one, in turn, that was ever heard of; this node itself always was."""
+        # Danger: after a start most members are unheard of; a look at each made a message cost by the fleet.
+        following = self.ever_heard.find(1, i + 1)
+        return following if following >= 0 else self.ever_heard.find(1)
+
     def _beats(self) -> tuple[Beat, ...]:
         """The own beat, and those of members with the newest news in turn."""
         rows = [Beat(self.me, self.life[self.me] & 0xFFFF, self.beat)]
-        for _ in range(self.members):
+        for _ in range(self.ever_heard.count(1)):
             if len(rows) >= min(BEATS, self.members):
                 break
-            self.beating = (self.beating + 1) % self.members
-            i = self.beating
+            self.beating = i = self._next_heard(self.beating)
             if i != self.me and self.beats[i] and self.state[i] is State.ALIVE:
                 rows.append(Beat(i, self.life[i] & 0xFFFF, self.beats[i]))
         return tuple(rows)
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import copy
+import gc
 import os
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import msgspec
@@ -14,9 +16,9 @@
 from caperdeck.lab.scale import checks
 from caperdeck.lab.scale.beat import BEAT, Beats, Late
 from caperdeck.lab.scale.checks import Verdict, judge
-from caperdeck.lab.scale.hollow import holds_alive, holds_dead, knows
+from caperdeck.lab.scale.hollow import collect_from_now_on, holds_alive, holds_dead, knows
 from caperdeck.lab.scale.instances import Agreement, told_nodes
-from caperdeck.lab.scale.measure import MB, cores_used, node_cost
+from caperdeck.lab.scale.measure import MB, cores_used, machine_cores, machine_times, node_cost
 from caperdeck.lab.scale.measured import Cost, Fault, Measured, NodeCost, Reading, RoleUse, View
 from caperdeck.lab.scale.places import Places
 from caperdeck.lab.scale.plan import Sample
@@ -34,6 +36,10 @@
 ROOT = Path(__file__).parents[1]
 FOLDER = ROOT / "caperdeck" / "lab" / "scenarios" / "scale"
 SMALL, TARGET = FOLDER / "small.toml", FOLDER / "target.toml"
+PARTS = {400: FOLDER / "400.toml", 1460: FOLDER / "1460.toml"}  # of the target, by their hollow nodes
+KEPT = ["scale-400.json", "scale-1460.json"]  # records of runs, beside the slopes
+KEPT_BYTES = 128 << 10  # that the record of a run may have in the repository
+CAPACITY = ROOT / "docs" / "CAPACITY.md"
 VOID, BAD_INPUT = 3, 2
 TRIES = 3  # where the machine was too slow to say anything
 PATIENCE = 240  # seconds for one small run, which takes under 30 on a machine with room
@@ -79,7 +85,8 @@
 def test_the_shipped_scenarios_are_the_target_and_its_small_likeness():
     small, target = load(str(SMALL)), load(str(TARGET))
     assert (target.machines, target.instances) == (730, 7)
-    assert target.members == target.target_nodes == 730 * target.processes_a_machine
+    assert target.members == target.target_nodes == 730 * target.processes_a_machine == 3650
+    assert f"A machine must run **{target.processes_a_machine}** node processes." in CAPACITY.read_text()
     assert (small.hollow_nodes, small.real.nodes, small.instances) == (90, 3, 3)
     assert (small.budget, small.limits) == (target.budget, target.limits)
     assert (target.limits.processes, target.limits.memory_mb) == (200, 12 * 1024)
@@ -88,6 +95,15 @@
     assert waits <= 15
 
 
+@pytest.mark.parametrize(("nodes", "path"), PARTS.items())
+def test_a_part_of_the_target_is_held_to_what_the_whole_is(nodes, path):
+    part, target = load(str(path)), load(str(TARGET))
+    assert (part.hollow_nodes, part.real.nodes, part.instances) == (nodes, 3, 7)
+    assert part.target_nodes == target.target_nodes
+    assert (part.budget, part.limits, part.lateness) == (target.budget, target.limits, target.lateness)
+    assert (part.sharing, part.real, part.bounds.owner) == (target.sharing, target.real, target.bounds.owner)
+
+
 def test_the_command_line_sets_nodes_processes_and_the_steady_span():
     scenario = load(str(SMALL), nodes=50, processes=4, seconds=9)
     assert (scenario.hollow_nodes, len(scenario.racks()), scenario.spans.steady) == (50, 4, 9.0)
@@ -123,6 +139,18 @@
     assert holds_alive(swim, {1: 5})
 
 
+def test_the_collector_leaves_out_what_was_made_before_it_was_let_on():
+    frozen = gc.get_freeze_count()
+    gc.disable()
+    try:
+        collect_from_now_on()
+        assert gc.isenabled() and gc.get_freeze_count() > frozen
+        assert len(gc.get_objects()) < gc.get_freeze_count()
+    finally:
+        gc.enable()
+        gc.unfreeze()
+
+
 def test_a_beat_is_late_from_the_limit_on_and_counts_for_as_long_as_it_was():
     beats = Beats(150.0)
     beats.zero(10.0)
@@ -177,6 +205,29 @@
     assert used == {"a": 1.5, "b": 0.0}
 
 
+def test_what_others_do_on_the_machine_and_its_host_keeps_is_told_beside_what_the_run_took():
+    before = Reading(1.0, {}, machine_cpu_s=100.0, stolen_s=7.0)
+    after = Reading(3.0, {}, machine_cpu_s=112.0, stolen_s=8.0)
+    assert machine_cores(before, after) == (6.0, 0.5)
+    m = measured()
+    m.cost = msgspec.structs.replace(
+        m.cost, cores={"hollow nodes": 2.5, "rig": 1.0}, machine_cores=8, busy_cores=6.0, stolen_cores=0.5
+    )
+    said = "6.0 of the machine's 8 cores were busy in the steady span, 3.5 by the run; "
+    assert said + "its host kept 0.5 from it" in lines(conclude(scenario(), m))
+
+
+def test_the_machines_processor_time_goes_on_and_is_less_than_all_its_cores_have():
+    (began, stolen), at = machine_times(), time.monotonic()
+    while time.monotonic() - at < 0.1:
+        pass
+    (spent, kept), span = machine_times(), time.monotonic() - at
+    spent, kept = spent - began, kept - stolen
+    # the kernel counts in hundredths of a second, a core each
+    assert spent >= 0.0 and kept >= 0.0
+    assert 0.05 <= spent + kept <= os.cpu_count() * (span + 0.05)
+
+
 # ---- the checks, on made-up measurements
 
 
@@ -328,6 +379,19 @@
         read(str(path))
 
 
+@pytest.mark.parametrize("name", KEPT)
+def test_a_kept_run_is_whole_says_what_the_checks_say_and_is_drawn(name):
+    from caperdeck.lab.scale.page import page
+
+    path = CAPACITY.parent / "capacity" / name
+    kept = read(str(path))
+    again = conclude(kept.scenario, kept.measured)
+    assert (again.checks, again.void, again.code) == (kept.checks, kept.void, kept.code)
+    assert is_result(str(path)) and path.stat().st_size < KEPT_BYTES
+    drawn = page(kept)
+    assert "<svg" in drawn and all(name in drawn for name in ("nodes that were played", "memory by role"))
+
+
 # ---- real processes
 
 
