Lab: one factory for a single outgoing connection, for fleet clients and slope clients

The same factory stood twice, once in the fleet's clients and once in the slopes' ends: it hands out a protocol that exists already and calls back where the connection cannot be made. It now stands once, in single_connection.py, with the callback as an argument. Behaviour is the same.

--- a/caperdeck/lab/clients.py
+++ b/caperdeck/lab/clients.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineReceiver
 
 from .draws import Draws
 from .scenario import Scenario
+from .single_connection import SingleConnectionFactory
 
 SPEAK = 2000.0  # a client sends a line so often
 IN_TIME = 1000.0  # a line that comes back in this time was served well
@@ -142,19 +142,6 @@
             self.waits.cancel()
 
 
-class _Once(ClientFactory):
-    noisy = False
-
-    def __init__(self, client: Client) -> None:
-        self.client = client
-
-    def buildProtocol(self, addr: Any) -> Client:
-        return self.client
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        self.client.connect_failed()
-
-
 class Clients(Draws):
     """The crowd and the front: which node a client comes to, and when it comes again."""
 
@@ -211,7 +198,7 @@
             return
         host, port = self.doors[node]
         wait = self.scenario.clients.wait / 1000.0
-        self.reactor.connectTCP(host, port, _Once(client), wait)
+        self.reactor.connectTCP(host, port, SingleConnectionFactory(client, client.connect_failed), wait)
 
     def door(self) -> str:
         now = self.now()
--- a/caperdeck/lab/slopes/ends.py
+++ b/caperdeck/lab/slopes/ends.py
@@ -22,10 +22,11 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 from twisted.internet import reactor, stdio
-from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
+from twisted.internet.protocol import Protocol, ServerFactory
 from twisted.protocols.basic import LineOnlyReceiver
 
 from caperdeck.lab.discovery import Agent, Roster
+from caperdeck.lab.single_connection import SingleConnectionFactory
 
 LOOPBACK = "127.0.0.1"
 BACKLOG = 4096
@@ -226,19 +227,6 @@
         self.crowd.gone(self)
 
 
-class ClientFactoryOnce(ClientFactory):
-    noisy = False
-
-    def __init__(self, client: Client) -> None:
-        self.client = client
-
-    def buildProtocol(self, addr: Any) -> Client:
-        return self.client
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        self.client.crowd.gone(self.client)
-
-
 class ClientsEnd(End):
     def __init__(self) -> None:
         super().__init__()
@@ -260,7 +248,9 @@
             self.connect(b"%s%07d" % (self.prefix.encode(), self.begun))
 
     def connect(self, name: bytes) -> None:
-        reactor.connectTCP(*self.address, ClientFactoryOnce(Client(self, name)), WAIT / 1000)
+        client = Client(self, name)
+        factory = SingleConnectionFactory(client, lambda: self.gone(client))
+        reactor.connectTCP(*self.address, factory, WAIT / 1000)
 
     def stands(self, client: Client) -> None:
         self.standing[client] = None
