--- a/caperdeck/lab/report.py
+++ b/caperdeck/lab/report.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import html
-import io
 from collections import defaultdict
 from typing import Any
 
-import matplotlib
+from matplotlib import pyplot as plt
 
-matplotlib.use("Agg")
-from matplotlib import pyplot as plt  # noqa: E402
-
-from .figures import figures  # noqa: E402
-from .figures import lines as figure_lines  # noqa: E402
-from .history import Event  # noqa: E402
+from . import plots
+from .figures import figures
+from .figures import lines as figure_lines
+from .history import Event
 
 STEP = 250.0  # milliseconds of one point
 STATES = {"up": "#2e7d32", "asleep": "#f9a825", "killed": "#c62828", "exit": "#6a1b9a", "stopping": "#8d6e63"}
@@ -127,15 +124,11 @@
             axes.axvspan(at / 1000, max(until, at + 30) / 1000, color="#c62828", alpha=0.05)
     rows[-1].set_xlabel("seconds")
     figure.tight_layout()
-    drawn = io.StringIO()
-    figure.savefig(drawn, format="svg")
-    plt.close(figure)
-    svg = drawn.getvalue()
-    told = [*figure_lines(figures(events)), *(breaches or ["all rules held"])]
-    text = "\n".join(html.escape(line) for line in told)
+    lines = [*figure_lines(figures(events)), *(breaches or ["all rules held"])]
+    text = "\n".join(html.escape(line) for line in lines)
     return "".join((
         "<!doctype html><html lang='en'><meta charset='utf-8'>",
         "<title>caperdeck: a run of the fleet rig</title>",
         "<body style='font-family:sans-serif;max-width:72rem;margin:auto'>",
-        f"<h1>A run of the fleet rig</h1><pre>{text}</pre>{svg[svg.index('<svg') :]}</body></html>\n",
+        f"<h1>A run of the fleet rig</h1><pre>{text}</pre>{plots.svg(figure)}</body></html>\n",
     ))  # fmt: skip
