--- a/caperdeck/lab/scale/page.py
+++ b/caperdeck/lab/scale/page.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import html
-import io
 from typing import Any
 
-import matplotlib
+from matplotlib import pyplot as plt
 
-matplotlib.use("Agg")
-from matplotlib import pyplot as plt  # noqa: E402
+from caperdeck.lab import plots
 
-from .measured import Measured  # noqa: E402
-from .result import Result  # noqa: E402
-from .table import lines  # noqa: E402
+from .measured import Measured
+from .result import Result
+from .table import lines
 
 FAULT = "#c62828"
 
@@ -42,11 +40,7 @@
         axes[0].text(fault.at, 1.0, f" {fault.what} {fault.of}", fontsize=7, color=FAULT, va="top")
     axes[-1].set_xlabel("seconds since the start")
     figure.tight_layout()
-    out = io.StringIO()
-    figure.savefig(out, format="svg")
-    plt.close(figure)
-    svg = out.getvalue()
-    return svg[svg.index("<svg") :]
+    return plots.svg(figure)
 
 
 def _draw_views(ax: Any, m: Measured) -> None:
