--- a/caperdeck/lab/slopes/membership.py
+++ b/caperdeck/lab/slopes/membership.py
@@ -291,12 +291,20 @@
     ]  # fmt: skip
 
 
-def _known(sizes: tuple[int, ...], say: Callable[[str], None]) -> Measurement:
+def _points(
+    sizes: tuple[int, ...], cost: Callable[[int], float], say: Callable[[str], None], text: str,
+) -> list[Point]:  # fmt: skip
+    """The cost at each size, each said in a line: `text` with `members` and `cost` put in."""
     points = []
     for members in sizes:
         with uncollected():
-            points.append(Point(members, known(members)))
-        say(f"membership: {members} members know nine in ten after {points[-1].cost:g} s")
+            points.append(Point(members, cost(members)))
+        say("membership: " + text.format(members=members, cost=points[-1].cost))
+    return points
+
+
+def _known(sizes: tuple[int, ...], say: Callable[[str], None]) -> Measurement:
+    points = _points(sizes, known, say, "{members} members know nine in ten after {cost:g} s")
     what = "time from a start of all at once until nine in ten members know nine in ten"
     return _made("known", what, "s", points,
                  f"one run a size, looked at every {LOOK / SECOND:g} s; over {sizes[-1]} members are not "
@@ -304,11 +312,7 @@
 
 
 def _death(sizes: tuple[int, ...], say: Callable[[str], None]) -> Measurement:
-    points = []
-    for members in sizes:
-        with uncollected():
-            points.append(Point(members, death(members)))
-        say(f"membership: a death among {members} members is known after {points[-1].cost:g} s")
+    points = _points(sizes, death, say, "a death among {members} members is known after {cost:g} s")
     what = "time until a killed member is known dead by nine in ten of the living"
     return _made("death", what, "s", points,
                  f"{WARM}; median of {KILLED} members killed at one moment in one run a size; a suspected "
@@ -319,11 +323,7 @@
 
 
 def _false_deaths(sizes: tuple[int, ...], say: Callable[[str], None]) -> Measurement:
-    points = []
-    for members in sizes:
-        with uncollected():
-            points.append(Point(members, false_deaths(members)))
-        say(f"membership: a cut among {members} members: {points[-1].cost:.4f} of pairs held dead")
+    points = _points(sizes, false_deaths, say, "a cut among {members} members: {cost:.4f} of pairs held dead")
     what = "living members held dead at the peak, in a cut of two fifths of the members for 60 s"
     return _made("false_deaths", what, "share", points,
                  f"{WARM}; a share, not a count: of all pairs of a member and another across the cut, those "
