--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -30,6 +30,24 @@
     print(text, flush=True)
 
 
+def refuse(reason: object) -> int:
+    """Says in one line why the input is bad; returns the exit code."""
+    print(f"caperdeck: {reason}", file=sys.stderr)
+    return BAD
+
+
+def void(reason: object) -> int:
+    """Says in one line why a run shows nothing; returns the exit code."""
+    print(f"void: {reason}", file=sys.stderr)
+    return VOID
+
+
+def write_page(path: str, page: str) -> None:
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(page)
+    say(f"written: {path}")
+
+
 def number(text: str | None, name: str, least: int, most: int, default: int) -> int:
     if text is None:
         return default
@@ -132,13 +150,11 @@
     from .scale.result import read as read_result
 
     path = arguments["FILE"]
+    out = arguments["--out"] or f"{path}.html"
     if is_result(path):
         from .scale.page import page as scale_page
 
-        out = arguments["--out"] or f"{path}.html"
-        with open(out, "w", encoding="utf-8") as file:
-            file.write(scale_page(read_result(path)))
-        say(f"written: {out}")
+        write_page(out, scale_page(read_result(path)))
         return HELD
     try:
         events = read(path)
@@ -147,10 +163,7 @@
     scenario = load(arguments["--scenario"]) if arguments["--scenario"] else None
     unchecked = ["rules not checked: no --scenario"]
     breaches = [b.line() for b in judge(scenario, events)] if scenario else unchecked
-    out = arguments["--out"] or f"{path}.html"
-    with open(out, "w", encoding="utf-8") as file:
-        file.write(page(events, breaches))
-    say(f"written: {out}")
+    write_page(out, page(events, breaches))
     return HELD
 
 
@@ -161,11 +174,9 @@
     try:
         run(arguments["--out"], arguments["--only"], arguments["--small"], say)
     except InputError as error:
-        print(f"caperdeck: {error}", file=sys.stderr)
-        return BAD
+        return refuse(error)
     except MeasuringError as error:
-        print(f"void: {error}", file=sys.stderr)
-        return VOID
+        return void(error)
     return HELD
 
 
@@ -176,8 +187,7 @@
     try:
         missing = run(*files, say)
     except CapacityError as error:
-        print(f"caperdeck: {error}", file=sys.stderr)
-        return BAD
+        return refuse(error)
     if missing:
         print(f"not measured: {', '.join(missing)}", file=sys.stderr)
     return BROKEN if missing else HELD
@@ -211,14 +221,11 @@
     try:
         return verb(arguments)
     except ScenarioError as error:
-        print(f"caperdeck: {error}", file=sys.stderr)
-        return BAD
+        return refuse(error)
     except OSError as error:
-        print(f"caperdeck: {error.filename or ''}: {os.strerror(error.errno or 0)}", file=sys.stderr)
-        return BAD
+        return refuse(f"{error.filename or ''}: {os.strerror(error.errno or 0)}")
     except VoidError as error:
-        print(f"void: {error}; nothing is said about the nodes", file=sys.stderr)
-        return VOID
+        return void(f"{error}; nothing is said about the nodes")
     except InterruptedRunError:
         print("interrupted", file=sys.stderr)
         return VOID
