--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from contextlib import contextmanager, suppress
+from pathlib import Path
 
 from loguru import logger
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -262,6 +263,19 @@
     raise AssertionError("not ready in its time")
 
 
+def left_running(mark):
+    """Processes whose environment holds the mark."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit():
+            try:
+                if str(mark).encode() in (entry / "environ").read_bytes():
+                    found.append((entry / "cmdline").read_bytes())
+            except OSError:
+                continue
+    return found
+
+
 def free_ports(count):
     servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
     ports = [server.getsockname()[1] for server in servers]
--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 import pytest
-from helpers import SETUP, free_ports, ping_until_ready
+from helpers import SETUP, free_ports, left_running, ping_until_ready
 from test_lab_virtual import FOLDER, SCENARIOS
 
 from caperdeck.lab.history import read
@@ -46,19 +46,6 @@
     return done.returncode, done.stdout + done.stderr
 
 
-def left_running(mark):
-    """Processes whose environment holds the mark."""
-    found = []
-    for entry in Path("/proc").iterdir():
-        if entry.name.isdigit():
-            try:
-                if str(mark).encode() in (entry / "environ").read_bytes():
-                    found.append((entry / "cmdline").read_bytes())
-            except OSError:
-                continue
-    return found
-
-
 @pytest.fixture(scope="module")
 def runs(tmp_path_factory):
     """All scenarios, a few at a time."""
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import pytest
+from helpers import left_running
 
 from caperdeck.lab.cli import InterruptedRunError
 from caperdeck.lab.scale import checks
@@ -338,19 +339,6 @@
     )  # fmt: skip
 
 
-def left_running(mark):
-    """Processes whose environment holds the mark."""
-    found = []
-    for entry in Path("/proc").iterdir():
-        if entry.name.isdigit():
-            try:
-                if str(mark).encode() in (entry / "environ").read_bytes():
-                    found.append((entry / "cmdline").read_bytes())
-            except OSError:
-                continue
-    return found
-
-
 def test_the_small_run_holds_with_the_checks_of_the_whole_target(tmp_path):
     out = tmp_path / "run.json"
     for _ in range(TRIES):
