Slopes: membership split into the simulated fleet, the costs at one size, and the measurement

Each is a module now; constants are named for what they bound. The small measurement gives the same points, notes and lines as before, but for processor time.

--- a/tests/test_lab_slopes_fleet.py
+++ b/tests/test_lab_slopes_fleet.py
@@ -6,10 +6,14 @@
 
 import pytest
 
-from caperdeck.lab.slopes import agreement, configuration, membership, owned_work
+from caperdeck.lab.slopes import agreement, configuration, membership, membership_fleet, owned_work
 from caperdeck.lab.slopes.errors import MeasuringError
+from caperdeck.lab.slopes.garbage import uncollected
 from caperdeck.lab.slopes.instances import Caller, InstanceError, Instances, Process
 from caperdeck.lab.slopes.line import Point, fit
+from caperdeck.lab.slopes.membership_costs import SETTLE, held_silent_across, steady
+from caperdeck.lab.slopes.membership_fleet import Fleet, SlowError
+from caperdeck.lab.slopes.object_size import object_bytes
 from caperdeck.lab.slopes.record import Source, record, write
 from caperdeck.peers.codec import State
 
@@ -23,7 +27,7 @@
 
 
 def test_what_a_part_cannot_measure_is_one_line_of_the_command():
-    for error in (InstanceError, membership.SlowError, configuration.ReloadError):
+    for error in (InstanceError, SlowError, configuration.ReloadError):
         assert issubclass(error, MeasuringError)
 
 
@@ -60,15 +64,15 @@
 
 
 def test_membership_costs_are_the_same_in_each_run_but_for_processor_time():
-    first, second = (membership.steady(10, 4000.0) for _ in range(2))
+    first, second = (steady(10, 4000.0) for _ in range(2))
     assert first._replace(cpu=0.0) == second._replace(cpu=0.0)
     # a ping and its answer every two seconds at the mean: a datagram a second
     assert first.messages == pytest.approx(1.0, rel=0.25)
 
 
 def test_a_killed_member_is_found_and_no_living_one():
-    fleet = membership.Fleet(10, 3, warm=True)
-    fleet.run(membership.SETTLE)
+    fleet = Fleet(10, 3, warm=True)
+    fleet.run(SETTLE)
     fleet.killed.add(4)
     fleet.run(60_000.0)
     states = [swim.state for swim in fleet.living]
@@ -76,24 +80,24 @@
 
 
 def test_members_across_a_cut_hold_each_other_dead_and_come_back():
-    fleet = membership.Fleet(10, 3, warm=True)
+    fleet = Fleet(10, 3, warm=True)
     fleet.region = 4
     fleet.run(60_000.0)
-    assert membership.held_silent_across(fleet, 4) == 1.0
+    assert held_silent_across(fleet, 4) == 1.0
     fleet.region = 0
     fleet.run(60_000.0)
-    assert membership.held_silent_across(fleet, 4) == 0.0
+    assert held_silent_across(fleet, 4) == 0.0
 
 
 def test_what_takes_too_long_is_an_error(monkeypatch):
-    monkeypatch.setattr(membership, "LONGEST", 10_000.0)
-    fleet = membership.Fleet(4, 3, warm=True)
-    with pytest.raises(membership.SlowError, match="4 members"):
+    monkeypatch.setattr(membership_fleet, "LONGEST_WAIT", 10_000.0)
+    fleet = Fleet(4, 3, warm=True)
+    with pytest.raises(SlowError, match="4 members"):
         fleet.wait_for(lambda: False)
 
 
 def test_the_garbage_collector_is_on_again_after_a_simulation_that_fails():
-    with pytest.raises(ZeroDivisionError), membership.uncollected():
+    with pytest.raises(ZeroDivisionError), uncollected():
         assert not gc.isenabled()
         _ = 1 / 0
     assert gc.isenabled()
@@ -101,9 +105,9 @@
 
 def test_memory_counts_what_an_object_holds_once():
     shared = [1.5, 2.5]
-    held = membership.memory([shared, shared])
-    assert held < 2 * membership.memory(shared) + membership.memory([]) + 16
-    assert membership.memory(State.ALIVE) == 0
+    held = object_bytes([shared, shared])
+    assert held < 2 * object_bytes(shared) + object_bytes([]) + 16
+    assert object_bytes(State.ALIVE) == 0
 
 
 # ---- configuration
@@ -238,5 +242,5 @@
 
 
 def test_members_draw_from_seeds_that_are_far_apart():
-    seeds = sorted(swim.seed for swim in membership.Fleet(40, 3, warm=True).members)
+    seeds = sorted(swim.seed for swim in Fleet(40, 3, warm=True).members)
     assert min(b - a for a, b in zip(seeds, seeds[1:], strict=False)) > 1000
