Lab: the in-memory network is a package, one module each for clock, process, transport and the rest

They are modules of caperdeck/lab/simulated now, each importing those below it: clock, world, process, transport, port, connector, socket, reactor. A process (timers, sleep, death) is apart from the reactor that opens sockets for it, so that no two modules need each other; a place is made as Place(world, name) instead of world.place(name).

--- a/caperdeck/lab/virtual.py
+++ b/caperdeck/lab/virtual.py
@@ -20,9 +20,10 @@
 from .fleet import CLIENTS_FROM, LEAVES, READY, Fleet
 from .history import Event
 from .hosts import Host, HostPort
-from .memory import Place, World
 from .scenario import Scenario, ScenarioError
 from .setup import node_config
+from .simulated.reactor import Place
+from .simulated.world import World
 
 EPOCH = 1_800_000_000_000.0  # Unix milliseconds at which every run begins
 
@@ -71,23 +72,23 @@
 
     def _build(self) -> None:
         s, world, emit = self.scenario, self.world, self.history.emit
-        hub = world.place("discovery")
+        hub = Place(world, "discovery")
         self.discovery = Discovery(hub, lambda: self.links.between(s.net.list_late), emit)
         self.hosts: dict[str, HostPort] = {}
         for i, name in enumerate(s.host_names()):
             host = Host(s, name, self.seed * 1000 + i, emit)
-            port = self.hosts[name] = HostPort(world.place(name), host, self.now)
+            port = self.hosts[name] = HostPort(Place(world, name), host, self.now)
             port.listen(f"127.1.0.{i + 1}", 9000)
             self.discovery.roster.put(name, az=s.zone_of(name), state="Ready", boot_ms=0)
         ends = {name: f"{port.address[0]}:{port.address[1]}" for name, port in self.hosts.items()}
         for i, name in enumerate(s.node_names()):
-            agent = self.discovery.add(name, ends, world.place(f"d{i}"))
+            agent = self.discovery.add(name, ends, Place(world, f"d{i}"))
             agent.listen(self._ip(3, i), 8500)
         doors = {n: (self._ip(2, i), 9000) for i, n in enumerate(s.node_names())}
         self.peers = [f"{self._ip(4, i)}:7946" for i in range(s.nodes)]
         for i in range(s.nodes):
             world.everyone[self._ip(5, i), 7946] = [(self._ip(4, j), 7946) for j in range(s.nodes)]
-        self.clients = Clients(world.place("clients"), s, self.seed + 77, doors, self.now, emit)
+        self.clients = Clients(Place(world, "clients"), s, self.seed + 77, doors, self.now, emit)
 
     def _ip(self, net: int, i: int) -> str:
         return f"127.{net}.{i // 250}.{i % 250 + 1}"
@@ -96,7 +97,7 @@
         if self.alive(node):
             return
         life = self.lives[node] = self.lives.get(node, 0) + 1
-        i, place = int(node[1:]), self.world.place(node)
+        i, place = int(node[1:]), Place(self.world, node)
         offset, drift = self.skews.get(node, (0.0, 0.0))
         place.rate, place.offset = 1 + drift / 1000.0, offset / 1000.0
         raw = node_config(
--- a/tests/test_lab_links.py
+++ b/tests/test_lab_links.py
@@ -10,9 +10,10 @@
 from twisted.internet.task import Clock
 
 from caperdeck.lab.links import Edge, Links, Pipe
-from caperdeck.lab.memory import World
 from caperdeck.lab.ports import Ports
 from caperdeck.lab.relay import Relay
+from caperdeck.lab.simulated.reactor import Place
+from caperdeck.lab.simulated.world import World
 
 
 def links():
@@ -118,7 +119,7 @@
 def world():
     w = World()
     w.links, w.emit = links(), lambda *a, **v: None
-    return w, w.place("n0"), w.place("h0")
+    return w, Place(w, "n0"), Place(w, "h0")
 
 
 def joined():
@@ -195,7 +196,7 @@
 
 def test_datagrams_to_all_reach_all_but_the_sender():
     w, a, b = world()
-    c, came = w.place("n1"), []
+    c, came = Place(w, "n1"), []
 
     class Keeps(DatagramProtocol):
         def datagramReceived(self, data, addr):
@@ -247,6 +248,8 @@
 from caperdeck.lab.links import Links
 from caperdeck.lab.ports import Ports
 from caperdeck.lab.relay import Relay
+from caperdeck.lab.simulated.reactor import Place
+from caperdeck.lab.simulated.world import World
 class Echo(Protocol):
     def dataReceived(self, data): self.transport.write(data)
 port = reactor.listenTCP(0, Factory.forProtocol(Echo), 50, "127.0.0.1").getHost().port
