Slopes: the processes at both ends of a measured node split: what they share, hosts, clients

It keeps the command line; end.py has what both answer to and the stamped lines, hosts_end.py and clients_end.py one process each.

--- a/caperdeck/lab/slopes/deliveries.py
+++ b/caperdeck/lab/slopes/deliveries.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from .bench import Bench, NodeProcess
-from .ends import PERCENTILES
+from .clients_end import PERCENTILES
 from .errors import MeasuringError
 from .line import Point
 from .record import Measurement, Source, measurement
--- a/tests/test_lab_slopes_node.py
+++ b/tests/test_lab_slopes_node.py
@@ -7,9 +7,11 @@
 
 from caperdeck.lab.slopes import bench, connections, deliveries, host_list, memory
 from caperdeck.lab.slopes.bench import Bench, EndProcess, NodeProcess
+from caperdeck.lab.slopes.clients_end import Client, ClientsEnd
 from caperdeck.lab.slopes.deliveries import Run, Sizes
-from caperdeck.lab.slopes.ends import STAMP, Client, ClientsEnd, Sender, stamped
+from caperdeck.lab.slopes.end import STAMP, stamped
 from caperdeck.lab.slopes.errors import MeasuringError
+from caperdeck.lab.slopes.hosts_end import Sender
 from caperdeck.lab.slopes.process import (
     ProcessError, kernel_slab, own_memory, processor_seconds, raise_descriptor_limit,
 )  # fmt: skip
