Lab: the random numbers of the rig's parts are SeededRandom, in seeded_random.py

The module and class were named Draws, after what is done with them in another place of the rig; the plain word of the language is random. Nothing but names changes.

--- a/caperdeck/lab/clients.py
+++ b/caperdeck/lab/clients.py
@@ -12,8 +12,8 @@
 
 from twisted.protocols.basic import LineReceiver
 
-from .draws import Draws
 from .scenario import Scenario
+from .seeded_random import SeededRandom
 from .single_connection import SingleConnectionFactory
 
 SPEAK = 2000.0  # a client sends a line so often
@@ -142,7 +142,7 @@
             self.waits.cancel()
 
 
-class Clients(Draws):
+class Clients(SeededRandom):
     """The crowd and the front: which node a client comes to, and when it comes again."""
 
     def __init__(
--- a/caperdeck/lab/hosts.py
+++ b/caperdeck/lab/hosts.py
@@ -13,14 +13,14 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineReceiver
 
-from .draws import Draws
 from .scenario import Scenario
+from .seeded_random import SeededRandom
 
 SLOWEST = 3000.0  # an answer of a host that is far past its full load
 NEAR_FULL = 0.02  # of full load left, at the least, for the time that an answer takes
 
 
-class Host(Draws):
+class Host(SeededRandom):
     def __init__(self, scenario: Scenario, name: str, seed: int, emit: Callable[..., None]) -> None:
         super().__init__(seed)
         self.scenario, self.name, self.emit = scenario, name, emit
--- a/caperdeck/lab/links.py
+++ b/caperdeck/lab/links.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .draws import Draws
+from .seeded_random import SeededRandom
+
 
 RETRANSMIT = 200.0  # a segment that was lost comes so much later
 HEALED = 20.0  # what was held up by a cut comes so much after it, with chance up to twice that
@@ -29,7 +30,7 @@
     cut: int = 0  # faults that cut it just now
 
 
-class Links(Draws):
+class Links(SeededRandom):
     """All links of a fleet: their usual delay, their troubles, and the pipes to tell when one heals."""
 
     def __init__(self, seed: int, usual: Callable[[str, str], tuple[float, float]]) -> None:
--- a/caperdeck/lab/owned.py
+++ b/caperdeck/lab/owned.py
@@ -13,10 +13,10 @@
 
 from caperdeck.leases.target import CENSUS, FLOOR, HOSTS, PART
 
-from .draws import Draws
 from .history import Event
 from .oracle import Check
 from .scenario import HOLDER, LEADER, Scenario, decode
+from .seeded_random import SeededRandom
 
 ROUNDED = 1e-6
 
@@ -138,7 +138,7 @@
 
 def again(seed: int, owners: int, rounds: int) -> Scenario:
     """One fault after another on whoever leads or holds, with nodes and links that fail beside."""
-    draw, at, faults = Draws(seed), 3.5, []
+    draw, at, faults = SeededRandom(seed), 3.5, []
     for i in range(rounds):
         do, role = ROUNDS[i % len(ROUNDS)].split()
         of = LEADER if role == LEADER else HOLDER + (HOSTS if draw.chance() < 0.5 else CENSUS)
