Lab: the search through all states of a model is a module, apart from the model of lent rights

explore and BrokenError stood in orders.py, the model of lent rights, and the models of leases and of the census imported them from there. exploration.py has them with the protocol that a model keeps to.

--- a/caperdeck/lab/dealt.py
+++ b/caperdeck/lab/dealt.py
@@ -12,7 +12,7 @@
 from caperdeck.leases.runner import Keep
 from caperdeck.leases.target import CENSUS, Target
 
-from .orders import BrokenError
+from .exploration import BrokenError
 
 TICK = 1100.0  # milliseconds
 EPSILON = 1e-6
--- a/caperdeck/lab/orders.py
+++ b/caperdeck/lab/orders.py
@@ -13,14 +13,12 @@
 from caperdeck.core.rights import Rights
 from caperdeck.ledger.loans import LOAN, Loans
 
+from .exploration import BrokenError
+
 SAVED = LOAN  # milliseconds; in so long a node mints one right, and it saves one
 NODES = 3
 
 
-class BrokenError(AssertionError):
-    pass
-
-
 class Copy:
     """One node: its rights as the program keeps them, and each in its hands by owner and minting time."""
 
@@ -175,18 +173,3 @@
             age = self.time - minted / self.rates[owner]
             if age > (SAVED + LOAN) / min(self.rates) + 1e-9:
                 raise BrokenError(f"a right of node {owner} is spent after {age} ms")
-
-
-def explore(world: Any) -> int:
-    """Every state that can be reached from a world by its choices; how many there are. Raises BrokenError."""
-    seen, waiting = {world.key()}, [world]
-    while waiting:
-        at = waiting.pop()
-        for choice in at.choices():
-            after = at.clone()
-            after.do(*choice)
-            key = after.key()
-            if key not in seen:
-                seen.add(key)
-                waiting.append(after)
-    return len(seen)
--- a/caperdeck/lab/owners.py
+++ b/caperdeck/lab/owners.py
@@ -14,7 +14,7 @@
 from caperdeck.leases.holding import Holder, Warden
 from caperdeck.leases.table import LEAST_SPAN, Table
 
-from .orders import BrokenError
+from .exploration import BrokenError
 
 TICK = LEAST_SPAN / 2
 WORK = "w"
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from caperdeck.lab.orders import BrokenError, explore
+from caperdeck.lab.exploration import BrokenError, explore
 from caperdeck.lab.owners import World
 from caperdeck.leases.fence import Fence
 from caperdeck.leases.holding import DRIFT, Holder, Warden
--- a/tests/test_ledger_bound.py
+++ b/tests/test_ledger_bound.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from caperdeck.lab.orders import BrokenError, Copy, World, explore
+from caperdeck.lab.exploration import BrokenError, explore
+from caperdeck.lab.orders import Copy, World
 from caperdeck.ledger.loans import LOAN
 
 
--- a/tests/test_owned.py
+++ b/tests/test_owned.py
@@ -4,7 +4,7 @@
 import pytest
 
 from caperdeck.lab.dealt import walk
-from caperdeck.lab.orders import BrokenError
+from caperdeck.lab.exploration import BrokenError
 from caperdeck.leases.census import Census
 from caperdeck.leases.runner import LEASE, STATE, Act, Keep, Note, Propose, Runner
 from caperdeck.leases.table import Table
