--- a/caperdeck/lab/orders.py
+++ b/caperdeck/lab/rights_model.py
@@ -19,7 +19,7 @@
 NODES = 3
 
 
-class Copy:
+class NodeModel:
     """One node: its rights as the program keeps them, and each in its hands by owner and minting time."""
 
     __slots__ = ("me", "life", "rights", "loans", "own", "lent", "awake")
@@ -30,7 +30,7 @@
         self.rights.grow(now, 0)
         self.own, self.lent = (), ()
 
-    def clone(self) -> Copy:
+    def clone(self) -> NodeModel:
         c = object.__new__(type(self))
         c.me, c.life, c.awake, c.own, c.lent = self.me, self.life, self.awake, self.own, self.lent
         c.rights, c.loans = Rights(), Loans(self.loans.nonce)
@@ -52,12 +52,12 @@
         return until
 
 
-class World:
-    """What can be reached from here: `choices` are the next steps, `do` takes one."""
+class RightsModel:
+    """Three nodes and the messages between them; a model to explore."""
 
     def __init__(
-        self, kind: type[Copy] = Copy, rates: Iterable[int] = (1, 1, 1), ticks: int = 3, asks: int = 2,
-        doubles: int = 1, deaths: int = 1, sleeps: int = 1,
+        self, kind: type[NodeModel] = NodeModel, rates: Iterable[int] = (1, 1, 1), ticks: int = 3,
+        asks: int = 2, doubles: int = 1, deaths: int = 1, sleeps: int = 1,
     ) -> None:  # fmt: skip
         self.rates, self.time, self.ticks = rates, 0.0, ticks
         self.nodes = [kind(i, 0.0) for i in range(NODES)]
@@ -65,8 +65,8 @@
         self.minted, self.spent = (0,) * NODES, frozenset()
         self.left = {"ask": asks, "double": doubles, "die": deaths, "sleep": sleeps}
 
-    def clone(self) -> World:
-        w = object.__new__(World)
+    def clone(self) -> RightsModel:
+        w = object.__new__(RightsModel)
         w.rates, w.time, w.ticks, w.flying = self.rates, self.time, self.ticks, self.flying
         w.minted, w.spent, w.left = self.minted, self.spent, dict(self.left)
         w.nodes = [n.clone() for n in self.nodes]
@@ -139,11 +139,11 @@
         elif n.life == life:  # otherwise no number of this life is the answer's
             n.loans.take(now, a, number, [(0, amount)], lambda *grant: self.borrow(n, rights, *grant))
 
-    def borrow(self, n: Copy, rights: tuple, budget: int, amount: float, until: float) -> None:
+    def borrow(self, n: NodeModel, rights: tuple, budget: int, amount: float, until: float) -> None:
         n.rights.borrow(self.now(n.me), budget, amount, n.end(until))
         n.lent += tuple((right, until) for right in rights)
 
-    def mint(self, n: Copy) -> None:
+    def mint(self, n: NodeModel) -> None:
         i, now = n.me, self.now(n.me)
         heard = sum(x.awake for x in self.nodes)
         rate = NODES / SAVED * n.part(heard)
--- a/tests/test_ledger_bound.py
+++ b/tests/test_ledger_bound.py
@@ -3,21 +3,21 @@
 import pytest
 
 from caperdeck.lab.exploration import BrokenError, explore
-from caperdeck.lab.orders import Copy, World
+from caperdeck.lab.rights_model import NodeModel, RightsModel
 from caperdeck.ledger.loans import LOAN
 
 
-class DividesByTheLiving(Copy):
+class DividesByTheLiving(NodeModel):
     def part(self, heard):
         return 1 / heard
 
 
-class UsesAfterTheEnd(Copy):
+class UsesAfterTheEnd(NodeModel):
     def end(self, until):
         return float("inf")
 
 
-class AnswersTwice(Copy):
+class AnswersTwice(NodeModel):
     """Its questions stay open, so an answer that comes twice is taken twice."""
 
     def clone(self):
@@ -39,7 +39,7 @@
     {"asks": 1, "doubles": 0, "deaths": 0, "sleeps": 0, "ticks": 2, "rates": (1, 2, 1)},
 ])  # fmt: skip
 def test_no_order_of_messages_deaths_and_sleeps_breaks_the_bound(world):
-    assert explore(World(**{"ticks": 2} | world)) > 1000
+    assert explore(RightsModel(**{"ticks": 2} | world)) > 1000
 
 
 @pytest.mark.parametrize("kind, world, text", [
@@ -50,4 +50,4 @@
 def test_a_planted_fault_is_caught(kind, world, text):
     """Each of the three would put the fleet over its bound: the search has to find them."""
     with pytest.raises(BrokenError, match=text):
-        explore(World(kind, **world))
+        explore(RightsModel(kind, **world))
