--- a/caperdeck/lab/owners.py
+++ b/caperdeck/lab/lease_model.py
@@ -20,7 +20,7 @@
 WORK = "w"
 
 
-class World:
+class LeaseModel:
     """`rates` are the owners' clocks and the warden's; `disk` whether the target remembers over a death."""
 
     def __init__(
@@ -48,7 +48,7 @@
             tuple(self.target.highest.items()), tuple(sorted(map(repr, self.flying))), self.highest,
         )  # fmt: skip
 
-    def clone(self) -> World:
+    def clone(self) -> LeaseModel:
         return copy.deepcopy(self)
 
     def now(self, i: int) -> float:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -3,7 +3,7 @@
 import pytest
 
 from caperdeck.lab.exploration import BrokenError, explore
-from caperdeck.lab.owners import World
+from caperdeck.lab.lease_model import LeaseModel
 from caperdeck.leases.fence import Fence
 from caperdeck.leases.holding import DRIFT, Holder, Warden
 from caperdeck.leases.table import MOST_WORKS, Table
@@ -177,7 +177,7 @@
 ])  # fmt: skip
 def test_no_order_of_steps_breaks_what_must_hold(changes):
     """Clocks far past the stated drift too: then two may hold, and the tokens still go up at the target."""
-    assert explore(World(**{"ticks": 3, "asks": 2, "acts": 1, "deaths": 0} | changes)) > 100
+    assert explore(LeaseModel(**{"ticks": 3, "asks": 2, "acts": 1, "deaths": 0} | changes)) > 100
 
 
 @pytest.mark.parametrize("changes, text", [
@@ -188,4 +188,4 @@
 ])  # fmt: skip
 def test_a_planted_fault_is_found(changes, text):
     with pytest.raises(BrokenError, match=text):
-        explore(World(**{"ticks": 4, "asks": 2, "acts": 2, "deaths": 0} | changes))
+        explore(LeaseModel(**{"ticks": 4, "asks": 2, "acts": 2, "deaths": 0} | changes))
