Lab: the model of the census is census_model.py, its class CensusModel

dealt.py had its name from dealing out, which explains nothing; a random order of steps is called that.

--- a/caperdeck/lab/dealt.py
+++ b/caperdeck/lab/census_model.py
@@ -1,5 +1,7 @@
-"""The census under torment, step by step: owners that follow one another and do not let go, acts and answers
-late, doubled and lost, nodes that die and forget. At every step the shares in force add up to 1 at most.
+"""A model of the census under faults, step by step.
+
+Owners follow one another and do not let go, acts and answers come late, twice or not at all, nodes die and
+forget. At every step the shares in force add up to 1 at most.
 """
 
 from __future__ import annotations
@@ -23,7 +25,7 @@
         self.census, self.token = census, 0
 
 
-class World:
+class CensusModel:
     """`left` bounds how often each fault can come; a message that is never delivered is lost."""
 
     def __init__(
@@ -51,7 +53,7 @@
             lambda: 1000 * sum((place + k // 4) % size for k in range(int(self.now / TICK) + 1)),
         )  # fmt: skip
 
-    def clone(self) -> World:
+    def clone(self) -> CensusModel:
         return copy.deepcopy(self)
 
     def key(self) -> Any:
@@ -147,12 +149,12 @@
         self.nodes[name].fence.learned(CENSUS, self.token)
 
 
-def walk(seed: int, steps: int, **options: Any) -> World:
-    """One drawn order of steps; raises BrokenError."""
-    draw, world = random.Random(seed), World(**options)
+def walk(seed: int, steps: int, **options: Any) -> CensusModel:
+    """One random order of steps; raises BrokenError."""
+    generator, world = random.Random(seed), CensusModel(**options)
     for _ in range(steps):
         choices = world.choices()
-        # what moves things on is drawn more often than what disturbs them
+        # what moves things on is chosen more often than what disturbs them
         weights = [1 if c[0] in world.left else 4 for c in choices]
-        world.do(*draw.choices(choices, weights)[0])
+        world.do(*generator.choices(choices, weights)[0])
     return world
--- a/tests/test_owned.py
+++ b/tests/test_owned.py
@@ -3,7 +3,7 @@
 import orjson
 import pytest
 
-from caperdeck.lab.dealt import walk
+from caperdeck.lab.census_model import walk
 from caperdeck.lab.exploration import BrokenError
 from caperdeck.leases.census import Census
 from caperdeck.leases.runner import LEASE, STATE, Act, Keep, Note, Propose, Runner
