--- a/caperdeck/lab/copies.py
+++ b/caperdeck/lab/sharing_network.py
@@ -1,6 +1,6 @@
-"""Many copies of what a node shares, without the rest of it, in virtual time on a network with faults.
+"""What nodes share, without the rest of a node, in virtual time on a network with faults.
 
-They spend a budget of rights at drawn moments; what all spent in any span is held against the bound of
+Each spends a budget of rights at random moments; what all spent in any span is held against the bound of
 docs/ledger-design.md.
 """
 
@@ -22,7 +22,7 @@
 
 @dataclass
 class Stub:
-    """Decisions with one budget of rights, and what they were told."""
+    """Decisions with one budget of rights, and what it has been given."""
 
     rights: Rights = field(default_factory=Rights)
     short: bool = False
@@ -138,7 +138,7 @@
 
 
 class Spending:
-    """Nodes that spend all they have at drawn moments, and what they spent, on the network's time."""
+    """Nodes that spend all they have at random moments, and what they spent, on the network's time."""
 
     def __init__(self, net: Net, every: float = 80.0) -> None:
         self.net, self.every, self.spent, self.lent = net, every, [], 0.0
@@ -172,7 +172,7 @@
 
 
 def torment(net: Net, draw: random.Random, span: float) -> None:
-    """Deaths, sleeps and cuts at drawn moments for so long."""
+    """Deaths, sleeps and cuts at random moments for `span` milliseconds."""
     until = net.now + span
     while net.now < until:
         i = draw.randrange(net.members)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from caperdeck.core.rights import Rights
-from caperdeck.lab import copies
-from caperdeck.lab.copies import RATE, SAVED, Net, Spending, bound, torment
+from caperdeck.lab import sharing_network
+from caperdeck.lab.sharing_network import RATE, SAVED, Net, Spending, bound, torment
 from caperdeck.ledger import notes
 from caperdeck.ledger.counts import AGE, MOST, MOST_RISE, Count, Counts
 from caperdeck.ledger.judgements import SPAN, Judgement, Judgements, Kind
@@ -251,7 +251,7 @@
         part = net.members / (1 + len(node.swim.alive()))
         return self.rights.mint(now, 0, RATE * part, RATE * part * SAVED)
 
-    monkeypatch.setattr(copies.Stub, "mint", mint)
+    monkeypatch.setattr(sharing_network.Stub, "mint", mint)
     torment(net, random.Random(3), 20_000)
     assert max(spending.worst(w) / bound(net, w) for w in (1000.0, 5000.0)) > 1
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from caperdeck.lab.copies import Net
+from caperdeck.lab.sharing_network import Net
 from caperdeck.ledger.sharing import Uses
 from caperdeck.peers import codec
 from caperdeck.peers.codec import Beat, DatagramError, Kind, Message, State, Update
