Lab: the play of distribution split into process, instance, node, simulation and checks

It is a package of the same name: schedule (what happens when), process, instance and node, which see the simulation through one protocol (surroundings), simulation (agreement, network, faults) and world (every property checked, and the play of one schedule). The order of events and of random numbers is as it was.

--- /dev/null
+++ b/caperdeck/lab/distribution/instance.py
@@ -0,0 +1,68 @@
+"""A simulated control machine: a copy of the agreed table, and a publisher."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from caperdeck.distribution.messages import FromNode
+from caperdeck.distribution.table import Versions
+from caperdeck.raft.log import Entry
+from caperdeck.raft.sessions import Sessions
+
+from .process import Process
+from .surroundings import Surroundings
+
+LEARN = 100.0  # milliseconds between two questions of an instance to the leader
+HISTORY = 3  # versions that a delta can begin at: few, so that snapshots are sent often
+
+
+class Instance(Process):
+    """A control machine: a copy of the agreed table, and a publisher."""
+
+    def __init__(self, world: Surroundings, number: int) -> None:
+        super().__init__()
+        self.world, self.number = world, number
+        self.place = world.places[number]
+        self.machine = Sessions(Versions(HISTORY))
+        self.applied = 0
+        self.isolated = False
+        self.start()
+
+    @property
+    def table(self) -> Versions:
+        return self.machine.machine
+
+    def start(self) -> None:
+        """On its own disk: subscribers are forgotten, the table is not."""
+        kept = self.machine.dump()
+        self.machine = Sessions(Versions(HISTORY))
+        self.machine.load(kept)
+        self.publisher = self.world.publisher_kind(self.place.name, self.table, self.world.now)
+        self.up, self.inbox = True, []
+
+    def ask_leader(self) -> None:
+        """Reads the newest from the leader; the answer comes a little later."""
+        if self.runs:
+            self.send(self.publisher.tick(self.world.now))
+            if self.world.leader is not None and self.world.is_current(self.number):
+                self.world.at(self.world.latency(), self.act, self.learn, self.world.now, len(self.world.log))
+        self.world.at(LEARN, self.ask_leader)
+
+    def learn(self, asked: float, index: int) -> None:
+        for entry in self.world.log[self.applied : index]:
+            self.machine.apply(entry)
+        grown, self.applied = index > self.applied, max(index, self.applied)
+        if grown:
+            self.send(self.publisher.changed(self.world.now))
+        self.publisher.confirmed(asked, self.table.newest.revision)
+
+    def proposed(self, entry: Entry) -> None:
+        """In its log, and not committed: nothing follows from that."""
+
+    def receive(self, message: FromNode) -> None:
+        self.send(self.publisher.receive(self.world.now, message))
+
+    def send(self, sends: Iterable[Any]) -> None:
+        for send in sends:
+            self.world.to_node(self.number, send.node, send.message)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -17,7 +17,8 @@
 from caperdeck.distribution.status import HEARD_FOR, summarise
 from caperdeck.distribution.subscriber import NOTHING, Apply, Held, Leave, Phase, Send, State, Subscriber
 from caperdeck.distribution.table import Versions, propose
-from caperdeck.lab.distribution import Fault, Publish, World, play
+from caperdeck.lab.distribution.schedule import Fault, Publish
+from caperdeck.lab.distribution.world import World, play
 from caperdeck.raft.log import Entry, Kind
 from caperdeck.raft.sessions import Sessions
 
--- a/tests/test_distribution_properties.py
+++ b/tests/test_distribution_properties.py
@@ -11,7 +11,9 @@
 from caperdeck.distribution.document import DocumentError, difference
 from caperdeck.distribution.publisher import Publisher
 from caperdeck.distribution.subscriber import Subscriber
-from caperdeck.lab.distribution import Fault, Instance, Publish, play
+from caperdeck.lab.distribution.instance import Instance
+from caperdeck.lab.distribution.schedule import Fault, Publish
+from caperdeck.lab.distribution.world import play
 
 RULES = ["back", "committed", "whole", "in-force", "status", "current"]
 FAULTS_END = 32_000  # ms; what began by then has ended
