--- a/caperdeck/lab/agree.py
+++ b/caperdeck/lab/agree.py
@@ -287,7 +287,7 @@
 
 
 def torment(world: World, span: float) -> None:
-    """Deaths, sleeps, cuts both ways and one way, moments of loss, and quiet, at drawn moments."""
+    """Deaths, sleeps, cuts both ways and one way, moments of loss, and quiet, at random moments."""
     draw, until = world.draw, world.now + span
     size = len(world.instances)
     while world.now < until:
--- a/caperdeck/lab/clients.py
+++ b/caperdeck/lab/clients.py
@@ -1,4 +1,4 @@
-"""Stand-in clients: open-loop, each at its drawn moment, through a front that deals them out over the nodes.
+"""Simulated clients: arrivals as an open loop (Poisson), assigned to nodes by a front.
 
 A client's times count from the moment it should have sent, so a slow fleet is not asked less.
 """
@@ -173,12 +173,12 @@
         now = self.now()
         while self.next_at <= now and not self.ended:
             self.come(self.next_at)
-            # exponential gaps, from an even draw
             self.next_at += self._gap()
         if not self.ended:
             self.reactor.callLater(max(self.next_at - now, 0.0) / 1000.0, self.arrive)
 
     def _gap(self) -> float:
+        """Milliseconds to the next arrival, exponentially distributed."""
         return -math.log(max(1.0 - self.chance(), 1e-9)) * 1000.0 / self.scenario.clients.rate
 
     def come(self, at: float) -> None:
--- a/caperdeck/lab/ports.py
+++ b/caperdeck/lab/ports.py
@@ -6,18 +6,18 @@
 import socket
 from contextlib import suppress
 
-BELOW = 16000  # ports under the kernel's own range that are drawn from
+BELOW = 16000  # ports under the kernel's own range that are chosen from
 TRIES = 1000
 
 
 class Ports:
-    """Each port dealt out is kept from other rigs on this machine while this object lives."""
+    """Each port taken is kept from other rigs on this machine while this object lives."""
 
     def __init__(self) -> None:
         self.kept: list[socket.socket] = []
 
     def take(self, kind: int) -> int:
-        """A port under those that the kernel deals out, so that nobody is given it while its owner is away.
+        """A port under those that the kernel assigns, so that nobody is given it while its owner is down.
 
         Raises OSError if none is found.
         """
@@ -25,7 +25,7 @@
             low = int(file.read().split()[0])
         for _ in range(TRIES):
             port = random.randrange(max(low - BELOW, 1024), low)
-            # Danger: a port that is only looked at is drawn by another rig as well before its owner listens;
+            # Danger: a port that is only looked at is taken by another rig as well before its owner listens;
             # a node is then taken for ready by the PONG of the other rig's, and cannot listen itself.
             keeper = socket.socket()
             try:
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -31,7 +31,7 @@
 
     count: int = 5
     cores: int = 4
-    speed: tuple[float, float] = (0.8, 1.2)  # a core's, drawn for each host
+    speed: tuple[float, float] = (0.8, 1.2)  # a core's, random for each host
     cap_per_core: int = 600  # connections
     handshake: float = 3.0
     report_every: tuple[float, float] = (500.0, 1100.0)
@@ -42,7 +42,7 @@
 
 
 class Clients(Table):
-    """Open-loop arrivals: each at its drawn moment, whatever became of the ones before."""
+    """Open-loop arrivals: at random moments, whatever became of the ones before."""
 
     rate: float = 20.0  # new connections a second, over the whole fleet
     life: tuple[float, float] = (4.0, 20.0)  # seconds
@@ -99,7 +99,7 @@
     of: str = "*"  # the part or parts by name, with wildcards
     to: str = "*"  # for links, the far end
     amount: float = 0.5  # a rate, a part of the fleet, or a duty
-    spread: tuple[float, float] = (0.0, 0.0)  # milliseconds, drawn between
+    spread: tuple[float, float] = (0.0, 0.0)  # milliseconds, random between
     offset: float = 0.0  # of a clock, milliseconds
     drift: float = 0.0  # of a clock, milliseconds a second
 
@@ -132,7 +132,7 @@
         return [f"o{i}" for i in range(self.owners)]
 
     def zone_of(self, name: str) -> str:
-        """Nodes, hosts and agents are dealt out over the zones in turn."""
+        """Nodes, hosts and agents are assigned to the zones in turn."""
         digits = "".join(c for c in name if c.isdigit())
         return self.zones[int(digits or 0) % len(self.zones)]
 
--- a/caperdeck/lab/search.py
+++ b/caperdeck/lab/search.py
@@ -64,7 +64,7 @@
 ) -> tuple[list[Fault], int]:  # fmt: skip
     """Takes faults away, and shortens them, while a rule still breaks.
 
-    A fault less changes the draws of all that comes after it, so each schedule is tried with a few seeds.
+    A fault less changes all random numbers after it, so each schedule is tried with a few seeds.
     """
     while True:
         for fewer in smaller(faults):
@@ -96,10 +96,10 @@
     )  # fmt: skip
     schedule = st.lists(fault(scenario), min_size=1, max_size=MOST_AT_ONCE)
     try:
-        drawn = find(schedule, breaks, settings=limits, random=Random(seed))
+        added = find(schedule, breaks, settings=limits, random=Random(seed))
     except NoSuchExample:
         return None
-    faults, seed = shrink(scenario, [*scenario.fault, *drawn], seed, tell)
+    faults, seed = shrink(scenario, [*scenario.fault, *added], seed, tell)
     small = msgspec.structs.replace(scenario, fault=faults, seed=seed)
     return small, judge(small, VirtualFleet(small).run())
 
