--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -1,4 +1,4 @@
-"""The zephyr wire and the model: names, units, and the small indices given out at the door."""
+"""The zephyr wire and the model: names, units, and the small indices of one node's hosts and sessions."""
 
 from __future__ import annotations
 
@@ -42,8 +42,8 @@
         raise WireError(f"unknown {what} {value!r}") from None
 
 
-class Door:
-    """One node's indices: ids go in here and come back unaltered."""
+class NodeIndices:
+    """The indices of one node's hosts and sessions: ids go in here and come back unaltered."""
 
     def __init__(self, setup: dict) -> None:
         self.names = decode_names(setup)
@@ -110,20 +110,21 @@
     return lookup(OUTCOMES, ending, "ending")
 
 
-def encode(door: Door, act: Action) -> list:
+def encode(indices: NodeIndices, act: Action) -> list:
     match act:
         case Dial(session, host, until):
-            return ["dispatch", door.session_names[session], door.host_names[host], round(until / MS, 6)]
+            name, target = indices.session_names[session], indices.host_names[host]
+            return ["dispatch", name, target, round(until / MS, 6)]
         case Refuse(session, back_off):
-            return ["pushBack", door.session_names[session], round(back_off / MS, 6)]
+            return ["pushBack", indices.session_names[session], round(back_off / MS, 6)]
         case TearDown(session):
-            return ["surrender", door.session_names[session]]
+            return ["surrender", indices.session_names[session]]
         case Withdraw(session, dial):
-            return ["retract", door.session_names[session], dial]
+            return ["retract", indices.session_names[session], dial]
         case Move(session):
-            return ["evict", door.session_names[session]]
+            return ["evict", indices.session_names[session]]
         case Probe(host):
-            return ["poll", door.host_names[host]]
+            return ["poll", indices.host_names[host]]
         case Wake(after, token):
             return ["setAlarm", round(after / MS, 6), str(token)]
         case Watch():
--- a/caperdeck/simwire/host.py
+++ b/caperdeck/simwire/host.py
@@ -9,11 +9,11 @@
 from caperdeck.core.settings import MS, SettingsError, decode_report, decode_settings
 
 from . import codec
-from .codec import Door, WireError
+from .codec import NodeIndices, WireError
 
 
-class Seat:
-    """A running node and the door to it."""
+class RunningNode:
+    """A running node, with the indices of its hosts and sessions."""
 
     def __init__(self, now: float, seed: Any, setup: Any) -> None:
         if not isinstance(seed, int):
@@ -22,7 +22,7 @@
             settings = decode_settings(seed, setup)
         except SettingsError as error:
             raise WireError(str(error)) from error
-        self.door = Door(setup)
+        self.indices = NodeIndices(setup)
         self.node = Node(settings, now)
 
     def take(self, now: float, event: list) -> list[Action]:
@@ -38,51 +38,51 @@
 
     def roster(self, now: float, v: list) -> list[Action]:
         scope = codec.lookup(codec.ROSTERS, v[1], "roster scope")
-        entries = [self.door.entry(row) for row in (v[2] if len(v) > 2 else None) or []]
+        entries = [self.indices.entry(row) for row in (v[2] if len(v) > 2 else None) or []]
         return self.node.roster(now, scope, entries)
 
     def ask(self, now: float, v: list) -> list[Action]:
-        return self.node.ask(now, self.door.ask(v))
+        return self.node.ask(now, self.indices.ask(v))
 
     def taken_over(self, now: float, v: list) -> list[Action]:
-        return self.node.taken_over(now, self.door.ask(v[:8]), self.door.known_host(v[8]))
+        return self.node.taken_over(now, self.indices.ask(v[:8]), self.indices.known_host(v[8]))
 
     def stands(self, now: float, v: list) -> list[Action]:
-        return self.node.stands(now, self.door.session(v[0]))
+        return self.node.stands(now, self.indices.session(v[0]))
 
     def note(self, now: float, v: list) -> list[Action]:
         note = codec.decode_note(v[3], v[4])
-        return self.node.note(now, self.door.session(v[0]), *note) if note else []
+        return self.node.note(now, self.indices.session(v[0]), *note) if note else []
 
     def outcome(self, now: float, v: list) -> list[Action]:
         ending = codec.decode_outcome(v[3])
-        return self.node.outcome(now, self.door.session(v[0]), v[1], ending, bool(v[5]))
+        return self.node.outcome(now, self.indices.session(v[0]), v[1], ending, bool(v[5]))
 
     def hangup(self, now: float, v: list) -> list[Action]:
-        return self.node.hangup(now, self.door.session(v[0]))
+        return self.node.hangup(now, self.indices.session(v[0]))
 
     def bell(self, now: float, v: list) -> list[Action]:
         return self.node.bell(now, int(v[0]))
 
     def probed(self, now: float, v: list) -> list[Action]:
         report = decode_report(v[3] if len(v) > 3 else None)
-        return self.node.probed(now, self.door.known_host(v[0]), codec.decode_outcome(v[1]), report)
+        return self.node.probed(now, self.indices.known_host(v[0]), codec.decode_outcome(v[1]), report)
 
     def message(self, now: float, v: list) -> list[Action]:
         return []
 
 
 EVENTS = {
-    "rosterChange": Seat.roster,
-    "ask": Seat.ask,
-    "takenOver": Seat.taken_over,
-    "headReceived": Seat.stands,
-    "interim": Seat.note,
-    "reportBack": Seat.outcome,
-    "hangup": Seat.hangup,
-    "bell": Seat.bell,
-    "pingResult": Seat.probed,
-    "neighbourSays": Seat.message,
+    "rosterChange": RunningNode.roster,
+    "ask": RunningNode.ask,
+    "takenOver": RunningNode.taken_over,
+    "headReceived": RunningNode.stands,
+    "interim": RunningNode.note,
+    "reportBack": RunningNode.outcome,
+    "hangup": RunningNode.hangup,
+    "bell": RunningNode.bell,
+    "pingResult": RunningNode.probed,
+    "neighbourSays": RunningNode.message,
 }
 
 
@@ -90,7 +90,7 @@
     """The nodes of this process; they share nothing but the process."""
 
     def __init__(self) -> None:
-        self.seats: dict[int, Seat] = {}
+        self.running: dict[int, RunningNode] = {}
 
     def batch(self, batch: Any, complain: Any) -> dict:
         """The reply to one batch; complain is told, in one line, of each input that broke the wire."""
@@ -122,12 +122,12 @@
         if not isinstance(event, list) or not event or not isinstance(event[0], str):
             raise WireError(f"an event is an array that begins with its name, got {event!r}")
         if event[0] == "powerOn":
-            seat = self.seats[number] = Seat(now, *(event[1:] + [None, None])[:2])
-            return [codec.encode(seat.door, act) for act in seat.node.start()]
-        seat = self.seats.get(number)
-        if seat is None:
+            running = self.running[number] = RunningNode(now, *(event[1:] + [None, None])[:2])
+            return [codec.encode(running.indices, act) for act in running.node.start()]
+        running = self.running.get(number)
+        if running is None:
             raise WireError(f"event {event[0]!r} for a node that was never started")
         if event[0] == "destroy":
-            del self.seats[number]
+            del self.running[number]
             return []
-        return [codec.encode(seat.door, act) for act in seat.take(now, event)]
+        return [codec.encode(running.indices, act) for act in running.take(now, event)]
