Lab: a part of the rig as a process, seen from the run, is rig_process.py

real.py held the processes of the rig's own parts beside the run of the fleet. They need four values and one call of the run, which a protocol names now.

--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -212,7 +212,7 @@
 
 
 def main(arguments: dict[str, Any]) -> int:
-    from .real import VoidError
+    from .rig_process import VoidError
 
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, _interrupt)
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -21,68 +21,15 @@
 from .history import Event
 from .launch import stop_signal
 from .ports import Ports
-from .scenario import MOST_PROCESSES, Scenario, ScenarioError, dump
+from .rig_process import ROOT, START, Helper, VoidError
+from .scenario import MOST_PROCESSES, Scenario, ScenarioError
 from .setup import node_config
 
-ROOT = Path(__file__).resolve().parents[2]
-START = 20.0  # seconds in which a part has to open, and a node to answer PING, on a busy machine
 HEADROOM = 2.0  # times the scenario's rate at least, as the relay measured it
 NODE_ARGS = ("-B", "-m", "caperdeck.lab.launch")
 SPAN = 1500.0  # milliseconds of a lease
 
 
-class VoidError(Exception):
-    """The machine was too slow, or the rig itself failed; nothing is said about the nodes."""
-
-
-class Helper:
-    """One part of the rig that is no node."""
-
-    def __init__(self, fleet: RealFleet, role: str) -> None:
-        self.fleet, self.role = fleet, role
-        self.asked, self.waiting = 0, {}
-        self.process: Any = None
-
-    async def start(self) -> None:
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "caperdeck.lab.part", self.role, cwd=ROOT, limit=16 << 20,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
-        )  # fmt: skip
-        fleet = self.fleet
-        self._write({
-            "scenario": dump(fleet.scenario), "seed": fleet.seed, "origin": fleet.origin, "boot": fleet.boot,
-        })  # fmt: skip
-        self.reader = asyncio.ensure_future(self._read())
-
-    def _write(self, value: dict[str, Any]) -> None:
-        if self.process.stdin.transport.is_closing():
-            raise VoidError(f"the rig's {self.role} ended")
-        self.process.stdin.write(msgspec.json.encode(value) + b"\n")
-
-    def tell(self, do: str, **values: Any) -> asyncio.Future:
-        self.asked += 1
-        self._write({"do": do, "number": self.asked, **values})
-        answer = self.waiting[self.asked] = asyncio.get_running_loop().create_future()
-        return answer
-
-    async def ask(self, do: str, **values: Any) -> Any:
-        return await asyncio.wait_for(self.tell(do, **values), START)
-
-    async def _read(self) -> None:
-        decode = msgspec.json.Decoder(dict).decode
-        while line := await self.process.stdout.readline():
-            event = decode(line)
-            if event["ev"] == "done":
-                future = self.waiting.pop(event["number"])
-                if not future.done():
-                    future.set_result(event["answer"])
-            else:
-                self.fleet.came(event)
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_exception(VoidError(f"the rig's {self.role} ended"))
-
-
 class RealFleet(Fleet):
     def __init__(
         self, scenario: Scenario, seed: int | None = None, watch: Callable[[Event], None] | None = None,
--- /dev/null
+++ b/caperdeck/lab/rig_process.py
@@ -0,0 +1,84 @@
+"""The rig's side of a process of its own: starts it, sends it commands, reads what it saw.
+
+`part.py` is what runs there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Any, Protocol
+
+import msgspec
+
+from .history import Event
+from .scenario import Scenario, dump
+
+ROOT = Path(__file__).resolve().parents[2]
+START = 20.0  # seconds in which a part has to open, and a node to answer PING, on a busy machine
+LONGEST_LINE = 16 << 20  # bytes
+
+
+class VoidError(Exception):
+    """The machine was too slow, or the rig itself failed; nothing is said about the nodes."""
+
+
+class Run(Protocol):
+    """What a part needs of the run it belongs to."""
+
+    scenario: Scenario
+    seed: int
+    origin: float  # of the run's times: CLOCK_MONOTONIC, milliseconds
+    boot: float  # the same moment in Unix milliseconds
+
+    def came(self, event: Event) -> None:
+        """A part has seen something."""
+
+
+class Helper:
+    """A part of the rig that is no node, as a process; commands are answered by its event `done`."""
+
+    def __init__(self, fleet: Run, role: str) -> None:
+        self.fleet, self.role = fleet, role
+        self.asked, self.waiting = 0, {}
+        self.process: Any = None
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "caperdeck.lab.part", self.role, cwd=ROOT, limit=LONGEST_LINE,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        fleet = self.fleet
+        self._write({
+            "scenario": dump(fleet.scenario), "seed": fleet.seed, "origin": fleet.origin, "boot": fleet.boot,
+        })  # fmt: skip
+        self.reader = asyncio.ensure_future(self._read())
+
+    def _write(self, value: dict[str, Any]) -> None:
+        if self.process.stdin.transport.is_closing():
+            raise VoidError(f"the rig's {self.role} ended")
+        self.process.stdin.write(msgspec.json.encode(value) + b"\n")
+
+    def tell(self, do: str, **values: Any) -> asyncio.Future:
+        self.asked += 1
+        self._write({"do": do, "number": self.asked, **values})
+        answer = self.waiting[self.asked] = asyncio.get_running_loop().create_future()
+        return answer
+
+    async def ask(self, do: str, **values: Any) -> Any:
+        return await asyncio.wait_for(self.tell(do, **values), START)
+
+    async def _read(self) -> None:
+        decode = msgspec.json.Decoder(dict).decode
+        while line := await self.process.stdout.readline():
+            event = decode(line)
+            if event["ev"] == "done":
+                future = self.waiting.pop(event["number"])
+                if not future.done():
+                    future.set_result(event["answer"])
+            else:
+                self.fleet.came(event)
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(VoidError(f"the rig's {self.role} ended"))
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -19,7 +19,8 @@
 from caperdeck.lab.cli import verdict
 from caperdeck.lab.owned import CHECKS, again, took
 from caperdeck.lab.oracle import judge
-from caperdeck.lab.real import RealFleet, VoidError
+from caperdeck.lab.real import RealFleet
+from caperdeck.lab.rig_process import VoidError
 from caperdeck.lab.scenario import HOLDER, LEADER, ScenarioError, load
 from caperdeck.lifecycle.config import ConfigError
 from caperdeck.lifecycle.owners import Owned
