--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -21,6 +21,7 @@
 from .history import Event
 from .launch import stop_signal
 from .ports import Ports
+from .probes import accepts, answers_ping
 from .rig_process import ROOT, START, Helper, VoidError
 from .scenario import MOST_PROCESSES, Scenario, ScenarioError
 from .setup import node_config
@@ -98,21 +99,13 @@
         process = await self._spawn(name, ["owner", "serve", f"--config={path}"])
         began = time.monotonic()
         while time.monotonic() - began < START and process.returncode is None:
-            if await self._opens(*self.doors[name]):
+            if await accepts(*self.doors[name]):
                 self.parts["relay"].tell("down", name=name, down=False)
                 self.life(name, "up", life=life)
                 return
             await asyncio.sleep(0.02)
         self._say_crash(name, process)
 
-    async def _opens(self, host: str, port: int) -> bool:
-        try:
-            _, writer = await asyncio.open_connection(host, port)
-        except OSError:
-            return False
-        writer.close()
-        return True
-
     async def _spawn(self, name: str, words: list[str], **environment: str) -> Any:
         """A process of the program, whose events come in by a pipe of its own."""
         offset, drift = self.skews.get(name, (0.0, 0.0))
@@ -167,7 +160,7 @@
         began = time.monotonic()
         host, port = self.doors[node]
         while time.monotonic() - began < START and process.returncode is None:
-            if await self._pings(host, port):
+            if await answers_ping(host, port):
                 self.parts["relay"].tell("down", name=node, down=False)
                 self.life(node, "up", life=life)
                 self.front("ready", node)
@@ -194,20 +187,6 @@
         path.write_text("".join(f"{name} = {str(on).lower()}\n" for name, on in uses._asdict().items()))
         return [f"--sharing={path}"]
 
-    async def _pings(self, host: str, port: int) -> bool:
-        """Whether a node answers PING with PONG."""
-        try:
-            reader, writer = await asyncio.open_connection(host, port)
-        except OSError:
-            return False
-        try:
-            writer.write(b"PING\r\n")
-            return (await asyncio.wait_for(reader.readline(), 2.0)).startswith(b"PONG")
-        except (TimeoutError, OSError):
-            return False
-        finally:
-            writer.close()
-
     async def _await_exit(self, node: str, process: Any) -> None:
         code = await process.wait()
         if self.over:
