--- a/caperdeck/lab/clients.py
+++ b/caperdeck/lab/clients.py
@@ -1,4 +1,4 @@
-"""Stand-in clients: open-loop, each at its drawn moment, through a front that deals them out over the nodes.
+"""Simulated clients: arrivals as an open loop (Poisson), assigned to nodes by a front.
 
 A client's times count from the moment it should have sent, so a slow fleet is not asked less.
 """
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineReceiver
 
-from .draws import Draws
 from .scenario import Scenario
+from .seeded_random import SeededRandom
+from .single_connection import SingleConnectionFactory
 
 SPEAK = 2000.0  # a client sends a line so often
 IN_TIME = 1000.0  # a line that comes back in this time was served well
@@ -142,20 +142,7 @@
             self.waits.cancel()
 
 
-class _Once(ClientFactory):
-    noisy = False
-
-    def __init__(self, client: Client) -> None:
-        self.client = client
-
-    def buildProtocol(self, addr: Any) -> Client:
-        return self.client
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        self.client.connect_failed()
-
-
-class Clients(Draws):
+class Clients(SeededRandom):
     """The crowd and the front: which node a client comes to, and when it comes again."""
 
     def __init__(
@@ -186,12 +173,12 @@
         now = self.now()
         while self.next_at <= now and not self.ended:
             self.come(self.next_at)
-            # exponential gaps, from an even draw
             self.next_at += self._gap()
         if not self.ended:
             self.reactor.callLater(max(self.next_at - now, 0.0) / 1000.0, self.arrive)
 
     def _gap(self) -> float:
+        """Milliseconds to the next arrival, exponentially distributed."""
         return -math.log(max(1.0 - self.chance(), 1e-9)) * 1000.0 / self.scenario.clients.rate
 
     def come(self, at: float) -> None:
@@ -211,7 +198,7 @@
             return
         host, port = self.doors[node]
         wait = self.scenario.clients.wait / 1000.0
-        self.reactor.connectTCP(host, port, _Once(client), wait)
+        self.reactor.connectTCP(host, port, SingleConnectionFactory(client, client.connect_failed), wait)
 
     def door(self) -> str:
         now = self.now()
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -21,68 +21,16 @@
 from .history import Event
 from .launch import stop_signal
 from .ports import Ports
-from .scenario import MOST_PROCESSES, Scenario, ScenarioError, dump
+from .probes import accepts, answers_ping
+from .rig_process import ROOT, START, Helper, VoidError
+from .scenario import MOST_PROCESSES, Scenario, ScenarioError
 from .setup import node_config
 
-ROOT = Path(__file__).resolve().parents[2]
-START = 20.0  # seconds in which a part has to open, and a node to answer PING, on a busy machine
 HEADROOM = 2.0  # times the scenario's rate at least, as the relay measured it
 NODE_ARGS = ("-B", "-m", "caperdeck.lab.launch")
 SPAN = 1500.0  # milliseconds of a lease
 
 
-class VoidError(Exception):
-    """The machine was too slow, or the rig itself failed; nothing is said about the nodes."""
-
-
-class Helper:
-    """One part of the rig that is no node."""
-
-    def __init__(self, fleet: RealFleet, role: str) -> None:
-        self.fleet, self.role = fleet, role
-        self.asked, self.waiting = 0, {}
-        self.process: Any = None
-
-    async def start(self) -> None:
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "caperdeck.lab.part", self.role, cwd=ROOT, limit=16 << 20,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
-        )  # fmt: skip
-        fleet = self.fleet
-        self._write({
-            "scenario": dump(fleet.scenario), "seed": fleet.seed, "origin": fleet.origin, "boot": fleet.boot,
-        })  # fmt: skip
-        self.reader = asyncio.ensure_future(self._read())
-
-    def _write(self, value: dict[str, Any]) -> None:
-        if self.process.stdin.transport.is_closing():
-            raise VoidError(f"the rig's {self.role} ended")
-        self.process.stdin.write(msgspec.json.encode(value) + b"\n")
-
-    def tell(self, do: str, **values: Any) -> asyncio.Future:
-        self.asked += 1
-        self._write({"do": do, "number": self.asked, **values})
-        answer = self.waiting[self.asked] = asyncio.get_running_loop().create_future()
-        return answer
-
-    async def ask(self, do: str, **values: Any) -> Any:
-        return await asyncio.wait_for(self.tell(do, **values), START)
-
-    async def _read(self) -> None:
-        decode = msgspec.json.Decoder(dict).decode
-        while line := await self.process.stdout.readline():
-            event = decode(line)
-            if event["ev"] == "done":
-                future = self.waiting.pop(event["number"])
-                if not future.done():
-                    future.set_result(event["answer"])
-            else:
-                self.fleet.came(event)
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_exception(VoidError(f"the rig's {self.role} ended"))
-
-
 class RealFleet(Fleet):
     def __init__(
         self, scenario: Scenario, seed: int | None = None, watch: Callable[[Event], None] | None = None,
@@ -151,21 +99,13 @@
         process = await self._spawn(name, ["owner", "serve", f"--config={path}"])
         began = time.monotonic()
         while time.monotonic() - began < START and process.returncode is None:
-            if await self._opens(*self.doors[name]):
+            if await accepts(*self.doors[name]):
                 self.parts["relay"].tell("down", name=name, down=False)
                 self.life(name, "up", life=life)
                 return
             await asyncio.sleep(0.02)
         self._say_crash(name, process)
 
-    async def _opens(self, host: str, port: int) -> bool:
-        try:
-            _, writer = await asyncio.open_connection(host, port)
-        except OSError:
-            return False
-        writer.close()
-        return True
-
     async def _spawn(self, name: str, words: list[str], **environment: str) -> Any:
         """A process of the program, whose events come in by a pipe of its own."""
         offset, drift = self.skews.get(name, (0.0, 0.0))
@@ -220,7 +160,7 @@
         began = time.monotonic()
         host, port = self.doors[node]
         while time.monotonic() - began < START and process.returncode is None:
-            if await self._pings(host, port):
+            if await answers_ping(host, port):
                 self.parts["relay"].tell("down", name=node, down=False)
                 self.life(node, "up", life=life)
                 self.front("ready", node)
@@ -247,20 +187,6 @@
         path.write_text("".join(f"{name} = {str(on).lower()}\n" for name, on in uses._asdict().items()))
         return [f"--sharing={path}"]
 
-    async def _pings(self, host: str, port: int) -> bool:
-        """Whether a node answers PING with PONG."""
-        try:
-            reader, writer = await asyncio.open_connection(host, port)
-        except OSError:
-            return False
-        try:
-            writer.write(b"PING\r\n")
-            return (await asyncio.wait_for(reader.readline(), 2.0)).startswith(b"PONG")
-        except (TimeoutError, OSError):
-            return False
-        finally:
-            writer.close()
-
     async def _await_exit(self, node: str, process: Any) -> None:
         code = await process.wait()
         if self.over:
