A request goes out only after what discovery has written has been read

What discovery has counts as told from the first moment of a process; loading takes longer than the grace, so the list of the file must not be sent by.

Found by forced order beside it, each red on the program before: - a turn reads a host's socket before discovery's, and stalls under 0.5 s are no absence, one, two or six of them; - after an absence the head of discovery's answer counted as its list; - a node that is away again and again began the silence of its watch anew each time and never opened it anew; - silence, wait, call in vain and wait, each late by a stall, added up.

Before a request line discovery's socket is peeked at, once in 50 ms at the most, and the line waits a turn while anything lies there. Timers of the watch count from when the one before was due.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -40,7 +40,8 @@
 FIGURES_LAST = 1000.0  # after so long away, what was known of hosts is void
 READ_TURNS = 2  # turns of the reactor of which one at least has read every socket that had something
 MOST_TURNS = 600  # and so many at the most, enough to read a full buffer of discovery's
-LIST_WAIT = 500.0  # for the list where discovery has to be asked anew
+LIST_WAIT = 500.0  # for the list where discovery has to be asked anew, or for the first time
+LIST_LAG = 50.0  # before a request goes out discovery's socket has been looked at within so long
 CALL_AGAIN = 5.0  # between turns meanwhile
 IDLE = 2000.0  # a client that has sent no first line for so long is closed
 IDLE_SHORT = 250.0  # the same while sockets are short
@@ -53,10 +54,13 @@
     """Where the list of hosts is read."""
 
     reads: int  # how often anything of it has come
-    open: bool  # what comes can be read
+    open: bool  # what comes can be read, and a line of it has been
 
     def woke(self) -> None: ...
 
+    def unread(self) -> bool:
+        """Whether anything of it lies in the socket, its end too; costs a system call."""
+
 
 class Carrier(ABC):
     """The sessions of one node between clients and hosts, whatever they speak."""
@@ -84,7 +88,9 @@
         self.source: Source | None = None
         self.subsets: Subsets | None = None  # None: all hosts are drawn alike
         self.turn_at = math.inf  # a turn of the reactor has run since; without a sweep none is awaited
-        self.away = 0.0  # how old what is read now may be, while that is not all read yet
+        self.reading = False  # what came while the node was away, or its first list, is not all read yet
+        self.away = 0.0  # how old what is read now may be meanwhile
+        self.looked_at = -math.inf  # when nothing of the list was last seen to lie in its socket
         self.turns, self.reads, self.list_until = 0, 0, 0.0  # since the node was back
         self.held: deque[Callable[[], None]] = deque()  # what waits until then, in the order it came
         self.searched_at = clock()  # for clients that fell silent
@@ -124,16 +130,27 @@
         # Danger: what came meanwhile lies in the sockets in no order: a session is read before the list that
         # takes its host away, a timer runs out before the answer that it waits for.
         logger.warning("away ms={:.0f} sessions={}", span, len(self.sessions.table))
-        again = bool(self.away)
-        self.away, self.turn_at, self.turns, self.list_until = self.away + span, now, 0, now + LIST_WAIT
+        self.away, self.turn_at = self.away + span, now
         if self.source is not None:
             self.source.woke()
+        self._read_first(now)
+
+    def wait_for_list(self) -> None:
+        """Nothing is sent by the list that a new process is given until discovery's has come, for a while."""
+        # Danger: what discovery has counts as told from the first moment of a process, and loading it alone
+        # may take as long as the grace; who lies in the queue of its port is read before the list is.
+        self._read_first(self.read_clock())
+
+    def _read_first(self, now: float) -> None:
+        again, self.reading = self.reading, True
+        self.turns, self.list_until = 0, now + LIST_WAIT
+        if self.source is not None:
             self.reads = self.source.reads
         if not again:
             self.reactor.callLater(0, self._read_on)
 
     def _read_on(self) -> None:
-        """A turn later: whether all that came while the node was away has been read."""
+        """A turn later: whether all that had come has been read."""
         now, source = self.clock(), self.source
         self.turns += 1
         shut = source is not None and not source.open and now < self.list_until
@@ -144,7 +161,7 @@
             return
         if self.away >= FIGURES_LAST:
             self.balancer.forget(now)
-        self.away, self.turn_at = 0.0, now
+        self.reading, self.away, self.turn_at = False, 0.0, now
         held, self.held = self.held, deque()
         for do in held:
             do()
@@ -155,11 +172,11 @@
         return self.away if self.turns <= READ_TURNS else 0.0
 
     def later(self, do: Callable[[], None]) -> bool:
-        """Whether the node has yet to read what came while it was away; then this is done after that."""
+        """Whether the node has yet to read what came before; then this is done after that."""
         self.clock()
-        if self.away:
+        if self.reading:
             self.held.append(do)
-        return bool(self.away)
+        return self.reading
 
     # ---- the balancer
 
@@ -182,7 +199,7 @@
         self._set_timer()
 
     def _set_timer(self) -> None:
-        if self.away:
+        if self.reading:
             return
         due, now = self.balancer.due, self.clock()
         if self.timer is not None and self.timer.active():
@@ -194,7 +211,7 @@
 
     def _timer_fired(self) -> None:
         self.clock()
-        if self.away:
+        if self.reading:
             return
         try:
             self.carry_out(self.balancer.tick(self.clock()))
@@ -283,6 +300,10 @@
         s = conn.session
         if self.later(partial(self.dial_open, conn)) or conn.ended:
             return
+        if self._list_waits():
+            # discovery's socket is read before this runs again
+            self.reactor.callLater(0, self.dial_open, conn)
+            return
         unread = s.client.unread()
         if unread is None:
             self._send(s, conn)
@@ -292,6 +313,18 @@
             # who does not wait for its answer is turned away once that has been read
             self.reactor.callLater(0, self.dial_open, conn)
 
+    def _list_waits(self) -> bool:
+        """Whether discovery has told anything that is not read yet; looks once in LIST_LAG at the most."""
+        # Danger: a turn reads sockets in any order, and stalls too short to be an absence add up; the grace
+        # counts from when discovery wrote.
+        now = self.clock()
+        if self.source is None or now - self.looked_at <= LIST_LAG:
+            return False
+        if self.source.unread():
+            return True
+        self.looked_at = now
+        return False
+
     def _send(self, s: Session, conn: HostSide) -> None:
         # Danger: what held when the host was chosen may have lapsed while its connection came up.
         if s.head.at is None and not self.balancer.still_allowed(self.clock(), s.index):
@@ -495,7 +528,7 @@
         now = self.clock()
         self.turn_at = now
         # Danger: after the node itself stood still, what it has not read yet looks like silence.
-        if not self.away:
+        if not self.reading:
             self._mind_silence(now)
             # Danger: a machine that vanished says nothing and its connections stay open.
             for s in self.sessions.silent(now - SILENCE):
@@ -507,13 +540,13 @@
                 for host in {s.host: None for s in self.sessions.silent(now - SUSPECT) if self._unheard(s)}:
                     self.probes.look(host, self.hosts.address[host])
         # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
-        if not self.away and now - self.searched_at > self.limits.idle / 10:
+        if not self.reading and now - self.searched_at > self.limits.idle / 10:
             self.searched_at = now
             for s in self.sessions.standing():
                 if now - s.heard_at > self.limits.idle:
                     self.move(s, "client-silent")
         # Danger: clients that connect and say nothing would take every descriptor.
-        if not self.away:
+        if not self.reading:
             self.close_idle(now - (IDLE if self.budget.may_serve() else IDLE_SHORT))
 
     def close_idle(self, before: float) -> None:
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -118,6 +118,7 @@
         if alone:
             self.know(config.known)
             self.discovery.start()
+            self.desk.wait_for_list()
             self.listen()
         if config.admin is not None:
             Front(self.reactor, self.calls).listen(config.admin)
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -204,6 +204,7 @@
             if node.port is None:
                 node.know(node.config.known)
                 node.discovery.start()
+                node.desk.wait_for_list()
                 node.listen()
         except (BansError, CannotListenError) as error:
             self.refused(str(error))
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -33,13 +34,29 @@
 class _ByAddress:
     """Connects to the address as it stands."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, connected: Callable[[Any], None]) -> None:
         self.reactor = reactor
+        self.connected = connected
 
-    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:
+    def endpointForURI(self, uri: URI) -> _Endpoint:
         # Danger: the library looks every host up in a thread, an address too; the node has one thread, and a
         # second one that waits for the first at a start is all that it takes to stall both.
-        return TCP4ClientEndpoint(self.reactor, uri.host.decode(), uri.port, timeout=ANSWER)
+        endpoint = _Endpoint(self.reactor, uri.host.decode(), uri.port, timeout=ANSWER)
+        endpoint.connected = self.connected
+        return endpoint
+
+
+class _Endpoint(TCP4ClientEndpoint):
+    """Tells of the transport that it has connected, which the library keeps to itself."""
+
+    connected: Callable[[Any], None]
+
+    def connect(self, protocolFactory: Any) -> Any:  # noqa: N803
+        return super().connect(protocolFactory).addCallback(self._told)
+
+    def _told(self, protocol: Any) -> Any:
+        self.connected(protocol.transport)
+        return protocol
 
 
 class _WatchBody(LineOnlyReceiver):
@@ -49,6 +66,7 @@
     def __init__(self, watch: Discovery, granted: bool = True) -> None:
         self.watch = watch
         self.granted = granted
+        self.heard = False  # a whole line has come
 
     def connectionMade(self) -> None:
         if self.granted:
@@ -65,6 +83,7 @@
     def lineReceived(self, line: bytes) -> None:
         # Danger: the text of a refusal is no word of the hosts; hosts held to drain would be let go by it.
         if self.watch.body is self and self.granted:
+            self.heard = True
             self.watch.line(line.strip())
 
     def lineLengthExceeded(self, line: bytes) -> None:
@@ -91,7 +110,8 @@
         self.complain = complain
         self.excused = excused  # whether the node has yet to read what came while it was away
         pool = HTTPConnectionPool(reactor, persistent=False)
-        self.agent = Agent.usingEndpointFactory(reactor, _ByAddress(reactor), pool)
+        self.agent = Agent.usingEndpointFactory(reactor, _ByAddress(reactor, self.connected), pool)
+        self.transport: Any = None  # of the call that is out, or the watch
         self.body: _WatchBody | None = None
         self.asked: Any = None  # the call that has no answer yet
         self.back_off = back_off
@@ -99,26 +119,41 @@
         self.retry = None
         self.reads = 0  # how often anything of the list has come
 
-    def start(self) -> None:
+    def start(self, late: float = 0.0) -> None:
+        """Makes the call; so late, an answer is waited for so much less."""
         # Danger: the list that a node is given at its start is old, and hosts gone since may be sent nothing;
         # so the first call waits for nobody, though nodes killed together then ask together.
         self.retry = None
-        self.listen_for(ANSWER)
+        self.listen_for(max(ANSWER - late, BACK))
         url = f"http://{self.address}/discovery/hosts?watch=1&from={self.rev}".encode()
         asked = self.asked = self.agent.request(b"GET", url, Headers({b"User-Agent": [b"caperdeck"]}))
         asked.addCallbacks(self.answered, lambda failure: self.failed(asked, failure))
 
+    def connected(self, transport: Any) -> None:
+        self.transport = transport
+
     @property
     def open(self) -> bool:
-        return self.body is not None
+        return self.body is not None and self.body.heard
+
+    def unread(self) -> bool:
+        """Whether anything has come that is not read yet, the end of the connection too."""
+        if self.transport is None or not self.transport.connected:
+            return False
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass  # the reactor finds out in the same way
+        return True
 
     def woke(self) -> None:
-        """The node was away: what lies in the socket is no silence, and a call that waits is due at once."""
+        """The node was away: a call that waits is due at once."""
+        # Danger: with the silence counted anew, a node that is away again and again never opens the watch.
         if self.retry is not None and self.retry.active():
             self.retry.cancel()
             self.start()
-        elif self.silence is not None:
-            self.listen_for(SILENT if self.body else ANSWER)
 
     def move_to(self, address: str) -> None:
         """Watches another discovery from now on; the list last told holds until it speaks."""
@@ -134,11 +169,12 @@
         """Nobody waits for the call that is out any more, if one is."""
         asked, self.asked = self.asked, None
         if asked is not None:
+            self.transport = None
             asked.cancel()
 
     def leave(self) -> None:
         """Ends the watch that is open, if any; nothing that it still says counts."""
-        body, self.body = self.body, None
+        body, self.body, self.transport = self.body, None, None
         if body is not None and body.transport is not None:
             body.transport.loseConnection()
 
@@ -166,23 +202,32 @@
     def fell_silent(self) -> None:
         # Danger: after the node itself was away the timer runs out before what lies in the socket is read.
         if self.excused():
-            self.listen_for(SILENT)
+            self.listen_for(BACK)
             return
+        late = self._late(self.silence)
         if self.back_off.fresh:
             waited = SILENT if self.body else ANSWER
             self.complain("discovery-silent", f"nothing from discovery for {waited} s")
         self.give_up()
-        self.again(self.body)
+        self.again(self.body, late=late)
 
-    def again(self, body: _WatchBody | None, why: Spans = LOST) -> None:
+    def _late(self, timer: Any) -> float:
+        """By how much a timer that runs now runs late."""
+        # Danger: silence, a wait, a call in vain and a wait, each late by a stall, add up past the bound.
+        return max(self.reactor.seconds() - timer.getTime(), 0.0)
+
+    def again(self, body: _WatchBody | None, why: Spans = LOST, late: float = 0.0) -> None:
         """Opens the watch anew a little later, unless that is on the way already."""
         if body is not self.body or self.retry is not None:
             return
         self.leave()
         cancel(self.silence)
         # Danger: what was told while the node was away counts as told, whether or not it still can read it.
-        wait = BACK if self.excused() else self.back_off.next(why)
-        self.retry = self.reactor.callLater(wait, self.start)
+        wait = BACK if self.excused() else max(self.back_off.next(why) - late, 0.0)
+        self.retry = self.reactor.callLater(wait, self._due)
+
+    def _due(self) -> None:
+        self.start(0.0 if self.excused() else self._late(self.retry))
 
     def line(self, line: bytes) -> None:
         self.listen_for(SILENT)
