--- a/caperdeck/owner/config.py
+++ b/caperdeck/owner/config.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import ipaddress
 import math
 from typing import Any, NamedTuple
 
 from caperdeck.leases.table import MOST_SPAN
 from caperdeck.leases.target import CENSUS, HOSTS
-from caperdeck.lifecycle.toml import TomlError, read_toml
+from caperdeck.lifecycle.toml import TomlError, check_keys, loopback_address, name_of, read_toml
 from caperdeck.raft.core import ELECTION
-from caperdeck.state.addresses import Address, AddressError, parse_address
+from caperdeck.state.addresses import Address
 
 SPAN = 1500.0  # milliseconds of a lease
 LEAST_SPAN = 2 * ELECTION  # a shorter one ends before a new leader can be found to renew it
@@ -66,7 +65,7 @@
 
 
 def _instance(raw: dict[str, Any]) -> OwnerConfig:
-    _known(raw, {"cluster", "me", "folder", "listen", "instances", "first", "nodes", "works", "span"})
+    check_keys(raw, {"cluster", "me", "folder", "listen", "instances", "first", "nodes", "works", "span"})
     instances = _instances(raw)
     me = raw.get("me")
     if isinstance(me, bool) or not isinstance(me, int) or me not in instances:
@@ -79,37 +78,20 @@
         raise _Faulty(f"first: {first!r:.50} are not all instances")
     if len(set(first)) < len(first):
         raise _Faulty("first: an instance twice")
+    listen = loopback_address(raw["listen"], "listen") if "listen" in raw else instances[me]
     return OwnerConfig(
-        _cluster(raw), me, folder, _address(raw["listen"], "listen") if "listen" in raw else instances[me],
+        _cluster(raw), me, folder, listen,
         instances, tuple(first), _nodes(raw), _works(raw), _span(raw),
     )  # fmt: skip
 
 
 def _owners(raw: dict[str, Any]) -> Owners:
-    _known(raw, {"cluster", "instances"})
+    check_keys(raw, {"cluster", "instances"})
     return Owners(_cluster(raw), tuple(_instances(raw).values()))
 
 
-def _known(raw: dict[str, Any], keys: set[str]) -> None:
-    if unknown := sorted(raw.keys() - keys):
-        raise _Faulty(f"{unknown[0]}: unknown key, known are {', '.join(sorted(keys))}")
-
-
 def _cluster(raw: dict[str, Any]) -> str:
-    name = raw.get("cluster")
-    if not isinstance(name, str) or not 0 < len(name) <= LONGEST:
-        raise _Faulty(f"cluster: {name!r:.50} is no name")
-    return name
-
-
-def _address(value: Any, key: str) -> Address:
-    try:
-        address = parse_address(value)
-        if not ipaddress.ip_address(address.host).is_loopback:
-            raise _Faulty(f"{key}: {value} is off loopback, and nothing is sealed or signed yet")
-    except (AddressError, ValueError) as error:
-        raise _Faulty(f"{key}: {error}") from None
-    return address
+    return name_of(raw.get("cluster"), "cluster", LONGEST)
 
 
 def _table(raw: dict[str, Any], key: str, most: int) -> dict[str, Any]:
@@ -120,7 +102,7 @@
 
 
 def _addresses(table: dict[str, Any], key: str) -> dict[str, Address]:
-    found = {name: _address(value, f"{key}.{name}") for name, value in table.items()}
+    found = {name: loopback_address(value, f"{key}.{name}") for name, value in table.items()}
     if len(set(found.values())) < len(found):
         # Danger: one process under two names would vote, or be counted, twice.
         raise _Faulty(f"{key}: an address twice")
