--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -2,8 +2,8 @@
 
 Usage:
   caperdeck serve [--config=FILE] [--log-level=LEVEL] [--sharing=FILE] [--owners=FILE]
-                  [--subsets]
-  caperdeck check [--config=FILE] [--sharing=FILE] [--owners=FILE]
+                  [--control=FILE] [--subsets]
+  caperdeck check [--config=FILE] [--sharing=FILE] [--owners=FILE] [--control=FILE]
   caperdeck peers show ADDRESS
   caperdeck owner serve --config=FILE [--log-level=LEVEL]
   caperdeck owner status --config=FILE
@@ -49,6 +49,8 @@
   --owners=FILE      The instances whose owners may act on this node, TOML (deploy/owners.toml).
   --instances=FILE   The instances to ask, TOML (deploy/owners.toml).
   --on=REVISION      Refuse to publish on any other version than this; on the newest if not given.
+  --control=FILE     The instances that publish the configuration, TOML (deploy/control.toml); the node's
+                     file alone if not given (docs/distribution-node.md).
   --subsets          The node draws the hosts of a subset of its own first (docs/turns.md).
   --log-level=LEVEL  DEBUG, INFO, WARNING or ERROR [default: INFO].
   --seed=N           Of all draws of a run; the scenario's own otherwise.
@@ -95,7 +97,7 @@
 
 def serve(
     config: Config, level: str, path: str | None, uses: Any = None, owners: Any = None,
-    subsets: bool = False,
+    subsets: bool = False, control: Any = None,
 ) -> int:  # fmt: skip
     load_in_steps(NODE)
     from twisted.internet import reactor
@@ -105,8 +107,19 @@
     from caperdeck.lifecycle.service import Service
     from caperdeck.ops.bans import BansError
 
-    sink, reread = start_logging(level), lambda: reload_config(os.environ, path)
-    service = Service(reactor, config, sink, reread, uses=uses, owners=owners, subsets=subsets)
+    sink, reread, published = start_logging(level), lambda: reload_config(os.environ, path), None
+    if control is not None:
+        from caperdeck.lifecycle.published import Published
+
+        published = Published(reactor, control, lambda: reload_config(os.environ, path, keep=True))
+        try:
+            config, reread = published.first(config), published.reread
+        except ConfigError as error:
+            print(f"caperdeck: {error}", file=sys.stderr)
+            return 2
+    service = Service(
+        reactor, config, sink, reread, uses=uses, owners=owners, subsets=subsets, published=published,
+    )  # fmt: skip
     try:
         service.start()
     except BansError as error:
@@ -161,8 +174,8 @@
         # Danger: a SIGHUP that comes while the node starts would end it; the file is read after this.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        config = load_config(os.environ, arguments["--config"])
-        uses = owners = None
+        config = load_config(os.environ, arguments["--config"], keep=bool(arguments["--control"]))
+        uses = owners = control = None
         if arguments["--sharing"]:
             from caperdeck.lifecycle.sharing import load_uses
 
@@ -171,13 +184,17 @@
             from caperdeck.lifecycle.owners import load
 
             owners = load(arguments["--owners"], config)
+        if arguments["--control"]:
+            from caperdeck.lifecycle.control import load_control
+
+            control = load_control(arguments["--control"], config.name)
     except ConfigError as error:
         print(f"caperdeck: {error}", file=sys.stderr)
         return 2
     if arguments["check"]:
         print(f"node {config.name}: {len(config.names.listeners)} classes, {len(config.known)} known hosts")
         return 0
-    return serve(config, level, arguments["--config"], uses, owners, arguments["--subsets"])
+    return serve(config, level, arguments["--config"], uses, owners, arguments["--subsets"], control)
 
 
 def script() -> None:
--- a/caperdeck/distribution/subscriber.py
+++ b/caperdeck/distribution/subscriber.py
@@ -32,6 +32,7 @@
 RETURN = 120_000.0  # longest until a node away from its preferred publisher tries that again
 DRIFT = 0.05  # clocks run within this part of true time
 MOST_QUESTIONS = 8  # whose times are kept
+IN_PARTS = 4000.0  # bytes of a message count as an answer for so long after the last whole one
 
 
 class State(IntEnum):
@@ -88,6 +89,7 @@
 
     def __init__(
         self, place: Place, publishers: Iterable[Place], held: Held, number: int, seed: int, now: float,
+        refusal: Refusal | None = None,
     ) -> None:  # fmt: skip
         self.place = place
         self.order = [publisher.name for publisher in preferred(place, publishers)]
@@ -96,7 +98,7 @@
         self.number, self.seed, self.draws = number, seed, 0
         self.applying: Held | None = None
         self.pending: Snapshot | Delta | None = None  # the newest that came while one is being applied
-        self.refusal: Refusal | None = None
+        self.refusal = refusal  # in this life of the node
         self.current_at = -math.inf  # when what is in force was surely the newest version
         self.confirmed = False  # in this life
         self.phase = Phase.WAITING
@@ -106,7 +108,7 @@
         self.rounds = 0  # in which all were tried
         self.busy = 0
         self.questions: dict[int, float] = {}  # when each was asked
-        self.heard_at = self.asked_at = self.tried_at = -math.inf
+        self.heard_at = self.asked_at = self.tried_at = self.whole_at = -math.inf
         self.behind_since: float | None = None
         self.whole = False
         self.dropped: dict[str, int] = {}  # by reason
@@ -121,7 +123,7 @@
         if self.phase is Phase.WAITING:
             return self.try_at
         if self.phase is Phase.ASKING:
-            return self.tried_at + ANSWER
+            return max(self.tried_at, self.heard_at) + ANSWER
         behind = math.inf if self.behind_since is None else self.behind_since + BEHIND
         return min(self.asked_at + HEARTBEAT, self.heard_at + SILENT, behind, self.return_at)
 
@@ -131,6 +133,8 @@
         return self._done()
 
     def receive(self, now: float, publisher: str, message: FromPublisher) -> list[Action]:
+        if publisher == self.publisher:
+            self.whole_at = now
         if not self._is_of_the_watch(publisher, message):
             self._drop("other-subscription")
         elif isinstance(message, Heartbeat):
@@ -144,6 +148,16 @@
             self._leave(now, 0.0)
         return self._done()
 
+    def heard(self, now: float, publisher: str) -> None:
+        """A part of a message came: a large version takes longer than an answer may."""
+        # Danger: a publisher that sends a byte now and then would be waited for without end.
+        if publisher == self.publisher and now <= self.whole_at + IN_PARTS:
+            self.heard_at = now
+
+    def number_from(self, number: int) -> None:
+        """The next questions have higher numbers than this one."""
+        self.number = max(self.number, number)
+
     def lost(self, now: float, publisher: str) -> list[Action]:
         """The connection to that publisher has ended, or did not come up."""
         if publisher == self.publisher:
@@ -280,7 +294,7 @@
     def _subscribe(self, now: float, publisher: str) -> None:
         if self.publisher is not None:
             self.out.append(Leave(self.publisher))
-        self.publisher, self.phase, self.tried_at = publisher, Phase.ASKING, now
+        self.publisher, self.phase, self.tried_at, self.whole_at = publisher, Phase.ASKING, now, now
         self.behind_since, self.pending = None, None
         self.subscription = self._question(now)
         # Questions of all nodes that begin together are spread over the second that follows.
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -4,7 +4,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, NamedTuple
 
 import orjson
@@ -51,13 +51,28 @@
     scratch: str | None  # a folder that a successor sees too
     peers: Peers
     keys: frozenset[str]  # that the file has, but for those of hosts
+    own: dict[str, Any] | None = None  # the file as it was read, where published versions go over it
 
 
-def load_config(environment: Mapping[str, str], path: str | None = None) -> Config:
-    """From the file that the path or EDGE_CONFIG names; what stands alone in the environment fills gaps."""
+def load_config(environment: Mapping[str, str], path: str | None = None, keep: bool = False) -> Config:
+    """From the file that the path or EDGE_CONFIG names; what stands alone in the environment fills gaps.
+
+    `keep`: the configuration keeps the file's own values, to be merged with others.
+    """
     path = path or environment.get("EDGE_CONFIG")
     if not path:
         raise ConfigError("no configuration: EDGE_CONFIG is not set")
+    raw = _read(path)
+    for key in ("name", "listen", "discovery", "admin_addr"):
+        raw.setdefault(key, environment.get(f"EDGE_{key.upper()}"))
+    try:
+        config = decode(raw, environment.get("TMPDIR") or None)
+    except ConfigError as error:
+        raise ConfigError(f"configuration {path}: {error}") from None
+    return replace(config, own=raw) if keep else config
+
+
+def _read(path: str) -> dict[str, Any]:
     try:
         with open(path, "rb") as file:
             text = file.read(LARGEST + 1)
@@ -70,23 +85,26 @@
         raise ConfigError(f"configuration {path} is no JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"configuration {path} is no JSON object")
-    for key in ("name", "listen", "discovery", "admin_addr"):
-        raw.setdefault(key, environment.get(f"EDGE_{key.upper()}"))
+    return raw
+
+
+def decode(raw: dict[str, Any], scratch: str | None) -> Config:
+    """The configuration, or ConfigError with what is wrong in it, whatever that is."""
     try:
-        return decode_config(raw, environment.get("TMPDIR") or None)
+        return decode_config(raw, scratch)
     except (SettingsError, AddressError) as error:
-        raise ConfigError(f"configuration {path}: {error}") from None
+        raise ConfigError(str(error)) from None
     except (TypeError, ValueError, AttributeError, KeyError, OverflowError) as error:
-        raise ConfigError(f"configuration {path}: a value of the wrong kind: {error}") from None
+        raise ConfigError(f"a value of the wrong kind: {error}") from None
 
 
-def reload_config(environment: Mapping[str, str], path: str | None = None) -> Config:
+def reload_config(environment: Mapping[str, str], path: str | None = None, keep: bool = False) -> Config:
     """The same at a node that runs already."""
     path = path or environment.get("EDGE_CONFIG") or ""
     # Danger: a pipe in the file's place would hold the node up until somebody writes to it.
     if not os.path.isfile(path):
         raise ConfigError(f"configuration {path}: no regular file")
-    return load_config(environment, path)
+    return load_config(environment, path, keep)
 
 
 def check_kept(old: Config, new: Config) -> None:
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -63,7 +63,7 @@
     def __init__(
         self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config],
         clock: Callable[[], float] | None = None, uses: Any = None, owners: Any = None,
-        subsets: bool = False,
+        subsets: bool = False, published: Any = None,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.config = config
@@ -85,6 +85,7 @@
         self.desk.subsets = subsets_of(config) if subsets else None
         self.uses = uses  # None: it says nothing to its peers
         self.peers: Any = None  # its port for datagrams
+        self.published = published  # None: its file alone says what it serves under
         self.owned: Any = None  # what owners of work on behalf of the fleet have done here
         self.port = None
         self.calls = Calls()
@@ -193,6 +194,18 @@
     def take_clients(self) -> None:
         self.takes = self.accepts = True
         self.port.startReading()
+        if self.published is not None:
+            self.published.start(self)
+
+    def stop_taking(self) -> None:
+        """Another process of this node takes clients from now on."""
+        self.takes = False
+        # Danger: two processes under one name would both answer for it; the successor opens the port anew.
+        self.part()
+        if self.published is not None:
+            self.published.stop()
+        if self.port is not None:
+            self.port.stopReading()
 
     def discovery_spoke(self) -> None:
         self.desk.discovery_spoke()
@@ -261,21 +274,28 @@
     def telemetry(self, then: Then) -> None:
         shared = self.peers.sharing.lines(self.desk.clock()) if self.peers is not None else []
         owned = self.owned.lines() if self.owned is not None else []
-        then([*self.desk.figures.lines(self.desk.gauges()), *shared, *owned, "--"])
+        published = self.published.lines() if self.published is not None else []
+        then([*self.desk.figures.lines(self.desk.gauges()), *shared, *owned, *published, "--"])
 
     # ---- a new configuration
 
     def reload(self) -> None:
         """Takes the file whole or not at all; what needs a restart is named and stays as it is."""
-        old = self.config
+        if self.published is not None and self.published.busy(self.reload):
+            return
         try:
             new = self.reread()
-            check_kept(old, new)
+            check_kept(self.config, new)
         except ConfigError as error:
             # Danger: half a file, or one for another program, must not end a node that serves.
             self.desk.figures.invalid += 1
             logger.error("reload reason=unusable {}", error)
             return
+        self.take(new)
+
+    def take(self, new: Config) -> None:
+        """Serves under it from now on; it was checked whole."""
+        old = self.config
         self.desk.figures.accepted += 1
         kept = [key for key in ("name", "listen", "admin") if getattr(new, key) != getattr(old, key)]
         kept += ["dcs"] * (new.names.zones != old.names.zones)
@@ -350,8 +370,9 @@
             return
         self.left, self.exit_code = True, code
         self.part()
-        if self.owned is not None:
-            self.owned.stop()
+        for part in (self.owned, self.published):
+            if part is not None:
+                part.stop()
         self.upgrade.end()
         logger.info("exit ms={:.0f}", self.clock() - self.stopped_at if self.stopped_at else 0)
         self.sink.flush()
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -39,6 +39,7 @@
     def listen(self, fd: int = -1) -> None: ...
     def begin(self) -> None: ...
     def take_clients(self) -> None: ...
+    def stop_taking(self) -> None: ...
     def exit(self, code: int = 0) -> None: ...
 
 
@@ -118,11 +119,7 @@
 
     def stop_taking(self) -> None:
         logger.info("upgrade reason=given sessions={}", len(self.node.desk.sessions.table))
-        self.node.takes = False
-        # Danger: two processes under one name would both answer for it; the successor opens the port anew.
-        self.node.part()
-        if self.node.port is not None:
-            self.node.port.stopReading()
+        self.node.stop_taking()
         self.shut()
 
     def take_again(self) -> None:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,202 @@
+"""A node whose configuration is published: the control file, the file of the version in force, the watch."""
+
+import errno
+import json
+import os
+from pathlib import Path
+
+import pytest
+from helpers import CONFIG, SETUP, write
+
+from caperdeck.__main__ import main
+from caperdeck.distribution.choice import Place
+from caperdeck.distribution.document import digest
+from caperdeck.distribution.subscriber import NOTHING, Held
+from caperdeck.distribution.version_file import (
+    BLOCK, DamagedFileError, ForeignFileError, VersionFile, VersionFileError,
+)  # fmt: skip
+from caperdeck.lifecycle.config import ConfigError, load_config
+from caperdeck.lifecycle.control import Instance, load_control
+from caperdeck.lifecycle.merge import check_document, with_version
+from caperdeck.state.addresses import Address
+
+# ---- the control file
+
+INSTANCES = """
+[instances.o0]
+address = "127.0.0.1:7100"
+zone = "z0"
+region = "north"
+
+[instances.o1]
+address = "127.0.0.1:7101"
+zone = "z1"
+region = "south"
+"""
+
+
+def control_file(path, here, instances=INSTANCES, **changes):
+    """The text of a file with these keys in place of the usual ones; without a key that is None."""
+    keys = {"cluster": "t", "zone": "z0", "region": "north", "folder": str(here)} | changes
+    rows = [f"{key} = {json.dumps(value)}" for key, value in keys.items() if value is not None]
+    path.write_text("\n".join(rows) + "\n" + instances)
+    return str(path)
+
+
+def test_a_control_file_is_read_whole(tmp_path):
+    control = load_control(control_file(tmp_path / "control", tmp_path), "n1")
+    assert control == (
+        "t", Place("n1", "z0", "north"), str(tmp_path),
+        {"o0": Instance(Place("o0", "z0", "north"), Address("127.0.0.1", 7100)),
+         "o1": Instance(Place("o1", "z1", "south"), Address("127.0.0.1", 7101))},
+    )  # fmt: skip
+
+
+MANY = "".join(
+    f'[instances.p{i}]\naddress = "127.0.0.1:{7000 + i}"\nzone="z"\nregion="r"\n' for i in range(10)
+)
+
+
+@pytest.mark.parametrize("changes, text", [
+    ({"colour": 1}, "colour: unknown key, known are cluster, folder, instances, region, zone"),
+    ({"cluster": None}, "cluster: None is no name"), ({"cluster": "x" * 65}, "cluster: .* is no name"),
+    ({"zone": ""}, "zone: '' is no name"), ({"region": 7}, "region: 7 is no name"),
+    ({"zone": "a\tb"}, "zone: 'a.*b' cannot be printed"),
+    ({"folder": None}, "folder: no folder is named"),
+    ({"folder": "/nowhere"}, "folder: /nowhere is no folder"),
+    ({"instances": ""}, "instances: 1 to 9 tables"), ({"instances": MANY}, "instances: 1 to 9 tables"),
+    ({"instances": "instances = 7"}, "instances: 1 to 9 tables"), ({"instances": "x = ["}, "no TOML"),
+    ({"instances": "[instances]\no0 = 7"}, "instances.o0: no table"),
+    ({"instances": INSTANCES + "port = 7"}, "instances.o1.port: unknown key"),
+    ({"instances": INSTANCES.replace('zone = "z1"', "")}, "instances.o1.zone: None is no name"),
+    ({"instances": INSTANCES.replace('address = "127.0.0.1:7101"', "")}, "instances.o1.address: missing"),
+    ({"instances": INSTANCES.replace("7101", "7100")}, "instances.o1.address: that of o0 too"),
+    ({"instances": INSTANCES.replace("7101", "70000")}, "instances.o1.address: no address"),
+    ({"instances": INSTANCES.replace("127.0.0.1:7101", "10.0.0.1:7101")}, "o1.address: .* off loopback"),
+    ({"instances": INSTANCES.replace("o1", "o0")}, "no TOML: Cannot declare"),
+])  # fmt: skip
+def test_a_control_file_that_cannot_be_used_is_named_in_one_line(tmp_path, capsys, changes, text):
+    path = control_file(tmp_path / "control", tmp_path, **changes)
+    with pytest.raises(ConfigError, match=text):
+        load_control(path, "n1")
+    write(tmp_path / "c", CONFIG)
+    for command in ("check", "serve"):
+        assert main([command, f"--config={tmp_path / 'c'}", f"--control={path}"]) == 2
+        said = capsys.readouterr().err
+        assert said.startswith(f"caperdeck: control {path}: ") and said.count("\n") == 1
+
+
+def test_check_takes_a_control_file(tmp_path, capsys):
+    write(tmp_path / "c", CONFIG)
+    path = control_file(tmp_path / "control", tmp_path)
+    assert main(["check", f"--config={tmp_path / 'c'}", f"--control={path}"]) == 0
+
+
+def test_the_file_to_start_from_can_be_used(tmp_path):
+    text = (Path(__file__).parent.parent / "deploy" / "control.toml").read_text()
+    (tmp_path / "control").write_text(text.replace("/var/lib/caperdeck", str(tmp_path)))
+    assert list(load_control(str(tmp_path / "control"), "n1").instances) == ["o0", "o1", "o2"]
+
+
+# ---- a version over the node's own file
+
+
+def own(tmp_path, **changes):
+    return load_config(write(tmp_path / "own", CONFIG | changes), keep=True)
+
+
+ROW = SETUP["listeners"][0]
+
+
+def test_a_version_replaces_what_it_may_set_and_nothing_else(tmp_path):
+    config = own(tmp_path)
+    rows = [ROW | {"name": "chat2"}]
+    new = with_version(
+        config, {"discovery": "127.0.0.1:8600", "settings": {"listeners": rows, "fleetSize": 9}}
+    )
+    assert (new.discovery, new.names.listeners, new.settings.nodes) == ("127.0.0.1:8600", {"chat2": 0}, 9)
+    assert (new.name, new.listen, new.sockets, new.keys, new.own) == (
+        config.name, config.listen, config.sockets, config.keys, config.own,
+    )  # fmt: skip
+    assert new.settings.max_dials == config.settings.max_dials and config.own["discovery"] == "127.0.0.1:8500"
+    assert with_version(config, {}) is config
+
+
+@pytest.mark.parametrize("document, text", [
+    ({"listen": "127.0.0.1:1"}, "^listen: not for a version to set, it may set discovery, settings$"),
+    ({"seed": "0"}, "^seed: not for"), ({"limits": {"sockets": 9}}, "^limits: not for"),
+    ({"settings": []}, "^settings: no JSON object"), ({"settings": {"me": 1}}, "^settings.me: not for"),
+    ({"settings": {"locality": "west"}}, "^settings.locality: not for"),
+    ({"discovery": "nowhere"}, "^discovery: no address"),
+    ({"settings": {"listeners": 7}}, "^settings.listeners: a value of the wrong kind"),
+    ({"settings": {"fleetSize": 3, "limits": {"mostDials": 0}}}, "^settings.limits: .*limits.mostDials is 0"),
+])  # fmt: skip
+def test_a_version_that_cannot_be_served_names_the_field(tmp_path, document, text):
+    for check in (check_document, lambda x: with_version(own(tmp_path), x)):
+        with pytest.raises(ConfigError, match=text) as caught:
+            check(document)
+        assert "\n" not in str(caught.value)
+
+
+# ---- the file of the version in force
+
+
+def held(revision, document=None):
+    document = document or {"settings": {"fleetSize": revision}}
+    return Held(revision, digest(document), document)
+
+
+def version_file(folder, node="n1"):
+    return VersionFile(str(folder), "t", node)
+
+
+def test_a_version_and_the_numbers_come_back_and_never_go_back(tmp_path):
+    assert version_file(tmp_path).read() == (NOTHING, 0)
+    first = version_file(tmp_path)
+    assert first.reserve(5000.0) == (NOTHING, 5000, 5000 + BLOCK)
+    first.keep(held(7))
+    second = version_file(tmp_path)
+    assert second.read() == (held(7), 5000 + BLOCK)
+    assert second.reserve(6000.0) == (held(7), 5000 + BLOCK, 5000 + 2 * BLOCK)
+    second.keep(held(8))
+    with pytest.raises(VersionFileError, match="revision 8 is there already"):
+        first.keep(held(7))
+    assert second.read() == (held(8), 5000 + 2 * BLOCK)
+
+
+def test_a_file_with_any_byte_changed_or_cut_off_counts_as_nothing_held(tmp_path):
+    file = version_file(tmp_path)
+    file.reserve(0.0)
+    file.keep(held(7))
+    path = tmp_path / "version"
+    whole = path.read_bytes()
+    damaged = [whole[:i] for i in range(len(whole))]
+    damaged += [whole[:i] + bytes([byte ^ 1]) + whole[i + 1 :] for i, byte in enumerate(whole)]
+    for data in damaged:
+        path.write_bytes(data)
+        with pytest.raises(DamagedFileError, match="damaged, counted as nothing held"):
+            file.read()
+    assert version_file(tmp_path).reserve(9000.0).held == NOTHING
+
+
+def test_another_nodes_file_is_not_taken_and_not_written_over(tmp_path):
+    version_file(tmp_path).keep(held(7))
+    other = version_file(tmp_path, "n2")
+    for call in (other.read, lambda: other.reserve(0.0), lambda: other.keep(held(9))):
+        with pytest.raises(ForeignFileError, match="of node n1 of t"):
+            call()
+    assert version_file(tmp_path).read().held == held(7)
+
+
+@pytest.mark.parametrize("call", ["fsync", "replace"])
+def test_a_write_that_fails_leaves_the_version_before(tmp_path, monkeypatch, call):
+    file = version_file(tmp_path)
+    file.keep(held(7))
+
+    def full(*_):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(os, call, full)
+    with pytest.raises(VersionFileError, match="No space left on device"):
+        file.keep(held(8))
+    assert file.read().held == held(7)
--- /dev/null
+++ b/tests/test_control_node.py
@@ -0,0 +1,490 @@
+"""A node under published versions: a real service and subscriber, a real publisher, transports in memory."""
+
+import socket
+import subprocess
+import sys
+
+import pytest
+from helpers import CONFIG, SETUP, START, Stepped, Wire, desk, logged, write
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.protocol import ServerFactory
+from twisted.internet.testing import MemoryReactorClock
+from twisted.protocols.basic import Int32StringReceiver
+
+from caperdeck.distribution.choice import Place
+from caperdeck.distribution.document import digest
+from caperdeck.distribution.messages import Subscribe
+from caperdeck.distribution.publisher import Publisher
+from caperdeck.distribution.stream import encode, message_from_node
+from caperdeck.distribution.subscriber import ANSWER, IN_PARTS, Held, State, Subscriber
+from caperdeck.distribution.table import Versions, propose
+from caperdeck.distribution.version_file import BLOCK, VersionFile, VersionFileError
+from caperdeck.lifecycle.config import load_config, reload_config
+from caperdeck.lifecycle.control import Control, Instance
+from caperdeck.lifecycle.logs import Sink
+from caperdeck.lifecycle.published import Published
+from caperdeck.lifecycle.service import Service
+from caperdeck.raft.codec import unwrap
+from caperdeck.state.addresses import Address
+
+
+ADDRESS = Address("127.0.0.1", 7100)
+
+
+def fleet_size(nodes):
+    return {"settings": {"fleetSize": nodes}}
+
+
+class Socket(Wire):
+    def setsockopt(self, *_):
+        pass
+
+
+class Disk:
+    """Makes calls at once; keeps what came of them while it is held up, or makes none while it is full."""
+
+    def __init__(self):
+        self.held_up, self.full, self.told = False, False, []
+
+    def __call__(self, call, then):
+        try:
+            if self.full:
+                raise VersionFileError("version: No space left on device")
+            result = call()
+        except VersionFileError as error:
+            result = error
+        self.told.append((then, result))
+        if not self.held_up:
+            self.tell()
+
+    def tell(self):
+        told, self.told = self.told, []
+        for then, result in told:
+            then(result)
+
+
+class Instances:
+    """One publisher over a table that is agreed on at once; it confirms itself unless told otherwise."""
+
+    def __init__(self, clock):
+        self.clock, self.table, self.confirms = clock, Versions(), True
+        self.publisher = Publisher("o0", self.table, clock())
+        self.send_to = {}  # by node
+        self.heard = []
+
+    def publish(self, document):
+        newest = self.table.newest.revision
+        assert self.table.apply(propose(self.table, newest, document, 1)).get("ok")
+        self.turn()
+
+    def turn(self):
+        if self.confirms:
+            self.publisher.confirmed(self.clock(), self.table.newest.revision)
+        self.send(self.publisher.changed(self.clock()))
+        self.send(self.publisher.tick(self.clock()))
+
+    def send(self, sends):
+        for send in sends:
+            if send.node in self.send_to:
+                self.send_to[send.node](encode(send.message, "t"))
+
+    def receive(self, frame, write):
+        """The frame of a node without its length, and what writes to that node."""
+        message = message_from_node(*unwrap(frame, "t"), len(frame))
+        self.heard.append(message)
+        if isinstance(message, Subscribe):
+            self.send_to[message.node] = write
+        self.send(self.publisher.receive(self.clock(), message))
+
+
+class Node:
+    """One life of a node: its service, with everything around it in memory but the folder."""
+
+    def __init__(self, folder, name="n1", reactor=None, address=ADDRESS, **own):
+        self.folder, self.disk = folder, Disk()
+        self.reactor = reactor or MemoryReactorClock()
+        self.environment = write(folder / "c", CONFIG | own | {"name": name})
+        place = Place("o0", "z0", "north")
+        control = Control("t", Place(name, "z0", "north"), str(folder), {"o0": Instance(place, address)})
+        self.published = Published(self.reactor, control, self.read_own, self.disk)
+        config = self.published.first(load_config(self.environment, keep=True))
+        self.service = Service(
+            self.reactor, config, Sink(2), self.published.reread, published=self.published,
+        )  # fmt: skip
+        self.service.desk = d = desk(reactor=self.reactor)
+        self.service.clock, self.service.knows = d.clock, True
+        self.connections = []
+
+    def read_own(self):
+        return reload_config(self.environment, keep=True)
+
+    def start(self):
+        self.published.start(self.service)
+        return self
+
+    @property
+    def watch(self):
+        return self.published.watch
+
+    @property
+    def revision(self):
+        return self.watch.in_force.revision
+
+    def play(self, instances, seconds=3.0):
+        """What the node and the instances say goes to and fro while the clock goes on."""
+        for _ in range(round(seconds / 0.1)):
+            self.reactor.advance(0.1)
+            instances.turn()
+            for _ in range(4):
+                self.exchange(instances)
+        return self
+
+    def exchange(self, instances):
+        for *_, factory, _, _ in self.reactor.tcpClients[len(self.connections) :]:
+            connection, wire = factory.buildProtocol(None), Socket()
+            self.connections.append((connection, wire))
+            connection.makeConnection(wire)
+        for connection, wire in self.connections:
+            data = wire.value()
+            wire.clear()
+            while data and not wire.disconnected:
+                size = int.from_bytes(data[:4], "big")
+                instances.receive(data[4 : 4 + size], connection.dataReceived)
+                data = data[4 + size :]
+
+    def lines(self):
+        told = []
+        self.service.telemetry(told.extend)
+        return [line for line in told if line.startswith("app_config_")]
+
+
+def clocked(node):
+    return Instances(node.service.clock)
+
+
+def served(folder, *documents, **parts):
+    """A node that has the newest of these versions in force, and its instances."""
+    node = Node(folder, **parts).start()
+    instances = clocked(node)
+    for document in documents:
+        instances.publish(document)
+        node.play(instances)
+    assert node.revision == len(documents)
+    return node, instances
+
+
+def test_a_version_is_kept_put_in_force_and_told_of(tmp_path):
+    node, instances = served(tmp_path, fleet_size(5), fleet_size(6))
+    assert node.service.config.settings.nodes == 6 and node.watch.state() is State.CURRENT
+    assert VersionFile(str(tmp_path), "t", "n1").read().held.document == fleet_size(6)
+    (row,) = instances.publisher.status(instances.clock()).rows
+    assert (row.node, row.revision, row.stale) == ("n1", 2, False)
+    assert node.service.desk.figures.accepted == 2
+
+
+def test_the_figures_say_what_is_in_force_and_what_is_not(tmp_path):
+    node, instances = served(tmp_path, fleet_size(5))
+    lines = node.lines()
+    assert [line for line in lines if "confirmed" not in line] == [
+        "app_config_revision 1",
+        'app_config_state{state="starting"} 0',
+        'app_config_state{state="current"} 1',
+        'app_config_state{state="stale"} 0',
+        'app_config_publisher{name="o0"} 1',
+    ]
+    name, age = lines[4].split()
+    assert name == "app_config_confirmed_ms" and 0 <= int(age) <= 1500
+    instances.publish({"listen": "127.0.0.1:1"})
+    instances.confirms = False
+    node.play(instances, 9.0)
+    said = "\n".join(node.lines())
+    assert 'refused{revision="2",reason="listen: not for a version to set' in said
+    assert 'state="stale"} 1' in said and "publisher" not in said
+
+
+def test_without_control_nothing_is_told_of_versions(tmp_path):
+    node = Node(tmp_path)
+    node.service.published = None
+    assert node.lines() == []
+
+
+def test_a_version_that_one_of_two_nodes_refuses_is_kept_out_there_and_the_next_goes_to_both(tmp_path):
+    nodes, reactor = [], MemoryReactorClock()
+    for name, specifics in (("n1", {}), ("n2", {"specifics": {"messageAim": [0.3, "none"]}})):
+        (tmp_path / name).mkdir()
+        own = {"settings": SETUP | specifics}
+        nodes.append(Node(tmp_path / name, name, reactor, **own).start())
+    instances = clocked(nodes[0])
+    nodes[1].connections = nodes[0].connections  # of one reactor
+    instances.publish(fleet_size(5))
+    nodes[0].play(instances)
+    row = SETUP["listeners"][0]
+    instances.publish({"settings": {"listeners": [row, row | {"name": "second"}]}})
+    nodes[0].play(instances)
+    assert [node.revision for node in nodes] == [2, 1]
+    refused = {r.node: r.refused for r in instances.publisher.status(instances.clock()).rows}
+    assert refused["n1"] is None and refused["n2"].revision == 2
+    assert refused["n2"].reason.startswith("settings.listeners: a value of the wrong kind")
+    assert nodes[1].service.config.settings.nodes == 5 and nodes[1].service.desk.figures.invalid == 1
+    instances.publish(fleet_size(7))
+    nodes[0].play(instances)
+    assert [node.revision for node in nodes] == [3, 3]
+
+
+def test_a_restarted_node_serves_from_its_file_and_is_current_once_confirmed(tmp_path):
+    _, instances = served(tmp_path, fleet_size(5))
+    node = Node(tmp_path)
+    assert node.service.config.settings.nodes == 5
+    node.start()
+    assert (node.revision, node.watch.state()) == (1, State.STARTING)
+    instances.clock = node.service.clock
+    instances.publisher = Publisher("o0", instances.table, instances.clock())
+    node.play(instances)
+    assert node.watch.state() is State.CURRENT
+
+
+def test_a_node_that_dies_between_write_and_apply_starts_with_the_newer_version(tmp_path):
+    node, instances = served(tmp_path, fleet_size(5))
+    node.disk.held_up = True
+    instances.publish(fleet_size(6))
+    node.play(instances)
+    assert node.revision == 1 and node.service.config.settings.nodes == 5
+    assert all(message.revision < 2 for message in instances.heard)
+    assert Node(tmp_path).service.config.settings.nodes == 6
+
+
+def test_a_version_in_the_file_that_cannot_be_served_now_is_refused_and_told_of(tmp_path):
+    row = SETUP["listeners"][0]
+    served(tmp_path, {"settings": {"listeners": [row, row | {"name": "second"}]}})
+    aims = {"settings": SETUP | {"specifics": {"messageAim": [0.3, "none"]}}}
+    with logged() as log:
+        node = Node(tmp_path, **aims).start()
+    assert any("version refused revision=1 settings.listeners: " in line for line in log)
+    assert node.revision == 0 and node.watch.subscriber.refusal.revision == 1
+    assert node.watch.subscriber.highest == 1  # nothing older is taken in its place
+
+
+def test_a_reload_beside_a_version_waits_for_it_and_both_are_in_force(tmp_path):
+    node, instances = served(tmp_path, fleet_size(5))
+    node.disk.held_up = True
+    instances.publish(fleet_size(6))
+    node.play(instances)
+    write(tmp_path / "c", CONFIG | {"limits": {"sockets": 512}})
+    node.service.reload()
+    assert node.service.config.sockets == 256
+    node.disk.tell()
+    assert (node.service.config.sockets, node.service.config.settings.nodes, node.revision) == (512, 6, 2)
+
+
+def test_a_reload_puts_the_version_over_the_nodes_file_again(tmp_path):
+    node, _ = served(tmp_path, fleet_size(5))
+    write(tmp_path / "c", CONFIG | {"discovery": "127.0.0.1:8600", "limits": {"sockets": 512}})
+    node.service.reload()
+    config = node.service.config
+    assert (config.discovery, config.sockets, config.settings.nodes) == ("127.0.0.1:8600", 512, 5)
+    write(tmp_path / "c", "{")
+    node.service.reload()
+    assert node.service.config is config and node.service.desk.figures.invalid == 1
+    write(tmp_path / "c", {key: value for key, value in CONFIG.items() if key != "limits"})
+    node.service.reload()
+    assert node.service.config is config  # a file that was cut short
+
+
+def test_a_disk_that_is_full_refuses_the_version_and_the_node_serves_on(tmp_path):
+    node, instances = served(tmp_path, fleet_size(5))
+    node.disk.full = True
+    instances.publish(fleet_size(6))
+    node.play(instances)
+    (row,) = instances.publisher.status(instances.clock()).rows
+    assert (row.revision, row.refused) == (1, (2, "version: No space left on device"))
+    assert node.service.config.settings.nodes == 5 and node.watch.state() is not State.STARTING
+    node.disk.full = False
+    instances.publish(fleet_size(7))
+    node.play(instances)
+    assert (node.revision, node.service.config.settings.nodes) == (3, 7)
+
+
+def test_a_node_without_a_disk_at_its_start_serves_and_watches_once_there_is_one(tmp_path):
+    node = Node(tmp_path)
+    node.disk.full = True
+    node.start()
+    instances = clocked(node)
+    instances.publish(fleet_size(5))
+    node.play(instances)
+    assert not instances.heard and node.watch.state() is State.STARTING
+    node.disk.full = False
+    node.play(instances, 8.0)
+    assert node.revision == 1
+
+
+def test_a_damaged_file_is_told_of_and_counts_as_nothing_held(tmp_path):
+    node, instances = served(tmp_path, fleet_size(5))
+    (tmp_path / "version").write_bytes(b"{}")
+    with logged() as log:
+        second = Node(tmp_path)
+    assert len([line for line in log if "version reason=file" in line and "damaged" in line]) == 1
+    second.reactor.advance(node.reactor.seconds())
+    second.start()
+    instances.clock = second.service.clock
+    second.play(instances)
+    assert second.revision == 1
+
+
+def test_no_number_is_used_twice_and_none_that_is_not_reserved(tmp_path):
+    node, instances = served(tmp_path, fleet_size(5))
+    node.watch.subscriber.number_from(node.watch.end - 1)
+    node.disk.full = True
+    before = len(instances.heard)
+    node.play(instances)
+    assert len(instances.heard) == before and node.watch.dropped["no-numbers"]
+    node.disk.full = False
+    node.play(instances, 8.0)
+    numbers = [message.number for message in instances.heard]
+    assert numbers == sorted(set(numbers)) and len(numbers) > before
+    assert numbers[-1] >= START + BLOCK
+    highest, node = numbers[-1], Node(tmp_path).start()
+    assert node.watch.subscriber.number > highest
+
+
+def test_a_process_that_takes_a_node_over_takes_its_version_over(tmp_path):
+    old, instances = served(tmp_path, fleet_size(5))
+    new = Node(tmp_path)
+    instances.publish(fleet_size(6))
+    old.play(instances)
+    old.published.stop()
+    assert (new.service.config.settings.nodes, old.watch.subscriber) == (5, None)
+    new.start()
+    assert (new.revision, new.service.config.settings.nodes) == (2, 6)
+    new.published.stop()
+    old.start()
+    assert old.revision == 2
+
+
+def test_what_a_process_writes_late_does_not_undo_its_successors_version(tmp_path):
+    old, _ = served(tmp_path, fleet_size(5))
+    new = VersionFile(str(tmp_path), "t", "n1")
+    new.keep(Held(3, digest(fleet_size(7)), fleet_size(7)))
+    with pytest.raises(VersionFileError, match="revision 3 is there already"):
+        old.published.file.keep(Held(2, digest(fleet_size(6)), fleet_size(6)))
+    assert new.read().held.revision == 3
+
+
+def test_a_part_of_a_message_counts_as_an_answer_for_a_while():
+    one = Subscriber(Place("n", "z", "r"), [Place("o0", "z", "r")], Held(0, digest({}), {}), 1, 7, 0.0)
+    one.tick(one.due)
+    start = one.tried_at
+    one.heard(start + 700.0, "o0")
+    assert one.due == start + 700.0 + ANSWER
+    one.heard(start + 700.0, "o1")
+    one.heard(start + IN_PARTS + 1.0, "o0")
+    assert one.due == start + 700.0 + ANSWER
+
+
+# ---- the revision in force never goes back
+
+EVENTS = ["publish", "refusable", "restart", "die-writing", "full", "free", "older", "reload", "take-over"]
+
+
+@settings(max_examples=30, derandomize=True, database=None, deadline=None)
+@given(st.lists(st.sampled_from(EVENTS), min_size=3, max_size=10))
+def test_the_revision_in_force_never_goes_back_over_restarts(tmp_path_factory, events):
+    folder = tmp_path_factory.mktemp("node")
+    node = Node(folder).start()
+    instances, seconds, highest = clocked(node), 0.0, 0
+    for count, event in enumerate(events):
+        match event:
+            case "publish":
+                instances.publish(fleet_size(count + 2))
+            case "refusable":
+                instances.publish({"settings": {"fleetSize": count + 2, "limits": {"mostDials": 0}}})
+            case "full" | "free":
+                node.disk.full = event == "full"
+            case "older":  # an instance that has forgotten all but its first version
+                instances.table = Versions()
+                instances.publisher = Publisher("o0", instances.table, instances.clock())
+                instances.publish(fleet_size(99))
+            case "reload":
+                node.service.reload()
+            case "restart" | "die-writing" | "take-over":
+                if event == "die-writing":
+                    node.disk.held_up = True
+                    instances.publish(fleet_size(count + 2))
+                    node.play(instances)
+                if event == "take-over":
+                    node.published.stop()
+                seconds = node.reactor.seconds()
+                node = Node(folder)
+                node.reactor.advance(seconds)
+                node.start()
+                instances.clock = node.service.clock
+        node.play(instances, 1.5)
+        assert node.revision >= highest
+        highest = node.revision
+        assert (
+            node.service.config.settings.nodes
+            == node.watch.in_force.document.get("settings", {"fleetSize": 3})["fleetSize"]
+        )
+
+
+# ---- over sockets
+
+
+class Watched(Int32StringReceiver):
+    """An instance's end of a watch."""
+
+    def stringReceived(self, data):
+        self.factory.instances.receive(data, self.transport.write)
+
+
+def test_versions_come_over_loopback_sockets(tmp_path):
+    reactor = Stepped()
+    factory = ServerFactory.forProtocol(Watched)
+    port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    address = Address("127.0.0.1", port.getHost().port)
+    node = Node(tmp_path, reactor=reactor, address=address).start()
+    factory.instances = instances = clocked(node)
+    instances.publish(fleet_size(5))
+
+    def until(done):
+        for _ in range(400):
+            if done():
+                return
+            instances.turn()
+            reactor.pass_time(0.05)
+        raise AssertionError("it never came to that")
+
+    until(lambda: node.revision == 1 and node.watch.state() is State.CURRENT)
+    assert node.service.config.settings.nodes == 5
+    instances.publish({"settings": {"projects": [{"name": "x" * 100 + str(i)} for i in range(9000)]}})
+    until(lambda: node.revision == 2)
+    node.published.stop()
+    port.stopListening()
+    with pytest.raises(OSError, match="refused"):
+        reactor.settle()
+        socket.create_connection(address, 1.0)
+    for selectable in reactor.removeAll():
+        selectable.connectionLost(None)
+
+
+def test_a_write_in_its_thread_is_told_of_in_the_reactor(tmp_path):
+    code = f"""
+from twisted.internet import reactor
+from caperdeck.distribution.node import DiskThread
+from caperdeck.distribution.version_file import VersionFile
+import threading
+disk, file, told = DiskThread(reactor), VersionFile({str(tmp_path)!r}, "t", "n1"), []
+def second(result):
+    told.append((type(result).__name__, threading.current_thread() is threading.main_thread()))
+    reactor.stop()
+def first(result):
+    told.append((result.first, threading.current_thread() is threading.main_thread()))
+    file.path = "/nowhere/version"
+    file.folder = "/nowhere"
+    disk(lambda: file.reserve(9.0), second)
+reactor.callWhenRunning(disk, lambda: file.reserve(7.0), first)
+reactor.run()
+print(told)
+"""
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
+    assert done.stdout == "[(7, True), ('VersionFileError', True)]\n", done.stderr
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,6 +1,8 @@
 """No module of the package needs itself to be loaded or understood, directly or by way of others."""
 
 import ast
+import subprocess
+import sys
 from collections.abc import Iterator
 from graphlib import CycleError, TopologicalSorter
 from pathlib import Path
@@ -89,6 +91,29 @@
     assert [name for name in loaded if name.startswith(banned)] == []
 
 
+OFF_HERE = ("control", "merge", "published", "owners", "sharing", "toml")  # of lifecycle
+
+
+def test_a_node_without_flags_loads_nothing_of_what_is_off():
+    code = """
+import sys
+import caperdeck.__main__
+from caperdeck.lifecycle.loading import NODE, load_in_steps
+load_in_steps(NODE)
+from caperdeck.lifecycle.logs import start_logging
+from caperdeck.lifecycle.service import Service
+print(*(name for name in sys.modules if name.startswith("caperdeck.")))
+"""
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+    loaded = done.stdout.split()
+    off = [f"caperdeck.{name}" for name in (*OFF, "lab")] + [
+        f"caperdeck.lifecycle.{name}" for name in OFF_HERE
+    ]
+    assert "caperdeck.lifecycle.service" in loaded
+    assert [name for name in loaded if any(name == x or name.startswith(f"{x}.") for x in off)] == []
+
+
 CIRCLES = {
     "absolute": ("import p.b", "import p.a"),
     "absolute name": ("from p.b import X", "from p.a import Y"),
