--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -291,6 +291,15 @@
     assert node.service.config is config  # a file that was cut short
 
 
+def test_a_file_that_was_cut_short_is_not_made_whole_by_the_version(tmp_path):
+    node, _ = served(tmp_path, {"settings": {"projects": [{"name": "acme"}]}})
+    config = node.service.config
+    short = {key: value for key, value in SETUP.items() if key != "projects"}
+    write(tmp_path / "c", CONFIG | {"settings": short, "limits": {"sockets": 512}})
+    node.service.reload()
+    assert node.service.config is config and node.service.desk.figures.invalid == 1
+
+
 def test_a_disk_that_is_full_refuses_the_version_and_the_node_serves_on(tmp_path):
     node, instances = served(tmp_path, fleet_size(5))
     node.disk.full = True
