Config publish checks a version by the nodes' own rule of what a version may set

Need: publish took documents that set listen, seed, limits or a node's locality, which every node refuses. The check stood twice, with two stand-ins for a node's file; the one in lifecycle/merge.py is the nodes' own. Change: publish calls merge.check_document. Two rows of its tests name the field and the reason now where they had other complaints about the same documents (limits), and listen and locality are tested too; one row (limits of the wrong kind) is the same refusal now and gave way to these.

--- a/caperdeck/distribution/commands.py
+++ b/caperdeck/distribution/commands.py
@@ -15,11 +15,11 @@
 
 import orjson
 
-from caperdeck.core.settings import SettingsError
-from caperdeck.lifecycle.config import decode_config
+from caperdeck.lifecycle.config import ConfigError
+from caperdeck.lifecycle.merge import check_document
 from caperdeck.owner.commands import ask
 from caperdeck.owner.config import OwnerError, Owners, load_owners
-from caperdeck.state.addresses import Address, AddressError
+from caperdeck.state.addresses import Address
 
 from .document import LARGEST_DOCUMENT, Document, DocumentError, check, digest
 from .messages import LONGEST_NAME, MessageError
@@ -30,15 +30,6 @@
 PAUSE = 0.1  # seconds between two rounds
 LARGEST_FILE = 2 * LARGEST_DOCUMENT  # bytes; blanks do not count to a document's size
 MOST_NODES = 10_000
-# A node's own file, over which a version is checked where there is no node.
-STAND_IN: dict[str, Any] = {
-    "name": "check", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "0",
-    "settings": {
-        "fleetSize": 1, "dcs": ["check"], "locality": "check", "limits": {"mostDials": 1},
-        "invariants": {"coldFrom": 1.0, "warmAfter": 1.0, "fallMultiple": 1.0, "fall": 1.0},
-        "listeners": [{"name": "check", "effect": "idempotent", "handshakeTarget": 1.0, "hardLimit": 1.0}],
-    },
-}  # fmt: skip
 
 Ask = Callable[[Address, str, Any], Any]  # address, cluster, body; the answer, None if none came
 
@@ -130,23 +121,11 @@
     except orjson.JSONDecodeError as error:
         raise InputError(f"{path}: no JSON: {error}") from None
     check(document)
-    check_config(document)
-    return document
-
-
-def check_config(document: Document) -> None:
-    """As `caperdeck check` does, with the document over a file that stands in for a node's own: a version
-    may hold what is alike at all nodes, and leave the rest to each. Raises InputError.
-    """
-    settings = document.get("settings", {})
-    if not isinstance(settings, dict):
-        raise InputError("settings: no JSON object")
     try:
-        decode_config(STAND_IN | document | {"settings": STAND_IN["settings"] | settings})
-    except (SettingsError, AddressError) as error:
+        check_document(document)
+    except ConfigError as error:
         raise InputError(f"document: {error}") from None
-    except (TypeError, ValueError, AttributeError, KeyError, OverflowError) as error:
-        raise InputError(f"document: a value of the wrong kind: {error}") from None
+    return document
 
 
 def read_revision(text: str | None) -> int | None:
--- a/tests/test_distribution_server.py
+++ b/tests/test_distribution_server.py
@@ -321,7 +321,9 @@
     ("{", "no JSON"), ([], "document: no JSON object"), ({"settings": 7}, "settings: no JSON object"),
     ({"settings": {"listeners": [{"name": "x"}]}}, "document: .*listeners"),
     ({"settings": {"limits": {}}}, "document: .*mostDials"), ({"discovery": 7}, "document: .*7"),
-    ({"limits": {"sockets": 1}}, "document: limits.sockets"), ({"limits": 7}, "wrong kind"),
+    ({"limits": {"sockets": 1}}, "document: limits: not for a version to set"),
+    ({"settings": {"locality": "a"}}, "document: settings.locality: not for a version to set"),
+    ({"listen": "127.0.0.1:1"}, "document: listen: not for a version to set"),
     ({"x": "y" * (2 << 20)}, "document: .* bytes, over"), (NESTED, "document.a.*: deeper than"),
 ])  # fmt: skip
 def test_a_file_that_cannot_be_a_version_is_named_in_one_line_with_exit_code_2(
