Config status asks the quorum for the newest version, after it has heard the instances

Need: a run of in-force killed the leader right after a commit, at four sizes; the status taken then called the version before it confirmed, as the others had confirmed it within the last two seconds. Each instance's word was as documented, and the sum of them was not true. Change: status makes a linearizable read after the instances have told what they know. Their own confirmations are told of each as before and decide nothing in the sum; without a quorum's answer no version is called confirmed, exit 1. Ruled out: a check that looks past the two seconds, which would have hidden it.

--- a/caperdeck/distribution/commands.py
+++ b/caperdeck/distribution/commands.py
@@ -23,7 +23,7 @@
 
 from .document import LARGEST_DOCUMENT, Document, DocumentError, check, digest
 from .messages import LONGEST_NAME, MessageError
-from .status import Status, decode_status, summarise
+from .status import Status, Summary, decode_status, summarise
 from .table import Versions, propose
 
 PATIENCE = 10.0  # seconds in which a call is tried at one instance after another
@@ -145,9 +145,10 @@
     heard = [status for status in known.values() if status is not None]
     if not heard:
         raise UnknownError("no instance answered")
-    for line in lines_of(known, heard, names):
+    summary = read_summary(owners, heard, names, ask)
+    for line in lines_of(known, summary, names):
         print(line)
-    return 0 if any(status.confirmed for status in heard) else 1
+    return 0 if summary.confirmed else 1
 
 
 def read_statuses(owners: Owners, ask: Ask) -> dict[Address, Status | None]:
@@ -169,11 +170,30 @@
     return status._replace(rows=tuple(row._replace(age=row.age + passed) for row in status.rows))
 
 
+def read_summary(owners: Owners, heard: list[Status], names: list[str] | None, ask: Ask) -> Summary:
+    """What all that were heard know together. The quorum is asked after them for the newest version."""
+    # Danger: what an instance has confirmed may be two seconds old, and a leader that was killed right after
+    # a commit may have been the only one to know of it.
+    known = [status._replace(confirmed=False) for status in heard]
+    newest = read_newest_status(owners, ask)
+    if newest is not None:
+        known.append(newest)
+    expected = {row.node for status in heard for row in status.rows} if names is None else names
+    return summarise(known, expected)
+
+
+def read_newest_status(owners: Owners, ask: Ask) -> Status | None:
+    """The newest committed version as of after the call, without nodes; None where no quorum answers."""
+    for address in owners.instances:
+        answer = ask(address, owners.cluster, {"do": "versions"})
+        if isinstance(answer, dict) and isinstance(answer.get("revision"), int):
+            return Status("quorum", True, answer["revision"], answer["digest"], ())
+    return None
+
+
 def lines_of(
-    known: dict[Address, Status | None], heard: list[Status], names: list[str] | None,
+    known: dict[Address, Status | None], summary: Summary, names: list[str] | None,
 ) -> list[str]:  # fmt: skip
-    expected = {row.node for status in heard for row in status.rows} if names is None else names
-    summary = summarise(heard, expected)
     certain = "confirmed" if summary.confirmed else "not confirmed: there may be a newer one"
     lines = [f"revision {summary.revision}, {certain}"]
     of = summary.of if names is not None else f"{summary.of} that were heard (without --nodes)"
--- a/tests/test_distribution_server.py
+++ b/tests/test_distribution_server.py
@@ -370,21 +370,40 @@
         decode_status(None)
 
 
+def first_answers(status, newest):
+    """Calls of which the first instance answers all, the others none; `newest` is what a quorum says."""
+    answers = {"distribution": encode_status(status), "versions": newest}
+    return lambda address, _, body: answers[body["do"]] if address.port == 1 else None
+
+
 def test_status_prints_what_is_known_and_counts_no_silence_as_consent(capsys):
-    said = encode_status(STATUS)
     names = ["n0", "n1", "n2"]
-    assert commands.status(OWNERS, names, lambda *call: said if call[0].port == 1 else None) == 0
+    newest = {"revision": 2, "term": 1, "digest": "a" * 32}
+    assert commands.status(OWNERS, names, first_answers(STATUS, newest)) == 0
     assert capsys.readouterr().out.splitlines() == [
         "revision 2, confirmed", "in force at 1 of 3", "oldest revision 1",
         "refused n1 revision=2 no such class", "not heard of: n2", "stale: n1",
         "instance 127.0.0.1:2 no answer",
     ]  # fmt: skip
-    alone = encode_status(STATUS._replace(confirmed=False, rows=()))
-    assert commands.status(OWNERS, ["n0"], lambda *call: alone if call[0].port == 1 else None) == 1
+    alone = STATUS._replace(confirmed=False, rows=())
+    assert commands.status(OWNERS, ["n0"], first_answers(alone, None)) == 1
     assert "in force at 0 of 1" in (said := capsys.readouterr().out)
     assert "o1 unconfirmed" in said and "not confirmed: there may be" in said
 
 
+def test_a_version_that_only_a_killed_leader_had_published_is_the_newest_all_the_same(capsys):
+    # Danger: the others had confirmed the one before within the last two seconds.
+    newest = {"revision": 3, "term": 2, "digest": "c" * 32}
+    assert commands.status(OWNERS, ["n0", "n1"], first_answers(STATUS, newest)) == 0
+    assert capsys.readouterr().out.splitlines()[:2] == ["revision 3, confirmed", "in force at 0 of 2"]
+
+
+@pytest.mark.parametrize("answer", [None, {"no": "no-leader"}, {"revision": "3"}])
+def test_without_a_quorum_no_version_is_called_the_newest_whatever_was_confirmed_lately(answer, capsys):
+    assert commands.status(OWNERS, ["n0"], first_answers(STATUS, answer)) == 1
+    assert capsys.readouterr().out.startswith("revision 2, not confirmed: there may be a newer one")
+
+
 def test_words_that_grew_old_while_others_were_asked_do_not_count(monkeypatch):
     times = iter([0.0, 7.0])
     monkeypatch.setattr(commands.time, "monotonic", lambda: next(times))
