--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -45,7 +45,6 @@
 LOOKS = 3  # so often at the most
 NOT_MEASURED = 0.2  # of full load by its connections: a figure of 0 is none yet
 FIGURE_LIFE = 7000.0  # an older figure says nothing
-PRIOR_HOSTS = 6.0  # without figures: so many hosts count as met and not full before any is
 PRIOR_LIFE = 2000.0  # and one that another node saw
 PILE_LIFE = 1500.0  # so long a note of work piled up holds
 DRAIN = 1000.0  # a pile is to be worked off in so long beside the load
@@ -101,7 +100,6 @@
         self.set, self.fleet = settings, settings.nodes  # so many like this one send, unless told otherwise
         self.most_utility = max(c.utility for c in settings.listeners) or 1.0
         self.shortest = min(c.message_target for c in settings.listeners)
-        self.told = settings.may_probe and settings.figures  # hosts tell figures when probed
         self._recount(self.now)
         return []
 
@@ -324,8 +322,7 @@
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
         # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
-        # Danger: where no report takes own sends off, they would add up until the host is closed for good.
-        return figure + self.alike * self.extra[h] / self._fills(h) if self.unit and self.told else figure
+        return figure + self.alike * self.extra[h] / self._fills(h) if self.unit else figure
 
     def _fills(self, h: int) -> float:
         """The load that fills a host once it is warm: by what it bore itself, if not far from the mean."""
@@ -354,7 +351,7 @@
         self.most_ill = 2 * len(self.ailing) > len(self.known.keys() | self.ailing.keys())
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         if not known:
-            self._unbind()
+            self.part = self.rights.saved[ROOM_BUDGET] = math.inf
             return
         own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
         # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
@@ -372,9 +369,6 @@
         # Danger: a list may leave no host running while figures of the last ones are still known.
         if loads and full:
             self.unit += (loads / full - self.unit) * (max(UNIT_SMOOTH, 1 / self.asked) if self.unit else 1.0)
-        if not self.told and not self._looks_full(now, len(known)):
-            self._unbind()
-            return
         # Danger: what cold hosts lack is room on paper; taken for that, it is sent to the warm ones.
         most = {h: self._cold_rate(now, h) * REPORT_LAG for h in self.cold}
         rooms = [max(min(ROOM - f - self._pile(now, h), most.get(h, ROOM)), 0.0) for f, h in known]
@@ -386,19 +380,6 @@
         # Danger: the fewer hosts have room, the more nodes draw the same one and fill it many times over.
         self.alike = self.fleet ** (0.5 + 0.5 * self.scarce)
 
-    def _unbind(self) -> None:
-        """The fleet is not known to be full: no part of its room bounds what is sent, and counts decide."""
-        self.mean_figure, self.part, self.rights.saved[ROOM_BUDGET] = None, math.inf, math.inf
-        if not self.told:
-            self.scarce = 0.0
-
-    def _looks_full(self, now: float, full: int) -> bool:
-        """Without figures: whether so many of the hosts met lately look full that all are held to be."""
-        # Danger: a few hosts that hang would close all others; and in a wave a host in four marked is the
-        # headroom of the rest gone, as many nodes each meet but a few hosts and fill those they have not met.
-        met = sum(h in self.known or now - self.taken_at[h] < FIGURE_LIFE for h in self.running)
-        return full > (1 - ROOM) * (met + PRIOR_HOSTS)
-
     def _know(self, now: float, h: int, figure: float) -> None:
         self.figure[h], self.figure_at[h] = figure, now
         self.known.pop(h, None)
@@ -520,7 +501,6 @@
         h = s.dials[-1].host
         self.dialing[h] -= 1
         self.ill[h] /= 2
-        self.taken_at[h] = now
         return []
 
     def outcome(self, now: float, sid: int, dial: int, result: Outcome, last: bool) -> list[Action]:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,7 +6,7 @@
 import pytest
 from helpers import START, ask, dials, entry, figures, node, settings, standing
 
-from caperdeck.core.decide import FIGURE_LIFE, ROOM
+from caperdeck.core.decide import ROOM
 from caperdeck.core.model import HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Wake
 
 
@@ -295,61 +295,6 @@
     assert {act.host for i in range(30) for act in dials(n.ask(START, ask(i)))} == {2, 3, 4, 5, 6, 7}
 
 
-def full(n, hosts, at=START):
-    """A connection of the own at each of the hosts has come too late."""
-    for h in hosts:
-        n.taken_over(at, ask(900 + h, 10.0), h)
-        n.outcome(at, 900 + h, 0, Outcome.LATE, True)
-    n._survey(at)
-
-
-@pytest.mark.parametrize("nodes, hosts, took, marked, closed", [
-    (3, 8, 6, 2, False), (3, 8, 4, 3, False), (3, 8, 1, 7, True), (200, 60, 40, 6, False),
-    (200, 60, 0, 2, False), (200, 60, 10, 12, True), (200, 60, 0, 30, True)])  # fmt: skip
-def test_marks_close_the_other_hosts_by_their_part_of_those_met_lately(nodes, hosts, took, marked, closed):
-    # Danger: few hosts that hang are no full fleet; most hosts met full in a wave are one.
-    n = node(hosts, nodes=nodes, may_probe=False, figures=False)
-    n.taken_at[-took:] = [START] * took if took else n.taken_at
-    full(n, range(marked))
-    assert all(dials(n.ask(START, ask(i, left=50.0))) == [] for i in range(20)) == closed
-
-
-def test_a_connection_that_was_taken_counts_as_a_host_met_for_as_long_as_a_mark():
-    n = node(8, may_probe=False, figures=False)
-    sent = dials(n.ask(START, ask(0)))[0].host
-    n.stands(START, 0)
-    assert n.taken_at[sent] == START
-    later = START + FIGURE_LIFE + 1.0
-    n.taken_at = [START] * 8
-    full(n, [0, 1, 2], later)
-    assert not dials(n.ask(later, ask(1, left=50.0)))
-    n.taken_at = [later] * 8
-    n._survey(later)
-    assert dials(n.ask(later, ask(2, left=50.0)))
-
-
-def test_a_wave_that_finds_all_hosts_full_is_refused_without_a_dial_and_served_once_the_marks_have_ended():
-    n = node(8, nodes=200, may_probe=False, figures=False)
-    standing(n, 0, [10.0] * 5)
-    for sid in range(40):
-        acts, made = n.ask(START, ask(sid, left=50.0)), 0
-        while dials(acts):
-            acts, made = n.outcome(START, sid, made, Outcome.FULL, False), made + 1
-    n._survey(START)
-    assert not any(dials(n.ask(START, ask(sid, left=50.0))) for sid in range(200, 240))
-    later = START + FIGURE_LIFE
-    n._survey(later)
-    assert all(dials(n.ask(later, ask(sid))) for sid in range(300, 340))
-
-
-def test_own_sends_close_no_host_where_no_report_takes_them_off():
-    # Danger: they would add up for ever once a mark has set what fills a host.
-    n = node(2, may_probe=False, figures=False)
-    standing(n, 1, [10.0] * 3)
-    full(n, [0])
-    assert placed(n, 50) == [1] * 50
-
-
 def test_a_list_that_leaves_no_host_running_stops_nothing():
     n = node(2)
     standing(n, 0, [10.0] * 5)
