What was sent to a host, and how scarce room was, count no longer than a figure

Need: where hosts tell no figures, a node's list of own sends to each host grew by one entry a dial for as long as the node lived, and once one mark had set what fills a host all of them counted: the host stayed closed to this node for good. How scarce room was kept its last value after the marks that it was read off had expired. Change: own sends older than FIGURE_LIFE are dropped at the tick, as a figure is; with nothing known, scarce and alike are as at the start. Where reports come they shorten the list as before.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -345,6 +345,10 @@
         """The fleet as the reports show it: mean load, what fills a host of size 1, the own share of room."""
         while self.known and now - self.figure_at[oldest := next(iter(self.known))] >= FIGURE_LIFE:
             del self.known[oldest]
+        # Danger: where no report comes own sends add up, until the host is closed to this node for good.
+        for h, added in enumerate(self.added):
+            if added and added[0][0] <= now - FIGURE_LIFE:
+                self._drop_added(h, now - FIGURE_LIFE)
         self.ailing = {h: None for h in self.ailing if self.ill[h] >= ILL}
         # Danger: the room of a host that drains or is gone is no room.
         known = [(self.figure[h], h) for h in self.running if h in self.known and self.figure[h] is not None]
@@ -352,6 +356,8 @@
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         if not known:
             self.part = self.rights.saved[ROOM_BUDGET] = math.inf
+            # Danger: hosts that looked full long ago would go on closing those that were sent to since.
+            self.scarce, self.alike = 0.0, math.sqrt(self.fleet)
             return
         own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
         # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
@@ -384,8 +390,7 @@
         self.figure[h], self.figure_at[h] = figure, now
         self.known.pop(h, None)
         self.known[h] = None
-        self.added[h] = [x for x in self.added[h] if x[0] > now - REPORT_LAG]
-        self.extra[h] = sum(load for _, load in self.added[h])
+        self._drop_added(h, now - REPORT_LAG)
 
     # ---- send gate: every dial passes here, and each rule stands here and nowhere else
 
--- a/caperdeck/core/host_table.py
+++ b/caperdeck/core/host_table.py
@@ -158,3 +158,8 @@
         """Own load sent to the host, or moved off it where under 0, which no report shows yet."""
         self.added[h].append((now, load))
         self.extra[h] += load
+
+    def _drop_added(self, h: int, until: float) -> None:
+        """What was sent to the host until then counts no longer."""
+        self.added[h] = [x for x in self.added[h] if x[0] > until]
+        self.extra[h] = sum(load for _, load in self.added[h])
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -295,6 +295,30 @@
     assert {act.host for i in range(30) for act in dials(n.ask(START, ask(i)))} == {2, 3, 4, 5, 6, 7}
 
 
+def test_what_was_sent_to_a_host_counts_no_longer_than_a_figure_where_no_report_comes():
+    # Danger: it added up, for as long as the node lived, until the host was closed to it for good.
+    n = node(2, may_probe=False, figures=False)
+    n.unit = 100.0
+    n._add(START, 0, 1000.0)
+    n._add(START + 5000.0, 0, 10.0)
+    n.bell(START + 6900.0, -1)
+    assert n._load(n.now, 0) > 1.0 and n.extra[0] == 1010.0
+    n.bell(START + 7100.0, -1)
+    assert n._load(n.now, 0) < 1.0 and n.added[0] == [(START + 5000.0, 10.0)]
+    n.bell(START + 12100.0, -1)
+    assert (n.extra[0], n.added[0]) == (0.0, [])
+
+
+def test_hosts_that_looked_full_long_ago_close_no_other():
+    n = node(4, may_probe=False, figures=False, nodes=100)
+    for h in range(4):
+        n._know(START, h, 1.0)
+    n._survey(START)
+    assert (n.scarce, n.alike) == (1.0, 100.0)
+    n.bell(START + 7100.0, -1)
+    assert (n.scarce, n.alike) == (0.0, 10.0)
+
+
 def test_a_list_that_leaves_no_host_running_stops_nothing():
     n = node(2)
     standing(n, 0, [10.0] * 5)
