Lab: in-force, the time from a commit until a version is in force at all nodes

Need: every time of distribution was worked out or seen in virtual time. A part of the scale run was weighed and put off: its hollow nodes would add membership's load to what is measured here first.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -19,6 +19,8 @@
   caperdeck lab compare SCENARIO... --against=WAY [--base=WAY] [--pairs=N] [--seed=N] [--json=FILE]
   caperdeck lab scale SCENARIO [--nodes=N] [--processes=N] [--seconds=N] [--json=FILE] [--out=FILE]
                       [--logs=DIR]
+  caperdeck lab in-force [--nodes=N] [--instances=N] [--processes=N] [--changes=N] [--faults=LIST]
+                         [--seconds=N] [--json=FILE]
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
   caperdeck lab slopes [--out=FILE] [--only=PARTS] [--small]
   caperdeck lab capacity --slopes=FILE --target=FILE [--json=FILE] [--page=FILE]
@@ -40,14 +42,16 @@
            search looks for faults that break a rule, compare measures one way against another, report draws
            a history, slopes measures what each part costs at several sizes and fits straight lines, demo
            shows a small fleet, capacity works out from measured lines what the fleet needs at its target
-           (docs/CAPACITY.md), scale plays hollow nodes beside real ones, up to the whole target. Exit code
-           0 all held, 1 broken, 2 bad input, 3 void.
+           (docs/CAPACITY.md), scale plays hollow nodes beside real ones, up to the whole target, in-force
+           measures how long a version takes from its commit until all nodes have it. Exit code 0 all held,
+           1 broken, 2 bad input, 3 void.
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
   --sharing=FILE     What the node shares with its peers, TOML (deploy/sharing.toml); nothing if not given.
   --owners=FILE      The instances whose owners may act on this node, TOML (deploy/owners.toml).
-  --instances=FILE   The instances to ask, TOML (deploy/owners.toml).
+  --instances=FILE   The instances to ask, TOML (deploy/owners.toml). Of lab in-force, how many there are, 7
+                     if not given.
   --on=REVISION      Refuse to publish on any other version than this; on the newest if not given.
   --control=FILE     The instances that publish the configuration, TOML (deploy/control.toml); the node's
                      file alone if not given (docs/distribution-node.md).
@@ -71,6 +75,8 @@
                      file with the names of all nodes, one a line.
   --processes=N      Processes that the hollow nodes share.
   --seconds=N        Of the steady span, in which the cost is measured.
+  --changes=N        So many versions are published, 5 if not given, and a burst of 10 after them.
+  --faults=LIST      With commas between: leader, kill, stop (docs/lab.md); none if not given.
   --scenario=FILE    Check the rules on the history as well.
   -h --help          Show this text.
 """
--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -199,6 +199,12 @@
     return play_scale(arguments)
 
 
+def in_force(arguments: dict[str, Any]) -> int:
+    from .in_force.command import in_force as play_in_force
+
+    return play_in_force(arguments)
+
+
 def demo(arguments: dict[str, Any]) -> int:
     from rich.console import Console
 
@@ -216,8 +222,8 @@
 
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, _interrupt)
-    verbs = (fleet, search, compare, report, scale, slopes, capacity, demo)
-    verb = next(each for each in verbs if arguments[each.__name__])
+    verbs = (fleet, search, compare, report, scale, in_force, slopes, capacity, demo)
+    verb = next(each for each in verbs if arguments[each.__name__.replace("_", "-")])
     try:
         return verb(arguments)
     except ScenarioError as error:
--- /dev/null
+++ b/caperdeck/lab/in_force/nodes.py
@@ -0,0 +1,139 @@
+"""A process of many nodes that carry the control side of `caperdeck serve --control` and nothing else.
+
+Each node has its own watch, connection and version file (`lifecycle/published.py`), checks each version over
+its own configuration and merges it. What is left out is the service that would put it to use, and the thread
+for the disk is one for the whole process.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import sys
+import time
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+import psutil
+from twisted.internet import reactor, stdio
+from twisted.protocols.basic import LineOnlyReceiver
+
+from caperdeck.distribution.node import DiskThread
+from caperdeck.distribution.subscriber import Held, State
+from caperdeck.lab.launch import PR_SET_PDEATHSIG
+from caperdeck.lab.scale.beat import BEAT, Beats
+from caperdeck.lab.scale.hollow import collect_from_now_on
+from caperdeck.lab.scale.traffic import Traffic, count_traffic
+from caperdeck.lifecycle.config import Config, decode
+from caperdeck.lifecycle.control import Control, Instance
+from caperdeck.lifecycle.logs import start_logging
+from caperdeck.lifecycle.merge import STAND_IN
+from caperdeck.lifecycle.published import Published
+from caperdeck.owner.process import steady
+from caperdeck.state.addresses import parse_address
+
+from .plan import CLUSTER, InForce, NodePlan, Plan, Report
+
+
+class Figures:
+    """What `Published` counts at a service."""
+
+    invalid = 0
+
+
+class Desk:
+    def __init__(self) -> None:
+        self.figures = Figures()
+
+
+class ControlledNode(Published):
+    """Stands for the service too: takes a configuration by keeping it."""
+
+    clock = staticmethod(steady)
+
+    def __init__(self, control: Control, disk: DiskThread, put: list[InForce]) -> None:
+        own = STAND_IN | {"name": control.place.name}
+        super().__init__(reactor, control, lambda: replace(decode(own, None), own=own), disk)
+        self.put, self.desk = put, Desk()
+        self.config = self.first(self.read_own())
+
+    def take(self, config: Config) -> None:
+        self.config = config
+
+    def put_in_force(self, held: Held, prepared: Config) -> None:
+        super().put_in_force(held, prepared)
+        self.put.append(InForce(self.control.place.name, held.revision, steady()))
+
+
+class NodesProcess:
+    def __init__(self, plan: Plan, traffic: Traffic, write: Any) -> None:
+        self.plan, self.traffic, self.write = plan, traffic, write
+        start_logging("ERROR")
+        self.put: list[InForce] = []
+        self.beats = Beats(plan.beat_ms)
+        self.base_uss = psutil.Process().memory_full_info().uss
+        self.encode = msgspec.json.Encoder().encode
+        self.instances = {
+            name: Instance(place, parse_address(address)) for name, (place, address) in plan.instances.items()
+        }
+        self.disk = DiskThread(reactor)
+        self.nodes = [self._node(node) for node in plan.nodes]
+
+    def _node(self, node: NodePlan) -> ControlledNode:
+        control = Control(CLUSTER, node.place, node.folder, self.instances)
+        return ControlledNode(control, self.disk, self.put)
+
+    def start(self) -> None:
+        for node in self.nodes:
+            node.start(node)
+        collect_from_now_on()
+        self.beats.zero(time.monotonic())
+        self.beat()
+        self.report()
+
+    def beat(self) -> None:
+        self.beats.beat(time.monotonic())
+        reactor.callLater(BEAT, self.beat)
+
+    def report(self) -> None:
+        reactor.callLater(self.plan.report, self.report)
+        current = sum(node.watch.state() is State.CURRENT for node in self.nodes)
+        report = Report(
+            current == len(self.nodes), self.put.copy(), current,
+            sum(node.watch.refused is not None for node in self.nodes), time.process_time(), self.base_uss,
+            self.traffic, self.beats.late,
+        )  # fmt: skip
+        self.put.clear()
+        self.write(self.encode(report) + b"\n")
+
+
+class PlanReceiver(LineOnlyReceiver):
+    """Standard input: the plan. The process ends with it."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = 16 << 20
+
+    def __init__(self, traffic: Traffic) -> None:
+        self.traffic = traffic
+
+    def lineReceived(self, line: bytes) -> None:
+        plan = msgspec.json.decode(line, type=Plan)
+        NodesProcess(plan, self.traffic, self.transport.write).start()
+
+    def connectionLost(self, reason: Any) -> None:
+        os._exit(0)
+
+
+def main() -> int:
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() == 1:
+        return 1
+    stdio.StandardIO(PlanReceiver(count_traffic()))
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/caperdeck/lab/in_force/plan.py
@@ -0,0 +1,65 @@
+"""What the run and the processes of its nodes say to each other, a JSON object a line; who stands where."""
+
+from __future__ import annotations
+
+import msgspec
+
+from caperdeck.distribution.choice import Place
+from caperdeck.lab.scale.beat import Late
+from caperdeck.lab.scale.traffic import Traffic
+
+CLUSTER = "in-force"
+INSTANCE_ZONES = (0, 1, 3, 2, 4, 0, 3)  # of each instance; seven of them: four in the larger region
+ZONES = 5
+ZONES_OF_NORTH = 3
+LEAST_INSTANCES, MOST_INSTANCES = 3, len(INSTANCE_ZONES)
+
+
+class NodePlan(msgspec.Struct):
+    """One node; `folder` is its own and exists."""
+
+    place: Place
+    folder: str
+
+
+class Plan(msgspec.Struct):
+    """The one line to a process of nodes."""
+
+    nodes: list[NodePlan]
+    instances: dict[str, tuple[Place, str]]  # by name, with the address
+    beat_ms: float
+    report: float  # seconds between reports
+
+
+class InForce(msgspec.Struct):
+    """A node has put a revision in force; `at` is in ms of the clock that all processes share."""
+
+    node: str
+    revision: int
+    at: float
+
+
+class Report(msgspec.Struct):
+    """Of all nodes of a process together; `put` holds what came since the report before."""
+
+    ready: bool
+    put: list[InForce]
+    current: int  # nodes that call themselves current
+    refused: int  # nodes that have refused a version
+    cpu: float  # seconds of processor time
+    base_uss: int  # bytes of memory before its nodes were made
+    traffic: Traffic
+    late: Late
+
+
+def place_in(name: str, zone: int) -> Place:
+    return Place(name, f"z{zone}", "north" if zone < ZONES_OF_NORTH else "south")
+
+
+def node_places(count: int) -> list[Place]:
+    """Spread evenly over the zones."""
+    return [place_in(f"n{i}", i % ZONES) for i in range(count)]
+
+
+def instance_places(count: int) -> list[Place]:
+    return [place_in(f"o{i}", zone) for i, zone in enumerate(INSTANCE_ZONES[:count])]
