--- a/caperdeck/lab/in_force/command.py
+++ b/caperdeck/lab/in_force/command.py
@@ -36,16 +36,22 @@
         return number(arguments[f"--{name}"], name, least, most, default)
 
     nodes = given("nodes", 1, MOST_NODES, 100)
+    faults = faults_of(arguments["--faults"])
+    instances = given("instances", LEAST_INSTANCES, MOST_INSTANCES, MOST_INSTANCES)
+    if instances <= len(faults):
+        raise ScenarioError(f"--faults: {len(faults)} need {len(faults) + 1} instances, each has its own")
     return Settings(
-        nodes, given("instances", LEAST_INSTANCES, MOST_INSTANCES, MOST_INSTANCES),
+        nodes, instances,
         given("processes", 1, min(MOST_PROCESSES, nodes), min(8, nodes)),
         given("changes", 1, MOST_CHANGES, 5), EVERY, given("seconds", 0, MOST_REST, 10),
-        faults_of(arguments["--faults"]),
+        faults,
     )  # fmt: skip
 
 
 def faults_of(text: str | None) -> tuple[str, ...]:
     faults = tuple(text.split(",")) if text else ()
+    if len(set(faults)) < len(faults):
+        raise ScenarioError(f"--faults: {text:.50} has one twice")
     if unknown := [fault for fault in faults if fault not in FAULTS]:
         raise ScenarioError(f"--faults: no fault {unknown[0]!r:.50}, there are {', '.join(FAULTS)}")
     return faults
