A fault while a version is prepared refuses it, as one while it is put in force does

Need: an unexpected exception in the check of a version went through dataReceived; the version was neither applied nor refused, and kept out all later ones. Seen by a misuse in the in-force rig. Change: both steps refuse with 'internal'.

--- a/caperdeck/distribution/node.py
+++ b/caperdeck/distribution/node.py
@@ -240,6 +240,9 @@
         except UnservableError as error:
             self._refuse(held, str(error))
             return
+        except Exception as error:  # a fault of this program, whatever it is
+            self._refuse_fault(held, error)
+            return
         self.writing = True
         self._on_disk(partial(self.file.keep, held), partial(self._kept, held, prepared))
 
@@ -255,8 +258,7 @@
         try:
             self.service.put_in_force(held, prepared)
         except Exception as error:  # a fault of this program, whatever it is
-            # Danger: a version that is neither applied nor refused would keep out all later ones.
-            self._refuse(held, f"internal: {error!r}")
+            self._refuse_fault(held, error)
             return False
         self.in_force = held
         logger.info("version in-force revision={} digest={}", held.revision, held.digest)
@@ -268,6 +270,10 @@
         if self.subscriber is not None:
             self._carry_out(self.subscriber.refused(self.clock(), held.revision, reason))
 
+    def _refuse_fault(self, held: Held, error: Exception) -> None:
+        # Danger: a version that is neither applied nor refused would keep out all later ones.
+        self._refuse(held, f"internal: {error!r}")
+
     def _go_on(self) -> None:
         waiting, self.waiting = self.waiting, []
         for call in waiting:
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -314,6 +314,25 @@
     assert (node.revision, node.service.config.settings.nodes) == (3, 7)
 
 
+@pytest.mark.parametrize("step", ["prepare", "put_in_force"])
+def test_a_fault_of_the_program_refuses_the_version_and_the_next_one_is_taken(step, tmp_path, monkeypatch):
+    # Danger: a version that is neither applied nor refused would keep out all later ones.
+    node, instances = served(tmp_path, fleet_size(5))
+
+    def fails(*_):
+        raise TypeError("a fault")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(node.published, step, fails)
+        instances.publish(fleet_size(6))
+        node.play(instances)
+    (row,) = instances.publisher.status(instances.clock()).rows
+    assert row.refused == (2, "internal: TypeError('a fault')")
+    instances.publish(fleet_size(7))
+    node.play(instances)
+    assert (node.revision, node.service.config.settings.nodes) == (3, 7)
+
+
 def test_a_node_without_a_disk_at_its_start_serves_and_watches_once_there_is_one(tmp_path):
     node = Node(tmp_path)
     node.disk.full = True
