--- a/caperdeck/lab/in_force/instances.py
+++ b/caperdeck/lab/in_force/instances.py
@@ -16,7 +16,7 @@
 from caperdeck.distribution import commands
 from caperdeck.distribution.document import Document
 from caperdeck.lab.ports import Ports
-from caperdeck.lab.real import ROOT, VoidError
+from caperdeck.lab.rig_process import ROOT, VoidError
 from caperdeck.owner.commands import ask
 from caperdeck.owner.config import load_owners
 from caperdeck.owner.process import steady
--- a/caperdeck/lab/in_force/run.py
+++ b/caperdeck/lab/in_force/run.py
@@ -17,7 +17,7 @@
 from caperdeck.distribution import commands
 from caperdeck.distribution.choice import preferred
 from caperdeck.distribution.document import Document, canonical
-from caperdeck.lab.real import VoidError
+from caperdeck.lab.rig_process import VoidError
 from caperdeck.lab.scale.beat import BEAT, Beats
 from caperdeck.lab.scale.measure import MB
 from caperdeck.lab.scale.processes import ChildProcess
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -22,7 +22,7 @@
 from .launch import stop_signal
 from .ports import Ports
 from .probes import accepts, answers_ping
-from .rig_process import ROOT, START, Helper, VoidError
+from .rig_process import ROOT, START, RigProcess, VoidError
 from .scenario import MOST_PROCESSES, Scenario, ScenarioError
 from .setup import node_config
 
@@ -44,7 +44,7 @@
         self.logs = logs
         self.processes: dict[str, Any] = {}
         self.tasks: list[asyncio.Task] = []
-        self.parts: dict[str, Helper] = {}
+        self.parts: dict[str, RigProcess] = {}
         self.late = 0.0
         self.per_s = 0.0
         self.head: asyncio.Future | None = None
@@ -276,7 +276,7 @@
     async def _open(self) -> None:
         s, nodes, hosts = self.scenario, self.scenario.node_names(), self.scenario.host_names()
         for role in ("hosts", "agents", "clients", "relay"):
-            self.parts[role] = Helper(self, role)
+            self.parts[role] = RigProcess(self, role)
             await self.parts[role].start()
         ends = await self.parts["hosts"].ask("open")
         self.doors, self.peers = {}, {}
--- a/caperdeck/lab/rig_process.py
+++ b/caperdeck/lab/rig_process.py
@@ -36,7 +36,7 @@
         """A part has seen something."""
 
 
-class Helper:
+class RigProcess:
     """A part of the rig that is no node, as a process; commands are answered by its event `done`."""
 
     def __init__(self, fleet: Run, role: str) -> None:
--- a/caperdeck/lab/scale/processes.py
+++ b/caperdeck/lab/scale/processes.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from caperdeck.lab.real import ROOT, VoidError
+from caperdeck.lab.rig_process import ROOT, VoidError
 
 from .lists import OPEN
 from .plan import Order, Plan, Sample
--- a/caperdeck/lab/scale/real_nodes.py
+++ b/caperdeck/lab/scale/real_nodes.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from caperdeck.lab.history import Event
-from caperdeck.lab.real import HEADROOM, START, Helper, RealFleet, VoidError
+from caperdeck.lab.real import HEADROOM, RealFleet
+from caperdeck.lab.rig_process import START, RigProcess, VoidError
 
 from .instances import Agreement, told_nodes
 from .places import Places
@@ -44,7 +45,7 @@
         nodes, hosts = self.scenario.node_names(), self.scenario.host_names()
         owners = self.scenario.owner_names()
         for role in PARTS:
-            self.parts[role] = Helper(self, role)
+            self.parts[role] = RigProcess(self, role)
             await self.parts[role].start()
         ends = await self.parts["hosts"].ask("open")
         self._take_ports(nodes, owners)
--- a/caperdeck/lab/scale/run.py
+++ b/caperdeck/lab/scale/run.py
@@ -12,7 +12,7 @@
 
 from caperdeck.lab.oracle import judge
 from caperdeck.lab.owned import CHECKS
-from caperdeck.lab.real import VoidError
+from caperdeck.lab.rig_process import VoidError
 from caperdeck.lab.scenario import dump
 from caperdeck.owner.config import MOST_NODES
 
