A file is replaced durably by one function, at the instances' log and at a node's version

Need: the rename with the flush of its folder stood twice, in raft/storage.py and in distribution/version_file.py.

--- a/caperdeck/distribution/version_file.py
+++ b/caperdeck/distribution/version_file.py
@@ -15,6 +15,8 @@
 
 import orjson
 
+from caperdeck.state.durable import replace_durably
+
 from .document import DIGEST_SIZE, LARGEST_DOCUMENT, DocumentError, canonical, check
 from .messages import HIGHEST_NUMBER
 from .subscriber import NOTHING, Held
@@ -144,12 +146,7 @@
             file.write(self._encode(kept))
             file.flush()
             os.fsync(file.fileno())
-        os.replace(new, self.path)
-        folder = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        replace_durably(new, self.path)
 
 
 def _digest(data: bytes) -> str:
--- a/caperdeck/raft/storage.py
+++ b/caperdeck/raft/storage.py
@@ -19,6 +19,8 @@
 
 import orjson
 
+from caperdeck.state.durable import replace_durably
+
 from .core import Save
 from .log import Entry, Kind, Log, Members, Snapshot
 
@@ -165,12 +167,7 @@
         head = {"version": VERSION, "cluster": self.cluster, "me": self.me,
                 "snapshot": encode_snapshot(self.log.snapshot)}  # fmt: skip
         self._add(file, head | self._value(self.log.snapshot.index + 1, self.log.entries))
-        os.replace(new, self.path)
-        folder = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        replace_durably(new, self.path)
         if self.file is not None:
             self.file.close()
         self.file = file
