Tests: what a file opens it closes, and a file that leaves descriptors open fails

Cause: a node counts the descriptors of its process against its limit (256 in these tests); stepped reactors of earlier files kept their pair of sockets, and the service turned all clients away. Change: stepped reactors are closed with their pair; a fixture of each file fails if more than 24 descriptors are left open after it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,14 +1,18 @@
 """Tests that fail for a known fault: KNOWN-RED.txt names at most three, one a line: test | cause | issue.
 
 Each is expected to fail, and its passing fails the run; so do a fourth line and a name that no test has.
+Besides, no test file may leave descriptors open.
 """
 
+import gc
+import os
 from pathlib import Path
 
 import pytest
 
 LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MOST = 3
+MOST_LEFT_OPEN = 24  # by a test file: the shared stand-ins that run until the process ends
 
 
 def known_red(text):
@@ -46,3 +50,17 @@
 def pytest_terminal_summary(terminalreporter):
     for name, said in read_list().items():
         terminalreporter.write_line(f"KNOWN RED {name}: {said}")
+
+
+def open_descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.fixture(scope="module", autouse=True)
+def descriptors_are_closed():
+    """A node counts its process's descriptors against its limit: what one file leaves, others lack."""
+    before = open_descriptors()
+    yield
+    gc.collect()
+    left = open_descriptors() - before
+    assert left <= MOST_LEFT_OPEN, f"{left} descriptors were left open"
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -329,6 +329,11 @@
             if transport in writes:
                 self.addWriter(transport)
 
+    def close(self):
+        """Every socket is closed, and the pair by which threads wake a reactor."""
+        for selectable in (*self.removeAll(), self.waker):
+            selectable.connectionLost(Failure(ConnectionDone()))
+
     def pass_time(self, seconds, step=0.05):
         """The clock goes on in small steps, sockets are read at each of them."""
         end = self.now + seconds
@@ -434,7 +439,6 @@
         return self.hosts[h].accepted[-1]
 
     def close(self):
-        for selectable in self.reactor.removeAll():
-            selectable.connectionLost(Failure(ConnectionDone()))
+        self.reactor.close()
         for peer in self.hosts:
             peer.close()
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -491,8 +491,7 @@
     with pytest.raises(OSError, match="refused"):
         reactor.settle()
         socket.create_connection(address, 1.0)
-    for selectable in reactor.removeAll():
-        selectable.connectionLost(None)
+    reactor.close()
 
 
 def test_a_write_in_its_thread_is_told_of_in_the_reactor(tmp_path):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -41,6 +41,10 @@
             lambda: None, lambda *_: None, BackOff(7, 200),
         )  # fmt: skip
 
+    def close(self):
+        super().close()
+        self.reactor.close()
+
     def step(self, way, seconds, step=0.05):
         """Time goes on; whoever calls meanwhile is dealt with in that way."""
         end = self.reactor.now + seconds
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -7,9 +7,7 @@
 import pytest
 from helpers import CONFIG, OPEN, Loopback, Peer, Stepped, free_ports, opening, read_all, row, write
 from test_crossings import HEADERS, chunk, list_of
-from twisted.internet.error import ConnectionDone
 from twisted.internet.tcp import Client
-from twisted.python.failure import Failure
 
 from caperdeck.carry.carrier import LIST_WAIT, MS
 from caperdeck.lifecycle.config import load_config
@@ -161,8 +159,7 @@
     client, sent = Loopback.client, Watched.sent
 
     def close(self):
-        for selectable in self.reactor.removeAll():
-            selectable.connectionLost(Failure(ConnectionDone()))
+        self.reactor.close()
         for peer in (*self.hosts, self.agent):
             peer.close()
 
