Lab: a process of the rig ends with its parent by one function

Six processes of the rig repeated the same prctl call and parent check, one of them without the check. lab/parent_death has both and needs the standard library only, as measured nodes load it. rig_process was ruled out as its place: it loads asyncio, msgspec and the scenario into each node.

--- a/caperdeck/lab/in_force/nodes.py
+++ b/caperdeck/lab/in_force/nodes.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import ctypes
 import os
-import signal
 import sys
 import time
 from dataclasses import replace
@@ -22,7 +20,7 @@
 
 from caperdeck.distribution.node import DiskThread
 from caperdeck.distribution.subscriber import Held, State
-from caperdeck.lab.launch import PR_SET_PDEATHSIG
+from caperdeck.lab.parent_death import end_with_parent
 from caperdeck.lab.scale.beat import BEAT, Beats
 from caperdeck.lab.scale.hollow import collect_from_now_on
 from caperdeck.lab.scale.traffic import Traffic, count_traffic
@@ -127,9 +125,7 @@
 
 
 def main() -> int:
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    if os.getppid() == 1:
-        return 1
+    end_with_parent()
     stdio.StandardIO(PlanReceiver(count_traffic()))
     reactor.run(installSignalHandlers=False)
     return 0
--- a/caperdeck/lab/launch.py
+++ b/caperdeck/lab/launch.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import ctypes
 import json
 import os
 import signal
@@ -13,7 +12,7 @@
 import time
 from typing import Any
 
-PR_SET_PDEATHSIG = 1
+from caperdeck.lab.parent_death import end_with_parent
 
 
 def skew(offset: float, drift: float) -> None:
@@ -90,9 +89,7 @@
 
 
 def main() -> int:
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    if os.getppid() == 1:
-        return 1
+    end_with_parent()
     tell(int(os.environ["LAB_EVENTS"]))
     offset, drift = float(os.environ["LAB_OFFSET"]), float(os.environ["LAB_DRIFT"])
     if offset or drift:
--- a/caperdeck/lab/scale/hollow.py
+++ b/caperdeck/lab/scale/hollow.py
@@ -7,10 +7,8 @@
 
 from __future__ import annotations
 
-import ctypes
 import gc
 import os
-import signal
 import sys
 import time
 from dataclasses import replace
@@ -21,7 +19,7 @@
 from twisted.internet import reactor, stdio
 from twisted.protocols.basic import LineOnlyReceiver
 
-from caperdeck.lab.launch import PR_SET_PDEATHSIG
+from caperdeck.lab.parent_death import end_with_parent
 from caperdeck.lab.scenario import Scenario, decode
 from caperdeck.lab.setup import node_config
 from caperdeck.ledger.sharing import Uses
@@ -204,9 +202,7 @@
 
 
 def main() -> int:
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    if os.getppid() == 1:
-        return 1
+    end_with_parent()
     traffic = count_traffic()
     stdio.StandardIO(Orders(traffic))
     reactor.run(installSignalHandlers=False)
--- a/caperdeck/lab/scale/lists.py
+++ b/caperdeck/lab/scale/lists.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import ctypes
 import os
-import signal
 import sys
 
 from twisted.internet import reactor, stdio
 from twisted.internet.protocol import Protocol
 
 from caperdeck.lab.discovery import Agent, Roster
-from caperdeck.lab.launch import PR_SET_PDEATHSIG
+from caperdeck.lab.parent_death import end_with_parent
 from caperdeck.state.addresses import parse_address
 
 OPEN = b"open\n"
@@ -23,9 +21,7 @@
 
 
 def main() -> int:
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    if os.getppid() == 1:
-        return 1
+    end_with_parent()
     address = parse_address(sys.argv[1])
     Agent(reactor, Roster(), {}).listen(address.host, address.port)
     stdio.StandardIO(UntilInputEnds()).write(OPEN)
--- a/caperdeck/lab/slopes/bench.py
+++ b/caperdeck/lab/slopes/bench.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import ctypes
 import os
 import select
-import signal
 import socket
 import subprocess
 import sys
@@ -18,6 +16,7 @@
 
 import msgspec
 
+from caperdeck.lab.parent_death import end_with_parent
 from caperdeck.lab.ports import Ports
 from caperdeck.lab.scenario import Scenario
 from caperdeck.lab.setup import node_config
@@ -35,17 +34,11 @@
 LOOK = 0.02  # seconds between looks at whether something has come to be
 MOST_REFUSED = 0.01  # of the connections, past which a set-up is not what is measured
 IDLE = 3600.0  # seconds after which a client that says nothing would be sent away
-PR_SET_PDEATHSIG = 1
-
-
-def die_with_parent() -> None:
-    """In a child before its program: nothing of a bench outlives it."""
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def spawn(words: list[str], **options: Any) -> subprocess.Popen:
     command = [sys.executable, "-B", "-m", *words]
-    return subprocess.Popen(command, cwd=ROOT, preexec_fn=die_with_parent, **options)
+    return subprocess.Popen(command, cwd=ROOT, preexec_fn=end_with_parent, **options)
 
 
 class EndProcess:
--- a/caperdeck/lab/slopes/instances.py
+++ b/caperdeck/lab/slopes/instances.py
@@ -13,7 +13,6 @@
 import psutil
 import tomli_w
 
-from caperdeck.lab.launch import PR_SET_PDEATHSIG
 from caperdeck.lab.ports import Ports
 from caperdeck.owner.commands import LENGTH, ask
 from caperdeck.raft.codec import frame, unwrap
@@ -29,11 +28,10 @@
 STARTED = 20.0  # seconds that a start, or an election, may take
 ENDED = 5.0  # seconds until a process that was told to end is killed
 ANSWERED = 30.0  # seconds until a call counts as lost
-OWN_END = f"""
-import ctypes, os, signal, sys
-ctypes.CDLL(None).prctl({PR_SET_PDEATHSIG}, signal.SIGKILL)
-if os.getppid() == 1:
-    sys.exit(1)
+OWN_END = """
+import sys
+from caperdeck.lab.parent_death import end_with_parent
+end_with_parent()
 """  # a process that is started so ends with the one that started it
 SERVE = OWN_END + "from caperdeck.__main__ import main\nsys.exit(main(sys.argv[1:]))"
 
