Raft: core is split into messages, actions, progress, read index, election, replication, following

core.py held everything of an instance in 644 lines. It now holds the events; the names that others import from it stay there. State and the order of writes are in `state`, the leader in `replication` over `progress` and `read_index`, the follower in `following`, votes in `election`, changes of members in `membership`. Composition of five objects was ruled out: all of them act on term, log and role at once, and the planted faults of the tests replace single steps of the whole. heir is transferee, beat is heartbeat, spread is replicate, Peer is Progress. No test is changed.

--- a/caperdeck/raft/codec.py
+++ b/caperdeck/raft/codec.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from .core import Append, Appended, Ask, Install, Installed, Message, TakeOver, Voted
+from .messages import Append, Appended, Ask, Install, Installed, Message, TakeOver, Voted
 from .log import Entry, Kind, Members
 
 VERSION = 1
--- a/caperdeck/raft/driver.py
+++ b/caperdeck/raft/driver.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from .core import (
-    Action, Append, Apply, Became, Install, Message, Raft, Readable, Restore, Role, Save, Send, Unreadable,
-)  # fmt: skip
+from .actions import Action, Apply, Became, Readable, Restore, Role, Save, Send, Unreadable
+from .core import Raft
 from .log import Entry, Members, Snapshot
+from .messages import Append, Install, Message
 from .sessions import Sessions
 
 COMPACT_AT = 512  # applied entries since the last snapshot
--- a/caperdeck/raft/log.py
+++ b/caperdeck/raft/log.py
@@ -35,6 +35,10 @@
     def quorum(self) -> int:
         return len(self.voters) // 2 + 1
 
+    def has_quorum(self, numbers: set[int]) -> bool:
+        """Whether these hold a quorum of the voters."""
+        return len(numbers.intersection(self.voters)) >= self.quorum
+
 
 class Snapshot(NamedTuple):
     """The applied state up to an index, and the members as of then."""
@@ -97,6 +101,22 @@
             before -= 1
         return before
 
+    def may_agree_up_to(self, index: int, term: int) -> int:
+        """Where a log may agree with this one that has an entry of that term at an index, where this one has
+        another or none; not before the snapshot.
+        """
+        at = max(self.last_up_to(term, min(index, self.last)), self.snapshot.index)
+        if at == index:
+            at = max(self.first_of(self.term(index) or 0, index) - 1, self.snapshot.index)
+        return at
+
+    def agreeing(self, index: int, entries: Sequence[Entry]) -> int:
+        """How many of these, which follow that index, stand here already, up to the first that does not."""
+        for k, entry in enumerate(entries):
+            if self.term(index + k + 1) != entry.term:
+                return k
+        return len(entries)
+
     def compact(self, snapshot: Snapshot) -> None:
         """Puts the snapshot in place of what it covers; entries past it stay if they follow on from it."""
         if self.term(snapshot.index) == snapshot.term:
--- a/caperdeck/raft/storage.py
+++ b/caperdeck/raft/storage.py
@@ -21,7 +21,7 @@
 
 from caperdeck.state.durable import replace_durably
 
-from .core import Save
+from .actions import Save
 from .log import Entry, Kind, Log, Members, Snapshot
 
 HEAD = struct.Struct(">III")
--- a/caperdeck/raft/transport.py
+++ b/caperdeck/raft/transport.py
@@ -19,7 +19,7 @@
 from caperdeck.wire.lines import BoundedPort
 
 from .codec import LONGEST, FrameError, encode, frame, message_of, unwrap
-from .core import Message
+from .messages import Message
 
 BACKLOG = 256  # a crowd of nodes may come at once
 MOST_CONNECTIONS = 96  # that others opened
