Lab: processes of hollow nodes and of controlled nodes read their plan by one class

Both had a receiver of their own for standard input, alike but for what follows the plan. lab/plan_reader has it once; what follows the plan is given by a function.

--- a/caperdeck/lab/in_force/nodes.py
+++ b/caperdeck/lab/in_force/nodes.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 import time
 from dataclasses import replace
@@ -16,11 +15,11 @@
 import msgspec
 import psutil
 from twisted.internet import reactor, stdio
-from twisted.protocols.basic import LineOnlyReceiver
 
 from caperdeck.distribution.node import DiskThread
 from caperdeck.distribution.subscriber import Held, State
 from caperdeck.lab.parent_death import end_with_parent
+from caperdeck.lab.plan_reader import PlanReader, TakeOrder, Write
 from caperdeck.lab.scale.beat import BEAT, Beats
 from caperdeck.lab.scale.hollow import collect_from_now_on
 from caperdeck.lab.scale.traffic import Traffic, count_traffic
@@ -107,26 +106,19 @@
         self.write(self.encode(report) + b"\n")
 
 
-class PlanReceiver(LineOnlyReceiver):
-    """Standard input: the plan. The process ends with it."""
-
-    delimiter = b"\n"
-    MAX_LENGTH = 16 << 20
-
-    def __init__(self, traffic: Traffic) -> None:
-        self.traffic = traffic
-
-    def lineReceived(self, line: bytes) -> None:
-        plan = msgspec.json.decode(line, type=Plan)
-        NodesProcess(plan, self.traffic, self.transport.write).start()
-
-    def connectionLost(self, reason: Any) -> None:
-        os._exit(0)
+def ignore_order(line: bytes) -> None:
+    """There are no orders after the plan."""
 
 
 def main() -> int:
     end_with_parent()
-    stdio.StandardIO(PlanReceiver(count_traffic()))
+    traffic = count_traffic()
+
+    def begin(plan: Plan, write: Write) -> TakeOrder:
+        NodesProcess(plan, traffic, write).start()
+        return ignore_order
+
+    stdio.StandardIO(PlanReader(Plan, begin))
     reactor.run(installSignalHandlers=False)
     return 0
 
--- /dev/null
+++ b/caperdeck/lab/plan_reader.py
@@ -0,0 +1,35 @@
+"""Standard input of a process of many nodes: its plan in the first line, orders in the lines after it."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.protocols.basic import LineOnlyReceiver
+
+LONGEST_LINE = 16 << 20  # bytes
+
+Write = Callable[[bytes], None]  # to standard output
+TakeOrder = Callable[[bytes], None]
+
+
+class PlanReader(LineOnlyReceiver):
+    """`begin` starts what the plan says and returns what takes orders. The process ends with its input."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = LONGEST_LINE
+
+    def __init__(self, plan_type: type, begin: Callable[[Any, Write], TakeOrder]) -> None:
+        self.plan_type, self.begin = plan_type, begin
+        self.take_order: TakeOrder | None = None
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.take_order is None:
+            self.take_order = self.begin(msgspec.json.decode(line, type=self.plan_type), self.transport.write)
+        else:
+            self.take_order(line)
+
+    def connectionLost(self, reason: Any) -> None:
+        os._exit(0)
--- a/caperdeck/lab/scale/hollow.py
+++ b/caperdeck/lab/scale/hollow.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import gc
-import os
 import sys
 import time
 from dataclasses import replace
@@ -17,9 +16,9 @@
 import msgspec
 import psutil
 from twisted.internet import reactor, stdio
-from twisted.protocols.basic import LineOnlyReceiver
 
 from caperdeck.lab.parent_death import end_with_parent
+from caperdeck.lab.plan_reader import PlanReader, TakeOrder, Write
 from caperdeck.lab.scenario import Scenario, decode
 from caperdeck.lab.setup import node_config
 from caperdeck.ledger.sharing import Uses
@@ -179,32 +178,16 @@
         )  # fmt: skip
 
 
-class Orders(LineOnlyReceiver):
-    """Standard input: the plan, then what to watch."""
-
-    delimiter = b"\n"
-    MAX_LENGTH = 16 << 20
-    process: HollowProcess | None = None
-
-    def __init__(self, traffic: Traffic) -> None:
-        self.traffic = traffic
-
-    def lineReceived(self, line: bytes) -> None:
-        if self.process is None:
-            plan = msgspec.json.decode(line, type=Plan)
-            self.process = HollowProcess(plan, self.traffic, self.transport.write)
-            self.process.start()
-        else:
-            self.process.order(msgspec.json.decode(line, type=Order))
-
-    def connectionLost(self, reason: Any) -> None:
-        os._exit(0)
-
-
 def main() -> int:
     end_with_parent()
     traffic = count_traffic()
-    stdio.StandardIO(Orders(traffic))
+
+    def begin(plan: Plan, write: Write) -> TakeOrder:
+        process = HollowProcess(plan, traffic, write)
+        process.start()
+        return lambda line: process.order(msgspec.json.decode(line, type=Order))
+
+    stdio.StandardIO(PlanReader(Plan, begin))
     reactor.run(installSignalHandlers=False)
     return 0
 
