Lab: what waits while a simulated process is suspended is held in one class

agree.Instance, simulated.Process and distribution's Process each had an inbox, a flag and the code that empties it. lab/suspension has them once; of the three rules for who is dead (a flag down, a flag up, the callers look) the one that drops what comes for a dead process holds for all, which each did by other means. asleep is suspended, sleep and wake are suspend and resume; test_lab_links calls them by these names. Events and scenarios keep their words, as they are kept in files.

--- a/caperdeck/lab/agree.py
+++ b/caperdeck/lab/agree.py
@@ -1,5 +1,5 @@
 """A cluster of Raft instances in virtual time: messages lost, late and doubled, links cut, processes that die
-at any write, sleep, and have clocks of their own rate. The paper's properties are checked as it runs.
+at any write, are suspended, and have clocks of their own rate. The paper's properties are checked as it runs.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from caperdeck.raft.sessions import Sessions
 
 from .events import Events
+from .suspension import Suspendable
 
 WRITE = (0.2, 8.0)  # milliseconds until a write is on disk
 COMPACT_AT = 40  # entries
@@ -56,15 +57,15 @@
         self.log.put(save.first, save.entries)
 
 
-class Instance:
+class Instance(Suspendable):
     """One process: the program's driver on a slow disk, a network with faults, a clock of its own rate."""
 
     def __init__(self, world: World, me: int) -> None:
+        super().__init__()
         self.world, self.me = world, me
-        self.up, self.asleep, self.life = False, False, 0
+        self.up, self.life = False, 0
         self.rate = 1.0
         self.driver: Driver
-        self.inbox: list[tuple[Callable, tuple]] = []
 
     @property
     def raft(self) -> Raft:
@@ -89,7 +90,7 @@
             lambda role, term, _: self.world.became(self.me, role, term, raft.log),
             lambda index, entry, _: self.world.applied(self.me, index, entry), COMPACT_AT,
         )  # fmt: skip
-        self.up, self.asleep, self.inbox = True, False, []
+        self.up, self.suspended, self.inbox = True, False, []
         self.tick(self.life)
 
     def die(self) -> None:
@@ -97,11 +98,10 @@
         self.driver.end()
 
     def tick(self, life: int) -> None:
-        if not self.up or life != self.life:
-            return
-        if self.asleep:
-            self.inbox.append((self.tick, (life,)))
-            return
+        if life == self.life:
+            self.act(self._tick, life)
+
+    def _tick(self, life: int) -> None:
         self.driver.tick()
         wait = max((self.raft.due - self.now()) / self.rate, 1.0)
         self.world.at(wait, self.tick, life)
@@ -110,7 +110,7 @@
         self.world.at(self.world.draw.uniform(*WRITE), self.written, save, done, self.life)
 
     def written(self, save: Save, done: Callable[[], None], life: int) -> None:
-        """The write is on disk, asleep or not; a process that died before never knows."""
+        """The write is on disk, suspended or not; a process that died before never knows."""
         if life != self.life or not self.up:
             return
         self.world.disks[self.me].write(save)
@@ -119,19 +119,6 @@
         else:
             self.act(done)
 
-    def act(self, do: Callable, *args: Any) -> None:
-        if self.asleep:
-            self.inbox.append((do, args))
-        else:
-            do(*args)
-
-    def wake(self) -> None:
-        self.asleep = False
-        inbox, self.inbox = self.inbox, []
-        for do, args in inbox:
-            if self.up:
-                self.act(do, *args)
-
 
 class World(Events):
     """`die_rate` is the chance to die at each write."""
@@ -179,10 +166,10 @@
         if not self.instances[i].up:
             self.instances[i].start()
 
-    def sleep(self, i: int, span: float) -> None:
-        if self.instances[i].up and not self.instances[i].asleep:
-            self.instances[i].asleep = True
-            self.at(span, self.instances[i].wake)
+    def suspend(self, i: int, span: float) -> None:
+        if self.instances[i].runs:
+            self.instances[i].suspend()
+            self.at(span, self.instances[i].resume)
 
     # ---- what must hold
 
@@ -217,7 +204,7 @@
                         raise BrokenError(f"log matching: {a} and {b} differ at {index} before {same}")
 
     def leader(self) -> Instance | None:
-        led = [i for i in self.instances if i.up and not i.asleep and i.raft.role is Role.LEADER]
+        led = [i for i in self.instances if i.runs and i.raft.role is Role.LEADER]
         return max(led, key=lambda i: i.raft.term, default=None)
 
 
@@ -243,7 +230,7 @@
         draw = self.world.draw
         self.world.at(draw.uniform(60, 200), self.attempt, op, serial)
         to = draw.choice(self.world.instances)
-        if not to.up or to.asleep:
+        if not to.runs:
             return
         if op["read"]:
             to.driver.read(lambda line: self.answered(op, None if line is None else list(line.values)))
@@ -287,7 +274,7 @@
 
 
 def torment(world: World, span: float) -> None:
-    """Deaths, sleeps, cuts both ways and one way, moments of loss, and quiet, at random moments."""
+    """Deaths, suspensions, cuts both ways and one way, moments of loss, and quiet, at random moments."""
     draw, until = world.draw, world.now + span
     size = len(world.instances)
     while world.now < until:
@@ -296,7 +283,7 @@
         if what == "die":
             world.die(i)
         elif what == "sleep":
-            world.sleep(i, draw.uniform(20, 1500))
+            world.suspend(i, draw.uniform(20, 1500))
         elif what == "cut":
             world.cut = {(a, b) for a in range(size) for b in range(size) if (a == i) != (b == i)}
         elif what == "one-way":
--- a/caperdeck/lab/distribution/instance.py
+++ b/caperdeck/lab/distribution/instance.py
@@ -7,17 +7,17 @@
 
 from caperdeck.distribution.messages import FromNode
 from caperdeck.distribution.table import Versions
+from caperdeck.lab.suspension import Suspendable
 from caperdeck.raft.log import Entry
 from caperdeck.raft.sessions import Sessions
 
-from .process import Process
 from .surroundings import Surroundings
 
 LEARN = 100.0  # milliseconds between two questions of an instance to the leader
 HISTORY = 3  # versions that a delta can begin at: few, so that snapshots are sent often
 
 
-class Instance(Process):
+class Instance(Suspendable):
     """A control machine: a copy of the agreed table, and a publisher."""
 
     def __init__(self, world: Surroundings, number: int) -> None:
--- a/caperdeck/lab/distribution/node.py
+++ b/caperdeck/lab/distribution/node.py
@@ -5,14 +5,14 @@
 from caperdeck.distribution.choice import Place
 from caperdeck.distribution.messages import FromPublisher
 from caperdeck.distribution.subscriber import NOTHING, Action, Apply, Held, Leave, Send
+from caperdeck.lab.suspension import Suspendable
 
-from .process import Process
 from .surroundings import Surroundings
 
 APPLY = (20.0, 200.0)  # milliseconds until a version is in force
 
 
-class Node(Process):
+class Node(Suspendable):
     """A node process with its file; every other one cannot serve versions of a certain kind."""
 
     def __init__(self, world: Surroundings, number: int, region: str, zone: str) -> None:
@@ -33,7 +33,7 @@
         self.carry_out([])
 
     def die(self, replaced: bool) -> None:
-        self.up, self.asleep = False, False
+        self.up, self.suspended = False, False
         if replaced:
             self.file, self.highest = NOTHING, 0
 
--- a/caperdeck/lab/distribution/simulation.py
+++ b/caperdeck/lab/distribution/simulation.py
@@ -172,11 +172,11 @@
         instance = self.instances[fault.of]
         match fault.do:
             case "kill" if instance.up:
-                instance.up, instance.asleep = False, False
+                instance.up, instance.suspended = False, False
                 self.at(fault.span, instance.start)
             case "sleep" if instance.runs:
-                instance.asleep = True
-                self.at(fault.span, instance.wake)
+                instance.suspend()
+                self.at(fault.span, instance.resume)
             case "isolate" if not instance.isolated:
                 instance.isolated = True
                 self.at(fault.span, setattr, instance, "isolated", False)
@@ -191,8 +191,8 @@
             case "doze":
                 for node in self.random.sample(self.nodes, len(self.nodes) // 2):
                     if node.runs:
-                        node.asleep = True
-                        self.at(fault.span, node.wake)
+                        node.suspend()
+                        self.at(fault.span, node.resume)
 
     def heal(self, do: str) -> None:
         setattr(self, do, getattr(self, do) - 1)
--- a/caperdeck/lab/simulated/process.py
+++ b/caperdeck/lab/simulated/process.py
@@ -1,4 +1,4 @@
-"""A simulated process: its clock, its timers, and what becomes of them while it sleeps or once it is dead."""
+"""A simulated process: its clock, its timers, and what becomes of them when it is suspended or dies."""
 
 from __future__ import annotations
 
@@ -7,22 +7,23 @@
 
 from twisted.internet.base import DelayedCall
 
+from caperdeck.lab.suspension import Suspendable
+
 from .world import World
 
 LEAST = 1e-6  # seconds: the shortest wait that is one
 
 
-class Process:
-    """Its timers and what arrives for it wait while it is asleep, and are lost when it dies.
+class Process(Suspendable):
+    """Its timers and what arrives for it wait while it is suspended, and are lost when it dies.
 
-    After a sleep timers that ran out come before what lies in the sockets.
+    Once it is resumed, timers that ran out come before what lies in the sockets.
     """
 
     def __init__(self, world: World, name: str) -> None:
+        super().__init__()
         self.world, self.name = world, name
-        self.asleep, self.dead = False, False
         self.overdue: list[DelayedCall] = []
-        self.inbox: list[tuple[Callable, tuple]] = []
         self.ends: dict[Any, None] = {}  # Transport
         self.ports: dict[Any, None] = {}  # Port and Socket
         self.rate, self.offset = 1.0, 0.0  # of its clock
@@ -31,40 +32,25 @@
     # ---- the process
 
     def holds(self, call: DelayedCall) -> bool:
-        if self.asleep and not self.dead:
+        """Whether a timer that is due does not run now."""
+        if self.suspended and self.up:
             self.overdue.append(call)
-        return self.asleep or self.dead
-
-    def act(self, do: Callable, *args: Any) -> None:
-        """What arrives for the process: done now, once it is awake, or never."""
-        if self.dead:
-            return
-        if self.asleep:
-            self.inbox.append((do, args))
-        else:
-            do(*args)
+        return self.suspended or not self.up
 
-    def sleep(self) -> None:
-        self.asleep = True
-
-    def wake(self) -> None:
-        if not self.asleep:
-            return
-        self.asleep = False
+    def resume(self) -> None:
+        self.suspended = False
         overdue, self.overdue = self.overdue, []
         for call in overdue:
-            if not call.cancelled and not call.called and not self.dead:
+            if not call.cancelled and not call.called and self.up:
                 call.called = 1
                 call.func(*call.args, **call.kw)
-        inbox, self.inbox = self.inbox, []
-        for do, args in inbox:
-            self.act(do, *args)
+        super().resume()
 
     def die(self) -> None:
         """The process is gone: its connections are reset, its ports refuse."""
-        if self.dead:
+        if not self.up:
             return
-        self.dead = True
+        self.up = False
         for port in list(self.ports):
             port.stopListening()
         for end in list(self.ends):
--- a/caperdeck/lab/virtual.py
+++ b/caperdeck/lab/virtual.py
@@ -126,7 +126,7 @@
         return self.world.clock.callLater(wait, do, *args)
 
     def alive(self, node: str) -> bool:
-        return node in self.places and not self.places[node].dead
+        return node in self.places and self.places[node].up
 
     def kill(self, node: str) -> None:
         if self.alive(node):
@@ -140,14 +140,14 @@
             self.later(LEAVES, self.front, "leaves", node)
 
     def stop(self, node: str) -> None:
-        if self.alive(node) and not self.places[node].asleep:
-            self.places[node].sleep()
+        if self.alive(node) and not self.places[node].suspended:
+            self.places[node].suspend()
             self.history.emit("life", who=node, state="asleep")
 
     def wake(self, node: str) -> None:
-        if self.alive(node) and self.places[node].asleep:
+        if self.alive(node) and self.places[node].suspended:
             self.history.emit("life", who=node, state="awake")
-            self.places[node].wake()
+            self.places[node].resume()
 
     def front(self, what: str, node: str) -> None:
         self.clients.node(what, node)
--- a/tests/test_lab_links.py
+++ b/tests/test_lab_links.py
@@ -133,12 +133,12 @@
 
 def test_a_process_that_sleeps_reads_all_as_it_wakes_and_its_timers_come_first():
     w, a, b, near, far = joined()
-    b.sleep()
+    b.suspend()
     b.callLater(1.0, lambda: far.came.append("timer"))
     near.transport.write(b"one")
     w.clock.run(3.0)
     assert far.came == []
-    b.wake()
+    b.resume()
     assert far.came == ["timer", b"one"]
 
 
@@ -146,16 +146,16 @@
     w, a, b, near, far = joined()
     second = b.callLater(0.2, lambda: far.came.append("second"))
     b.callLater(0.1, second.cancel)
-    b.sleep()
+    b.suspend()
     w.clock.run(1.0)
-    b.wake()
+    b.resume()
     assert far.came == []
 
 
 def test_nothing_can_be_written_once_a_reset_lies_there_unread():
     # Danger: a head counted as sent on such a connection, and the next dial as a second one beside it.
     w, a, b, near, far = joined()
-    a.sleep()
+    a.suspend()
     b.die()
     w.clock.run(0.2)
     with pytest.raises(ConnectionResetError):
