--- a/caperdeck/lab/owned.py
+++ b/caperdeck/lab/owned.py
@@ -80,28 +80,28 @@
 
     def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
         super().__init__(scenario, together)
-        self.asleep: set[str] = set()
+        self.suspended: set[str] = set()
         self.holds: dict[str, str] = {}
         self.skewed = any(f.do == "clock" for f in scenario.fault)
 
     def on_instance(self, e: Event) -> None:
         if e["state"] == "asleep":
-            self.asleep.add(e["who"])
+            self.suspended.add(e["who"])
         elif e["state"] == "killed":
-            self.asleep.discard(e["who"])
+            self.suspended.discard(e["who"])
             self.holds = {w: who for w, who in self.holds.items() if who != e["who"]}
 
     def on_held(self, e: Event) -> None:
         other = self.holds.get(e["work"])
         # one that sleeps does nothing, and finds out as it wakes, before it does anything: until it has said
         # that it renewed or lost a work, its word from before counts for nothing
-        if other not in (None, e["who"]) and other not in self.asleep and not self.skewed:
+        if other not in (None, e["who"]) and other not in self.suspended and not self.skewed:
             self.breach("owner", f"{e['who']} holds {e['work']} while {other} does", e)
         self.holds[e["work"]] = e["who"]
-        self.asleep.discard(e["who"])
+        self.suspended.discard(e["who"])
 
     def on_renewed(self, e: Event) -> None:
-        self.asleep.discard(e["who"])
+        self.suspended.discard(e["who"])
 
     def on_lost(self, e: Event) -> None:
         if self.holds.get(e["work"]) == e["who"]:
--- a/caperdeck/lab/sharing_network.py
+++ b/caperdeck/lab/sharing_network.py
@@ -81,7 +81,7 @@
         self.rates = rates or [1.0] * members
         self.cut = lambda a, b: False
         self.nodes, self.stubs, self.lives = [None] * members, [None] * members, [0] * members
-        self.asleep, self.inbox = set(), {}
+        self.suspended, self.inbox = set(), {}
         self.bytes, self.sends = [0] * members, [0] * members
         self.longest = 0
         for i in range(members):
@@ -101,19 +101,19 @@
     def kill(self, i: int) -> None:
         self.nodes[i] = None
 
-    def sleep(self, i: int) -> None:
-        self.asleep.add(i)
+    def suspend(self, i: int) -> None:
+        self.suspended.add(i)
         self.inbox[i] = []
 
-    def wake(self, i: int) -> None:
-        self.asleep.discard(i)
+    def resume(self, i: int) -> None:
+        self.suspended.discard(i)
         for data, sender in self.inbox.pop(i):
             self.arrive(i, data, sender)
         self.tick(i, self.lives[i])
 
     def tick(self, i: int, life: int) -> None:
         node = self.nodes[i]
-        if node is None or life != self.lives[i] or i in self.asleep:
+        if node is None or life != self.lives[i] or i in self.suspended:
             return
         self.send(i, node.tick(self.clock(i)))
         self.at(max((node.due - self.clock(i)) / self.rates[i], 1.0), self.tick, i, life)
@@ -131,7 +131,7 @@
                 self.at(self.random.uniform(*self.late), self.arrive, to, data, i)
 
     def arrive(self, i: int, data: bytes, sender: int) -> None:
-        if i in self.asleep:
+        if i in self.suspended:
             self.inbox[i].append((data, sender))
         elif self.nodes[i] is not None:
             self.send(i, self.nodes[i].datagram(self.clock(i), data, sender))
@@ -149,7 +149,7 @@
     def spend(self, i: int) -> None:
         net = self.net
         net.at(self.draw.uniform(0, 2 * self.every), self.spend, i)
-        if net.nodes[i] is None or i in net.asleep:
+        if net.nodes[i] is None or i in net.suspended:
             return
         stub, now = net.stubs[i], net.clock(i)
         amount = stub.mint(now)
@@ -172,17 +172,17 @@
 
 
 def torment(net: Net, draw: random.Random, span: float) -> None:
-    """Deaths, sleeps and cuts at random moments for `span` milliseconds."""
+    """Deaths, suspensions and cuts at random moments for `span` milliseconds."""
     until = net.now + span
     while net.now < until:
         i = draw.randrange(net.members)
         what = draw.choice(("kill", "sleep", "cut", "heal", "half"))
-        if what == "kill" and i not in net.asleep:
+        if what == "kill" and i not in net.suspended:
             net.kill(i)
             net.at(draw.uniform(100, 3000), lambda i=i: net.nodes[i] is None and net.start(i))
-        elif what == "sleep" and net.nodes[i] is not None and i not in net.asleep:
-            net.sleep(i)
-            net.at(draw.uniform(50, 5000), lambda i=i: i in net.asleep and net.wake(i))
+        elif what == "sleep" and net.nodes[i] is not None and i not in net.suspended:
+            net.suspend(i)
+            net.at(draw.uniform(50, 5000), lambda i=i: i in net.suspended and net.resume(i))
         elif what == "cut":
             parts, one_way = draw.choice((2, 3, net.members)), draw.random() < 0.5
             net.cut = lambda a, b, p=parts, w=one_way: a % p != b % p and (not w or a < b)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -208,10 +208,10 @@
 def test_a_sleep_makes_nobody_suspected():
     net = Net(8, uses=MEMBERSHIP)
     net.run(20_000)
-    net.sleep(0)
+    net.suspend(0)
     net.run(60_000)
     assert net.nodes[0].swim.hearing(net.clock(0), 15_000.0)[0] == 0  # and knows that it hears nothing
-    net.wake(0)
+    net.resume(0)
     assert not any(x is State.SUSPECTED for x in net.nodes[0].swim.state)
     net.run(20_000)
     assert all(n.swim.state == [State.ALIVE] * 8 for n in net.nodes)
