Lab: the processes of the rig that are no nodes are workers

part said nothing of what it is: lab/part is lab/worker, HostsPart is HostsWorker, parts is workers. Names only; the commands between the rig and its workers are as they were.

--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -1,4 +1,4 @@
-"""A run with real processes: nodes as `caperdeck serve`, the rig's parts, and a relay between all."""
+"""A run with real processes: nodes as `caperdeck serve`, the rig's workers, and a relay between all."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
         self.logs = logs
         self.processes: dict[str, Any] = {}
         self.tasks: list[asyncio.Task] = []
-        self.parts: dict[str, RigProcess] = {}
+        self.workers: dict[str, RigProcess] = {}
         self.late = 0.0
         self.per_s = 0.0
         self.head: asyncio.Future | None = None
@@ -55,7 +55,7 @@
         return time.monotonic() * 1000.0 - self.origin
 
     def came(self, event: Event) -> None:
-        """What a part saw."""
+        """What a worker saw."""
         kind = event["ev"]
         if kind == "late":
             self.late = max(self.late, event["ms"])
@@ -64,7 +64,7 @@
             if self.head is not None and not self.head.done():
                 self.head.set_result(None)
         elif kind == "born":
-            self.parts["agents"].tell("list", name=event["to"], state="cold", boot=event["at"])
+            self.workers["agents"].tell("list", name=event["to"], state="cold", boot=event["at"])
         else:
             self.history.take(event)
 
@@ -100,7 +100,7 @@
         began = time.monotonic()
         while time.monotonic() - began < START and process.returncode is None:
             if await accepts(*self.doors[name]):
-                self.parts["relay"].tell("down", name=name, down=False)
+                self.workers["relay"].tell("down", name=name, down=False)
                 self.life(name, "up", life=life)
                 return
             await asyncio.sleep(0.02)
@@ -161,7 +161,7 @@
         host, port = self.doors[node]
         while time.monotonic() - began < START and process.returncode is None:
             if await answers_ping(host, port):
-                self.parts["relay"].tell("down", name=node, down=False)
+                self.workers["relay"].tell("down", name=node, down=False)
                 self.life(node, "up", life=life)
                 self.front("ready", node)
                 return
@@ -191,7 +191,7 @@
         code = await process.wait()
         if self.over:
             return
-        self.parts["relay"].tell("down", name=node, down=True)
+        self.workers["relay"].tell("down", name=node, down=True)
         self.gone(node, "exit" if code == 0 else "killed")
         if code > 0:
             self.history.emit("crash", who=node, code=code, text="ended by itself")
@@ -227,32 +227,32 @@
             self._signal(node, signal.SIGCONT)
 
     def front(self, what: str, node: str) -> None:
-        self.parts["clients"].tell("front", what=what, node=node)
+        self.workers["clients"].tell("front", what=what, node=node)
 
     def reset(self, a: str, b: str) -> None:
-        self.parts["relay"].tell("reset", a=a, b=b)
+        self.workers["relay"].tell("reset", a=a, b=b)
 
     def hold(self, a: str, b: str, on: bool) -> None:
-        self.parts["relay"].tell("hold", a=a, b=b, on=on)
+        self.workers["relay"].tell("hold", a=a, b=b, on=on)
 
     def changed(self, a: str, b: str) -> None:
         trouble = self.links.trouble(a, b)
         values = {key: getattr(trouble, key) for key in ("loss", "double", "reorder", "delay", "cut")}
-        self.parts["relay"].tell("trouble", a=a, b=b, values=values)
+        self.workers["relay"].tell("trouble", a=a, b=b, values=values)
 
     def host_do(self, name: str, what: str, amount: float = 0.0) -> None:
         if what == "stop":
-            self.parts["relay"].tell("down", name=name, down=True)
+            self.workers["relay"].tell("down", name=name, down=True)
         elif what == "start":
-            self.parts["relay"].tell("down", name=name, down=False)
-        self.parts["hosts"].tell("host", name=name, what=what, amount=amount)
+            self.workers["relay"].tell("down", name=name, down=False)
+        self.workers["hosts"].tell("host", name=name, what=what, amount=amount)
 
     def listing(self, name: str, state: str) -> None:
         if state != "cold":  # that one follows once the host has said when it was born
-            self.parts["agents"].tell("list", name=name, state=state, boot=None)
+            self.workers["agents"].tell("list", name=name, state=state, boot=None)
 
     def hush(self, node: str, silent: bool) -> None:
-        self.parts["agents"].tell("hush", node=node, silent=silent)
+        self.workers["agents"].tell("hush", node=node, silent=silent)
 
     # ---- the run
 
@@ -276,9 +276,9 @@
     async def _open(self) -> None:
         s, nodes, hosts = self.scenario, self.scenario.node_names(), self.scenario.host_names()
         for role in ("hosts", "agents", "clients", "relay"):
-            self.parts[role] = RigProcess(self, role)
-            await self.parts[role].start()
-        ends = await self.parts["hosts"].ask("open")
+            self.workers[role] = RigProcess(self, role)
+            await self.workers[role].start()
+        ends = await self.workers["hosts"].ask("open")
         self.doors, self.peers = {}, {}
         for n in nodes:
             self.doors[n] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
@@ -295,7 +295,7 @@
         ways += [["clients", n, self.doors[n]] for n in nodes]
         ways += [[a, o, self.doors[o]] for a in owners + nodes for o in owners if a != o]
         ways += [[o, n, second[n]] for o in owners for n in nodes]
-        opened = await self.parts["relay"].ask("open", ways=ways, peers=self.peers)
+        opened = await self.workers["relay"].ask("open", ways=ways, peers=self.peers)
         at = {(a, b): address for a, b, address in opened["streams"]}
         places = {n: {h: "{}:{}".format(*at[n, h]) for h in hosts} for n in nodes}
         self.seen_owners = {
@@ -303,17 +303,17 @@
             for a in owners + nodes
         }  # fmt: skip
         self.seen_admins = {o: {n: "{}:{}".format(*at[o, n]) for n in nodes} for o in owners}
-        agents = await self.parts["agents"].ask("open", places=places)
-        more = await self.parts["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
+        agents = await self.workers["agents"].ask("open", places=places)
+        more = await self.workers["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
         self.agents = {a: "{}:{}".format(*address) for a, _, address in more}
         wires = {(a, b): "{}:{}".format(*address) for a, b, address in opened["wires"]}
         self.seen_peers = {
             n: ["{}:{}".format(*self.peers[p]) if p == n else wires[n, p] for p in nodes] for n in nodes
         }  # fmt: skip
         self.everyone = {n: wires[n, "*"] for n in nodes}
-        await self.parts["clients"].ask("open", doors={n: at["clients", n] for n in nodes})
+        await self.workers["clients"].ask("open", doors={n: at["clients", n] for n in nodes})
         self.head = asyncio.get_running_loop().create_future()
-        await self.parts["relay"].ask("headroom")
+        await self.workers["relay"].ask("headroom")
         await asyncio.wait_for(self.head, START)
         if self.per_s < HEADROOM * s.clients.rate:
             carries = f"the relay carries {self.per_s:.0f} connections a second"
@@ -328,18 +328,18 @@
         await self._zero()
         self.timeline.start()
         await asyncio.sleep(CLIENTS_FROM)
-        await self.parts["clients"].ask("start")
+        await self.workers["clients"].ask("start")
         seconds = self.scenario.seconds - CLIENTS_FROM
         await self._wait(seconds)
-        await self.parts["clients"].ask("stop")
+        await self.workers["clients"].ask("stop")
         await self._wait(self.length - self.scenario.seconds)
 
     async def _zero(self) -> None:
         """The run's time begins once all nodes are ready, however long the machine took over that."""
         origin = time.monotonic() * 1000.0
         shift, self.boot = origin - self.origin, time.time() * 1000.0
-        for part in self.parts.values():
-            await part.ask("zero", origin=origin, boot=self.boot)
+        for worker in self.workers.values():
+            await worker.ask("zero", origin=origin, boot=self.boot)
         for event in self.history.events:
             event["t"] = round(event["t"] - shift, 3)
         self.origin, self.late = origin, 0.0
@@ -351,7 +351,7 @@
 
     async def _close(self) -> None:
         """Ends every process of the run, asleep or not, and waits for it."""
-        everyone = [p.process for p in self.parts.values() if p.process is not None]
+        everyone = [p.process for p in self.workers.values() if p.process is not None]
         everyone += list(self.processes.values())
         for process in everyone:
             if process.returncode is None:
@@ -362,8 +362,8 @@
         self.taken.close()
         for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, *(p.reader for p in self.parts.values()), return_exceptions=True)
-        for part in self.parts.values():
-            for future in part.waiting.values():
+        await asyncio.gather(*self.tasks, *(p.reader for p in self.workers.values()), return_exceptions=True)
+        for worker in self.workers.values():
+            for future in worker.waiting.values():
                 if future.done():
                     future.exception()
--- a/caperdeck/lab/rig_process.py
+++ b/caperdeck/lab/rig_process.py
@@ -1,6 +1,6 @@
 """The rig's side of a process of its own: starts it, sends it commands, reads what it saw.
 
-`part.py` is what runs there.
+`worker.py` is what runs there.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from .scenario import Scenario, dump
 
 ROOT = Path(__file__).resolve().parents[2]
-START = 20.0  # seconds in which a part has to open, and a node to answer PING, on a busy machine
+START = 20.0  # seconds in which a worker has to open, and a node to answer PING, on a busy machine
 LONGEST_LINE = 16 << 20  # bytes
 
 
@@ -25,7 +25,7 @@
 
 
 class Run(Protocol):
-    """What a part needs of the run it belongs to."""
+    """What a worker needs of the run it belongs to."""
 
     scenario: Scenario
     seed: int
@@ -33,11 +33,11 @@
     boot: float  # the same moment in Unix milliseconds
 
     def came(self, event: Event) -> None:
-        """A part has seen something."""
+        """A worker has seen something."""
 
 
 class RigProcess:
-    """A part of the rig that is no node, as a process; commands are answered by its event `done`."""
+    """A worker as a process; commands are answered by its event `done`."""
 
     def __init__(self, fleet: Run, role: str) -> None:
         self.fleet, self.role = fleet, role
@@ -46,7 +46,7 @@
 
     async def start(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "caperdeck.lab.part", self.role, cwd=ROOT, limit=LONGEST_LINE,
+            sys.executable, "-B", "-m", "caperdeck.lab.worker", self.role, cwd=ROOT, limit=LONGEST_LINE,
             stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
         )  # fmt: skip
         fleet = self.fleet
--- a/caperdeck/lab/scale/real_nodes.py
+++ b/caperdeck/lab/scale/real_nodes.py
@@ -45,20 +45,20 @@
         nodes, hosts = self.scenario.node_names(), self.scenario.host_names()
         owners = self.scenario.owner_names()
         for role in PARTS:
-            self.parts[role] = RigProcess(self, role)
-            await self.parts[role].start()
-        ends = await self.parts["hosts"].ask("open")
+            self.workers[role] = RigProcess(self, role)
+            await self.workers[role].start()
+        ends = await self.workers["hosts"].ask("open")
         self._take_ports(nodes, owners)
         ways = [[n, h, ends[h]] for n in nodes for h in hosts]
         ways += [["clients", n, self.doors[n]] for n in nodes]
-        opened = await self.parts["relay"].ask("open", ways=ways, peers={})
+        opened = await self.workers["relay"].ask("open", ways=ways, peers={})
         at = {(a, b): address for a, b, address in opened["streams"]}
         places = {n: {h: plain(at[n, h]) for h in hosts} for n in nodes}
-        agents = await self.parts["agents"].ask("open", places=places)
-        more = await self.parts["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
+        agents = await self.workers["agents"].ask("open", places=places)
+        more = await self.workers["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
         self.agents = {a: plain(address) for a, _, address in more}
         self._tell_addresses(nodes, owners)
-        await self.parts["clients"].ask("open", doors={n: at["clients", n] for n in nodes})
+        await self.workers["clients"].ask("open", doors={n: at["clients", n] for n in nodes})
         await self._measure_relay()
 
     def _take_ports(self, nodes: list[str], owners: list[str]) -> None:
@@ -82,7 +82,7 @@
 
     async def _measure_relay(self) -> None:
         self.head = asyncio.get_running_loop().create_future()
-        await self.parts["relay"].ask("headroom")
+        await self.workers["relay"].ask("headroom")
         await asyncio.wait_for(self.head, START)
         if self.per_s < HEADROOM * self.scenario.clients.rate:
             carries = f"the relay carries {self.per_s:.0f} connections a second"
@@ -95,10 +95,10 @@
 
     async def start_clients(self) -> None:
         await self._zero()
-        await self.parts["clients"].ask("start")
+        await self.workers["clients"].ask("start")
 
     async def stop_clients(self) -> None:
-        await self.parts["clients"].ask("stop")
+        await self.workers["clients"].ask("stop")
 
     def kill(self, name: str) -> None:
         self.killed[name] = self.killed.get(name, 0) + 1
@@ -123,7 +123,7 @@
 
     def role_by_pid(self) -> dict[int, str]:
         """Roles of its processes by their ids."""
-        found = {part.process.pid: "rig" for part in self.parts.values() if part.process is not None}
+        found = {worker.process.pid: "rig" for worker in self.workers.values() if worker.process is not None}
         for name, process in self.processes.items():
             found[process.pid] = "real nodes" if name[0] == "n" else "instances"
         return found
--- a/caperdeck/lab/part.py
+++ b/caperdeck/lab/worker.py
@@ -1,6 +1,6 @@
 """One process of the rig that is no node: hosts, discovery's agents, clients or the relay.
 
-It is told what to do by lines of JSON on its standard input, and tells what was seen on its standard output.
+Commands come as lines of JSON on its standard input; what was seen goes to its standard output.
 When its input ends it exits: nothing of a run outlives the one who started it.
 """
 
@@ -26,16 +26,16 @@
 from .scenario import Scenario, decode
 
 BEAT = 0.02  # seconds between looks at how late this process runs
-LATE = 30.0  # milliseconds from which that is told
+LATE = 30.0  # milliseconds from which that is reported
 TRIES = 200  # connections by which the relay measures its head-room
 
 
-class Part:
+class Worker:
     """What a role does with a command; an answer goes back as the event `done`."""
 
-    def __init__(self, told: dict[str, Any], origin: float, boot: float) -> None:
-        self.scenario: Scenario = decode(told["scenario"])
-        self.seed, self.origin, self.boot = told["seed"], origin, boot
+    def __init__(self, setup: dict[str, Any], origin: float, boot: float) -> None:
+        self.scenario: Scenario = decode(setup["scenario"])
+        self.seed, self.origin, self.boot = setup["seed"], origin, boot
         self.out: list[bytes] = []
         self.encode = msgspec.json.Encoder().encode
         self.due = 0.0
@@ -55,7 +55,7 @@
     def beat(self) -> None:
         now = self.now()
         if self.due and now - self.due > LATE:
-            self.emit("late", part=type(self).__name__, ms=round(now - self.due, 1))
+            self.emit("late", worker=type(self).__name__, ms=round(now - self.due, 1))
         self.due = now + BEAT * 1000.0
         reactor.callLater(BEAT, self.beat)
 
@@ -67,7 +67,7 @@
         return getattr(self, f"do_{command.pop('do')}")(**command)
 
 
-class HostsPart(Part):
+class HostsWorker(Worker):
     def do_open(self) -> dict[str, Any]:
         self.ports: dict[str, HostPort] = {}
         self.taken = Ports()
@@ -83,7 +83,7 @@
             self.emit("born", to=name, at=self.boot + self.ports[name].host.born)
 
 
-class AgentsPart(Part):
+class AgentsWorker(Worker):
     def do_open(self, places: dict[str, dict[str, str]]) -> dict[str, Any]:
         """Agents, each with the addresses of hosts as its node sees them."""
         links, span = Links(self.seed + 5, lambda a, b: (0.0, 0.0)), self.scenario.net.list_late
@@ -100,7 +100,7 @@
         self.discovery.agents[node].hush(silent)
 
 
-class ClientsPart(Part):
+class ClientsWorker(Worker):
     def do_open(self, doors: dict[str, list]) -> None:
         ends = {n: (host, port) for n, (host, port) in doors.items()}
         self.crowd = Clients(reactor, self.scenario, self.seed + 77, ends, self.now, self.emit)
@@ -115,7 +115,7 @@
         self.crowd.node(what, node)
 
 
-class RelayPart(Part):
+class RelayWorker(Worker):
     def do_open(self, ways: list, peers: dict[str, list]) -> dict[str, Any]:
         self.relay = Relay(reactor, Links(self.seed, self.scenario.delay), self.emit)
         self.relay.peers = {n: (host, port) for n, (host, port) in peers.items()}
@@ -188,24 +188,24 @@
         self.done()
 
 
-ROLES = {"hosts": HostsPart, "agents": AgentsPart, "clients": ClientsPart, "relay": RelayPart}
+ROLES = {"hosts": HostsWorker, "agents": AgentsWorker, "clients": ClientsWorker, "relay": RelayWorker}
 
 
 class Commands(LineOnlyReceiver):
     delimiter = b"\n"
     MAX_LENGTH = 16 << 20
-    part: Part | None = None
+    worker: Worker | None = None
 
     def lineReceived(self, line: bytes) -> None:
         command = msgspec.json.decode(line)
-        if self.part is None:
-            self.part = ROLES[sys.argv[1]](command, command["origin"], command["boot"])
-            self.part.transport = self.transport
-            self.part.beat()
+        if self.worker is None:
+            self.worker = ROLES[sys.argv[1]](command, command["origin"], command["boot"])
+            self.worker.transport = self.transport
+            self.worker.beat()
             return
         number = command.pop("number")
-        answer = self.part.ask(command)
-        self.part.emit("done", number=number, answer=answer)
+        answer = self.worker.ask(command)
+        self.worker.emit("done", number=number, answer=answer)
 
     def connectionLost(self, reason: Any) -> None:
         os._exit(0)
