Lab: doors are addresses, the crowd is the clients

Names only, of the addresses at which processes are reached and of the object that all clients belong to; the future for the relay's head-room is headroom_known, as head is a request's first line elsewhere.

--- a/caperdeck/lab/clients.py
+++ b/caperdeck/lab/clients.py
@@ -24,28 +24,28 @@
 class Client(LineReceiver):
     MAX_LENGTH = 4096
 
-    def __init__(self, crowd: Clients, number: int, tries: int, load: float, ends: float) -> None:
-        self.crowd, self.number, self.tries, self.load, self.ends = crowd, number, tries, load, ends
-        self.id, self.node = crowd.name(), ""
-        self.asked = crowd.now()
+    def __init__(self, clients: Clients, number: int, tries: int, load: float, ends: float) -> None:
+        self.clients, self.number, self.tries, self.load, self.ends = clients, number, tries, load, ends
+        self.id, self.node = clients.name(), ""
+        self.asked = clients.now()
         self.answered, self.up, self.over = False, False, False
         self.waits: Any = None
         self.spoke: list[float] = []  # lines that no answer has come to yet
         self.up_at, self.badly = 0.0, 0.0  # how long it was served badly
 
     def connectionMade(self) -> None:
-        scenario = self.crowd.scenario
-        left = max(scenario.clients.wait - (self.crowd.now() - self.asked), 1.0)
+        scenario = self.clients.scenario
+        left = max(scenario.clients.wait - (self.clients.now() - self.asked), 1.0)
         head = f"OPEN {self.id} k{self.number} c=live,t=t,d={left:.0f},h={self.load / 1000:.5f},n={self.node}"
-        self.crowd.emit("ask", who=self.node, id=self.id, wait=round(left, 1))
+        self.clients.emit("ask", who=self.node, id=self.id, wait=round(left, 1))
         self.sendLine(head.encode())
-        self.waits = self.crowd.reactor.callLater(left / 1000.0, self.give_up)
+        self.waits = self.clients.reactor.callLater(left / 1000.0, self.give_up)
 
     def connect_failed(self) -> None:
         """The node is not there, or cut off; it has taken nothing."""
         if not self.over:
             self.over = True
-            self.crowd.refused(self, 0.0)
+            self.clients.refused(self, 0.0)
 
     def give_up(self) -> None:
         if not self.answered:
@@ -54,13 +54,13 @@
 
     def answer(self, what: str) -> None:
         if self.answered:
-            self.crowd.emit("extra", who=self.node, id=self.id, what=what)
+            self.clients.emit("extra", who=self.node, id=self.id, what=what)
             return
         self.answered = True
         if self.waits is not None and self.waits.active():
             self.waits.cancel()
-        took = round(self.crowd.now() - self.asked, 1)
-        self.crowd.emit("answer", who=self.node, id=self.id, what=what, ms=took)
+        took = round(self.clients.now() - self.asked, 1)
+        self.clients.emit("answer", who=self.node, id=self.id, what=what, ms=took)
 
     def lineReceived(self, line: bytes) -> None:
         word = line.split(b" ", 1)[0]
@@ -70,39 +70,39 @@
             self.answer(word.decode("utf-8", "replace").lower())
         elif word == b"UP":
             self.answer("up")
-            self.up, self.up_at = True, self.crowd.now()
-            self.crowd.live[self] = None
+            self.up, self.up_at = True, self.clients.now()
+            self.clients.live[self] = None
             self.speak()
         else:
             self.answer("busy" if word == b"BUSY" else "err")
             if word == b"BUSY":
                 back = line.partition(b" ")[2]
-                self.crowd.refused(self, min(float(back) if back.isdigit() else 0.0, MOST_BACK))
+                self.clients.refused(self, min(float(back) if back.isdigit() else 0.0, MOST_BACK))
             else:
-                self.crowd.refused(self, 0.0)
+                self.clients.refused(self, 0.0)
             self.over = True
             self.transport.loseConnection()
 
     def speak(self) -> None:
         if self.over:
             return
-        now = self.crowd.now()
+        now = self.clients.now()
         if now >= self.ends:
             self.leave("lived")
             return
         self.spoke.append(now)
         self.sendLine(b"say")
-        self.waits = self.crowd.reactor.callLater(min(SPEAK, self.ends - now + 1) / 1000.0, self.speak)
+        self.waits = self.clients.reactor.callLater(min(SPEAK, self.ends - now + 1) / 1000.0, self.speak)
 
     def heard(self, word: bytes) -> None:
-        now = self.crowd.now()
+        now = self.clients.now()
         if word == b"say":
             if self.spoke and now - self.spoke.pop(0) > IN_TIME:
                 self.badly += SPEAK
         elif word in (b"MOVE", b"BYE"):
             self.leave(word.decode().lower())
             if word == b"MOVE":
-                self.crowd.again(self)
+                self.clients.again(self)
         else:
             self.answer(word.decode("utf-8", "replace").lower())
 
@@ -114,13 +114,13 @@
         if self.over:
             return
         self.over = True
-        self.crowd.live.pop(self, None)
+        self.clients.live.pop(self, None)
         if self.waits is not None and self.waits.active():
             self.waits.cancel()
-        now = self.crowd.now()
+        now = self.clients.now()
         lived = now - self.up_at
         self.badly += SPEAK * sum(now - at > IN_TIME for at in self.spoke)
-        self.crowd.emit(
+        self.clients.emit(
             "end", who=self.node, id=self.id, how=how, ms=round(lived, 1),
             well=round(max(lived - self.badly, 0.0), 1),
         )  # fmt: skip
@@ -133,30 +133,30 @@
     def connectionLost(self, reason: Any) -> None:
         if self.up and not self.over:
             self.finish("broke")
-            self.crowd.again(self)
+            self.clients.again(self)
         elif not self.over:
             self.over = True
             self.answer("closed")
-            self.crowd.refused(self, 0.0)
+            self.clients.refused(self, 0.0)
         elif self.waits is not None and self.waits.active():
             self.waits.cancel()
 
 
 class Clients(SeededRandom):
-    """The crowd and the front: which node a client comes to, and when it comes again."""
+    """All clients and the front: which node a client comes to, and when it comes again."""
 
     def __init__(
-        self, reactor: Any, scenario: Scenario, seed: int, doors: dict[str, tuple[str, int]],
+        self, reactor: Any, scenario: Scenario, seed: int, addresses: dict[str, tuple[str, int]],
         clock: Callable[[], float], emit: Callable[..., None],
     ) -> None:  # fmt: skip
         super().__init__(seed)
-        self.reactor, self.scenario, self.doors = reactor, scenario, doors
+        self.reactor, self.scenario, self.addresses = reactor, scenario, addresses
         self.now, self.emit = clock, emit
         self.made, self.named = 0, 0
         self.out: dict[str, float] = {}  # nodes that the front leaves out, until when at the least
         self.left_out: list[tuple[float, str]] = []  # when the front will notice that a node has died
         weights = scenario.clients
-        self.weight = {n: 1.0 + (weights.uneven if i % 5 == 0 else 0.0) for i, n in enumerate(doors)}
+        self.weight = {n: 1.0 + (weights.uneven if i % 5 == 0 else 0.0) for i, n in enumerate(addresses)}
         self.ended = False
         self.live: dict[Client, None] = {}  # the ones that stand
 
@@ -192,19 +192,19 @@
     def connect(self, client: Client) -> None:
         if self.ended:
             return
-        client.node = node = self.door()
+        client.node = node = self.choose_node()
         if not node:
             client.connect_failed()
             return
-        host, port = self.doors[node]
+        host, port = self.addresses[node]
         wait = self.scenario.clients.wait / 1000.0
         self.reactor.connectTCP(host, port, SingleConnectionFactory(client, client.connect_failed), wait)
 
-    def door(self) -> str:
+    def choose_node(self) -> str:
         now = self.now()
         while self.left_out and self.left_out[0][0] <= now:
             self.out[heapq.heappop(self.left_out)[1]] = now
-        nodes = [n for n in self.doors if n not in self.out]
+        nodes = [n for n in self.addresses if n not in self.out]
         pick = self.chance() * sum(self.weight[n] for n in nodes)
         for n in nodes:
             pick -= self.weight[n]
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -47,7 +47,7 @@
         self.workers: dict[str, RigProcess] = {}
         self.late = 0.0
         self.per_s = 0.0
-        self.head: asyncio.Future | None = None
+        self.headroom_known: asyncio.Future | None = None
         self.taken = Ports()
         self.failed: BaseException | None = None
 
@@ -61,8 +61,8 @@
             self.late = max(self.late, event["ms"])
         elif kind == "headroom":
             self.per_s = event["per_s"]
-            if self.head is not None and not self.head.done():
-                self.head.set_result(None)
+            if self.headroom_known is not None and not self.headroom_known.done():
+                self.headroom_known.set_result(None)
         elif kind == "born":
             self.workers["agents"].tell("list", name=event["to"], state="cold", boot=event["at"])
         else:
@@ -99,7 +99,7 @@
         process = await self._spawn(name, ["owner", "serve", f"--config={path}"])
         began = time.monotonic()
         while time.monotonic() - began < START and process.returncode is None:
-            if await accepts(*self.doors[name]):
+            if await accepts(*self.addresses[name]):
                 self.workers["relay"].tell("down", name=name, down=False)
                 self.life(name, "up", life=life)
                 return
@@ -158,7 +158,7 @@
         words = ["serve", *self.sharing(), *self.owners(node), *["--subsets"] * self.scenario.subsets]
         process = await self._spawn(node, words, EDGE_CONFIG=str(path), TMPDIR=str(scratch))
         began = time.monotonic()
-        host, port = self.doors[node]
+        host, port = self.addresses[node]
         while time.monotonic() - began < START and process.returncode is None:
             if await answers_ping(host, port):
                 self.workers["relay"].tell("down", name=node, down=False)
@@ -279,21 +279,21 @@
             self.workers[role] = RigProcess(self, role)
             await self.workers[role].start()
         ends = await self.workers["hosts"].ask("open")
-        self.doors, self.peers = {}, {}
+        self.addresses, self.peers = {}, {}
         for n in nodes:
-            self.doors[n] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
+            self.addresses[n] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
             self.peers[n] = ("127.0.0.1", self.taken.take(socket.SOCK_DGRAM))
         owners, second = s.owner_names(), {}
         for o in owners:
-            self.doors[o] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
+            self.addresses[o] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
         if owners:
             second = {n: ("127.0.0.1", self.taken.take(socket.SOCK_STREAM)) for n in nodes}
-        self.listen = {n: "{}:{}".format(*address) for n, address in self.doors.items()}
+        self.listen = {n: "{}:{}".format(*address) for n, address in self.addresses.items()}
         self.admins = {n: "{}:{}".format(*address) for n, address in second.items()}
         # agents tell the relay's addresses of hosts, and lie behind the relay themselves
         ways = [[n, h, ends[h]] for n in nodes for h in hosts]
-        ways += [["clients", n, self.doors[n]] for n in nodes]
-        ways += [[a, o, self.doors[o]] for a in owners + nodes for o in owners if a != o]
+        ways += [["clients", n, self.addresses[n]] for n in nodes]
+        ways += [[a, o, self.addresses[o]] for a in owners + nodes for o in owners if a != o]
         ways += [[o, n, second[n]] for o in owners for n in nodes]
         opened = await self.workers["relay"].ask("open", ways=ways, peers=self.peers)
         at = {(a, b): address for a, b, address in opened["streams"]}
@@ -311,10 +311,10 @@
             n: ["{}:{}".format(*self.peers[p]) if p == n else wires[n, p] for p in nodes] for n in nodes
         }  # fmt: skip
         self.everyone = {n: wires[n, "*"] for n in nodes}
-        await self.workers["clients"].ask("open", doors={n: at["clients", n] for n in nodes})
-        self.head = asyncio.get_running_loop().create_future()
+        await self.workers["clients"].ask("open", addresses={n: at["clients", n] for n in nodes})
+        self.headroom_known = asyncio.get_running_loop().create_future()
         await self.workers["relay"].ask("headroom")
-        await asyncio.wait_for(self.head, START)
+        await asyncio.wait_for(self.headroom_known, START)
         if self.per_s < HEADROOM * s.clients.rate:
             carries = f"the relay carries {self.per_s:.0f} connections a second"
             raise VoidError(f"{carries}, {s.clients.rate:g} are asked")
--- a/caperdeck/lab/scale/real_nodes.py
+++ b/caperdeck/lab/scale/real_nodes.py
@@ -50,7 +50,7 @@
         ends = await self.workers["hosts"].ask("open")
         self._take_ports(nodes, owners)
         ways = [[n, h, ends[h]] for n in nodes for h in hosts]
-        ways += [["clients", n, self.doors[n]] for n in nodes]
+        ways += [["clients", n, self.addresses[n]] for n in nodes]
         opened = await self.workers["relay"].ask("open", ways=ways, peers={})
         at = {(a, b): address for a, b, address in opened["streams"]}
         places = {n: {h: plain(at[n, h]) for h in hosts} for n in nodes}
@@ -58,16 +58,16 @@
         more = await self.workers["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
         self.agents = {a: plain(address) for a, _, address in more}
         self._tell_addresses(nodes, owners)
-        await self.workers["clients"].ask("open", doors={n: at["clients", n] for n in nodes})
+        await self.workers["clients"].ask("open", addresses={n: at["clients", n] for n in nodes})
         await self._measure_relay()
 
     def _take_ports(self, nodes: list[str], owners: list[str]) -> None:
         def port(kind: int) -> tuple[str, int]:
             return "127.0.0.1", self.taken.take(kind)
 
-        self.doors = {name: port(socket.SOCK_STREAM) for name in nodes + owners}
+        self.addresses = {name: port(socket.SOCK_STREAM) for name in nodes + owners}
         self.peers = {n: port(socket.SOCK_DGRAM) for n in nodes}
-        self.listen = {name: plain(address) for name, address in self.doors.items()}
+        self.listen = {name: plain(address) for name, address in self.addresses.items()}
         self.admins = {n: plain(port(socket.SOCK_STREAM)) for n in nodes}
 
     def _tell_addresses(self, nodes: list[str], owners: list[str]) -> None:
@@ -81,9 +81,9 @@
         self.seen_admins = dict.fromkeys(owners, told_nodes(second))
 
     async def _measure_relay(self) -> None:
-        self.head = asyncio.get_running_loop().create_future()
+        self.headroom_known = asyncio.get_running_loop().create_future()
         await self.workers["relay"].ask("headroom")
-        await asyncio.wait_for(self.head, START)
+        await asyncio.wait_for(self.headroom_known, START)
         if self.per_s < HEADROOM * self.scenario.clients.rate:
             carries = f"the relay carries {self.per_s:.0f} connections a second"
             raise VoidError(f"{carries}, {self.scenario.clients.rate:g} are asked")
--- a/caperdeck/lab/virtual.py
+++ b/caperdeck/lab/virtual.py
@@ -84,11 +84,11 @@
         for i, name in enumerate(s.node_names()):
             agent = self.discovery.add(name, ends, Place(world, f"d{i}"))
             agent.listen(self._ip(3, i), 8500)
-        doors = {n: (self._ip(2, i), 9000) for i, n in enumerate(s.node_names())}
+        addresses = {n: (self._ip(2, i), 9000) for i, n in enumerate(s.node_names())}
         self.peers = [f"{self._ip(4, i)}:7946" for i in range(s.nodes)]
         for i in range(s.nodes):
             world.everyone[self._ip(5, i), 7946] = [(self._ip(4, j), 7946) for j in range(s.nodes)]
-        self.clients = Clients(Place(world, "clients"), s, self.seed + 77, doors, self.now, emit)
+        self.clients = Clients(Place(world, "clients"), s, self.seed + 77, addresses, self.now, emit)
 
     def _ip(self, net: int, i: int) -> str:
         return f"127.{net}.{i // 250}.{i % 250 + 1}"
--- a/caperdeck/lab/worker.py
+++ b/caperdeck/lab/worker.py
@@ -101,18 +101,18 @@
 
 
 class ClientsWorker(Worker):
-    def do_open(self, doors: dict[str, list]) -> None:
-        ends = {n: (host, port) for n, (host, port) in doors.items()}
-        self.crowd = Clients(reactor, self.scenario, self.seed + 77, ends, self.now, self.emit)
+    def do_open(self, addresses: dict[str, list]) -> None:
+        ends = {n: (host, port) for n, (host, port) in addresses.items()}
+        self.clients = Clients(reactor, self.scenario, self.seed + 77, ends, self.now, self.emit)
 
     def do_start(self) -> None:
-        self.crowd.start()
+        self.clients.start()
 
     def do_stop(self) -> None:
-        self.crowd.stop()
+        self.clients.stop()
 
     def do_front(self, what: str, node: str) -> None:
-        self.crowd.node(what, node)
+        self.clients.node(what, node)
 
 
 class RelayWorker(Worker):
--- a/caperdeck/raft/transport.py
+++ b/caperdeck/raft/transport.py
@@ -21,7 +21,7 @@
 from .codec import LONGEST, FrameError, encode, frame, message_of, unwrap
 from .messages import Message
 
-BACKLOG = 256  # a crowd of nodes may come at once
+BACKLOG = 256  # many nodes may come at once
 MOST_CONNECTIONS = 96  # that others opened
 MOST_CALLS = 256  # of one connection that wait for their answers
 CONNECT = 1.0  # seconds
