Raft, lab: told is named for what was told

A vote at the leader's word has transfer, as etcd's; the frame has its fields by place, so it is as it was. The oracle's versions by node are revisions, a host's reports on their way pending_reports, the epoch that a node is in epoch_of. test_raft reads the renamed field; events and recorded results keep their words.

--- a/caperdeck/lab/hosts.py
+++ b/caperdeck/lab/hosts.py
@@ -34,7 +34,7 @@
         self.load = 0.0
         self.sent: deque[tuple[float, str, float]] = deque()  # while it was cold: when, session, load
         self.over_since = -1.0
-        self.told: deque[tuple[float, dict[str, float]]] = deque()  # reports, with when each can be read
+        self.pending_reports: deque[tuple[float, dict[str, float]]] = deque()  # and when they are read
         self.report: dict[str, float] = {"util": 0.0, "inflight": 0.0, "x0": 0.0}
 
     def start(self, now: float) -> None:
@@ -43,7 +43,7 @@
         self.born, self.running, self.draining, self.fell, self.ill = now, True, False, False, 0.0
         self.loads.clear()
         self.sent.clear()
-        self.told.clear()
+        self.pending_reports.clear()
         self.load, self.over_since = 0.0, -1.0
         self.report = {"util": 0.0, "inflight": 0.0, "x0": 0.0}
         self.say("cold")
@@ -70,15 +70,15 @@
         return min(self.table.handshake / max(free, NEAR_FULL), SLOWEST) if free else SLOWEST
 
     def measure(self, now: float) -> float:
-        """Takes the figures that are told later; returns when to measure again."""
+        """Takes the figures that are reported later; returns when to measure again."""
         x0 = self.share(now)
         figures = {"util": round(min(x0, 1.0), 3), "inflight": len(self.loads), "x0": round(x0, 3)}
-        self.told.append((now + self.between(self.table.report_late), figures))
+        self.pending_reports.append((now + self.between(self.table.report_late), figures))
         return now + self.between(self.table.report_every)
 
     def stats(self, now: float) -> dict[str, float]:
-        while self.told and self.told[0][0] <= now:
-            self.report = self.told.popleft()[1]
+        while self.pending_reports and self.pending_reports[0][0] <= now:
+            self.report = self.pending_reports.popleft()[1]
         return self.report
 
     def arrives(self, now: float, node: str, sid: str, load: float) -> bool:
--- a/caperdeck/lab/oracle.py
+++ b/caperdeck/lab/oracle.py
@@ -170,14 +170,14 @@
     def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
         super().__init__(scenario, together)
         self.changes: list[tuple[int, str, str, float]] = []  # version, host, state, when
-        self.told: dict[str, list[tuple[float, int]]] = {n: [] for n in scenario.node_names()}
+        self.revisions: dict[str, list[tuple[float, int]]] = {n: [] for n in scenario.node_names()}
         self.born: dict[str, float] = {}
 
     def on_list(self, e: Event) -> None:
         self.changes.append((e["rev"], e["to"], e["state"], e["t"]))
 
     def on_told(self, e: Event) -> None:
-        self.told.setdefault(e["who"], []).append((e["t"], e["rev"]))
+        self.revisions.setdefault(e["who"], []).append((e["t"], e["rev"]))
 
     def on_life(self, e: Event) -> None:
         if e["state"] == "up":
@@ -186,7 +186,7 @@
     def on_dial(self, e: Event) -> None:
         rules, node = self.scenario.rules, e["who"]
         latest = e["t"] - rules.drain_grace - rules.slack
-        known = max((rev for at, rev in self.told.get(node, ()) if at <= latest), default=0)
+        known = max((rev for at, rev in self.revisions.get(node, ()) if at <= latest), default=0)
         state, since = "Ready", 0.0
         for rev, host, what, at in self.changes:
             # Danger: a change that never arrived counts as told in the end all the same; but a node that
--- a/caperdeck/lab/owned.py
+++ b/caperdeck/lab/owned.py
@@ -29,7 +29,7 @@
         self.epochs: dict[int, int] = {}  # how many live, by epoch
         floor = FLOOR / scenario.nodes
         self.floor, self.share = floor, dict.fromkeys(scenario.node_names(), floor)
-        self.told: dict[str, int] = {}  # the epoch that a node is in, in this life
+        self.epoch_of: dict[str, int] = {}  # the epoch that a node is in, in this life
         self.steps: dict[int, tuple] = {}  # what each number of an act on hosts means
         self.number: dict[str, int] = {}  # the last of them that a node took, in this life
 
@@ -61,9 +61,9 @@
             self._census(node, e)
 
     def _census(self, node: str, e: Event) -> None:
-        if e["epoch"] < self.told.get(node, 0):
-            self.breach("census", f"epoch {e['epoch']} after {self.told[node]}", e)
-        self.told[node], self.share[node] = e["epoch"], e["share"]
+        if e["epoch"] < self.epoch_of.get(node, 0):
+            self.breach("census", f"epoch {e['epoch']} after {self.epoch_of[node]}", e)
+        self.epoch_of[node], self.share[node] = e["epoch"], e["share"]
         if self.epochs.setdefault(e["epoch"], e["living"]) != e["living"]:
             self.breach("census", f"epoch {e['epoch']} is told in two ways", e)
         if (whole := sum(self.share.values())) > 1 + ROUNDED:
@@ -72,7 +72,7 @@
     def on_life(self, e: Event) -> None:
         if e["state"] in ("killed", "exit"):
             # whoever starts next holds the floor until it is told more
-            self.share[e["who"]], self.told[e["who"]], self.number[e["who"]] = self.floor, 0, 0
+            self.share[e["who"]], self.epoch_of[e["who"]], self.number[e["who"]] = self.floor, 0, 0
 
 
 class OneOwner(Check):
--- a/caperdeck/raft/codec.py
+++ b/caperdeck/raft/codec.py
@@ -88,7 +88,7 @@
 
 
 def _field(kind: type, name: str, value: Any) -> Any:
-    if name in ("before", "told", "granted", "ok", "last") and not (kind is Ask and name == "last"):
+    if name in ("before", "transfer", "granted", "ok", "last") and not (kind is Ask and name == "last"):
         if not isinstance(value, bool):
             raise FrameError("wrong-fields")
         return value
--- a/caperdeck/raft/core.py
+++ b/caperdeck/raft/core.py
@@ -79,7 +79,7 @@
                 self._installed(now, m)
             case TakeOver():
                 if self.me in self.members.voters and self.role is not Role.LEADER:
-                    self._campaign(now, before=False, told=True)
+                    self._campaign(now, before=False, transfer=True)
 
     def _outdated(self, m: Message) -> None:
         # Danger: a leader that was cut off goes on leading, as nobody tells it of the newer term.
--- a/caperdeck/raft/election.py
+++ b/caperdeck/raft/election.py
@@ -10,8 +10,8 @@
 class Election(RaftState):
     """The candidate, and whoever is asked for a vote."""
 
-    def _campaign(self, now: float, before: bool, told: bool = False) -> None:
-        """Asks all voters, for a pre-vote where `before`; `told` by the leader to take over."""
+    def _campaign(self, now: float, before: bool, transfer: bool = False) -> None:
+        """Asks all voters, for a pre-vote where `before`; with `transfer` at the leader's word."""
         self._await_leader(now)
         if self.me not in self.members.voters:
             return
@@ -25,14 +25,14 @@
         self._save()
         for i in self.members.voters:
             if i != self.me:
-                self._send(i, Ask(term, self.me, self.log.last, self.log.last_term, before, told))
+                self._send(i, Ask(term, self.me, self.log.last, self.log.last_term, before, transfer))
         self._count_votes(now)
 
     def _asked(self, now: float, m: Ask) -> None:
         # Danger: a member that was cut off, or removed, comes back with a higher term and unseats a leader
         # that all the others hear.
         led = self.role is Role.LEADER or now - self.heard_at < ELECTION
-        if led and not m.told and m.term > self.term:
+        if led and not m.transfer and m.term > self.term:
             self._send(m.sender, Voted(self.term, self.me, False, m.before))
         elif m.before:
             granted = self._as_new_as_own(m) and m.term > self.term
--- a/caperdeck/raft/messages.py
+++ b/caperdeck/raft/messages.py
@@ -15,7 +15,7 @@
     last: int
     last_term: int
     before: bool  # a pre-vote: nobody's term or vote changes
-    told: bool = False  # by the leader, to take over
+    transfer: bool = False  # the leader hands over: its followers vote too
 
 
 class Voted(NamedTuple):
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -241,7 +241,7 @@
     heir = instance(2, term=1)
     heir.receive(1000.0, Append(1, 0, 0, 0, (Entry(1, Kind.NOTHING),), 0, 1))
     asks = sent(heir.receive(1002.0, TakeOver(1, 0)), Ask)
-    assert asks and all(a.told and a.term == 2 and not a.before for a in asks)
+    assert asks and all(a.transfer and a.term == 2 and not a.before for a in asks)
 
 
 def test_one_that_lacks_what_was_compacted_is_sent_the_snapshot():
