Carrier: reading what lies in the sockets before anything is decided has a module of its own

An object beside the carrier was ruled out: each reading of the clock would go through one call more. test_told and test_lab_virtual take two constants from the new module.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-import math
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
 from loguru import logger
 
@@ -29,20 +28,14 @@
 from caperdeck.state.timers import cancel
 from caperdeck.turns.subset import Place, Subsets
 
+from .catch_up import CatchUp
+
 AGAIN = 200.0  # until a connection that stood before is tried again at its host
 RESUME_TIME_OUT = 3000.0  # for one such try
 SILENCE = 2000.0  # a host that has brought nothing back for so long is given up
 SUSPECT = 300.0  # one that has brought nothing back for so long, on any connection, is probed
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
 AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
-SWEEP = 250.0  # housekeeping is due so often
-OVERDUE = 250.0  # late by so much, the node was away
-FIGURES_LAST = 1000.0  # after so long away, what was known of hosts is void
-READ_TURNS = 2  # turns of the reactor of which one at least has read every socket that had something
-MOST_TURNS = 600  # and so many at the most, enough to read a full buffer of discovery's
-LIST_WAIT = 500.0  # for the list where discovery has to be asked anew, or for the first time
-LIST_LAG = 50.0  # before a request goes out discovery's socket has been looked at within so long
-CALL_AGAIN = 5.0  # between turns meanwhile
 IDLE = 2000.0  # a client that has sent no first line for so long is closed
 IDLE_SHORT = 250.0  # the same while sockets are short
 
@@ -50,19 +43,7 @@
 AT_ONCE = (Listed, Banned, Retuned, Narrowed)  # news that lead to nothing being sent
 
 
-class Source(Protocol):
-    """Where the list of hosts is read."""
-
-    reads: int  # how often anything of it has come
-    open: bool  # what comes can be read, and a line of it has been
-
-    def woke(self) -> None: ...
-
-    def unread(self) -> bool:
-        """Whether anything of it lies in the socket, its end too; costs a system call."""
-
-
-class Carrier(ABC):
+class Carrier(CatchUp):
     """The sessions of one node between clients and hosts, whatever they speak."""
 
     moved: bytes  # the word that sends a client of a standing session away
@@ -73,8 +54,7 @@
         self, reactor: Any, clock: Callable[[], float], balancer: Balancer, names: Names, limits: Limits,
         hosts: Hosts, budget: SocketBudget,
     ) -> None:  # fmt: skip
-        self.reactor = reactor
-        self.read_clock = clock
+        super().__init__(reactor, clock)
         self.balancer = balancer
         self.names = names
         self.limits = limits
@@ -85,14 +65,7 @@
         self.figures.know(names.listeners)
         self.idle: dict[ClientSide, None] = {}  # without a first line, the oldest first
         self.told_at = clock()  # when discovery last said anything
-        self.source: Source | None = None
         self.subsets: Subsets | None = None  # None: all hosts are drawn alike
-        self.turn_at = math.inf  # a turn of the reactor has run since; without a sweep none is awaited
-        self.reading = False  # what came while the node was away, or its first list, is not all read yet
-        self.away = 0.0  # how old what is read now may be meanwhile
-        self.looked_at = -math.inf  # when nothing of the list was last seen to lie in its socket
-        self.turns, self.reads, self.list_until = 0, 0, 0.0  # since the node was back
-        self.held: deque[Callable[[], None]] = deque()  # what waits until then, in the order it came
         self.searched_at = clock()  # for clients that fell silent
         self.stopping = False
         self.accepting: Callable[[bool], None] = lambda on: None
@@ -117,70 +90,16 @@
     def hints(self, s: Session) -> tuple[float | None, int | None]:
         """The load that the session's client guesses, and its group."""
 
-    # ---- away: stopped, starved, swapped out, in a long collection
-
-    def clock(self) -> float:
-        """The time; whoever reads it first after the node was away finds out here."""
-        now = self.read_clock()
-        if now - self.turn_at > SWEEP + OVERDUE:
-            self._back(now, now - self.turn_at)
-        return now
+    # ---- stalls
 
-    def _back(self, now: float, span: float) -> None:
-        # Danger: what came meanwhile lies in the sockets in no order: a session is read before the list that
-        # takes its host away, a timer runs out before the answer that it waits for.
+    def _stalled(self, span: float) -> None:
         logger.warning("away ms={:.0f} sessions={}", span, len(self.sessions.table))
-        self.away, self.turn_at = self.away + span, now
-        if self.source is not None:
-            self.source.woke()
-        self._read_first(now)
-
-    def wait_for_list(self) -> None:
-        """Nothing is sent by the list that a new process is given until discovery's has come, for a while."""
-        # Danger: what discovery has counts as told from the first moment of a process, and loading it alone
-        # may take as long as the grace; who lies in the queue of its port is read before the list is.
-        self._read_first(self.read_clock())
-
-    def _read_first(self, now: float) -> None:
-        again, self.reading = self.reading, True
-        self.turns, self.list_until = 0, now + LIST_WAIT
-        if self.source is not None:
-            self.reads = self.source.reads
-        if not again:
-            self.reactor.callLater(0, self._read_on)
-
-    def bound_list_wait(self, until: float) -> None:
-        """The list is waited for no longer than that (ms of the clock)."""
-        self.list_until = min(self.list_until, until)
-
-    def _read_on(self) -> None:
-        """A turn later: whether all that had come has been read."""
-        now, source = self.clock(), self.source
-        self.turns += 1
-        shut = source is not None and not source.open and now < self.list_until
-        reads, self.reads = self.reads, source.reads if source is not None else 0
-        read = self.turns >= READ_TURNS and reads == self.reads and not shut
-        if not read and self.turns < MOST_TURNS:
-            self.reactor.callLater(CALL_AGAIN / MS if shut else 0, self._read_on)
-            return
-        if self.away >= FIGURES_LAST:
-            self.balancer.forget(now)
-        self.reading, self.away, self.turn_at = False, 0.0, now
-        held, self.held = self.held, deque()
-        for do in held:
-            do()
-        self._timer_fired()
 
-    def age(self) -> float:
-        """How long a line that is read now may have lain there; 0 once all that did has been read."""
-        return self.away if self.turns <= READ_TURNS else 0.0
+    def _forget_figures(self, now: float) -> None:
+        self.balancer.forget(now)
 
-    def later(self, do: Callable[[], None]) -> bool:
-        """Whether the node has yet to read what came before; then this is done after that."""
-        self.clock()
-        if self.reading:
-            self.held.append(do)
-        return self.reading
+    def _caught_up(self) -> None:
+        self._timer_fired()
 
     # ---- the balancer
 
@@ -304,7 +223,7 @@
         s = conn.session
         if self.later(partial(self.dial_open, conn)) or conn.ended:
             return
-        if self._list_waits():
+        if self.list_waits():
             # discovery's socket is read before this runs again
             self.reactor.callLater(0, self.dial_open, conn)
             return
@@ -317,18 +236,6 @@
             # who does not wait for its answer is turned away once that has been read
             self.reactor.callLater(0, self.dial_open, conn)
 
-    def _list_waits(self) -> bool:
-        """Whether discovery has told anything that is not read yet; looks once in LIST_LAG at the most."""
-        # Danger: a turn reads sockets in any order, and stalls too short to be an absence add up; the grace
-        # counts from when discovery wrote.
-        now = self.clock()
-        if self.source is None or now - self.looked_at <= LIST_LAG:
-            return False
-        if self.source.unread():
-            return True
-        self.looked_at = now
-        return False
-
     def _send(self, s: Session, conn: HostSide) -> None:
         # Danger: what held when the host was chosen may have lapsed while its connection came up.
         if s.head.at is None and not self.balancer.still_allowed(self.clock(), s.index):
@@ -340,7 +247,7 @@
 
     def dial_failed(self, conn: HostSide) -> None:
         self.clock()
-        # Danger: a connection that ran out of time while the node was away says nothing about its host.
+        # Danger: a connection that ran out of time in a stall of the node says nothing about its host.
         self._end_dial(conn.session, Outcome.NEVER_SENT if self.away else Outcome.UNREACHED)
 
     def _late(self, conn: HostSide) -> None:
@@ -464,7 +371,7 @@
         if alive:
             self.hosts.spoke_at[news.host] = self.clock()
         # Danger: an answer that lay there all the while tells an old figure as a new one.
-        if self.away >= FIGURES_LAST:
+        if self.figures_void:
             return
         self.report(news)
         if not alive and self._suspect(news.host):
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -14,7 +14,7 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
-from caperdeck.carry.carrier import SWEEP
+from caperdeck.carry.catch_up import SWEEP
 from caperdeck.core.facade import Balancer
 from caperdeck.core.settings import MS
 from caperdeck.ops.bans import Bans, BansError
--- a/tests/test_lab_virtual.py
+++ b/tests/test_lab_virtual.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from caperdeck.carry import carrier
+from caperdeck.carry import catch_up
 from caperdeck.core.decide import Node
 from caperdeck.lab import compare, report, search
 from caperdeck.lab.baselines import POLICIES
@@ -96,7 +96,7 @@
 
 
 def never_notice_a_sleep(monkeypatch):
-    monkeypatch.setattr(carrier, "OVERDUE", float("inf"))
+    monkeypatch.setattr(catch_up, "OVERDUE", float("inf"))
 
 
 def leave_dials_out(monkeypatch):
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -11,7 +11,7 @@
 from twisted.internet.tcp import Client
 from twisted.python.failure import Failure
 
-from caperdeck.carry.carrier import LIST_WAIT, MS
+from caperdeck.carry.catch_up import LIST_WAIT, MS
 from caperdeck.lifecycle.config import load_config
 from caperdeck.lifecycle.logs import Sink
 from caperdeck.lifecycle.service import Service
