Carrier: a node that was away has stalled

away is stall (milliseconds), reading is catching_up, looked_at is list_empty_at, AWAY_LIFE is MOVED_LIFE.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -35,7 +35,7 @@
 SILENCE = 2000.0  # a host that has brought nothing back for so long is given up
 SUSPECT = 300.0  # one that has brought nothing back for so long, on any connection, is probed
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
-AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
+MOVED_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
 IDLE = 2000.0  # a client that has sent no first line for so long is closed
 IDLE_SHORT = 250.0  # the same while sockets are short
 
@@ -122,7 +122,7 @@
         self._set_timer()
 
     def _set_timer(self) -> None:
-        if self.reading:
+        if self.catching_up:
             return
         due, now = self.balancer.due, self.clock()
         if self.timer is not None and self.timer.active():
@@ -134,7 +134,7 @@
 
     def _timer_fired(self) -> None:
         self.clock()
-        if self.reading:
+        if self.catching_up:
             return
         try:
             self.carry_out(self.balancer.tick(self.clock()))
@@ -248,7 +248,7 @@
     def dial_failed(self, conn: HostSide) -> None:
         self.clock()
         # Danger: a connection that ran out of time in a stall of the node says nothing about its host.
-        self._end_dial(conn.session, Outcome.NEVER_SENT if self.away else Outcome.UNREACHED)
+        self._end_dial(conn.session, Outcome.NEVER_SENT if self.stall else Outcome.UNREACHED)
 
     def _late(self, conn: HostSide) -> None:
         if not self.later(partial(self._late, conn)) and not conn.ended:
@@ -416,7 +416,7 @@
     def _mind_silence(self, now: float) -> None:
         # Danger: what a silent discovery has to tell counts as told all the same; a host that drains
         # then shows it only by sending its clients away.
-        if now - self.told_at > SILENT_LIST and (entries := self.hosts.hold(now - AWAY_LIFE)):
+        if now - self.told_at > SILENT_LIST and (entries := self.hosts.hold(now - MOVED_LIFE)):
             uids = ",".join(self.hosts.uid[e.host] for e in entries)
             logger.info("roster reason=held-to-drain uids={}", uids)
             self.report(Listed(False, entries))
@@ -439,7 +439,7 @@
         now = self.clock()
         self.turn_at = now
         # Danger: after the node itself stood still, what it has not read yet looks like silence.
-        if not self.reading:
+        if not self.catching_up:
             self._mind_silence(now)
             # Danger: a machine that vanished says nothing and its connections stay open.
             for s in self.sessions.silent(now - SILENCE):
@@ -451,13 +451,13 @@
                 for host in {s.host: None for s in self.sessions.silent(now - SUSPECT) if self._unheard(s)}:
                     self.probes.look(host, self.hosts.address[host])
         # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
-        if not self.reading and now - self.searched_at > self.limits.idle / 10:
+        if not self.catching_up and now - self.searched_at > self.limits.idle / 10:
             self.searched_at = now
             for s in self.sessions.standing():
                 if now - s.heard_at > self.limits.idle:
                     self.move(s, "client-silent")
         # Danger: clients that connect and say nothing would take every descriptor.
-        if not self.reading:
+        if not self.catching_up:
             self.close_idle(now - (IDLE if self.budget.may_serve() else IDLE_SHORT))
 
     def close_idle(self, before: float) -> None:
--- a/caperdeck/carry/catch_up.py
+++ b/caperdeck/carry/catch_up.py
@@ -44,9 +44,9 @@
         self.read_clock = clock
         self.source: Source | None = None
         self.turn_at = math.inf  # a turn of the reactor has run since; without a sweep none is awaited
-        self.reading = False  # what came in a stall, or the first list, is not all read yet
-        self.away = 0.0  # how old what is read now may be meanwhile
-        self.looked_at = -math.inf  # when nothing of the list was last seen to lie in its socket
+        self.catching_up = False  # what came in a stall, or the first list, is not all read yet
+        self.stall = 0.0  # how old what is read now may be meanwhile
+        self.list_empty_at = -math.inf  # when nothing of the list was last seen to lie in its socket
         self.turns, self.reads, self.list_until = 0, 0, 0.0  # since it began to catch up
         self.held: deque[Callable[[], None]] = deque()  # what waits until then, in the order it came
 
@@ -73,7 +73,7 @@
         # Danger: what came meanwhile lies in the sockets in no order: a session is read before the list that
         # takes its host away, a timer runs out before the answer that it waits for.
         self._stalled(span)
-        self.away, self.turn_at = self.away + span, now
+        self.stall, self.turn_at = self.stall + span, now
         if self.source is not None:
             self.source.woke()
         self._read_first(now)
@@ -89,7 +89,7 @@
         self.list_until = min(self.list_until, until)
 
     def _read_first(self, now: float) -> None:
-        again, self.reading = self.reading, True
+        again, self.catching_up = self.catching_up, True
         self.turns, self.list_until = 0, now + LIST_WAIT
         if self.source is not None:
             self.reads = self.source.reads
@@ -111,7 +111,7 @@
     def _finish(self, now: float) -> None:
         if self.figures_void:
             self._forget_figures(now)
-        self.reading, self.away, self.turn_at = False, 0.0, now
+        self.catching_up, self.stall, self.turn_at = False, 0.0, now
         held, self.held = self.held, deque()
         for do in held:
             do()
@@ -120,27 +120,27 @@
     @property
     def figures_void(self) -> bool:
         """Whether figures that are read now are too old to be used."""
-        return self.away >= FIGURES_LAST
+        return self.stall >= FIGURES_LAST
 
     def age(self) -> float:
         """How long a line that is read now may have lain there; 0 once all that did has been read."""
-        return self.away if self.turns <= READ_TURNS else 0.0
+        return self.stall if self.turns <= READ_TURNS else 0.0
 
     def later(self, do: Callable[[], None]) -> bool:
         """Whether the node has yet to read what came before; then this is done after that."""
         self.clock()
-        if self.reading:
+        if self.catching_up:
             self.held.append(do)
-        return self.reading
+        return self.catching_up
 
     def list_waits(self) -> bool:
         """Whether the list has anything that is not read yet; asks the socket once in LIST_LAG at most."""
         # Danger: a turn reads sockets in any order, and stalls too short to be noticed add up; the grace
         # counts from when discovery wrote.
         now = self.clock()
-        if self.source is None or now - self.looked_at <= LIST_LAG:
+        if self.source is None or now - self.list_empty_at <= LIST_LAG:
             return False
         if self.source.unread():
             return True
-        self.looked_at = now
+        self.list_empty_at = now
         return False
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -216,7 +216,7 @@
 
     def excused(self) -> bool:
         self.desk.clock()
-        return bool(self.desk.away)
+        return bool(self.desk.stall)
 
     def complain(self, reason: str, text: str) -> None:
         logger.warning("discovery reason={} {}", reason, text)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -34,7 +34,7 @@
 
     def away(self):
         self.desk.clock()
-        return bool(self.desk.away)
+        return bool(self.desk.stall)
 
     def row(self, h, state="Ready"):
         return row(f"s-{h}", state, self.hosts[h].port)
@@ -103,7 +103,7 @@
             lo.sweeps()
             lo.reactor.turn(0.0005)
         lo.comes_up(s)
-        assert not lo.desk.away and not lo.sent(first)
+        assert not lo.desk.stall and not lo.sent(first)
     lo.reactor.settle()
     assert not lo.sent(first) and lo.sent(1 - first).startswith(b"OPEN ")
 
@@ -126,7 +126,7 @@
     lo.stand(3.0)
     client = lo.client(OPEN.replace(b"d=1200", b"d=9000"))
     lo.reactor.pass_time(0.06, step=0.01)
-    assert lo.desk.away and lo.agent.accept()
+    assert lo.desk.stall and lo.agent.accept()
     lo.agent.accepted[-1].send(HEADERS)
     lo.reactor.pass_time(0.06, step=0.01)
     assert not lo.sent(0) and not lo.sent(1)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -630,7 +630,7 @@
     d.reactor.advance(waits)
     assert bool(d.reactor.tcpClients) is open_
     d.reactor.pump([0.01] * 10)
-    assert d.reactor.tcpClients and not d.away
+    assert d.reactor.tcpClients and not d.stall
 
 
 def test_a_time_out_that_ran_out_in_the_sleep_yields_to_the_answer_beside_it():
@@ -648,7 +648,7 @@
     d = desk()
     asleep(d, 0.45)
     connect(d, OPEN)
-    assert d.reactor.tcpClients and not d.away
+    assert d.reactor.tcpClients and not d.stall
 
 
 def test_a_look_that_ran_out_in_the_sleep_is_nobodys_fault():
