Carrier, wire: a host is probed, not looked at

Probes.look is probe, what takes its outcome is concluded, the carrier's looked is probed; the wire's one name with told is _load_reported. The order Look and its answer Looked belong to the decisions and keep their names, as does the log line. test_wire calls the method by its new name.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -143,7 +143,7 @@
 
     def _carry_out(self, order: Order) -> None:
         if isinstance(order, Look):
-            self.probes.look(order.host, self.hosts.address[order.host])
+            self.probes.probe(order.host, self.hosts.address[order.host])
             return
         s = self.sessions.table.get(order.session)
         if s is None:
@@ -285,8 +285,8 @@
 
     def remember(self, memory: dict[str, Any], uids: list[str]) -> None:
         """What another process of this node has learned of these hosts."""
-        index, told = self.hosts.index, zip(uids, memory["able"], strict=True)
-        self.balancer.remember(memory, {index[uid]: load for uid, load in told if uid in index})
+        index, able = self.hosts.index, zip(uids, memory["able"], strict=True)
+        self.balancer.remember(memory, {index[uid]: load for uid, load in able if uid in index})
 
     def handed_on(self, s: Session) -> None:
         """Another process of this node has the session now; it has not ended."""
@@ -363,10 +363,12 @@
 
     # ---- the roster and probes
 
-    def looked(self, news: Looked) -> None:
+    def probed(self, news: Looked) -> None:
         uid = self.hosts.uid[news.host]
-        told = news.told
-        logger.debug("look uid={} outcome={} load={} held={}", uid, news.outcome.name, told.load, told.held)
+        report = news.told
+        logger.debug(
+            "look uid={} outcome={} load={} held={}", uid, news.outcome.name, report.load, report.held
+        )
         alive = news.outcome in (Outcome.GOOD, Outcome.ERROR)
         if alive:
             self.hosts.spoke_at[news.host] = self.clock()
@@ -449,7 +451,7 @@
             # seconds; one line and one probe without an answer tell it for all connections of the host.
             if self.limits.probes:
                 for host in {s.host: None for s in self.sessions.silent(now - SUSPECT) if self._unheard(s)}:
-                    self.probes.look(host, self.hosts.address[host])
+                    self.probes.probe(host, self.hosts.address[host])
         # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
         if not self.catching_up and now - self.searched_at > self.limits.idle / 10:
             self.searched_at = now
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -35,7 +35,7 @@
     def __init__(self, *parts: Any) -> None:
         super().__init__(*parts)
         reports, time_out = self.limits.reports, 2 * self.limits.connect_time_out
-        self.probes = Probes(self.reactor, reports, time_out, self.looked, self.later)
+        self.probes = Probes(self.reactor, reports, time_out, self.probed, self.later)
 
     def busy(self, back_off: float) -> bytes:
         return b"BUSY %d" % back_off if back_off >= 1 else b"BUSY"
@@ -76,7 +76,7 @@
             return
         self.budget.sessions += 1
         now = self.clock()
-        # Danger: a line that lay there while the node was away has run down its client's wait unseen.
+        # Danger: a line that lay there in a stall has run down its client's wait unseen.
         s = client.session = self.sessions.new(head, client, now - self.age())
         if head.at is not None:
             self.resume(s)
@@ -140,14 +140,14 @@
                 if line == b"MOVE":
                     self.hosts.sent_away[s.host] = self.clock()
             elif line.startswith(b"LOAD "):
-                self._told_load(s, line)
+                self._load_reported(s, line)
         elif line == b"UP" or line.startswith(b"UP "):
             self._stand(s, conn, line)
         else:
             outcome = Outcome.FULL if line.startswith(b"BUSY") else Outcome.ERROR
             self._end_dial(s, Outcome.WITHDRAWN if line == b"MOVE" else outcome)
 
-    def _told_load(self, s: Session, line: bytes) -> None:
+    def _load_reported(self, s: Session, line: bytes) -> None:
         # Danger: a load that is no number, or is under 0, would stay in every sum that it enters.
         if (load := parse_load(line[5:])) is not None:
             self.report(Load(s.index, load / MS))
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -60,7 +60,7 @@
         self.end(Outcome.LATE if self.sent else Outcome.UNREACHED)
 
     def dismiss(self, timer: Any) -> None:
-        """The node was away when the time ran out: without an answer by now it is nobody's fault."""
+        """The node stalled as the time ran out: without an answer by now it is nobody's fault."""
         if self.waits is timer:
             self.waits = None
             self.end(Outcome.LATE)
@@ -70,7 +70,7 @@
             return
         cancel(self.waits)
         self.waits, self.sent = None, False
-        self.pool.told(Looked(self.host, outcome, decode_report(values)))
+        self.pool.concluded(Looked(self.host, outcome, decode_report(values)))
 
     def end(self, outcome: Outcome) -> None:
         """Closes the connection and concludes the probe that is out, if any."""
@@ -95,12 +95,12 @@
     """The probe connections, one a host."""
 
     def __init__(
-        self, reactor: Any, reports: bool, time_out: float, told: Callable[[Looked], None],
+        self, reactor: Any, reports: bool, time_out: float, concluded: Callable[[Looked], None],
         later: Callable[[Callable[[], None]], bool] = lambda do: False,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.retune(reports, time_out)
-        self.told = told
+        self.concluded = concluded
         self.later = later  # whether what is to be done waits until what lies in the sockets is read
         self.open: dict[int, ProbeConnection] = {}
 
@@ -108,13 +108,13 @@
         self.question = b"STATS" if reports else b"PING"
         self.time_out = time_out
 
-    def look(self, host: int, address: Address | None) -> None:
+    def probe(self, host: int, address: Address | None) -> None:
         conn = self.open.get(host)
         if conn is not None and conn.address != address:
             conn.end(Outcome.UNREACHED)
             conn = None
         if address is None:
-            self.told(Looked(host, Outcome.UNREACHED))
+            self.concluded(Looked(host, Outcome.UNREACHED))
             return
         if conn is None:
             conn = self.open[host] = ProbeConnection(self, host, address)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -391,7 +391,7 @@
 def probes():
     told = []
     pool = Probes(MemoryReactorClock(), True, 500.0, told.append)
-    pool.look(3, Address("127.0.0.1", 9003))
+    pool.probe(3, Address("127.0.0.1", 9003))
     return pool, told
 
 
@@ -409,7 +409,7 @@
     pool, told = probes
     conn = probe_up(pool)
     conn.dataReceived(answer + b"\r\n")
-    pool.look(3, Address("127.0.0.1", 9003))
+    pool.probe(3, Address("127.0.0.1", 9003))
     assert conn.transport.lines() == [b"STATS", b"STATS"]
     assert told == [Looked(3, outcome, Report(load, None, held))]
 
@@ -417,11 +417,11 @@
 def test_a_probe_that_fails_is_told_once_and_dialed_anew(probes):
     pool, told = probes
     pool.reactor.advance(0.6)
-    pool.look(3, Address("127.0.0.1", 9003))
+    pool.probe(3, Address("127.0.0.1", 9003))
     conn = probe_up(pool)
     pool.reactor.advance(0.6)
     lost(conn)
-    pool.look(3, Address("127.0.0.1", 9003))
+    pool.probe(3, Address("127.0.0.1", 9003))
     lost(probe_up(pool), False)
     assert [t.outcome for t in told] == [Outcome.UNREACHED, Outcome.LATE, Outcome.RESET] and not pool.open
 
@@ -653,7 +653,7 @@
 
 def test_a_look_that_ran_out_in_the_sleep_is_nobodys_fault():
     d = desk(mayProbe=True)
-    d.probes.look(0, d.hosts.address[0])
+    d.probes.probe(0, d.hosts.address[0])
     probe = accept(d)
     asleep(d, 2.0)
     probe.late()
@@ -672,7 +672,7 @@
 
 def test_an_answer_that_lay_there_tells_no_figure():
     d = desk(hosts=1, mayProbe=True)
-    d.probes.look(0, d.hosts.address[0])
+    d.probes.probe(0, d.hosts.address[0])
     probe = accept(d)
     asleep(d, 2.0)
     probe.dataReceived(b"PONG x0=0.9\r\n")
