Lab: a run's processes are started by lab/launcher, with files of lab/process_files

The last two are modules now; waiting until a process answers is one function for nodes and instances. lab/scale's real nodes had the start of workers and the measuring of the relay a second time: they use the fleet's. `processes` stays a name of the fleet, as others read it there.

--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -3,32 +3,35 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import socket
-import sys
 import tempfile
 import time
-from collections.abc import Callable
+from asyncio.subprocess import Process
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
-import msgspec
-import tomli_w
-
 from .fleet import CLIENTS_FROM, LEAVES, Fleet
 from .history import Event
 from .launch import stop_signal
+from .launcher import Launcher
 from .ports import Ports
 from .probes import accepts, answers_ping
-from .rig_process import ROOT, START, RigProcess, VoidError
+from .process_files import write_instance_file, write_node_file, write_owners_file, write_sharing_file
+from .rig_process import START, RigProcess, VoidError
 from .scenario import MOST_PROCESSES, Scenario, ScenarioError
 from .setup import node_config
 
 HEADROOM = 2.0  # times the scenario's rate at least, as the relay measured it
-NODE_ARGS = ("-B", "-m", "caperdeck.lab.launch")
-SPAN = 1500.0  # milliseconds of a lease
+ROLES = ("hosts", "agents", "clients", "relay")  # of workers
+LOOPBACK = "127.0.0.1"
+POLL = 0.02  # seconds between two tries to reach a process that starts
+
+
+def plain(address: tuple[str, int]) -> str:
+    return "{}:{}".format(*address)
 
 
 class RealFleet(Fleet):
@@ -42,8 +45,9 @@
         self.boot = time.time() * 1000.0
         super().__init__(scenario, seed, watch)
         self.logs = logs
-        self.processes: dict[str, Any] = {}
-        self.tasks: list[asyncio.Task] = []
+        self.launcher = Launcher(self.history, self._run_time, self._exited)
+        self.processes = self.launcher.processes
+        self.starting: list[asyncio.Task] = []
         self.workers: dict[str, RigProcess] = {}
         self.late = 0.0
         self.per_s = 0.0
@@ -52,7 +56,10 @@
         self.failed: BaseException | None = None
 
     def now(self) -> float:
-        return time.monotonic() * 1000.0 - self.origin
+        return self._run_time(time.monotonic() * 1000.0)
+
+    def _run_time(self, monotonic: float) -> float:
+        return monotonic - self.origin
 
     def came(self, event: Event) -> None:
         """What a worker saw."""
@@ -80,151 +87,103 @@
             self.failed = self.failed or error
 
     def alive(self, node: str) -> bool:
-        process = self.processes.get(node)
-        return process is not None and process.returncode is None
+        return self.launcher.alive(node)
 
     def start(self, node: str) -> None:
         if not self.alive(node):
             start = self._start if node[0] == "n" else self._start_owner
-            self.tasks.append(asyncio.ensure_future(start(node)))
+            self.starting.append(asyncio.ensure_future(start(node)))
 
     async def _start_owner(self, name: str) -> None:
         life = self.lives[name] = self.lives.get(name, 0) + 1
-        path = Path(self.folder) / f"{name}.toml"
-        path.write_text(tomli_w.dumps({
-            "cluster": "lab", "me": int(name[1:]), "folder": str(Path(self.folder) / f"{name}-disk"),
-            "listen": self.listen[name], "instances": self.seen_owners[name], "span": SPAN,
-            "nodes": self.seen_admins[name],
-        }))  # fmt: skip
-        process = await self._spawn(name, ["owner", "serve", f"--config={path}"])
-        began = time.monotonic()
-        while time.monotonic() - began < START and process.returncode is None:
-            if await accepts(*self.addresses[name]):
-                self.workers["relay"].tell("down", name=name, down=False)
-                self.life(name, "up", life=life)
-                return
-            await asyncio.sleep(0.02)
-        self._say_crash(name, process)
-
-    async def _spawn(self, name: str, words: list[str], **environment: str) -> Any:
-        """A process of the program, whose events come in by a pipe of its own."""
-        offset, drift = self.skews.get(name, (0.0, 0.0))
-        reading, writing = os.pipe()
-        environment |= {"LAB_OFFSET": str(offset), "LAB_DRIFT": str(drift), "LAB_EVENTS": str(writing)}
-        try:
-            with open(Path(self.logs or self.folder) / f"{name}.log", "ab") as log:
-                process = self.processes[name] = await asyncio.create_subprocess_exec(
-                    sys.executable, *NODE_ARGS, *words, cwd=ROOT, env=os.environ | environment,
-                    stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, pass_fds=(writing,),
-                )  # fmt: skip
-        finally:
-            os.close(writing)
-        self.tasks.append(asyncio.ensure_future(self._hear(name, reading)))
-        self.tasks.append(asyncio.ensure_future(self._await_exit(name, process)))
-        return process
-
-    async def _hear(self, name: str, reading: int) -> None:
-        """What the process itself tells of leases and acts, in the order in which it happened there."""
-        reader = asyncio.StreamReader()
-        pipe = os.fdopen(reading, "rb", 0)
-        transport, _ = await asyncio.get_running_loop().connect_read_pipe(
-            lambda: asyncio.StreamReaderProtocol(reader), pipe
+        path = write_instance_file(
+            Path(self.folder), name, self.listen[name], self.seen_owners[name], self.seen_admins[name]
         )
-        try:
-            while (line := await reader.readline()).endswith(b"\n"):
-                event = msgspec.json.decode(line)
-                event["t"], event["who"] = round(event.pop("mono") - self.origin, 3), name
-                self.history.take(event)
-        finally:
-            transport.close()
-
-    def _say_crash(self, name: str, process: Any) -> None:
-        if process.returncode is None or process.returncode > 0:
-            log = Path(self.logs or self.folder) / f"{name}.log"
-            text = log.read_bytes()[-300:].decode("utf-8", "replace")
-            self.history.emit("crash", who=name, code=process.returncode, text=text)
+        process = await self._launch(name, ["owner", "serve", f"--config={path}"])
+        if await self._until_up(name, process, accepts):
+            self.life(name, "up", life=life)
 
     async def _start(self, node: str) -> None:
         life = self.lives[node] = self.lives.get(node, 0) + 1
         config = node_config(
             self.scenario, node, self.listen[node], self.agents[node], life, self.seed, self.seen_peers[node],
-            self.everyone[node], "{}:{}".format(*self.peers[node]), self.extra_settings(node),
+            self.everyone[node], plain(self.peers[node]), self.extra_settings(node),
             admin=self.admins.get(node),
         )  # fmt: skip
-        path = Path(self.folder) / f"{node}.json"
-        path.write_bytes(msgspec.json.encode(config))
+        path = write_node_file(Path(self.folder), node, config)
         scratch = Path(self.folder) / f"{node}-{life}"
         scratch.mkdir()
-        words = ["serve", *self.sharing(), *self.owners(node), *["--subsets"] * self.scenario.subsets]
-        process = await self._spawn(node, words, EDGE_CONFIG=str(path), TMPDIR=str(scratch))
-        began = time.monotonic()
-        host, port = self.addresses[node]
-        while time.monotonic() - began < START and process.returncode is None:
-            if await answers_ping(host, port):
-                self.workers["relay"].tell("down", name=node, down=False)
-                self.life(node, "up", life=life)
-                self.front("ready", node)
-                return
-            await asyncio.sleep(0.02)
-        self._say_crash(node, process)
+        words = ["serve", *self._sharing_flag(), *self._owners_flag(node)]
+        words += ["--subsets"] * self.scenario.subsets
+        process = await self._launch(node, words, EDGE_CONFIG=str(path), TMPDIR=str(scratch))
+        if await self._until_up(node, process, answers_ping):
+            self.life(node, "up", life=life)
+            self.front("ready", node)
+
+    async def _launch(self, name: str, words: list[str], **environment: str) -> Process:
+        return await self.launcher.start(
+            name, words, self._log(name), self.skews.get(name, (0.0, 0.0)), environment
+        )
+
+    async def _until_up(
+        self, name: str, process: Process, answers: Callable[[str, int], Awaitable[bool]],
+    ) -> bool:  # fmt: skip
+        """Whether it answers in time; then it is reached through the relay from now on."""
+        until = time.monotonic() + START
+        while time.monotonic() < until and process.returncode is None:
+            if await answers(*self.addresses[name]):
+                self.workers["relay"].tell("down", name=name, down=False)
+                return True
+            await asyncio.sleep(POLL)
+        self.launcher.report_crash(name, process, self._log(name))
+        return False
+
+    def _log(self, name: str) -> Path:
+        return Path(self.logs or self.folder) / f"{name}.log"
 
     def extra_settings(self, node: str) -> dict[str, Any] | None:
         """Settings of a node's configuration that differ from the scenario's."""
         return None
 
-    def owners(self, node: str) -> list[str]:
+    def _owners_flag(self, node: str) -> list[str]:
         if not self.scenario.owners:
             return []
-        path = Path(self.folder) / f"{node}-owners.toml"
-        path.write_text(tomli_w.dumps({"cluster": "lab", "instances": self.seen_owners[node]}))
-        return [f"--owners={path}"]
+        return [f"--owners={write_owners_file(Path(self.folder), node, self.seen_owners[node])}"]
 
-    def sharing(self) -> list[str]:
+    def _sharing_flag(self) -> list[str]:
         uses = self.scenario.uses()
-        if uses is None:
-            return []
-        path = Path(self.folder) / "sharing.toml"
-        path.write_text("".join(f"{name} = {str(on).lower()}\n" for name, on in uses._asdict().items()))
-        return [f"--sharing={path}"]
+        return [] if uses is None else [f"--sharing={write_sharing_file(Path(self.folder), uses)}"]
 
-    async def _await_exit(self, node: str, process: Any) -> None:
-        code = await process.wait()
+    def _exited(self, name: str, code: int) -> None:
         if self.over:
             return
-        self.workers["relay"].tell("down", name=node, down=True)
-        self.gone(node, "exit" if code == 0 else "killed")
+        self.workers["relay"].tell("down", name=name, down=True)
+        self.gone(name, "exit" if code == 0 else "killed")
         if code > 0:
-            self.history.emit("crash", who=node, code=code, text="ended by itself")
-
-    def _signal(self, node: str, number: int) -> bool:
-        if self.alive(node):
-            with suppress(ProcessLookupError):
-                self.processes[node].send_signal(number)
-                return True
-        return False
+            self.history.emit("crash", who=name, code=code, text="ended by itself")
 
     def kill(self, node: str) -> None:
-        self._signal(node, signal.SIGKILL)
+        self.launcher.signal(node, signal.SIGKILL)
 
     def terminate(self, node: str) -> None:
-        if self._signal(node, signal.SIGTERM):
+        if self.launcher.signal(node, signal.SIGTERM):
             self.life(node, "stopping")
             if node[0] == "n":
                 self.later(LEAVES, self.front, "leaves", node)
 
     def stop(self, node: str) -> None:
-        if self._signal(node, signal.SIGSTOP):
+        if self.launcher.signal(node, signal.SIGSTOP):
             self.life(node, "asleep")
 
     def stop_at_act(self, owner: str, work: str, after: bool) -> None:
-        self._signal(owner, stop_signal(work, after))
+        self.launcher.signal(owner, stop_signal(work, after))
 
     def wake(self, node: str) -> None:
         if self.alive(node):
             self.life(node, "awake")
             if node[0] == "o":
-                self._signal(node, signal.SIGRTMIN)
-            self._signal(node, signal.SIGCONT)
+                self.launcher.signal(node, signal.SIGRTMIN)
+            self.launcher.signal(node, signal.SIGCONT)
 
     def front(self, what: str, node: str) -> None:
         self.workers["clients"].tell("front", what=what, node=node)
@@ -273,23 +232,38 @@
             raise self.failed
         return self.history.sorted()
 
-    async def _open(self) -> None:
-        s, nodes, hosts = self.scenario, self.scenario.node_names(), self.scenario.host_names()
-        for role in ("hosts", "agents", "clients", "relay"):
+    async def _start_workers(self) -> None:
+        for role in ROLES:
             self.workers[role] = RigProcess(self, role)
             await self.workers[role].start()
+
+    async def _measure_relay(self) -> None:
+        """Raises VoidError where the relay carries too little for the scenario."""
+        self.headroom_known = asyncio.get_running_loop().create_future()
+        await self.workers["relay"].ask("headroom")
+        await asyncio.wait_for(self.headroom_known, START)
+        if self.per_s < HEADROOM * self.scenario.clients.rate:
+            carries = f"the relay carries {self.per_s:.0f} connections a second"
+            raise VoidError(f"{carries}, {self.scenario.clients.rate:g} are asked")
+
+    def _take_port(self, kind: int) -> tuple[str, int]:
+        return LOOPBACK, self.taken.take(kind)
+
+    async def _open(self) -> None:
+        s, nodes, hosts = self.scenario, self.scenario.node_names(), self.scenario.host_names()
+        await self._start_workers()
         ends = await self.workers["hosts"].ask("open")
         self.addresses, self.peers = {}, {}
         for n in nodes:
-            self.addresses[n] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
-            self.peers[n] = ("127.0.0.1", self.taken.take(socket.SOCK_DGRAM))
+            self.addresses[n] = self._take_port(socket.SOCK_STREAM)
+            self.peers[n] = self._take_port(socket.SOCK_DGRAM)
         owners, second = s.owner_names(), {}
         for o in owners:
-            self.addresses[o] = ("127.0.0.1", self.taken.take(socket.SOCK_STREAM))
+            self.addresses[o] = self._take_port(socket.SOCK_STREAM)
         if owners:
-            second = {n: ("127.0.0.1", self.taken.take(socket.SOCK_STREAM)) for n in nodes}
-        self.listen = {n: "{}:{}".format(*address) for n, address in self.addresses.items()}
-        self.admins = {n: "{}:{}".format(*address) for n, address in second.items()}
+            second = {n: self._take_port(socket.SOCK_STREAM) for n in nodes}
+        self.listen = {n: plain(address) for n, address in self.addresses.items()}
+        self.admins = {n: plain(address) for n, address in second.items()}
         # agents tell the relay's addresses of hosts, and lie behind the relay themselves
         ways = [[n, h, ends[h]] for n in nodes for h in hosts]
         ways += [["clients", n, self.addresses[n]] for n in nodes]
@@ -297,27 +271,22 @@
         ways += [[o, n, second[n]] for o in owners for n in nodes]
         opened = await self.workers["relay"].ask("open", ways=ways, peers=self.peers)
         at = {(a, b): address for a, b, address in opened["streams"]}
-        places = {n: {h: "{}:{}".format(*at[n, h]) for h in hosts} for n in nodes}
+        places = {n: {h: plain(at[n, h]) for h in hosts} for n in nodes}
         self.seen_owners = {
-            a: {o[1:]: self.listen[o] if a == o else "{}:{}".format(*at[a, o]) for o in owners}
+            a: {o[1:]: self.listen[o] if a == o else plain(at[a, o]) for o in owners}
             for a in owners + nodes
         }  # fmt: skip
-        self.seen_admins = {o: {n: "{}:{}".format(*at[o, n]) for n in nodes} for o in owners}
+        self.seen_admins = {o: {n: plain(at[o, n]) for n in nodes} for o in owners}
         agents = await self.workers["agents"].ask("open", places=places)
         more = await self.workers["relay"].ask("more", ways=[[n, f"d{n[1:]}", agents[n]] for n in nodes])
-        self.agents = {a: "{}:{}".format(*address) for a, _, address in more}
-        wires = {(a, b): "{}:{}".format(*address) for a, b, address in opened["wires"]}
+        self.agents = {a: plain(address) for a, _, address in more}
+        wires = {(a, b): plain(address) for a, b, address in opened["wires"]}
         self.seen_peers = {
-            n: ["{}:{}".format(*self.peers[p]) if p == n else wires[n, p] for p in nodes] for n in nodes
+            n: [plain(self.peers[p]) if p == n else wires[n, p] for p in nodes] for n in nodes
         }  # fmt: skip
         self.everyone = {n: wires[n, "*"] for n in nodes}
         await self.workers["clients"].ask("open", addresses={n: at["clients", n] for n in nodes})
-        self.headroom_known = asyncio.get_running_loop().create_future()
-        await self.workers["relay"].ask("headroom")
-        await asyncio.wait_for(self.headroom_known, START)
-        if self.per_s < HEADROOM * s.clients.rate:
-            carries = f"the relay carries {self.per_s:.0f} connections a second"
-            raise VoidError(f"{carries}, {s.clients.rate:g} are asked")
+        await self._measure_relay()
 
     async def _play(self) -> None:
         self.skew_from_the_start()
@@ -350,7 +319,7 @@
             await asyncio.sleep(min(0.05, max(until - time.monotonic(), 0.0)))
 
     async def _close(self) -> None:
-        """Ends every process of the run, asleep or not, and waits for it."""
+        """Ends every process of the run, stopped or not, and waits for it."""
         everyone = [p.process for p in self.workers.values() if p.process is not None]
         everyone += list(self.processes.values())
         for process in everyone:
@@ -360,9 +329,10 @@
         for process in everyone:
             await process.wait()
         self.taken.close()
-        for task in self.tasks:
+        tasks = self.starting + self.launcher.tasks
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, *(p.reader for p in self.workers.values()), return_exceptions=True)
+        await asyncio.gather(*tasks, *(p.reader for p in self.workers.values()), return_exceptions=True)
         for worker in self.workers.values():
             for future in worker.waiting.values():
                 if future.done():
--- a/caperdeck/lab/scale/real_nodes.py
+++ b/caperdeck/lab/scale/real_nodes.py
@@ -11,19 +11,12 @@
 from typing import Any
 
 from caperdeck.lab.history import Event
-from caperdeck.lab.real import HEADROOM, RealFleet
-from caperdeck.lab.rig_process import START, RigProcess, VoidError
+from caperdeck.lab.real import RealFleet, plain
 
 from .instances import Agreement, told_nodes
 from .places import Places
 from .scenario import ScaleScenario
 
-PARTS = ("hosts", "agents", "clients", "relay")
-
-
-def plain(address: tuple[str, int]) -> str:
-    return "{}:{}".format(*address)
-
 
 class RealPart(RealFleet):
     """Opened and played by the run; `everyone_else` has the hollow nodes' addresses by number."""
@@ -44,9 +37,7 @@
     async def open_parts(self) -> None:
         nodes, hosts = self.scenario.node_names(), self.scenario.host_names()
         owners = self.scenario.owner_names()
-        for role in PARTS:
-            self.workers[role] = RigProcess(self, role)
-            await self.workers[role].start()
+        await self._start_workers()
         ends = await self.workers["hosts"].ask("open")
         self._take_ports(nodes, owners)
         ways = [[n, h, ends[h]] for n in nodes for h in hosts]
@@ -62,13 +53,10 @@
         await self._measure_relay()
 
     def _take_ports(self, nodes: list[str], owners: list[str]) -> None:
-        def port(kind: int) -> tuple[str, int]:
-            return "127.0.0.1", self.taken.take(kind)
-
-        self.addresses = {name: port(socket.SOCK_STREAM) for name in nodes + owners}
-        self.peers = {n: port(socket.SOCK_DGRAM) for n in nodes}
+        self.addresses = {name: self._take_port(socket.SOCK_STREAM) for name in nodes + owners}
+        self.peers = {n: self._take_port(socket.SOCK_DGRAM) for n in nodes}
         self.listen = {name: plain(address) for name, address in self.addresses.items()}
-        self.admins = {n: plain(port(socket.SOCK_STREAM)) for n in nodes}
+        self.admins = {n: plain(self._take_port(socket.SOCK_STREAM)) for n in nodes}
 
     def _tell_addresses(self, nodes: list[str], owners: list[str]) -> None:
         hollow = self.hollow_addresses
@@ -80,14 +68,6 @@
         second = self.admins | {f"n{i}": hollow[i] for i in sorted(hollow)}
         self.seen_admins = dict.fromkeys(owners, told_nodes(second))
 
-    async def _measure_relay(self) -> None:
-        self.headroom_known = asyncio.get_running_loop().create_future()
-        await self.workers["relay"].ask("headroom")
-        await asyncio.wait_for(self.headroom_known, START)
-        if self.per_s < HEADROOM * self.scenario.clients.rate:
-            carries = f"the relay carries {self.per_s:.0f} connections a second"
-            raise VoidError(f"{carries}, {self.scenario.clients.rate:g} are asked")
-
     async def start_all(self) -> None:
         """Instances and real nodes; one that does not come up is found by `missing`."""
         owners = [self._start_owner(o) for o in self.scenario.owner_names()]
