--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -104,13 +104,13 @@
 
 
 def search(arguments: dict[str, Any]) -> int:
-    from .search import search as look
+    from .search import search as find_breach
     from .search import text
 
     scenario = load(arguments["SCENARIO"][0])
     runs = number(arguments["--runs"], "runs", 1, 100_000, 100)
     seed = number(arguments["--seed"], "seed", 0, 2**31, scenario.seed)
-    found = look(scenario, runs, seed, say)
+    found = find_breach(scenario, runs, seed, say)
     if found is None:
         say(f"nothing broke in {runs} schedules")
         return HELD
--- a/caperdeck/raft/storage.py
+++ b/caperdeck/raft/storage.py
@@ -24,7 +24,7 @@
 from .actions import Save
 from .log import Entry, Kind, Log, Members, Snapshot
 
-HEAD = struct.Struct(">III")
+RECORD_HEADER = struct.Struct(">III")  # length, its checksum, the checksum of the body
 VERSION = 1
 LARGEST = 64 << 20  # bytes of a record
 
@@ -101,10 +101,10 @@
 
     def _record(self, data: bytes, at: int) -> tuple[Any, int]:
         """The record there and where the next begins; None for a tail that was torn."""
-        if at + HEAD.size > len(data):
+        if at + RECORD_HEADER.size > len(data):
             return None, at
-        length, length_sum, body_sum = HEAD.unpack_from(data, at)
-        start, end = at + HEAD.size, at + HEAD.size + length
+        length, length_sum, body_sum = RECORD_HEADER.unpack_from(data, at)
+        start, end = at + RECORD_HEADER.size, at + RECORD_HEADER.size + length
         # Danger: a length that is damaged in the middle of the file would make all that follows look torn.
         if zlib.crc32(data[at : at + 4]) != length_sum or length > LARGEST:
             raise StorageError(f"{self.path}: damaged at byte {at}")
@@ -156,7 +156,7 @@
     def _add(self, file: Any, value: dict[str, Any]) -> None:
         body = orjson.dumps(value)
         length = len(body).to_bytes(4, "big")
-        file.write(HEAD.pack(len(body), zlib.crc32(length), zlib.crc32(body)) + body)
+        file.write(RECORD_HEADER.pack(len(body), zlib.crc32(length), zlib.crc32(body)) + body)
         file.flush()
         os.fsync(file.fileno())
 
@@ -164,9 +164,9 @@
         """All of it into a new file, which then takes the old one's name."""
         new = self.folder / "log.new"
         file = open(new, "wb")  # noqa: SIM115
-        head = {"version": VERSION, "cluster": self.cluster, "me": self.me,
+        first = {"version": VERSION, "cluster": self.cluster, "me": self.me,
                 "snapshot": encode_snapshot(self.log.snapshot)}  # fmt: skip
-        self._add(file, head | self._value(self.log.snapshot.index + 1, self.log.entries))
+        self._add(file, first | self._value(self.log.snapshot.index + 1, self.log.entries))
         replace_durably(new, self.path)
         if self.file is not None:
             self.file.close()
--- a/tests/test_raft_storage.py
+++ b/tests/test_raft_storage.py
@@ -10,7 +10,7 @@
 from caperdeck.raft import storage as module
 from caperdeck.raft.core import Save
 from caperdeck.raft.log import Entry, Kind, Members, Snapshot
-from caperdeck.raft.storage import HEAD, Storage, StorageError
+from caperdeck.raft.storage import RECORD_HEADER, Storage, StorageError
 
 THREE = Members((0, 1, 2))
 
@@ -65,7 +65,7 @@
     data, states = written(tmp_path)
     sizes = sorted(states)
     for k, start in enumerate(sizes[:-1]):
-        for at in (start, start + HEAD.size + 3):
+        for at in (start, start + RECORD_HEADER.size + 3):
             bad = bytearray(data)
             bad[at] ^= 0x40
             (tmp_path / "log").write_bytes(bytes(bad))
