--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -19,9 +19,10 @@
 from caperdeck.state.timers import cancel
 
 from .client import ClientConnection
-from .heads import HeadError, parse_head, parse_load
+from .heads import HeadError, parse_head
 from .host import HostConnection
 from .probe import Probes
+from .report import parse_load
 
 ANSWER_MARGIN = 30.0  # a client's answer is out so long before it stops waiting
 FULL_BACK_OFF = 500.0  # for clients turned away because sockets are short
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -12,7 +12,7 @@
 from caperdeck.state.addresses import Address
 from caperdeck.state.timers import cancel
 
-from .heads import parse_report
+from .report import parse_report
 from .lines import LineConnection, OneConnection
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -16,8 +16,9 @@
 from caperdeck.state.backoff import REFUSED, BackOff
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.discovery import ANSWER, MOST_HOSTS, SILENT, Discovery, _WatchBody
-from caperdeck.wire.heads import HeadError, parse_head, parse_report
+from caperdeck.wire.heads import HeadError, parse_head
 from caperdeck.wire.probe import Probes
+from caperdeck.wire.report import parse_report
 
 
 @pytest.fixture
