Wire: the first line of a client is a request, no head

Head is Request, HeadError RequestError, wire/heads is wire/request, a session has its request. Names only: lines, log, and what an upgrade hands over are as they were. ops/upgrade and ops/handover read the renamed names in five lines; test_wire and test_crossings call them by these.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -79,7 +79,7 @@
         """Begins a connection to the session's host; the dial is given up at `until`."""
 
     @abstractmethod
-    def send_head(self, conn: HostSide) -> bool:
+    def send_request(self, conn: HostSide) -> bool:
         """Sends the first line; False if the host never had it."""
 
     @abstractmethod
@@ -196,7 +196,7 @@
         up, dialing = bool(s.up_at), s.conn is not None
         self._end(s, reason)
         self._hang_up(s, reset and up)
-        if s.head.at is not None and not up:
+        if s.request.at is not None and not up:
             return  # the balancer has not heard of it yet
         if not up:
             self.report(Left(s.index))
@@ -215,7 +215,7 @@
         """Takes up a connection that stood at its host before this node started."""
         if s.over:
             return
-        s.host, s.dial = self.hosts.index[s.head.at], 0
+        s.host, s.dial = self.hosts.index[s.request.at], 0
         s.conn = self.open_host(s, s.deadline, RESUME_TIME_OUT)
 
     def dial_open(self, conn: HostSide) -> None:
@@ -238,9 +238,9 @@
 
     def _send(self, s: Session, conn: HostSide) -> None:
         # Danger: what held when the host was chosen may have lapsed while its connection came up.
-        if s.head.at is None and not self.balancer.still_allowed(self.clock(), s.index):
+        if s.request.at is None and not self.balancer.still_allowed(self.clock(), s.index):
             self._end_dial(s, Outcome.NEVER_SENT)
-        elif not self.send_head(conn):
+        elif not self.send_request(conn):
             self._end_dial(s, Outcome.UNREACHED)
         else:
             self.figures.relayed += 1
@@ -259,7 +259,7 @@
         if s.conn is None or s.up_at:
             return
         self._hang_up(s, reset=False)
-        if s.head.at is None:
+        if s.request.at is None:
             self.report(Over(s.index, s.dial, outcome, False))
         elif self.clock() + AGAIN < s.deadline:
             self.reactor.callLater(AGAIN / MS, self.resume, s)
@@ -277,10 +277,10 @@
 
     def _resumed(self, s: Session, now: float) -> None:
         """The balancer learns of a session that stood before."""
-        head = s.head
+        request = s.request
         # Danger: its class may have been dropped since; of one that stands no more is asked of it.
-        listener = self.names.listeners.get(head.listener, -1)
-        customer, hints = self.names.customers.get(head.tenant, -1), self.hints(s)
+        listener = self.names.listeners.get(request.listener, -1)
+        customer, hints = self.names.customers.get(request.tenant, -1), self.hints(s)
         self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
 
     def remember(self, memory: dict[str, Any], uids: list[str]) -> None:
@@ -318,7 +318,7 @@
 
     def _answer(self, s: Session, line: bytes, reason: str, status: Status = Status.FAULTED) -> None:
         """The final answer to a client whose session does not come to stand."""
-        self.figures.answered(s.head.listener, status)
+        self.figures.answered(s.request.listener, status)
         self._end(s, reason)
         self._hang_up(s, reset=False)
         s.client.close(line)
@@ -340,7 +340,7 @@
         host = self.hosts.uid[s.host] if s.host >= 0 else "-"
         logger.info(
             "end id={} reason={} class={} host={} dials={} ms={:.0f} up_ms={:.0f}",
-            s.head.id, reason, s.head.listener, host, s.dial + 1, now - s.since,
+            s.request.id, reason, s.request.listener, host, s.dial + 1, now - s.since,
             now - s.up_at if s.up_at else 0,
         )  # fmt: skip
 
--- a/caperdeck/ops/handover.py
+++ b/caperdeck/ops/handover.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from caperdeck.wire.client import ClientConnection
-from caperdeck.wire.heads import parse_head
+from caperdeck.wire.request import parse_request
 from caperdeck.wire.host import HostConnection
 from caperdeck.wire.lines import OneConnection
 
@@ -41,7 +41,7 @@
 def packet(desk: Desk, s: Session) -> tuple[dict[str, Any], list[int]]:
     client, conn = s.client, s.conn
     message = {
-        "say": "session", "line": text(s.head.line), "host": desk.hosts.uid[s.host], "dial": s.dial,
+        "say": "session", "line": text(s.request.line), "host": desk.hosts.uid[s.host], "dial": s.dial,
         "since": s.since, "deadline": s.deadline, "up_at": s.up_at, "heard_at": s.heard_at,
         "asked": bool(s.asked_at),
         "read": [text(client._buffer), text(conn._buffer)],
@@ -79,7 +79,7 @@
             return False
         client = ClientConnection(desk)
         adopt(desk, fds[0], client)
-        s = desk.sessions.new(parse_head(message["line"].encode("latin-1")), client, message["since"])
+        s = desk.sessions.new(parse_request(message["line"].encode("latin-1")), client, message["since"])
         conn = HostConnection(desk, s, message["deadline"])
         conn.taken_up = True
         adopt(desk, fds[1], conn)
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -14,7 +14,7 @@
 from twisted.internet.error import CannotListenError
 
 from caperdeck.state.budget import open_descriptors
-from caperdeck.wire.heads import HeadError
+from caperdeck.wire.request import RequestError
 
 from .bans import BansError
 from .handover import let_go, may_go, packet, take_up
@@ -181,7 +181,7 @@
     def take_session(self, message: dict, fds: list[int]) -> None:
         try:
             taken = take_up(self.node.desk, message, fds)
-        except (HeadError, KeyError, TypeError, ValueError, OSError) as error:
+        except (RequestError, KeyError, TypeError, ValueError, OSError) as error:
             logger.error("upgrade reason=bad-session {!r}", error)
             return
         if not taken:
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -62,7 +62,7 @@
 @dataclass(slots=True, eq=False)
 class Session:
     index: int
-    head: Opening
+    request: Opening
     client: ClientSide
     since: float
     deadline: float
@@ -86,18 +86,18 @@
     def holds(self, name: str) -> bool:
         return name in self.ids
 
-    def new(self, head: Opening, client: ClientSide, now: float) -> Session:
-        s = Session(self.made, head, client, now, now + head.wait)
+    def new(self, request: Opening, client: ClientSide, now: float) -> Session:
+        s = Session(self.made, request, client, now, now + request.wait)
         self.made += 1
         self.table[s.index] = s
-        self.ids.add(head.id)
+        self.ids.add(request.id)
         return s
 
     def drop(self, s: Session) -> None:
         s.over = True
         self.unanswered.pop(s, None)
         self.table.pop(s.index, None)
-        self.ids.discard(s.head.id)
+        self.ids.discard(s.request.id)
 
     def line_from_client(self, s: Session, now: float) -> None:
         s.heard_at = now
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -19,10 +19,10 @@
 from caperdeck.state.timers import cancel
 
 from .client import ClientConnection
-from .heads import HeadError, parse_head
 from .host import HostConnection
 from .probe import Probes
 from .report import parse_load
+from .request import RequestError, parse_request
 
 ANSWER_MARGIN = 30.0  # a client's answer is out so long before it stops waiting
 FULL_BACK_OFF = 500.0  # for clients turned away because sockets are short
@@ -51,35 +51,35 @@
                 client.pass_on(b"PONG")
             return
         self.idle.pop(client, None)
-        head = None
+        request = None
         try:
-            head = parse_head(line)
-            listener = self.names.listeners.get(head.listener)
+            request = parse_request(line)
+            listener = self.names.listeners.get(request.listener)
             if listener is None:
-                raise HeadError("unknown-class")
-            if head.at is not None and head.at not in self.hosts.index:
-                raise HeadError("unknown-host")
+                raise RequestError("unknown-class")
+            if request.at is not None and request.at not in self.hosts.index:
+                raise RequestError("unknown-host")
             # a connection that stood before the node started has all the time that the start takes
-            if head.at is None and head.wait > WAITS * max(self.limits.longest_wait, MS):
-                raise HeadError("bad-wait")
+            if request.at is None and request.wait > WAITS * max(self.limits.longest_wait, MS):
+                raise RequestError("bad-wait")
             # Danger: one client's line with another's id would be told apart by nobody, hosts among them.
-            if self.sessions.holds(head.id):
-                raise HeadError("id-in-use")
-        except HeadError as error:
-            if head is not None:
-                self.figures.answered(head.listener, Status.FAULTED)
+            if self.sessions.holds(request.id):
+                raise RequestError("id-in-use")
+        except RequestError as error:
+            if request is not None:
+                self.figures.answered(request.listener, Status.FAULTED)
             self._turn_away(client, b"ERR", str(error), line[:80])
             return
         if not self.budget.may_serve():
             back_off = min(FULL_BACK_OFF, self.limits.max_back_off)
-            self.figures.answered(head.listener, Status.THROTTLED)
+            self.figures.answered(request.listener, Status.THROTTLED)
             self._turn_away(client, self.busy(back_off), "no-sockets", b"")
             return
         self.budget.sessions += 1
         now = self.clock()
         # Danger: a line that lay there in a stall has run down its client's wait unseen.
-        s = client.session = self.sessions.new(head, client, now - self.age())
-        if head.at is not None:
+        s = client.session = self.sessions.new(request, client, now - self.age())
+        if request.at is not None:
             self.resume(s)
             return
         self._pick(s, listener)
@@ -91,14 +91,15 @@
             return
         if s.over:
             return
-        head, now = s.head, self.clock()
-        left, customer = max(s.deadline - now - ANSWER_MARGIN, 0.0), self.names.customers.get(head.tenant, -1)
+        request, now = s.request, self.clock()
+        left = max(s.deadline - now - ANSWER_MARGIN, 0.0)
+        customer = self.names.customers.get(request.tenant, -1)
         self.carry_out(self.balancer.pick(now, s.index, listener, customer, left, *self.hints(s)))
 
     def hints(self, s: Session) -> tuple[float | None, int | None]:
-        head = s.head
-        load = None if head.load is None else head.load * MS
-        return load, self.names.group(head.group)
+        request = s.request
+        load = None if request.load is None else request.load * MS
+        return load, self.names.group(request.group)
 
     def _turn_away(self, client: ClientConnection, answer: bytes, reason: str, line: bytes) -> None:
         client.close(answer, linger=self.budget.may_serve())
@@ -115,7 +116,7 @@
             self._turn_away(client, b"ERR", reason, b"")
         elif not s.over:
             if not s.up_at:
-                self.figures.answered(s.head.listener, Status.FAULTED)
+                self.figures.answered(s.request.listener, Status.FAULTED)
             self._lose_client(s, reason, reset=False)
             client.close(None if s.up_at else b"ERR")
 
@@ -126,9 +127,9 @@
         conn.dial_to(self.hosts.address[s.host], time_out)
         return conn
 
-    def send_head(self, conn: HostConnection) -> bool:
+    def send_request(self, conn: HostConnection) -> bool:
         wait = max(int(conn.until - self.clock()), 1)
-        return conn.send_head(conn.session.head.pieces(wait))
+        return conn.send_request(conn.session.request.pieces(wait))
 
     def from_host(self, conn: HostConnection, line: bytes) -> None:
         s = conn.session
@@ -158,12 +159,12 @@
     def _stand(self, s: Session, conn: HostConnection, line: bytes) -> None:
         now = s.up_at = s.heard_at = self.clock()
         cancel(s.timer)
-        client, head = s.client, s.head
-        logger.debug("up id={} host={} class={}", head.id, self.hosts.uid[s.host], head.listener)
+        client, request = s.client, s.request
+        logger.debug("up id={} host={} class={}", request.id, self.hosts.uid[s.host], request.listener)
         client.pass_on(line)
-        self.figures.answered(head.listener, Status.FULFILLED)
+        self.figures.answered(request.listener, Status.FULFILLED)
         self._join(client, conn)
-        if head.at is None:
+        if request.at is None:
             self.report(Up(s.index))
         else:
             self._resumed(s, now)
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -1,4 +1,4 @@
-"""One session's connection to a host: the head goes out, what comes back is the dial's outcome."""
+"""One session's connection to a host: the request goes out, what comes back is the dial's outcome."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
         elif not self.taken_up:
             self.desk.dial_open(self)
 
-    def send_head(self, pieces: list[bytes | memoryview]) -> bool:
+    def send_request(self, pieces: list[bytes | memoryview]) -> bool:
         """One gathered write; False if the connection broke first, so that the host never had the line."""
         total = sum(len(piece) for piece in pieces)
         try:
--- a/caperdeck/wire/heads.py
+++ b/caperdeck/wire/request.py
@@ -12,12 +12,14 @@
 from .report import MOST_LOAD
 
 
-class HeadError(ValueError):
+class RequestError(ValueError):
     """A first line that cannot be served; its text is the reason code."""
 
 
 @dataclass(slots=True)
-class Head:
+class Request:
+    """A session that a client asks for."""
+
     line: bytes
     id: str
     listener: str
@@ -35,12 +37,12 @@
         return [view[: self.wait_from], b"%d" % wait, view[self.wait_to :], CRLF]
 
 
-def parse_head(line: bytes) -> Head:
+def parse_request(line: bytes) -> Request:
     """OPEN ID KEY NAME=VALUE,...; names not known are passed over."""
     id_end = line.find(b" ", 5)
     key_end = line.find(b" ", id_end + 1)
     if not line.startswith(b"OPEN ") or id_end < 6 or key_end < id_end + 2:
-        raise HeadError("bad-line")
+        raise RequestError("bad-line")
     found: dict[bytes, tuple[int, int]] = {}
     at, end = key_end + 1, len(line)
     while at < end:
@@ -48,7 +50,7 @@
         stop = end if comma < 0 else comma
         equals = line.find(b"=", at, stop)
         if equals <= at:
-            raise HeadError("bad-line")
+            raise RequestError("bad-line")
         found[line[at:equals]] = (equals + 1, stop)
         at = stop + 1
 
@@ -60,10 +62,10 @@
 
     wait, load, listener = _number(text(b"d")), _number(text(b"h")), text(b"c")
     if wait is None or listener is None or wait < 0 or not 0 <= (load or 0.0) < MOST_LOAD:
-        raise HeadError("bad-line")
+        raise RequestError("bad-line")
     start, stop = found[b"d"]
     name = line[5:id_end].decode("utf-8", "replace")
-    return Head(line, name, listener, wait, start, stop, text(b"t"), text(b"g"), load, text(b"at"))
+    return Request(line, name, listener, wait, start, stop, text(b"t"), text(b"g"), load, text(b"at"))
 
 
 def _number(text: str | None) -> float | None:
@@ -72,7 +74,7 @@
     try:
         value = float(text)
     except ValueError:
-        raise HeadError("bad-line") from None
+        raise RequestError("bad-line") from None
     if not math.isfinite(value):
-        raise HeadError("bad-line")
+        raise RequestError("bad-line")
     return value
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -91,7 +91,7 @@
 class Wire(StringTransport):
     """A transport that keeps what is written and how it was ended."""
 
-    broken = False  # what the peer did before the head went out
+    broken = False  # what the peer did before the request went out
     gone_out = 0  # bytes that a reset can no longer drop
 
     def setTcpNoDelay(self, on):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -292,7 +292,7 @@
     lo = loop(hosts=2, listener=REFERENCED | {"memorySpan": 5.0})
     client, s = lo.taken()
     first, conn = lo.hold(s), s.conn
-    conn.send_head = lambda pieces: type(conn).send_head(Part(conn), pieces)
+    conn.send_request = lambda pieces: type(conn).send_request(Part(conn), pieces)
     lo.reactor.addWriter(conn.connector.transport)
     lo.reactor.until(lambda: conn.sent)
     lo.reactor.removeWriter(conn.transport)  # no room at the system meanwhile
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -16,9 +16,9 @@
 from caperdeck.state.backoff import REFUSED, BackOff
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.discovery import ANSWER, MOST_HOSTS, SILENT, Discovery, _WatchBody
-from caperdeck.wire.heads import HeadError, parse_head
 from caperdeck.wire.probe import Probes
 from caperdeck.wire.report import parse_report
+from caperdeck.wire.request import RequestError, parse_request
 
 
 @pytest.fixture
@@ -41,11 +41,11 @@
 
 
 def test_a_head_goes_on_unchanged_but_for_the_wait():
-    head = parse_head(OPEN)
-    assert (head.id, head.listener, head.tenant, head.wait, head.group) == (
+    request = parse_request(OPEN)
+    assert (request.id, request.listener, request.tenant, request.wait, request.group) == (
         "9b1f03aa5c7e2d41", "chat", "acme", 1200.0, "5c0f")  # fmt: skip
-    assert head.load == 0.01 and head.at is None
-    assert b"".join(head.pieces(170)) == OPEN.replace(b"d=1200", b"d=170") + b"\r\n"
+    assert request.load == 0.01 and request.at is None
+    assert b"".join(request.pieces(170)) == OPEN.replace(b"d=1200", b"d=170") + b"\r\n"
 
 
 @pytest.mark.parametrize("line", [
@@ -56,8 +56,8 @@
     b"\xff\xfe\x00 a b c", b"GET / HTTP/1.1",
 ])  # fmt: skip
 def test_a_broken_first_line_is_answered_and_named(line, log):
-    with pytest.raises(HeadError):
-        parse_head(line)
+    with pytest.raises(RequestError):
+        parse_request(line)
     client = connect(desk(), line)
     assert client.transport.lines() == [b"ERR"] and client.transport.ended == "end"
     assert reasons(log) == ["bad-line"]
