--- a/caperdeck/lab/faults.py
+++ b/caperdeck/lab/faults.py
@@ -1,6 +1,6 @@
 """What goes wrong when: a scenario's faults, set off by the time or by what was seen, for either driver.
 
-A driver is `Hands`: it says how a process is killed, stopped or started there. Nothing here counts on a
+A `Driver` says how a process is killed, stopped or started there. Nothing here counts on a
 machine's speed: a fault that waits for events sets in at the same event on a slow machine.
 """
 
@@ -20,8 +20,8 @@
 LONGEST_STOP = 4.0  # seconds from SIGTERM to SIGKILL
 
 
-class Hands(Protocol):
-    """What a driver does for a fault; parts go by name, times in seconds."""
+class Driver(Protocol):
+    """What a driver does for a fault; endpoints go by name, times in seconds."""
 
     links: Links
 
@@ -65,7 +65,7 @@
     def __init__(self, after: After) -> None:
         self.after = after
         self.left = after.count
-        self.parts: set[str] = set()
+        self.seen_at: set[str] = set()
 
     def saw(self, event: Event, begun: set[str]) -> bool:
         """Takes an event in; whether all that was waited for has been seen."""
@@ -77,15 +77,15 @@
         who = event.get("who", "")
         if after.of != "*" and not any(fnmatch.fnmatchcase(n, after.of) for n in (who, event.get("to", ""))):
             return False
-        if not after.each or who not in self.parts:
-            self.parts.add(who)
+        if not after.each or who not in self.seen_at:
+            self.seen_at.add(who)
             self.left -= 1
         return self.left <= 0
 
 
 class Timeline:
-    def __init__(self, scenario: Scenario, hands: Hands, emit: Callable[..., None]) -> None:
-        self.scenario, self.hands, self.emit = scenario, hands, emit
+    def __init__(self, scenario: Scenario, driver: Driver, emit: Callable[..., None]) -> None:
+        self.scenario, self.driver, self.emit = scenario, driver, emit
         self.waiting = {i: Awaited(f.after) for i, f in enumerate(scenario.fault) if f.after is not None}
         self.ending: dict[int, list[Awaited]] = {}  # by fault, what has yet to be seen for its end
         self.begun: set[str] = set()
@@ -95,7 +95,7 @@
     def start(self) -> None:
         for i, fault in enumerate(self.scenario.fault):
             if fault.at is not None:
-                self.hands.later(fault.at + fault.wait, self.begin, i)
+                self.driver.later(fault.at + fault.wait, self.begin, i)
 
     def saw(self, event: Event) -> None:
         """Counts an event for the faults that wait for it."""
@@ -104,120 +104,120 @@
         for i, awaited in list(self.waiting.items()):
             if awaited.saw(event, self.begun):
                 del self.waiting[i]
-                self.hands.later(self.scenario.fault[i].wait, self.begin, i)
+                self.driver.later(self.scenario.fault[i].wait, self.begin, i)
         for i, lacking in list(self.ending.items()):
             if lacking[0].saw(event, self.begun):
                 lacking.pop(0)
                 if not lacking:
                     del self.ending[i]
-                    self.hands.later(0.0, self.end, i)
+                    self.driver.later(0.0, self.end, i)
 
     # ---- one fault
 
     def begin(self, i: int) -> None:
         fault = self.scenario.fault[i]
         self.begun.add(fault.name)
-        parts = self.ends[i] = self._parts(fault)
-        self._say(i, True, parts)
-        self._apply(fault, parts, True)
+        endpoints = self.ends[i] = self._endpoints(fault)
+        self._say(i, True, endpoints)
+        self._apply(fault, endpoints, True)
         if fault.span is not None:
-            self.hands.later(fault.span, self.end, i)
+            self.driver.later(fault.span, self.end, i)
         elif fault.until:
             self.ending[i] = [Awaited(after) for after in fault.until]
 
     def end(self, i: int) -> None:
-        fault, parts = self.scenario.fault[i], self.ends[i]
-        self._say(i, False, parts)
-        self._apply(fault, parts, False)
+        fault, endpoints = self.scenario.fault[i], self.ends[i]
+        self._say(i, False, endpoints)
+        self._apply(fault, endpoints, False)
 
-    def _say(self, i: int, on: bool, parts: list[str]) -> None:
+    def _say(self, i: int, on: bool, endpoints: list[str]) -> None:
         fault = self.scenario.fault[i]
         to = self.scenario.matching(fault.to) if fault.do in ON_LINKS else []
-        self.emit("fault", number=i, do=fault.do, name=fault.name, on=on, of=parts, far=to)
+        self.emit("fault", number=i, do=fault.do, name=fault.name, on=on, of=endpoints, far=to)
 
-    def _parts(self, fault: Fault) -> list[str]:
+    def _endpoints(self, fault: Fault) -> list[str]:
         if fault.do == "cut-zone":
             zone = self.scenario.matching(f"zone:{fault.of}")
             return [p for p in zone if p[0] in "nh"]
         if fault.of == LEADER or fault.of.startswith(HOLDER):
-            found = self.hands.standing_for(fault.of)
+            found = self.driver.standing_for(fault.of)
             return [] if found is None else [found]
-        parts = self.scenario.matching(fault.of)
+        endpoints = self.scenario.matching(fault.of)
         if fault.do in ("mass-kill", "mass-restart"):
-            nodes = [p for p in parts if p[0] == "n"]
-            order = sorted(nodes, key=lambda n: self.hands.links.chance())
+            nodes = [p for p in endpoints if p[0] == "n"]
+            order = sorted(nodes, key=lambda n: self.driver.links.chance())
             return sorted(order[: max(round(fault.amount * len(nodes)), 1)], key=nodes.index)
-        return parts
+        return endpoints
 
-    def _apply(self, fault: Fault, parts: list[str], on: bool) -> None:
-        hands, do = self.hands, fault.do
+    def _apply(self, fault: Fault, endpoints: list[str], on: bool) -> None:
+        driver, do = self.driver, fault.do
         if do in ON_LINKS:
-            self._on_links(fault, [(a, b) for a in parts for b in self.scenario.matching(fault.to)], on)
+            self._on_links(fault, [(a, b) for a in endpoints for b in self.scenario.matching(fault.to)], on)
         elif do == "cut-zone":
-            inside, others = set(parts), self.scenario.node_names() + self.scenario.host_names()
-            pairs = [(a, b) for a in parts for b in others if b not in inside]
+            inside, others = set(endpoints), self.scenario.node_names() + self.scenario.host_names()
+            pairs = [(a, b) for a in endpoints for b in others if b not in inside]
             self._cut(pairs + [(b, a) for a, b in pairs], on)
         elif do == "discovery":
-            for n in (p for p in parts if p[0] in "nd"):
-                hands.hush(f"n{n[1:]}", on)
+            for n in (p for p in endpoints if p[0] in "nd"):
+                driver.hush(f"n{n[1:]}", on)
         elif do == "clock" and on:
-            for n in (p for p in parts if p[0] in "no"):
-                hands.clock(n, fault.offset, fault.drift)
-        elif do in ("drain", "start", "ill") or (do == "kill" and parts and parts[0][0] == "h"):
-            for h in (p for p in parts if p[0] == "h"):
-                hands.host(h, do if on else ("well" if do == "ill" else "start"), fault.amount)
+            for n in (p for p in endpoints if p[0] in "no"):
+                driver.clock(n, fault.offset, fault.drift)
+        elif do in ("drain", "start", "ill") or (do == "kill" and endpoints and endpoints[0][0] == "h"):
+            for h in (p for p in endpoints if p[0] == "h"):
+                driver.host(h, do if on else ("well" if do == "ill" else "start"), fault.amount)
         elif do == "rolling":
             if on:
-                self._roll([p for p in parts if p[0] == "n"], max(fault.amount, 0.01))
+                self._roll([p for p in endpoints if p[0] == "n"], max(fault.amount, 0.01))
         else:
-            self._on_nodes(fault, [p for p in parts if p[0] in "no"], on)
+            self._on_nodes(fault, [p for p in endpoints if p[0] in "no"], on)
 
     def _on_nodes(self, fault: Fault, nodes: Iterable[str], on: bool) -> None:
-        hands, do = self.hands, fault.do
+        driver, do = self.driver, fault.do
         for n in nodes:
             if do in ("kill", "mass-kill"):
                 if on:
-                    hands.kill(n)
+                    driver.kill(n)
                 if on and do == "mass-kill" and fault.span is None:
-                    hands.later(hands.links.between(BACK) / 1000.0, hands.start, n)
+                    driver.later(driver.links.between(BACK) / 1000.0, driver.start, n)
                 elif not on:
-                    hands.start(n)
+                    driver.start(n)
             elif do in ("restart", "mass-restart"):
                 if on:
                     self.restart(n, lambda: None)
             elif do == "stop":
-                (hands.stop if on else hands.wake)(n)
+                (driver.stop if on else driver.wake)(n)
             elif do in ON_OWNERS:
                 work = fault.of.removeprefix(HOLDER) if fault.of.startswith(HOLDER) else ""
-                hands.stop_at_act(n, work, do == "stop-after-act") if on else hands.wake(n)
+                driver.stop_at_act(n, work, do == "stop-after-act") if on else driver.wake(n)
             elif do == "slow":
                 self.slowed[n] = self.slowed.get(n, 0) + 1
                 if on:
                     self._slow(n, self.slowed[n], fault.amount, True)
                 else:
-                    hands.wake(n)
+                    driver.wake(n)
 
     def _slow(self, n: str, turn: int, amount: float, stop: bool) -> None:
         """Stopped for a part of each tenth of a second."""
         if self.slowed.get(n) == turn:
-            (self.hands.stop if stop else self.hands.wake)(n)
-            self.hands.later(DUTY * (amount if stop else 1 - amount), self._slow, n, turn, amount, not stop)
+            (self.driver.stop if stop else self.driver.wake)(n)
+            self.driver.later(DUTY * (amount if stop else 1 - amount), self._slow, n, turn, amount, not stop)
 
     def restart(self, n: str, then: Callable[[], None]) -> None:
         """SIGTERM, and a new process once the old one has gone or has had its time."""
-        if not self.hands.alive(n):
+        if not self.driver.alive(n):
             then()
             return
-        self.hands.terminate(n)
+        self.driver.terminate(n)
         self._await_exit(n, LONGEST_STOP, then)
 
     def _await_exit(self, n: str, left: float, then: Callable[[], None]) -> None:
-        if not self.hands.alive(n) or left <= 0:
-            self.hands.kill(n)
-            self.hands.start(n)
+        if not self.driver.alive(n) or left <= 0:
+            self.driver.kill(n)
+            self.driver.start(n)
             then()
         else:
-            self.hands.later(0.05, self._await_exit, n, left - 0.05, then)
+            self.driver.later(0.05, self._await_exit, n, left - 0.05, then)
 
     def _roll(self, nodes: list[str], amount: float) -> None:
         size = max(round(amount * len(nodes)), 1)
@@ -236,8 +236,8 @@
 
     def _cut(self, pairs: list[tuple[str, str]], on: bool) -> None:
         for a, b in pairs:
-            self.hands.links.cut(a, b, on)
-            self.hands.changed(a, b)
+            self.driver.links.cut(a, b, on)
+            self.driver.changed(a, b)
 
     def _on_links(self, fault: Fault, pairs: list[tuple[str, str]], on: bool) -> None:
         pairs = [(a, b) for a, b in pairs if a != b]
@@ -248,15 +248,15 @@
         elif fault.do == "reset":
             if on:
                 for a, b in pairs:
-                    self.hands.reset(a, b)
+                    self.driver.reset(a, b)
         elif fault.do == "hold":
             for a, b in pairs:
-                self.hands.hold(a, b, on)
+                self.driver.hold(a, b, on)
         else:
             for a, b in pairs:
-                trouble = self.hands.links.trouble(a, b)
+                trouble = self.driver.links.trouble(a, b)
                 if fault.do == "delay":
                     trouble.delay = fault.spread if on else (0.0, 0.0)
                 else:
                     setattr(trouble, fault.do, fault.amount if on else 0.0)
-                self.hands.changed(a, b)
+                self.driver.changed(a, b)
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -75,7 +75,7 @@
         else:
             self.history.take(event)
 
-    # ---- hands
+    # ---- what a fault asks for
 
     def later(self, wait: float, do: Callable[..., None], *args: Any) -> Any:
         return asyncio.get_running_loop().call_later(wait, self._guard, do, args)
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -67,7 +67,7 @@
 
 
 class Net(Table):
-    """One-way delays between the parts, milliseconds."""
+    """One-way delays between endpoints, milliseconds."""
 
     delay: tuple[float, float] = (0.2, 0.6)
     cross: tuple[float, float] = (0.4, 0.8)  # between zones
@@ -75,13 +75,13 @@
 
 
 class After(Table):
-    """What must be seen before a fault sets in or ends: so many events of a kind, of any part or one."""
+    """What must be seen before a fault sets in or ends: so many events of a kind, of any endpoint or one."""
 
     seen: str
     count: int = 1
     of: str = "*"
     work: str = ""  # for events of owned work, which
-    each: bool = False  # one event of a part counts, so that `count` is of parts
+    each: bool = False  # one event of an endpoint counts, so that `count` is of endpoints
     within: str = ""  # a fault by this name must have set in before the count begins
 
 
@@ -99,7 +99,7 @@
     wait: float = 0.0  # seconds from that on
     span: float | None = msgspec.field(name="for", default=None)  # seconds
     until: list[After] = field(default_factory=list)  # instead of a span: seen one after the other, it ends
-    of: str = "*"  # the part or parts by name, with wildcards
+    of: str = "*"  # endpoints by name, with wildcards
     to: str = "*"  # for links, the far end
     amount: float = 0.5  # a rate, a part of the fleet, or a duty
     spread: tuple[float, float] = (0.0, 0.0)  # milliseconds, random between
@@ -145,15 +145,15 @@
             return self.net.delay
         return self.net.cross
 
-    def parts(self) -> list[str]:
+    def endpoints(self) -> list[str]:
         nodes, hosts = self.node_names(), self.host_names()
         return nodes + hosts + [f"d{n[1:]}" for n in nodes] + ["clients"] + self.owner_names()
 
     def matching(self, pattern: str) -> list[str]:
-        """The parts that a pattern names: wildcards, or `zone:NAME`."""
+        """The endpoints that a pattern names: wildcards, or `zone:NAME`."""
         if pattern.startswith("zone:"):
-            return [p for p in self.parts() if p != "clients" and self.zone_of(p) == pattern[5:]]
-        return fnmatch.filter(self.parts(), pattern)
+            return [p for p in self.endpoints() if p != "clients" and self.zone_of(p) == pattern[5:]]
+        return fnmatch.filter(self.endpoints(), pattern)
 
 
 ON_LINKS = ("loss", "delay", "double", "reorder", "cut", "silence", "reset", "hold")
@@ -241,19 +241,19 @@
 
 
 def _faulty_fault(s: Scenario, f: Fault, names: set[str]):
-    parts = set(s.matching(f.of))
+    endpoints = set(s.matching(f.of))
     if f.do == "cut-zone":
         if f.of not in s.zones:
             yield "of", f"no zone {f.of!r}"
     elif s.owners and (f.of == LEADER or f.of.startswith(HOLDER)):
-        parts = set(s.owner_names())
-    elif not parts:
+        endpoints = set(s.owner_names())
+    elif not endpoints:
         yield "of", f"nothing is named {f.of!r}"
-    elif f.do == "kill" and not parts & {*s.node_names(), *s.host_names(), *s.owner_names()}:
+    elif f.do == "kill" and not endpoints & {*s.node_names(), *s.host_names(), *s.owner_names()}:
         yield "of", f"no node or host is named {f.of!r}"
-    elif f.do in ON_NODES and not parts & {*s.node_names(), *s.owner_names()}:
+    elif f.do in ON_NODES and not endpoints & {*s.node_names(), *s.owner_names()}:
         yield "of", f"no node is named {f.of!r}"
-    elif f.do in ON_HOSTS and not parts & set(s.host_names()):
+    elif f.do in ON_HOSTS and not endpoints & set(s.host_names()):
         yield "of", f"no host is named {f.of!r}"
     if f.do in ON_LINKS and not s.matching(f.to):
         yield "to", f"nothing is named {f.to!r}"
@@ -263,7 +263,7 @@
         yield "at", f"{f.at} is past the end at {s.seconds}"
     if f.span is not None and f.at is not None and f.at + f.wait + f.span > s.seconds:
         yield "for", f"ends past the end at {s.seconds}"
-    if f.do in ON_OWNERS and not parts <= set(s.owner_names()):
+    if f.do in ON_OWNERS and not endpoints <= set(s.owner_names()):
         yield "of", f"{f.of!r} are not all instances"
     if f.do in ("stop", "slow", "cut-zone", "hold", *ON_OWNERS) and f.span is None and not f.until:
         yield "for", f"{f.do} needs an end"
--- a/caperdeck/lab/search.py
+++ b/caperdeck/lab/search.py
@@ -27,7 +27,7 @@
     at = st.integers(10, int(end * 10 * 0.7)).map(lambda x: x / 10)
     span = st.integers(1, max(int(end * 10 * 0.3) - 1, 1)).map(lambda x: x / 10)
     node, host = st.sampled_from(scenario.node_names()), st.sampled_from(scenario.host_names())
-    part = st.sampled_from([*scenario.node_names(), *scenario.host_names(), "clients", "n*", "h*", "*"])
+    endpoint = st.sampled_from([*scenario.node_names(), *scenario.host_names(), "clients", "n*", "h*", "*"])
     rate = st.sampled_from([0.1, 0.3, 0.6])
     on_node = st.builds(
         Fault, do=st.sampled_from(["kill", "stop", "slow", "discovery"]), of=node, at=at, span=span,
@@ -38,8 +38,8 @@
         Fault, do=st.sampled_from(["drain", "kill", "ill"]), of=host, at=at, span=span, amount=rate,
     )  # fmt: skip
     on_link = st.builds(
-        Fault, do=st.sampled_from(["cut", "silence", "loss", "delay"]), of=part, to=part, at=at, span=span,
-        amount=rate, spread=st.sampled_from([(5.0, 50.0), (100.0, 900.0)]),
+        Fault, do=st.sampled_from(["cut", "silence", "loss", "delay"]), of=endpoint, to=endpoint, at=at,
+        span=span, amount=rate, spread=st.sampled_from([(5.0, 50.0), (100.0, 900.0)]),
     )  # fmt: skip
     return st.one_of(on_node, on_host, on_link, again)
 
--- a/caperdeck/lab/virtual.py
+++ b/caperdeck/lab/virtual.py
@@ -120,7 +120,7 @@
         self.history.emit("life", who=node, state="up", life=life)
         self.later(READY, self.ready, node, life)
 
-    # ---- hands
+    # ---- what a fault asks for
 
     def later(self, wait: float, do: Callable[..., None], *args: Any) -> Any:
         return self.world.clock.callLater(wait, do, *args)
