Lab: what clients of agreement saw is checked in a module of its own

agree.py had the world of instances and the check of linearizability, with a BrokenError of its own beside that of the models. The check is lab/linearizability, the error exploration's.

--- a/caperdeck/lab/agree.py
+++ b/caperdeck/lab/agree.py
@@ -16,16 +16,14 @@
 from caperdeck.raft.sessions import Sessions
 
 from .events import Events
+from .exploration import BrokenError
+from .linearizability import check_history
 from .suspension import Suspendable
 
 WRITE = (0.2, 8.0)  # milliseconds until a write is on disk
 COMPACT_AT = 40  # entries
 
 
-class BrokenError(AssertionError):
-    pass
-
-
 class Line:
     """The state machine: a list of values, each of which is put at its end."""
 
@@ -247,32 +245,6 @@
         self.world.at(self.world.draw.uniform(5, 60), self.begin)
 
 
-def check_history(ops: list[dict[str, Any]], line: list[str]) -> None:
-    """Linearizable: each value once, in an order that real time allows; reads see a state of their time."""
-    if len(set(line)) < len(line):
-        raise BrokenError("a value stands twice")
-    place = {value: i + 1 for i, value in enumerate(line)}
-    writes = [op for op in ops if not op["read"]]
-    for op in writes:
-        if op["to"] is not None and place.get(op["value"]) != op["got"]:
-            raise BrokenError(f"{op['value']} was told place {op['got']}, stands at {place.get(op['value'])}")
-    done = sorted((op["to"], op["got"]) for op in writes if op["to"] is not None)
-    for op in ops:
-        if not op["read"] or op["to"] is None:
-            continue
-        begun, ended, length, seen = op["from"], op["to"], len(op["got"]), op["got"]
-        if seen != line[:length]:
-            raise BrokenError("a read saw what never stood")
-        if any(to < begun and got > length for to, got in done):
-            raise BrokenError(f"a read begun at {begun:.0f} missed what was told before")
-        for value in seen:
-            if next(o for o in writes if o["value"] == value)["from"] > ended:
-                raise BrokenError("a read saw what was put later")
-    for op in writes:
-        if op["to"] is not None and any(to < op["from"] and got > op["got"] for to, got in done):
-            raise BrokenError(f"{op['value']} stands before what was told earlier")
-
-
 def torment(world: World, span: float) -> None:
     """Deaths, suspensions, cuts both ways and one way, moments of loss, and quiet, at random moments."""
     draw, until = world.draw, world.now + span
