--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-import math
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
 from loguru import logger
 
@@ -29,20 +28,14 @@
 from caperdeck.state.timers import cancel
 from caperdeck.turns.subset import Place, Subsets
 
+from .catch_up import CatchUp
+
 AGAIN = 200.0  # until a connection that stood before is tried again at its host
 RESUME_TIME_OUT = 3000.0  # for one such try
 SILENCE = 2000.0  # a host that has brought nothing back for so long is given up
 SUSPECT = 300.0  # one that has brought nothing back for so long, on any connection, is probed
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
-AWAY_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
-SWEEP = 250.0  # housekeeping is due so often
-OVERDUE = 250.0  # late by so much, the node was away
-FIGURES_LAST = 1000.0  # after so long away, what was known of hosts is void
-READ_TURNS = 2  # turns of the reactor of which one at least has read every socket that had something
-MOST_TURNS = 600  # and so many at the most, enough to read a full buffer of discovery's
-LIST_WAIT = 500.0  # for the list where discovery has to be asked anew, or for the first time
-LIST_LAG = 50.0  # before a request goes out discovery's socket has been looked at within so long
-CALL_AGAIN = 5.0  # between turns meanwhile
+MOVED_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
 IDLE = 2000.0  # a client that has sent no first line for so long is closed
 IDLE_SHORT = 250.0  # the same while sockets are short
 
@@ -50,19 +43,7 @@
 AT_ONCE = (Listed, Banned, Retuned, Narrowed)  # news that lead to nothing being sent
 
 
-class Source(Protocol):
-    """Where the list of hosts is read."""
-
-    reads: int  # how often anything of it has come
-    open: bool  # what comes can be read, and a line of it has been
-
-    def woke(self) -> None: ...
-
-    def unread(self) -> bool:
-        """Whether anything of it lies in the socket, its end too; costs a system call."""
-
-
-class Carrier(ABC):
+class Carrier(CatchUp):
     """The sessions of one node between clients and hosts, whatever they speak."""
 
     moved: bytes  # the word that sends a client of a standing session away
@@ -73,8 +54,7 @@
         self, reactor: Any, clock: Callable[[], float], balancer: Balancer, names: Names, limits: Limits,
         hosts: Hosts, budget: SocketBudget,
     ) -> None:  # fmt: skip
-        self.reactor = reactor
-        self.read_clock = clock
+        super().__init__(reactor, clock)
         self.balancer = balancer
         self.names = names
         self.limits = limits
@@ -85,14 +65,7 @@
         self.figures.know(names.listeners)
         self.idle: dict[ClientSide, None] = {}  # without a first line, the oldest first
         self.told_at = clock()  # when discovery last said anything
-        self.source: Source | None = None
         self.subsets: Subsets | None = None  # None: all hosts are drawn alike
-        self.turn_at = math.inf  # a turn of the reactor has run since; without a sweep none is awaited
-        self.reading = False  # what came while the node was away, or its first list, is not all read yet
-        self.away = 0.0  # how old what is read now may be meanwhile
-        self.looked_at = -math.inf  # when nothing of the list was last seen to lie in its socket
-        self.turns, self.reads, self.list_until = 0, 0, 0.0  # since the node was back
-        self.held: deque[Callable[[], None]] = deque()  # what waits until then, in the order it came
         self.searched_at = clock()  # for clients that fell silent
         self.stopping = False
         self.accepting: Callable[[bool], None] = lambda on: None
@@ -106,7 +79,7 @@
         """Begins a connection to the session's host; the dial is given up at `until`."""
 
     @abstractmethod
-    def send_head(self, conn: HostSide) -> bool:
+    def send_request(self, conn: HostSide) -> bool:
         """Sends the first line; False if the host never had it."""
 
     @abstractmethod
@@ -117,70 +90,16 @@
     def hints(self, s: Session) -> tuple[float | None, int | None]:
         """The load that the session's client guesses, and its group."""
 
-    # ---- away: stopped, starved, swapped out, in a long collection
-
-    def clock(self) -> float:
-        """The time; whoever reads it first after the node was away finds out here."""
-        now = self.read_clock()
-        if now - self.turn_at > SWEEP + OVERDUE:
-            self._back(now, now - self.turn_at)
-        return now
+    # ---- stalls
 
-    def _back(self, now: float, span: float) -> None:
-        # Danger: what came meanwhile lies in the sockets in no order: a session is read before the list that
-        # takes its host away, a timer runs out before the answer that it waits for.
+    def _stalled(self, span: float) -> None:
         logger.warning("away ms={:.0f} sessions={}", span, len(self.sessions.table))
-        self.away, self.turn_at = self.away + span, now
-        if self.source is not None:
-            self.source.woke()
-        self._read_first(now)
-
-    def wait_for_list(self) -> None:
-        """Nothing is sent by the list that a new process is given until discovery's has come, for a while."""
-        # Danger: what discovery has counts as told from the first moment of a process, and loading it alone
-        # may take as long as the grace; who lies in the queue of its port is read before the list is.
-        self._read_first(self.read_clock())
-
-    def _read_first(self, now: float) -> None:
-        again, self.reading = self.reading, True
-        self.turns, self.list_until = 0, now + LIST_WAIT
-        if self.source is not None:
-            self.reads = self.source.reads
-        if not again:
-            self.reactor.callLater(0, self._read_on)
-
-    def bound_list_wait(self, until: float) -> None:
-        """The list is waited for no longer than that (ms of the clock)."""
-        self.list_until = min(self.list_until, until)
-
-    def _read_on(self) -> None:
-        """A turn later: whether all that had come has been read."""
-        now, source = self.clock(), self.source
-        self.turns += 1
-        shut = source is not None and not source.open and now < self.list_until
-        reads, self.reads = self.reads, source.reads if source is not None else 0
-        read = self.turns >= READ_TURNS and reads == self.reads and not shut
-        if not read and self.turns < MOST_TURNS:
-            self.reactor.callLater(CALL_AGAIN / MS if shut else 0, self._read_on)
-            return
-        if self.away >= FIGURES_LAST:
-            self.balancer.forget(now)
-        self.reading, self.away, self.turn_at = False, 0.0, now
-        held, self.held = self.held, deque()
-        for do in held:
-            do()
-        self._timer_fired()
 
-    def age(self) -> float:
-        """How long a line that is read now may have lain there; 0 once all that did has been read."""
-        return self.away if self.turns <= READ_TURNS else 0.0
+    def _forget_figures(self, now: float) -> None:
+        self.balancer.forget(now)
 
-    def later(self, do: Callable[[], None]) -> bool:
-        """Whether the node has yet to read what came before; then this is done after that."""
-        self.clock()
-        if self.reading:
-            self.held.append(do)
-        return self.reading
+    def _caught_up(self) -> None:
+        self._timer_fired()
 
     # ---- the balancer
 
@@ -203,7 +122,7 @@
         self._set_timer()
 
     def _set_timer(self) -> None:
-        if self.reading:
+        if self.catching_up:
             return
         due, now = self.balancer.due, self.clock()
         if self.timer is not None and self.timer.active():
@@ -215,7 +134,7 @@
 
     def _timer_fired(self) -> None:
         self.clock()
-        if self.reading:
+        if self.catching_up:
             return
         try:
             self.carry_out(self.balancer.tick(self.clock()))
@@ -224,7 +143,7 @@
 
     def _carry_out(self, order: Order) -> None:
         if isinstance(order, Look):
-            self.probes.look(order.host, self.hosts.address[order.host])
+            self.probes.probe(order.host, self.hosts.address[order.host])
             return
         s = self.sessions.table.get(order.session)
         if s is None:
@@ -277,7 +196,7 @@
         up, dialing = bool(s.up_at), s.conn is not None
         self._end(s, reason)
         self._hang_up(s, reset and up)
-        if s.head.at is not None and not up:
+        if s.request.at is not None and not up:
             return  # the balancer has not heard of it yet
         if not up:
             self.report(Left(s.index))
@@ -296,7 +215,7 @@
         """Takes up a connection that stood at its host before this node started."""
         if s.over:
             return
-        s.host, s.dial = self.hosts.index[s.head.at], 0
+        s.host, s.dial = self.hosts.index[s.request.at], 0
         s.conn = self.open_host(s, s.deadline, RESUME_TIME_OUT)
 
     def dial_open(self, conn: HostSide) -> None:
@@ -304,7 +223,7 @@
         s = conn.session
         if self.later(partial(self.dial_open, conn)) or conn.ended:
             return
-        if self._list_waits():
+        if self.list_waits():
             # discovery's socket is read before this runs again
             self.reactor.callLater(0, self.dial_open, conn)
             return
@@ -317,31 +236,19 @@
             # who does not wait for its answer is turned away once that has been read
             self.reactor.callLater(0, self.dial_open, conn)
 
-    def _list_waits(self) -> bool:
-        """Whether discovery has told anything that is not read yet; looks once in LIST_LAG at the most."""
-        # Danger: a turn reads sockets in any order, and stalls too short to be an absence add up; the grace
-        # counts from when discovery wrote.
-        now = self.clock()
-        if self.source is None or now - self.looked_at <= LIST_LAG:
-            return False
-        if self.source.unread():
-            return True
-        self.looked_at = now
-        return False
-
     def _send(self, s: Session, conn: HostSide) -> None:
         # Danger: what held when the host was chosen may have lapsed while its connection came up.
-        if s.head.at is None and not self.balancer.still_allowed(self.clock(), s.index):
+        if s.request.at is None and not self.balancer.still_allowed(self.clock(), s.index):
             self._end_dial(s, Outcome.NEVER_SENT)
-        elif not self.send_head(conn):
+        elif not self.send_request(conn):
             self._end_dial(s, Outcome.UNREACHED)
         else:
             self.figures.relayed += 1
 
     def dial_failed(self, conn: HostSide) -> None:
         self.clock()
-        # Danger: a connection that ran out of time while the node was away says nothing about its host.
-        self._end_dial(conn.session, Outcome.NEVER_SENT if self.away else Outcome.UNREACHED)
+        # Danger: a connection that ran out of time in a stall of the node says nothing about its host.
+        self._end_dial(conn.session, Outcome.NEVER_SENT if self.stall else Outcome.UNREACHED)
 
     def _late(self, conn: HostSide) -> None:
         if not self.later(partial(self._late, conn)) and not conn.ended:
@@ -352,7 +259,7 @@
         if s.conn is None or s.up_at:
             return
         self._hang_up(s, reset=False)
-        if s.head.at is None:
+        if s.request.at is None:
             self.report(Over(s.index, s.dial, outcome, False))
         elif self.clock() + AGAIN < s.deadline:
             self.reactor.callLater(AGAIN / MS, self.resume, s)
@@ -370,16 +277,16 @@
 
     def _resumed(self, s: Session, now: float) -> None:
         """The balancer learns of a session that stood before."""
-        head = s.head
+        request = s.request
         # Danger: its class may have been dropped since; of one that stands no more is asked of it.
-        listener = self.names.listeners.get(head.listener, -1)
-        customer, hints = self.names.customers.get(head.tenant, -1), self.hints(s)
+        listener = self.names.listeners.get(request.listener, -1)
+        customer, hints = self.names.customers.get(request.tenant, -1), self.hints(s)
         self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
 
     def remember(self, memory: dict[str, Any], uids: list[str]) -> None:
         """What another process of this node has learned of these hosts."""
-        index, told = self.hosts.index, zip(uids, memory["able"], strict=True)
-        self.balancer.remember(memory, {index[uid]: load for uid, load in told if uid in index})
+        index, able = self.hosts.index, zip(uids, memory["able"], strict=True)
+        self.balancer.remember(memory, {index[uid]: load for uid, load in able if uid in index})
 
     def handed_on(self, s: Session) -> None:
         """Another process of this node has the session now; it has not ended."""
@@ -411,7 +318,7 @@
 
     def _answer(self, s: Session, line: bytes, reason: str, status: Status = Status.FAULTED) -> None:
         """The final answer to a client whose session does not come to stand."""
-        self.figures.answered(s.head.listener, status)
+        self.figures.answered(s.request.listener, status)
         self._end(s, reason)
         self._hang_up(s, reset=False)
         s.client.close(line)
@@ -433,7 +340,7 @@
         host = self.hosts.uid[s.host] if s.host >= 0 else "-"
         logger.info(
             "end id={} reason={} class={} host={} dials={} ms={:.0f} up_ms={:.0f}",
-            s.head.id, reason, s.head.listener, host, s.dial + 1, now - s.since,
+            s.request.id, reason, s.request.listener, host, s.dial + 1, now - s.since,
             now - s.up_at if s.up_at else 0,
         )  # fmt: skip
 
@@ -456,15 +363,17 @@
 
     # ---- the roster and probes
 
-    def looked(self, news: Looked) -> None:
+    def probed(self, news: Looked) -> None:
         uid = self.hosts.uid[news.host]
-        told = news.told
-        logger.debug("look uid={} outcome={} load={} held={}", uid, news.outcome.name, told.load, told.held)
+        report = news.told
+        logger.debug(
+            "look uid={} outcome={} load={} held={}", uid, news.outcome.name, report.load, report.held
+        )
         alive = news.outcome in (Outcome.GOOD, Outcome.ERROR)
         if alive:
             self.hosts.spoke_at[news.host] = self.clock()
         # Danger: an answer that lay there all the while tells an old figure as a new one.
-        if self.away >= FIGURES_LAST:
+        if self.figures_void:
             return
         self.report(news)
         if not alive and self._suspect(news.host):
@@ -509,7 +418,7 @@
     def _mind_silence(self, now: float) -> None:
         # Danger: what a silent discovery has to tell counts as told all the same; a host that drains
         # then shows it only by sending its clients away.
-        if now - self.told_at > SILENT_LIST and (entries := self.hosts.hold(now - AWAY_LIFE)):
+        if now - self.told_at > SILENT_LIST and (entries := self.hosts.hold(now - MOVED_LIFE)):
             uids = ",".join(self.hosts.uid[e.host] for e in entries)
             logger.info("roster reason=held-to-drain uids={}", uids)
             self.report(Listed(False, entries))
@@ -532,7 +441,7 @@
         now = self.clock()
         self.turn_at = now
         # Danger: after the node itself stood still, what it has not read yet looks like silence.
-        if not self.reading:
+        if not self.catching_up:
             self._mind_silence(now)
             # Danger: a machine that vanished says nothing and its connections stay open.
             for s in self.sessions.silent(now - SILENCE):
@@ -542,15 +451,15 @@
             # seconds; one line and one probe without an answer tell it for all connections of the host.
             if self.limits.probes:
                 for host in {s.host: None for s in self.sessions.silent(now - SUSPECT) if self._unheard(s)}:
-                    self.probes.look(host, self.hosts.address[host])
+                    self.probes.probe(host, self.hosts.address[host])
         # Danger: a client's machine that vanished says nothing either, and keeps two descriptors.
-        if not self.reading and now - self.searched_at > self.limits.idle / 10:
+        if not self.catching_up and now - self.searched_at > self.limits.idle / 10:
             self.searched_at = now
             for s in self.sessions.standing():
                 if now - s.heard_at > self.limits.idle:
                     self.move(s, "client-silent")
         # Danger: clients that connect and say nothing would take every descriptor.
-        if not self.reading:
+        if not self.catching_up:
             self.close_idle(now - (IDLE if self.budget.may_serve() else IDLE_SHORT))
 
     def close_idle(self, before: float) -> None:
--- a/caperdeck/lab/virtual.py
+++ b/caperdeck/lab/virtual.py
@@ -84,11 +84,11 @@
         for i, name in enumerate(s.node_names()):
             agent = self.discovery.add(name, ends, Place(world, f"d{i}"))
             agent.listen(self._ip(3, i), 8500)
-        doors = {n: (self._ip(2, i), 9000) for i, n in enumerate(s.node_names())}
+        addresses = {n: (self._ip(2, i), 9000) for i, n in enumerate(s.node_names())}
         self.peers = [f"{self._ip(4, i)}:7946" for i in range(s.nodes)]
         for i in range(s.nodes):
             world.everyone[self._ip(5, i), 7946] = [(self._ip(4, j), 7946) for j in range(s.nodes)]
-        self.clients = Clients(Place(world, "clients"), s, self.seed + 77, doors, self.now, emit)
+        self.clients = Clients(Place(world, "clients"), s, self.seed + 77, addresses, self.now, emit)
 
     def _ip(self, net: int, i: int) -> str:
         return f"127.{net}.{i // 250}.{i % 250 + 1}"
@@ -120,13 +120,13 @@
         self.history.emit("life", who=node, state="up", life=life)
         self.later(READY, self.ready, node, life)
 
-    # ---- hands
+    # ---- what a fault asks for
 
     def later(self, wait: float, do: Callable[..., None], *args: Any) -> Any:
         return self.world.clock.callLater(wait, do, *args)
 
     def alive(self, node: str) -> bool:
-        return node in self.places and not self.places[node].dead
+        return node in self.places and self.places[node].up
 
     def kill(self, node: str) -> None:
         if self.alive(node):
@@ -140,14 +140,14 @@
             self.later(LEAVES, self.front, "leaves", node)
 
     def stop(self, node: str) -> None:
-        if self.alive(node) and not self.places[node].asleep:
-            self.places[node].sleep()
+        if self.alive(node) and not self.places[node].suspended:
+            self.places[node].suspend()
             self.history.emit("life", who=node, state="asleep")
 
     def wake(self, node: str) -> None:
-        if self.alive(node) and self.places[node].asleep:
+        if self.alive(node) and self.places[node].suspended:
             self.history.emit("life", who=node, state="awake")
-            self.places[node].wake()
+            self.places[node].resume()
 
     def front(self, what: str, node: str) -> None:
         self.clients.node(what, node)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -16,8 +16,9 @@
 from caperdeck.state.backoff import REFUSED, BackOff
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.discovery import ANSWER, MOST_HOSTS, SILENT, Discovery, _WatchBody
-from caperdeck.wire.heads import HeadError, parse_head, parse_report
 from caperdeck.wire.probe import Probes
+from caperdeck.wire.report import parse_report
+from caperdeck.wire.request import RequestError, parse_request
 
 
 @pytest.fixture
@@ -40,11 +41,11 @@
 
 
 def test_a_head_goes_on_unchanged_but_for_the_wait():
-    head = parse_head(OPEN)
-    assert (head.id, head.listener, head.tenant, head.wait, head.group) == (
+    request = parse_request(OPEN)
+    assert (request.id, request.listener, request.tenant, request.wait, request.group) == (
         "9b1f03aa5c7e2d41", "chat", "acme", 1200.0, "5c0f")  # fmt: skip
-    assert head.load == 0.01 and head.at is None
-    assert b"".join(head.pieces(170)) == OPEN.replace(b"d=1200", b"d=170") + b"\r\n"
+    assert request.load == 0.01 and request.at is None
+    assert b"".join(request.pieces(170)) == OPEN.replace(b"d=1200", b"d=170") + b"\r\n"
 
 
 @pytest.mark.parametrize("line", [
@@ -55,8 +56,8 @@
     b"\xff\xfe\x00 a b c", b"GET / HTTP/1.1",
 ])  # fmt: skip
 def test_a_broken_first_line_is_answered_and_named(line, log):
-    with pytest.raises(HeadError):
-        parse_head(line)
+    with pytest.raises(RequestError):
+        parse_request(line)
     client = connect(desk(), line)
     assert client.transport.lines() == [b"ERR"] and client.transport.ended == "end"
     assert reasons(log) == ["bad-line"]
@@ -391,7 +392,7 @@
 def probes():
     told = []
     pool = Probes(MemoryReactorClock(), True, 500.0, told.append)
-    pool.look(3, Address("127.0.0.1", 9003))
+    pool.probe(3, Address("127.0.0.1", 9003))
     return pool, told
 
 
@@ -409,7 +410,7 @@
     pool, told = probes
     conn = probe_up(pool)
     conn.dataReceived(answer + b"\r\n")
-    pool.look(3, Address("127.0.0.1", 9003))
+    pool.probe(3, Address("127.0.0.1", 9003))
     assert conn.transport.lines() == [b"STATS", b"STATS"]
     assert told == [Looked(3, outcome, Report(load, None, held))]
 
@@ -417,11 +418,11 @@
 def test_a_probe_that_fails_is_told_once_and_dialed_anew(probes):
     pool, told = probes
     pool.reactor.advance(0.6)
-    pool.look(3, Address("127.0.0.1", 9003))
+    pool.probe(3, Address("127.0.0.1", 9003))
     conn = probe_up(pool)
     pool.reactor.advance(0.6)
     lost(conn)
-    pool.look(3, Address("127.0.0.1", 9003))
+    pool.probe(3, Address("127.0.0.1", 9003))
     lost(probe_up(pool), False)
     assert [t.outcome for t in told] == [Outcome.UNREACHED, Outcome.LATE, Outcome.RESET] and not pool.open
 
@@ -630,7 +631,7 @@
     d.reactor.advance(waits)
     assert bool(d.reactor.tcpClients) is open_
     d.reactor.pump([0.01] * 10)
-    assert d.reactor.tcpClients and not d.away
+    assert d.reactor.tcpClients and not d.stall
 
 
 def test_a_time_out_that_ran_out_in_the_sleep_yields_to_the_answer_beside_it():
@@ -648,12 +649,12 @@
     d = desk()
     asleep(d, 0.45)
     connect(d, OPEN)
-    assert d.reactor.tcpClients and not d.away
+    assert d.reactor.tcpClients and not d.stall
 
 
 def test_a_look_that_ran_out_in_the_sleep_is_nobodys_fault():
     d = desk(mayProbe=True)
-    d.probes.look(0, d.hosts.address[0])
+    d.probes.probe(0, d.hosts.address[0])
     probe = accept(d)
     asleep(d, 2.0)
     probe.late()
@@ -672,7 +673,7 @@
 
 def test_an_answer_that_lay_there_tells_no_figure():
     d = desk(hosts=1, mayProbe=True)
-    d.probes.look(0, d.hosts.address[0])
+    d.probes.probe(0, d.hosts.address[0])
     probe = accept(d)
     asleep(d, 2.0)
     probe.dataReceived(b"PONG x0=0.9\r\n")
