Trial: without figures, marks close other hosts as far as the other nodes are likely to have met them

Where hosts tell no figures one full mark closes every host for 7 s: its mean stands for all, and the room that is read off the marks is none. At 200 nodes that holds back a wave, at three it refuses while there is room. Cause: a mark of this node is taken for a full fleet whatever the number of nodes. What tells the two apart: of N nodes that each met m of H hosts full at random, the others have met 1 - (1 - m/H)^(N-1) of all hosts. For one mark at 190 nodes and 57 hosts that is 0.96, for two of eight at three nodes 0.44. Change: an unmarked host counts as full to that part, else by its own count; one that has just taken a connection by its count alone, for 7 s over the number of nodes; own sends count by the part for one host, as the others' do not go where these went in a small fleet. Nothing is moved by counts while a mark is known, as before; what fills a host is learned as before.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -89,6 +89,7 @@
         self.scarce, self.short_at = 0.0, -math.inf  # of the hosts, without room; when one was last lacking
         self.mean_hint, self.asked, self.each = 0.0, 0, 0.0  # of all that asked, so many; of those that stand
         self.mean_figure, self.unit = None, 0.0  # load that fills a host of size 1, 0 while unknown
+        self.held_full = 0.0  # without figures: the part of the hosts not marked here that others found full
         self.watch_wait, self.watch_at = 250.0, math.inf
         self.retune(now, settings)
 
@@ -100,6 +101,7 @@
         self.set, self.fleet = settings, settings.nodes  # so many like this one send, unless told otherwise
         self.most_utility = max(c.utility for c in settings.listeners) or 1.0
         self.shortest = min(c.message_target for c in settings.listeners)
+        self.told = settings.may_probe and settings.figures  # hosts tell figures when probed
         self._recount(self.now)
         return []
 
@@ -316,13 +318,27 @@
     def _load(self, now: float, h: int) -> float:
         """A host's load over its capacity, as last probed or else the mean, with what was sent since."""
         if (figure := self._figure(now, h)) is None:  # unused or newly started
-            figure = self._count_load(h) if self.mean_figure is None else self.mean_figure
+            figure = self._unreported(now, h)
         if now - self.prior_at[h] < PRIOR_LIFE and self.prior_at[h] - self.figure_at[h] > FRESH:
             figure = self.prior[h]  # says whether the host is worth a look of the own, which decides
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
         # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
-        return figure + self.alike * self.extra[h] / self._fills(h) if self.unit else figure
+        alike = self.alike if self.told else self.alike * self._met_by_others(1)
+        return figure + alike * self.extra[h] / self._fills(h) if self.unit else figure
+
+    def _unreported(self, now: float, h: int) -> float:
+        """The load of a host without a figure: the mean of those told, or else by what this node met."""
+        if self.told:
+            return self._count_load(h) if self.mean_figure is None else self.mean_figure
+        # Danger: what one connection found free is soon used up by all nodes together.
+        fresh = now - self.taken_at[h] < FIGURE_LIFE / self.fleet
+        count = self._count_load(h)
+        return count if fresh else count + self.held_full * (FULL_LOAD - count)
+
+    def _met_by_others(self, hosts: int) -> float:
+        """The part of all hosts that the other nodes meet, if each of them meets so many at random."""
+        return 1 - (1 - min(hosts / len(self.running), 1.0)) ** (self.fleet - 1) if self.running else 0.0
 
     def _fills(self, h: int) -> float:
         """The load that fills a host once it is warm: by what it bore itself, if not far from the mean."""
@@ -357,7 +373,7 @@
         if not known:
             self.part = self.rights.saved[ROOM_BUDGET] = math.inf
             # Danger: hosts that looked full long ago would go on closing those that were sent to since.
-            self.scarce, self.alike = 0.0, math.sqrt(self.fleet)
+            self.scarce, self.alike, self.held_full = 0.0, math.sqrt(self.fleet), 0.0
             return
         own = [self._forecast(now, s) for h in self.mine for s in self.standing[h].values()]
         # Danger: a node that has just started holds next to nothing of what fills the hosts, and all of it
@@ -378,11 +394,18 @@
         # Danger: what cold hosts lack is room on paper; taken for that, it is sent to the warm ones.
         most = {h: self._cold_rate(now, h) * REPORT_LAG for h in self.cold}
         rooms = [max(min(ROOM - f - self._pile(now, h), most.get(h, ROOM)), 0.0) for f, h in known]
-        if self.unit:
+        self.scarce = sum(r == 0 for r in rooms) / len(rooms)
+        if not self.told:
+            # Danger: a mark tells of its own host. That the others look full too is read off the marks that
+            # all nodes together have if they are like this one: in a wave most hosts, of three nodes few.
+            full = len(known) / len(self.running)
+            self.held_full = self._met_by_others(len(known))
+            self.scarce = full + (1 - full) * self.held_full
+            self.part, self.rights.saved[ROOM_BUDGET] = 0.0, math.inf  # nothing is moved by counts meanwhile
+        elif self.unit:
             share = min(UNEVEN / self.set.nodes, 1.0) / len(rooms)
             self.part = self.unit * self.whole_size * share * sum(rooms)
             self.rights.mint(now, ROOM_BUDGET, self.part / REPORT_LAG, self.part)
-        self.scarce = sum(r == 0 for r in rooms) / len(rooms)
         # Danger: the fewer hosts have room, the more nodes draw the same one and fill it many times over.
         self.alike = self.fleet ** (0.5 + 0.5 * self.scarce)
 
@@ -506,6 +529,7 @@
         h = s.dials[-1].host
         self.dialing[h] -= 1
         self.ill[h] /= 2
+        self.taken_at[h] = now
         return []
 
     def outcome(self, now: float, sid: int, dial: int, result: Outcome, last: bool) -> list[Action]:
--- a/caperdeck/core/host_table.py
+++ b/caperdeck/core/host_table.py
@@ -51,6 +51,7 @@
         self.lookers: list[list[int]] = []  # sessions that wait for a figure
         self.probe_out: list[float] = []  # a look's start, 0 if none is out
         self.unseen: list[float] = []  # no look until then, as one failed
+        self.taken_at: list[float] = []  # when it last took a connection of the own
         self.pile: list[float] = []  # work piled up, as last noted
         self.pile_at: list[float] = []  # and when
         self.acted_at: list[float] = []  # when a report was last acted upon
@@ -80,6 +81,7 @@
             (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
             (self.lookers, []), (self.crowd, None), (self.unseen, 0.0), (self.able, 0.0),
             (self.prior, 0.0), (self.prior_at, -math.inf), (self.in_turn, False),
+            (self.taken_at, -math.inf),
         )  # fmt: skip
         for array, blank in blanks:
             array.append(blank)
@@ -116,7 +118,7 @@
         # Danger: a restarted process looks like the old one; what was known of that one is void.
         self.figure[h], self.ill[h], self.shunned[h] = None, 0.0, 0.0
         self.seen_at[h], self.probe_out[h], self.unseen[h] = -math.inf, 0.0, 0.0
-        self.prior_at[h] = -math.inf
+        self.prior_at[h] = self.taken_at[h] = -math.inf
         self.rights.void(now, h + 1)
         self.in_turn[h] = False
 
