--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -295,6 +295,47 @@
     assert {act.host for i in range(30) for act in dials(n.ask(START, ask(i)))} == {2, 3, 4, 5, 6, 7}
 
 
+def marked(n, hosts, at=START):
+    """A connection of the own at each of the hosts has come too late."""
+    for h in hosts:
+        n.taken_over(at, ask(900 + h, 10.0), h)
+        n.outcome(at, 900 + h, 0, Outcome.LATE, True)
+    n._survey(at)
+
+
+@pytest.mark.parametrize("nodes, hosts, full, closed", [
+    (1, 8, 7, False), (3, 8, 2, False), (3, 8, 3, False), (3, 8, 6, True),
+    (60, 18, 1, True), (190, 57, 1, True), (190, 400, 1, False)])  # fmt: skip
+def test_full_hosts_close_the_others_as_far_as_the_other_nodes_have_met_them(nodes, hosts, full, closed):
+    # Danger: in a wave each of many nodes has met but a few hosts, and all of them together have met most.
+    n = node(hosts, nodes=nodes, may_probe=False, figures=False)
+    standing(n, hosts - 1, [10.0])
+    marked(n, range(full))
+    assert all(not dials(n.ask(START, ask(i, left=50.0))) for i in range(20)) == closed
+    n.bell(START + 7000.0, -1)
+    assert dials(n.ask(START + 7000.0, ask(50)))
+
+
+@pytest.mark.parametrize("nodes, ends", [(3, 2333.0), (190, 36.0)])
+def test_a_host_that_took_a_connection_stays_open_until_all_nodes_have_used_what_room_it_showed(nodes, ends):
+    n = node(8, nodes=nodes, may_probe=False, figures=False)
+    marked(n, range(7))
+    n.taken_at[7] = START
+    assert [act.host for act in dials(n.ask(START + ends, ask(1)))] == [7]
+    n.stands(START + ends, 1)
+    assert n.taken_at[7] == START + ends
+    assert not dials(n.ask(START + 2 * ends + 2.0, ask(2, left=50.0)))
+
+
+@pytest.mark.parametrize("nodes, part", [(1, 0.0), (3, 0.234), (190, 1.0)])
+def test_own_sends_count_for_others_as_far_as_others_send_there(nodes, part):
+    # Danger: at three nodes all were held to send where this one did, and a restarted node closed every host.
+    n = node(8, nodes=nodes, may_probe=False, figures=False)
+    n.unit, before = 100.0, n._load(START, 0)
+    n._add(START, 0, 10.0)
+    assert n._load(START, 0) - before == pytest.approx(part * nodes**0.5 * 0.1, rel=0.01)
+
+
 def test_what_was_sent_to_a_host_counts_no_longer_than_a_figure_where_no_report_comes():
     # Danger: it added up, for as long as the node lived, until the host was closed to it for good.
     n = node(2, may_probe=False, figures=False)
