--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -101,7 +101,7 @@
         self.set, self.fleet = settings, settings.nodes  # so many like this one send, unless told otherwise
         self.most_utility = max(c.utility for c in settings.listeners) or 1.0
         self.shortest = min(c.message_target for c in settings.listeners)
-        self.told = settings.may_probe and settings.figures  # hosts tell figures when probed
+        self.has_figures = settings.may_probe and settings.figures  # hosts tell figures when probed
         self._recount(self.now)
         return []
 
@@ -324,12 +324,12 @@
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
         # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
-        alike = self.alike if self.told else self.alike * self._met_by_others(1)
+        alike = self.alike if self.has_figures else self.alike * self._met_by_others(1)
         return figure + alike * self.extra[h] / self._fills(h) if self.unit else figure
 
     def _unreported(self, now: float, h: int) -> float:
         """The load of a host without a figure: the mean of those told, or else by what this node met."""
-        if self.told:
+        if self.has_figures:
             return self._count_load(h) if self.mean_figure is None else self.mean_figure
         # Danger: what one connection found free is soon used up by all nodes together.
         fresh = now - self.taken_at[h] < FIGURE_LIFE / self.fleet
@@ -395,7 +395,7 @@
         most = {h: self._cold_rate(now, h) * REPORT_LAG for h in self.cold}
         rooms = [max(min(ROOM - f - self._pile(now, h), most.get(h, ROOM)), 0.0) for f, h in known]
         self.scarce = sum(r == 0 for r in rooms) / len(rooms)
-        if not self.told:
+        if not self.has_figures:
             # Danger: a mark tells of its own host. That the others look full too is read off the marks that
             # all nodes together have if they are like this one: in a wave most hosts, of three nodes few.
             full = len(known) / len(self.running)
