--- a/caperdeck/leases/census.py
+++ b/caperdeck/leases/census.py
@@ -10,8 +10,7 @@
 
 from typing import Any
 
-import orjson
-
+from .census_state import CensusState, decode, encode
 from .rounds import Rounds
 from .runner import Act, Keep
 from .target import CENSUS, FLOOR
@@ -32,15 +31,15 @@
         self.begin(0.0, None)
 
     def begin(self, now: float, state: str | None) -> None:
-        told = orjson.loads(state) if state else {}
-        self.epoch: int = told.get("epoch", 0)
+        """Raises StateError."""
+        told = decode(state, self.nodes)
+        self.epoch: int = told.epoch
         floor = FLOOR / len(self.nodes)
         # shares of this epoch, by node; one that the file does not name any more has been declared gone
-        self.want = {n: x for n, x in told.get("want", {}).items() if n in self.nodes}
-        self.living: int = told.get("living", 0)
+        self.want = dict(told.want)
+        self.living: int = told.living
         # Danger: a node that the file names anew was at its floor all along, whoever owned the work.
-        held = told.get("held", {})
-        self.held = {n: max(held.get(n, floor), floor) for n in self.nodes}
+        self.held = {n: max(told.held.get(n, floor), floor) for n in self.nodes}
         self.lives: dict[str, int] = {}
         self.rounds = Rounds(self.nodes, EVERY, self.seed, now)
         self.rates: dict[str, tuple[int, int, float, float]] = {}  # life, tries, when, a second
@@ -52,8 +51,7 @@
         return self.rounds.due
 
     def dump(self) -> str:
-        kept = {"epoch": self.epoch, "want": self.want, "living": self.living, "held": self.held}
-        return orjson.dumps(kept).decode()
+        return encode(CensusState(self.epoch, self.living, self.want, self.held))
 
     # ---- the runner's calls
 
--- a/caperdeck/leases/runner.py
+++ b/caperdeck/leases/runner.py
@@ -12,10 +12,12 @@
 
 from caperdeck.core.chance import chance
 
+from .census_state import StateError
 from .holding import RETRY, Holder
 
 LEASE, STATE = 0, 1  # a runner's two client sessions: one command of each is under way at a time
 ASK_AGAIN = (0.1, 0.3)  # of a span, while somebody else holds the work
+UNREADABLE = 4.0  # spans in which one that cannot read the last owner's state leaves the work to others
 
 
 class Keep(NamedTuple):
@@ -163,8 +165,21 @@
             self._stop(self.holder.lost or "granted-anew")
             if self.holder.may_act(now):
                 self.token = self.holder.token
-                self.out.append(Note("held", self.token))
-                self.work.begin(now, self.holder.state)
+                self._begin(now)
+
+    def _begin(self, now: float) -> None:
+        try:
+            self.work.begin(now, self.holder.state)
+        except StateError as error:
+            # Danger: work begun without what the last owner kept would deal out anew what is held already.
+            self._count_refused(f"state-{error}")
+            self._lose(f"state-{error}")
+            self.ask_at = now + UNREADABLE * self.holder.span
+        else:
+            self.out.append(Note("held", self.token))
+
+    def _count_refused(self, reason: str) -> None:
+        self.refused[reason] = self.refused.get(reason, 0) + 1
 
     def _pause(self, now: float) -> None:
         low, high = ASK_AGAIN
@@ -207,7 +222,7 @@
             return
         if isinstance(reply, dict) and "no" in reply:
             reason = str(reply["no"])
-            self.refused[reason] = self.refused.get(reason, 0) + 1
+            self._count_refused(reason)
             self.out.append(Note("refused", self.token, act.target, reason))
             if reason == "older-token":
                 self._lose(reason)
--- a/caperdeck/owner/config.py
+++ b/caperdeck/owner/config.py
@@ -5,6 +5,7 @@
 import math
 from typing import Any, NamedTuple
 
+from caperdeck.leases.census_state import MOST_NODES, alike
 from caperdeck.leases.table import MOST_SPAN
 from caperdeck.leases.target import CENSUS, HOSTS
 from caperdeck.lifecycle.toml import TomlError, check_keys, loopback_address, name_of, read_toml
@@ -13,7 +14,7 @@
 
 SPAN = 1500.0  # milliseconds of a lease
 LEAST_SPAN = 2 * ELECTION  # a shorter one ends before a new leader can be found to renew it
-MOST_INSTANCES, MOST_NODES, HIGHEST_NUMBER = 9, 1000, 999
+MOST_INSTANCES, HIGHEST_NUMBER = 9, 999
 WORKS = (HOSTS, CENSUS)
 LONGEST = 64  # characters of a name
 
@@ -124,6 +125,8 @@
     for name in found:
         if not 0 < len(name) <= LONGEST:
             raise _Faulty(f"nodes: {name!r:.50} is no name")
+    if pair := alike(found):
+        raise _Faulty(f"nodes: {pair[0]!r:.50} and {pair[1]!r:.50} have one digest; rename either")
     return found
 
 
--- a/tests/test_lab_capacity.py
+++ b/tests/test_lab_capacity.py
@@ -222,8 +222,12 @@
     entries = 4 + 2270 / 86_400 * 10
     leader = find(made, "the leader's part of a core for them")
     assert leader.amount.value == pytest.approx(entries * 1e-6 * 3)
-    # the census's own text: 65,536 characters are not enough for so many nodes
-    assert find(made, "characters of the census, as agreed on").amount.value > 50 * members
+    # the census's own text: 13 bytes a node in base85, and what an instance takes follows from their room
+    census = find(made, "characters of the census, as agreed on")
+    assert census.amount.value == pytest.approx(13 * 5 / 4 * members, abs=128) and census.times < 1
+    assert find(made, "node processes that one instance may own work at").times == pytest.approx(
+        census.times, rel=0.01
+    )
 
 
 def test_a_lost_zone_brings_its_connections_to_the_rest():
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -180,6 +180,10 @@
     assert not agreement.agreed
 
 
+def test_an_instance_takes_all_nodes_of_the_target():
+    assert load(str(TARGET)).target_nodes <= MOST_NODES
+
+
 def test_an_instance_is_told_as_many_nodes_as_its_configuration_takes():
     addresses = {f"n{i}": f"127.0.0.1:{i}" for i in range(MOST_NODES + 1)}
     assert len(told_nodes(addresses)) == MOST_NODES
--- a/tests/test_owned.py
+++ b/tests/test_owned.py
@@ -2,12 +2,15 @@
 
 import orjson
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from caperdeck.lab.census_model import walk
 from caperdeck.lab.exploration import BrokenError
 from caperdeck.leases.census import Census
+from caperdeck.leases.census_state import MOST_NODES, CensusState, StateError, _encode_rows, decode, encode
 from caperdeck.leases.runner import LEASE, STATE, Act, Keep, Note, Propose, Runner
-from caperdeck.leases.table import Table
+from caperdeck.leases.table import LARGEST_STATE, Table
 from caperdeck.leases.target import CENSUS, FLOOR, HOSTS, PART, Target
 from caperdeck.leases.turning import FRESH, HELD, MINUTE, OUT, OUTS_A_MINUTE, Turning
 
@@ -386,6 +389,55 @@
     assert fewer.held == {"a": 0.55, "b": FLOOR / 3, "c": FLOOR / 3} and fewer.want == {"a": 0.55}
 
 
+shares = st.floats(0, 1)
+states = st.dictionaries(st.text(min_size=1, max_size=64), st.tuples(shares, shares), max_size=9)
+
+
+@given(states, st.integers(0, 1 << 40))
+def test_rows_read_back_no_share_held_as_less_and_none_wanted_as_more(nodes, epoch):
+    want, held = ({n: pair[i] for n, pair in nodes.items()} for i in (0, 1))
+    told = decode(_encode_rows(CensusState(epoch, 7, want, held)), nodes)
+    assert (told.epoch, told.living, set(told.held)) == (epoch, 7, set(nodes))
+    assert all(-1e-15 <= told.held[n] - held[n] < 1e-9 for n in nodes)
+    assert all(-1e-15 <= want[n] - told.want.get(n, 0.0) < 1e-9 for n in nodes)
+    assert decode(encode(CensusState(epoch, 7, want, held)), nodes) == (epoch, 7, want, held)  # by name
+
+
+def test_the_census_of_the_most_nodes_fits_with_the_longest_names():
+    names = [f"{i:064}" for i in range(MOST_NODES)]
+    whole = CensusState(1 << 53, MOST_NODES, {}, dict.fromkeys(names, 1.0))
+    assert MOST_NODES >= 3650 and len(_encode_rows(whole)) <= LARGEST_STATE
+    few = CensusState(3, 2, {"a": 0.5}, {"a": 0.5})
+    assert orjson.loads(encode(few)) == {"epoch": 3, "want": {"a": 0.5}, "living": 2, "held": {"a": 0.5}}
+    # an older program, for which what is not there is a fleet at its floors, must not read the other form
+    assert orjson.loads(_encode_rows(few))["want"] is None
+
+
+ROWS = orjson.loads(_encode_rows(CensusState(1, 1, {"a": 0.5}, {"a": 0.5})))
+
+
+@pytest.mark.parametrize("state, reason", [
+    (b"{", "no-json"), ([1], "no-object"), ({"epoch": 1}, "bad-living"),
+    ({"epoch": True, "living": 1}, "bad-epoch"), ({"epoch": 1, "living": 1}, "bad-want"),
+    ({"epoch": 1, "living": 1, "want": {}, "held": {"a": 2}}, "bad-held"),
+    (ROWS | {"rows": "\""}, "bad-rows"), (ROWS | {"rows": 5}, "bad-rows"),
+    (ROWS | {"rows": ROWS["rows"][:-3]}, "rows-cut-short"), (ROWS | {"rows": 13 * 10 * "0"}, "a-row-twice"),
+])  # fmt: skip
+def test_a_state_that_cannot_be_read_is_no_state_and_its_work_is_left_to_others(state, reason):
+    text = (state if isinstance(state, bytes) else orjson.dumps(state)).decode()
+    with pytest.raises(StateError, match=f"^{reason}$"):
+        decode(text, ["a"])
+    table, runner = Table(), Runner(Census(["a"], 1), "o0", SPAN, 1)
+    table.apply({"do": "acquire", "work": CENSUS, "holder": "o9", "span": SPAN})
+    table.apply({"do": "save", "work": CENSUS, "token": 1, "state": text})
+    table.apply({"do": "give", "work": CENSUS, "token": 1})
+    for out in runner.tick(0.0):
+        runner.answer(0.0, out.session, out.serial, table.apply(out.command))
+    assert runner.tick(1.0) == [Note("lost", 2, reason=f"state-{reason}")]
+    assert not runner.token and runner.refused == {f"state-{reason}": 1}
+    assert not runner.tick(3 * SPAN) and runner.tick(5 * SPAN)  # asks again, once others had the time to
+
+
 def test_a_wish_ends_with_its_lease():
     fleet, runner = held()
     runner.leave(None)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -26,6 +26,7 @@
 from caperdeck.lifecycle.owners import Owned
 from caperdeck.lifecycle.owners import load as load_for_node
 from caperdeck.owner.commands import ask
+from caperdeck.leases.census_state import MOST_NODES
 from caperdeck.owner.config import OwnerError, load_instance, load_owners
 from caperdeck.owner.instance import Instance
 from caperdeck.owner.nodes import line_of
@@ -62,6 +63,8 @@
     ({"instances": {"0": "localhost:1"}}, "instances.0"), ({"nodes": {"n0": "127.0.0.1"}}, "nodes.n0"),
     ({"nodes": {"n0": "127.0.0.1:1", "n1": "127.0.0.1:1"}}, "twice"),
     ({"nodes": {"": "127.0.0.1:1"}}, "nodes"),
+    ({"nodes": {f"n{i}": f"127.0.0.1:{i + 1}" for i in range(MOST_NODES + 1)}}, "over"),
+    ({"nodes": {"n17546": "127.0.0.1:1", "n2152930": "127.0.0.1:2"}}, "one digest"),
     ({"first": [0, 0, 1]}, "first"), ({"first": [5]}, "first"), ({"first": []}, "first"),
     ({"works": ["bake"]}, "works"), ({"works": ["hosts", "hosts"]}, "works"),
     ({"span": 0}, "span"), ({"span": float("nan")}, "span"), ({"span": float("inf")}, "span"),
