Owners: a bounded number of looks at all nodes a round, not one after each answer

Cause: each turn went over all nodes several times (whose moment has come, what all said, what all hold), and each answer is a turn; one of the passes searched a list for each node.

--- a/caperdeck/leases/census.py
+++ b/caperdeck/leases/census.py
@@ -56,8 +56,10 @@
     # ---- the runner's calls
 
     def turn(self, now: float) -> Keep | list[Act]:
-        self._plan(now)
-        self._grow()
+        # Danger: a look at all nodes after each answer costs the square of their number.
+        if self.rounds.worth_a_look(now):
+            self._plan(now)
+            self._grow()
         if self.dirty:
             return Keep(self.dump())
         acts = []
@@ -105,9 +107,11 @@
 
     def _plan(self, now: float) -> None:
         """A new epoch where other nodes live, or traffic has moved."""
+        if now - self.changed_at < LEAST:
+            return
         heard = self.rounds.heard(now, LIVES)
         settled = all(heard[n]["epoch"] == self.epoch for n in heard if n in self.want)
-        if not heard or now - self.changed_at < LEAST or not (settled or now - self.changed_at > 3 * LIVES):
+        if not heard or not (settled or now - self.changed_at > 3 * LIVES):
             return
         living = [n for n in self.nodes if n in heard]
         share = self._shares(living)
@@ -123,7 +127,8 @@
     def _shares(self, living: list[str]) -> dict[str, float]:
         floor = FLOOR / len(self.nodes)
         # what a silent node may hold over its floor is nobody else's
-        silent = sum(max(self.held[n] - floor, 0.0) for n in self.nodes if n not in living)
+        lives = set(living)
+        silent = sum(max(self.held[n] - floor, 0.0) for n in self.nodes if n not in lives)
         rest = max(1.0 - FLOOR - silent, 0.0)
         mean = sum(self.rates.get(n, (0, 0, 0, 0.0))[3] for n in living) / len(living)
         weight = {n: 0.5 * mean + 0.5 * self.rates.get(n, (0, 0, 0, 0.0))[3] if mean else 1.0 for n in living}
--- a/caperdeck/leases/turning.py
+++ b/caperdeck/leases/turning.py
@@ -50,6 +50,7 @@
         self.spans: dict[str, float] = told.get("spans", {})  # of the next time out
         self.backs: dict[str, float] = dict.fromkeys(self.spans, now)
         self.recent: list[float] = [now] * told.get("recent", 0)
+        self.ask: list[str] = []  # hosts that nodes are asked about
         self.rounds = Rounds(self.nodes, EVERY, self.seed, now)
         self.dirty = False
 
@@ -64,14 +65,16 @@
         }).decode()  # fmt: skip
 
     def turn(self, now: float) -> Keep | list[Act]:
-        self._decide(now)
+        # Danger: a look at all nodes after each answer costs the square of their number.
+        if self.rounds.worth_a_look(now) or min(self.out.values(), default=math.inf) <= now:
+            self._decide(now)
+            heard = self.rounds.heard(now, FRESH).values()
+            self.ask = short(sorted({uid for reply in heard for uid in reply["ill"]}))
         if self.dirty:
             return Keep(self.dump(now))
         acts = []
-        suspected = sorted({uid for reply in self.rounds.heard(now, FRESH).values() for uid in reply["ill"]})
-        ask = short(suspected)
         for node in self.rounds.next(now):
-            body = {"number": self.number, "out": list(self.out), "ms": HELD, "ask": ask}
+            body = {"number": self.number, "out": list(self.out), "ms": HELD, "ask": self.ask}
             self.rounds.sent(now, node, body)
             acts.append(Act(node, body))
         return acts
--- a/tests/test_owned.py
+++ b/tests/test_owned.py
@@ -10,6 +10,7 @@
 from caperdeck.leases.census import Census
 from caperdeck.leases.census_state import MOST_NODES, CensusState, StateError, _encode_rows, decode, encode
 from caperdeck.leases.runner import LEASE, STATE, Act, Keep, Note, Propose, Runner
+from caperdeck.leases.rounds import LOOKS, Rounds
 from caperdeck.leases.table import LARGEST_STATE, Table
 from caperdeck.leases.target import CENSUS, FLOOR, HOSTS, PART, Target
 from caperdeck.leases.turning import FRESH, HELD, MINUTE, OUT, OUTS_A_MINUTE, Turning
@@ -438,6 +439,36 @@
     assert not runner.tick(3 * SPAN) and runner.tick(5 * SPAN)  # asks again, once others had the time to
 
 
+def test_many_nodes_are_dealt_the_whole_with_a_bounded_number_of_looks_at_all(monkeypatch):
+    size, seconds, looks = 1200, 8, 0
+    names = [f"n{i}" for i in range(size)]
+    census, heard = Census(names, 1), Rounds.heard
+
+    def counted(rounds, now, within):
+        nonlocal looks
+        looks += 1
+        return heard(rounds, now, within)
+
+    monkeypatch.setattr(Rounds, "heard", counted)
+    nodes = {n: Target(i + 1, size, list, list, lambda uid: False, lambda: 0) for i, n in enumerate(names)}
+    for node in nodes.values():
+        node.fence.learned(CENSUS, 1)
+    acts = kept = 0
+    for now in range(0, seconds * 1000, 2):
+        got = census.turn(float(now))
+        if isinstance(got, Keep):
+            assert len(got.state) <= LARGEST_STATE
+            kept += 1
+            census.kept(float(now))
+            continue
+        acts += len(got)
+        for act in got:
+            census.answered(float(now), act.target, nodes[act.target].act(now, CENSUS, 1, act.body))
+    assert sum(n.share for n in nodes.values()) == pytest.approx(1.0, abs=1e-6)
+    assert {n.living for n in nodes.values()} == {size} and acts > size * (seconds - 2)
+    assert looks + kept < (LOOKS + 10) * seconds * 1.3
+
+
 def test_a_wish_ends_with_its_lease():
     fleet, runner = held()
     runner.leave(None)
