Owners: one connection to each node, kept from act to act

Cause of control's processor time with owners: a connection for each act, 2.6 a second to each node.

Change: a node answers an act and keeps the connection until it was idle for 5 s; other verbs end it as before. An owner sends the acts of all its works over it, each with its token, and takes answers in their order; after one that did not come in time it opens another. A node of an older program answers once and ends it, an older owner ends it itself: both go on as before. No act is read while answers are not.

The rig's hold of a link withholds acts on connections that stand too, and an owner that is stopped before its act opens another connection when it wakes, so that the late act still reaches the node and has to be refused there.

--- a/caperdeck/lab/launch.py
+++ b/caperdeck/lab/launch.py
@@ -62,24 +62,25 @@
 
 def stop_at_act() -> None:
     """Minds these signals; SIGRTMIN takes back what was asked."""
-    import caperdeck.owner.instance as instance
     from caperdeck.owner.config import WORKS
+    from caperdeck.owner.nodes import NodeLinks
 
-    errand, wanted = instance.Errand, []
+    act, wanted = NodeLinks.act, []
 
-    def send(reactor: Any, address: Any, line: bytes, then: Any) -> Any:
+    def send(links: NodeLinks, node: str, line: bytes, then: Any) -> None:
         asked = [after for work, after in wanted if line.startswith(f"act {work}".encode())]
         if asked:
             wanted.clear()
         if asked == [False]:
             sleep()
-        sent = errand(reactor, address, line, then)
+            # the node has ended a connection that was idle for so long; the act has to reach it all the same
+            links.close(node)
+        act(links, node, line, then)
         if asked == [True]:
             # the line goes out once the connection has come up
-            reactor.callLater(0.01, sleep)
-        return sent
+            links.reactor.callLater(0.01, sleep)
 
-    instance.Errand = send
+    NodeLinks.act = send
     for work in ("", *WORKS):
         for after in (False, True):
             number = stop_signal(work, after)
--- a/caperdeck/lab/relay.py
+++ b/caperdeck/lab/relay.py
@@ -85,11 +85,18 @@
             else:
                 self.way.held.append(self)
         else:
-            early, self.early = self.early, []
-            for item in early:
-                side.put(item)
+            self.let_through()
+
+    def let_through(self) -> None:
+        early, self.early = self.early, []
+        for item in early:
+            self.far.put(item)
 
     def knock(self) -> None:
+        """Goes on to the far end, or lets through what was held back on a connection that stands."""
+        if self.far.transport is not None:
+            self.let_through()
+            return
         self.way.relay.reactor.connectTCP(*self.way.target, self, 2.0)
 
     def buildProtocol(self, addr: Any) -> Side:
@@ -113,8 +120,10 @@
         (self.forth if side.near else self.back).put(item)
 
     def deliver_far(self, item: Any) -> None:
-        if self.far.transport is None and not self.far.over:
+        if (self.far.transport is None or self.way.held is not None) and not self.far.over:
             self.early.append(item)
+            if self.far.transport is not None and self not in self.way.held:
+                self.way.held.append(self)
             if self.way.held is not None and isinstance(item, bytes):
                 self._say_withheld(item)
         else:
--- a/caperdeck/lab/slopes/targets.py
+++ b/caperdeck/lab/slopes/targets.py
@@ -92,7 +92,7 @@
 
     def _front(self, number: int) -> CountedFront:
         calls = Calls()
-        calls.add("act", 3, lambda *rest: self.nodes[number].act(*rest), LONGEST_ACT)
+        calls.add("act", 3, lambda *rest: self.nodes[number].act(*rest), LONGEST_ACT, keeps=True)
         return CountedFront(calls)
 
     def begin(self, count: str, instance: str, then: Then) -> None:
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -99,7 +99,7 @@
             self.owned = Owned(
                 reactor, self.desk, owners, config.name, config.settings.nodes, self.bans_of,
             )  # fmt: skip
-            self.calls.add("act", 3, self.owned.act, self.owned.longest)
+            self.calls.add("act", 3, self.owned.act, self.owned.longest, keeps=True)
         self.bans = Bans(config.scratch)
         self.accepts = True
         self.short_at = 0.0  # when the log last said that sockets are short
--- a/caperdeck/ops/calls.py
+++ b/caperdeck/ops/calls.py
@@ -39,12 +39,16 @@
 
     def __init__(self) -> None:
         self.table: dict[bytes, tuple[int, Callable[..., None], int]] = {}
+        self.kept: set[bytes] = set()  # verbs after whose answer the connection stays open for the next call
 
     def add(
         self, verb: str, arguments: int, handler: Callable[..., None], longest: int = LONGEST_ARGUMENT,
+        keeps: bool = False,
     ) -> None:  # fmt: skip
         """The handler takes the arguments as text, and what is to be called with the answer."""
         self.table[verb.encode()] = (arguments, handler, longest)
+        if keeps:
+            self.kept.add(verb.encode())
 
     def call(self, line: bytes, then: Then) -> None:
         carry_out(self._call, line, then)
--- a/caperdeck/ops/front.py
+++ b/caperdeck/ops/front.py
@@ -1,4 +1,8 @@
-"""The second address on sockets: one call a connection, answered in lines and closed."""
+"""The second address on sockets: one call a connection, answered in lines and closed.
+
+After a call with a verb that `Calls` keeps, the connection stays open for the next one; idle for PATIENCE
+it is ended.
+"""
 
 from __future__ import annotations
 
@@ -32,6 +36,7 @@
         self.front = front
         self.called = False  # a whole call has come; nothing more is read
         self.answered = self.ended = False  # the answer is written; the caller has ended its side
+        self.kept = False  # it was kept open after a call
         self.timer: Any = None
 
     def connectionMade(self) -> None:
@@ -56,13 +61,25 @@
             logger.warning("call verb={!r} reason=late ms={:.0f}", verb, took)
         if not self.connected or self.answered:
             return
-        self.answered = True
         self.transport.writeSequence([line.encode() + b"\r\n" for line in lines])
+        if not self.ended and verb.partition(b" ")[0] in self.front.calls.kept:
+            self.keep()
+            return
+        self.answered = True
         if self.ended:
             self.transport.loseConnection()
         else:
             self.end_sending(self.front.reactor)
 
+    def keep(self) -> None:
+        """Stays open for the next call."""
+        self.called = False
+        self.timer.reset(PATIENCE)
+        if not self.kept:
+            # Danger: answers to one that never reads would pile up here; no call is read until they are out.
+            self.kept = True
+            self.transport.registerProducer(self, True)
+
     def readConnectionLost(self) -> None:
         """The caller has ended its side, and may still read."""
         self.ended = True
--- a/caperdeck/owner/instance.py
+++ b/caperdeck/owner/instance.py
@@ -32,7 +32,7 @@
 
 from .agreed import Agreed, for_versions, is_for_leases
 from .config import OwnerConfig
-from .nodes import Errand, line_of
+from .nodes import NodeLinks, line_of
 
 WORKS = {HOSTS: Turning, CENSUS: Census}
 LEAST_WAIT = 2.0  # milliseconds between two turns with nothing coming in
@@ -71,6 +71,7 @@
         )  # fmt: skip
         self.warden: Warden | None = None
         self.expiring: dict[str, float] = {}
+        self.nodes = NodeLinks(reactor, config.nodes)
         names = list(config.nodes)
         self.runners = {
             w: Runner(WORKS[w](names, self.seed), f"o{config.me}", config.span, self.seed + i)
@@ -99,6 +100,7 @@
             self.closed = True
             self.driver.end()
             self.net.close()
+            self.nodes.close()
             self.distribution.close()
             cancel(self.timer)
             # a write under way ends first: half of it would be cut as torn, and nothing rests on it
@@ -182,7 +184,7 @@
         if not runner.holder.may_act(self.clock()) or runner.holder.token != act.token:
             return
         line = line_of(work, act.token, act.body)
-        Errand(self.reactor, self.config.nodes[act.target], line, lambda r: self._acted(work, act, r))
+        self.nodes.act(act.target, line, lambda reply: self._acted(work, act, reply))
 
     def _acted(self, work: str, act: Act, reply: Any) -> None:
         if not self.closed:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -13,8 +13,10 @@
 import orjson
 import pytest
 import tomli_w
-from helpers import CONFIG, desk, free_ports, service_over, write
+from helpers import CONFIG, Wire, desk, free_ports, service_over, write
+from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from caperdeck.lab.cli import verdict
 from caperdeck.lab.owned import CHECKS, again, took
@@ -29,8 +31,9 @@
 from caperdeck.leases.census_state import MOST_NODES
 from caperdeck.owner.config import OwnerError, load_instance, load_owners
 from caperdeck.owner.instance import Instance
-from caperdeck.owner.nodes import line_of
+from caperdeck.owner.nodes import ANSWER, NodeLinks, line_of
 from caperdeck.owner.nodes import read as read_answer
+from caperdeck.ops.front import PATIENCE, Front
 from caperdeck.raft.codec import encode, frame
 from caperdeck.raft.core import TakeOver
 from caperdeck.raft.storage import Storage, StorageError
@@ -162,6 +165,65 @@
     assert read_answer(line) == answer
 
 
+def link_up(reactor):
+    """The connection that was opened last, up."""
+    conn = reactor.tcpClients[-1][2].buildProtocol(None)
+    wire = Wire()
+    conn.makeConnection(wire)
+    return conn, wire
+
+
+def test_acts_at_a_node_go_over_one_connection_and_each_has_the_answer_in_its_turn():
+    reactor, said = MemoryReactorClock(), []
+    links = NodeLinks(reactor, {"n0": ("127.0.0.1", 1), "n1": ("127.0.0.1", 2)})
+    links.act("n0", b"act census 7 {}\n", said.append)
+    links.act("n0", b"act hosts 9 {}\n", said.append)
+    conn, wire = link_up(reactor)
+    conn.dataReceived(b'ACK {"life":1}\r\nNAK older')
+    conn.dataReceived(b"-token\r\n")
+    links.act("n0", b"act census 7 {}\n", said.append)
+    assert wire.value() == b"act census 7 {}\nact hosts 9 {}\nact census 7 {}\n"
+    assert said == [{"life": 1}, {"no": "older-token"}] and len(reactor.tcpClients) == 1
+    conn.connectionLost(Failure(ConnectionDone()))  # as by a node that was idle, or of an older program
+    assert said[2:] == [None]
+    links.act("n0", b"act census 7 {}\n", said.append)
+    assert len(reactor.tcpClients) == 2 and not reactor.tcpClients[-1][2].conn.over
+
+
+def test_after_an_answer_that_did_not_come_in_time_no_later_one_is_taken_for_another():
+    reactor, said = MemoryReactorClock(), []
+    links = NodeLinks(reactor, {"n0": ("127.0.0.1", 1)})
+    links.act("n0", b"act census 7 {}\n", said.append)
+    conn, wire = link_up(reactor)
+    reactor.advance(ANSWER / 2)
+    links.act("n0", b"act hosts 9 {}\n", said.append)
+    reactor.advance(ANSWER)
+    assert said == [None, None] and conn.over
+    conn.dataReceived(b'ACK {"life":1}\r\n')
+    links.act("n0", b"act hosts 9 {}\n", said.append)
+    assert said == [None, None] and len(reactor.tcpClients) == 2
+
+
+def test_a_node_keeps_the_connection_of_an_owner_for_as_long_as_acts_come(tmp_path):
+    d, service, owned = owned_node(tmp_path)
+    service.calls.add("act", 3, owned.act, owned.longest, keeps=True)
+    front = Front(d.reactor, service.calls)
+    conn, wire = front.buildProtocol(None), Wire()
+    conn.makeConnection(wire)
+    line = line_of("hosts", 1, {"number": 1, "out": [], "ms": 2000, "ask": []})
+    for _ in range(3):
+        conn.dataReceived(line)
+        d.reactor.advance(PATIENCE - 1)
+    conn.dataReceived(line + line.replace(b" 1 ", b" 0 "))
+    assert [answer[:5] for answer in wire.lines()] == [b"ACK {"] * 4 + [b"NAK n"] and not wire.ended
+    assert wire.producer is conn  # no act is read while answers are not
+    d.reactor.advance(PATIENCE + 1)
+    assert wire.ended == "reset"
+    conn.dataReceived(b"")
+    conn.connectionLost(Failure(ConnectionDone()))
+    assert not front.open
+
+
 # ---- a disk that fails, two on one folder
 
 
