--- a/caperdeck/peers/swim.py
+++ b/caperdeck/peers/swim.py
@@ -14,9 +14,8 @@
 from collections import deque
 from typing import NamedTuple
 
-from caperdeck.core.chance import chance
-
 from .codec import MOST_UPDATES, Beat, Kind, Message, State, Update
+from .draws import Draws
 
 PERIOD = 2000.0  # between pings, at the mean
 ACK_WAIT = 300.0  # for the answer before others are asked to ping
@@ -71,7 +70,7 @@
     """One node's view of the members. `life` is over 0 and should be higher than at the node's last start."""
 
     def __init__(self, me: int, members: int, life: int, seed: int, now: float) -> None:
-        self.me, self.seed, self.draws = me, seed, 0
+        self.me, self.seed, self._chance = me, seed, Draws(seed, me)
         self.raises, self.doubled = 0, False
         self.incarnation, self.beat = 0, 0
         # members: parallel arrays under the member's number
@@ -104,10 +103,6 @@
     def members(self) -> int:
         return len(self.state)
 
-    def _chance(self) -> float:
-        self.draws += 1
-        return chance(self.seed, self.draws)
-
     def drop(self, reason: str) -> None:
         self.dropped[reason] = self.dropped.get(reason, 0) + 1
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -249,6 +249,18 @@
     assert sum(net.nodes[30].swim.returns) == 28
 
 
+def test_all_members_are_pinged_by_somebody_within_a_few_rounds():
+    """Pings that are drawn alike leave some members out, and their deaths are found late."""
+    members = 300
+    rounds = [Swim(i, members, 1, seed, 0.0) for i, seed in enumerate([7, 8] * (members // 2))]
+    for s in rounds:
+        s.life = [1] * members
+    left = set(range(members))
+    for _ in range(12):
+        left -= {s._next() for s in rounds}
+    assert not left
+
+
 def test_a_zone_that_was_cut_off_with_old_news_is_found_again():
     net = Net(20, uses=MEMBERSHIP)
     net.run(20_000)
