Membership: much that is new goes out beside the pings, as gossip

Cause: a message carries six words on members, about one message a second: a rack of 91, a start of all or a zone that comes back is more than that for a minute, and over 64 words the oldest were dropped untold.

Change: while more words are new (passed on under four times) than a ping carries, a node also sends them alone to a random member that is alive, twice a second, 25 in a datagram, without an answer; 512 words wait at the most, those passed on least often first. Nodes of an older program drop such datagrams as of an unknown kind and hear of all by pings, as before. A word's number of times and the time of suspicion are unchanged.

--- a/caperdeck/ledger/sharing.py
+++ b/caperdeck/ledger/sharing.py
@@ -159,6 +159,8 @@
     # ---- what is told
 
     def _notes(self, now: float, kind: Kind, grants: list[tuple[int, float]]) -> bytes:
+        if kind is Kind.GOSSIP:
+            return b""
         if kind is Kind.TELL:
             return notes.encode(Notes(seen=self.telling), codec.NOTES)
         if kind is Kind.GIVE:
--- a/caperdeck/peers/codec.py
+++ b/caperdeck/peers/codec.py
@@ -2,7 +2,7 @@
 
 Layout, big-endian: crc32 of the rest (4), version (1), fleet (4), kind (1), sender (2), life (4), about (2),
 nonce (4), number of updates (1), updates of 9 bytes, number of beats (1), beats of 6 bytes, then the notes of
-the ledger up to the end.
+the ledger up to the end. A gossip has no notes, and updates in their place.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 MOST_UPDATES, MOST_BEATS = 6, 6
 NOTES = LONGEST - HEAD.size - 2 - MOST_UPDATES * UPDATE.size - MOST_BEATS * BEAT.size
 """Bytes that the ledger may always fill."""
+MOST_GOSSIP = (LONGEST - HEAD.size - 2 - BEAT.size) // UPDATE.size  # updates of a gossip, beside one beat
 
 
 class Kind(IntEnum):
@@ -31,6 +32,7 @@
     ASK = 5  # for a loan, with no news along; answered with GIVE if there is anything to give
     GIVE = 6
     TELL = 7  # to everyone: hosts past full load, seen just now
+    GOSSIP = 8  # words on members alone, which nobody answers
 
 
 class State(IntEnum):
@@ -78,12 +80,16 @@
     return zlib.crc32("\n".join([str(members), *names]).encode())
 
 
+def most_updates(kind: int) -> int:
+    return MOST_GOSSIP if kind == Kind.GOSSIP else MOST_UPDATES
+
+
 def encode(message: Message, fleet: int) -> bytes:
     """At most LONGEST bytes; what has no room is cut from the notes, which the caller keeps in bounds."""
-    m = message
+    m, most = message, most_updates(message.kind)
     body = b"".join((
         struct.pack(">BIBHIHI", VERSION, fleet, m.kind, m.sender, m.life, m.about, m.nonce),
-        bytes((min(len(m.updates), MOST_UPDATES),)), *(UPDATE.pack(*u) for u in m.updates[:MOST_UPDATES]),
+        bytes((min(len(m.updates), most),)), *(UPDATE.pack(*u) for u in m.updates[:most]),
         bytes((min(len(m.beats), MOST_BEATS),)), *(BEAT.pack(*b) for b in m.beats[:MOST_BEATS]),
     ))  # fmt: skip
     body = (body + m.notes)[: LONGEST - 4]
@@ -110,7 +116,7 @@
     if not life:
         raise DatagramError("no-life")
     at = HEAD.size
-    updates, at = _rows(data, at, UPDATE, MOST_UPDATES)
+    updates, at = _rows(data, at, UPDATE, most_updates(kind))
     beats, at = _rows(data, at, BEAT, MOST_BEATS)
     if any(row[0] >= members for row in updates + beats) or any(u[1] > State.SILENT for u in updates):
         raise DatagramError("no-such-member")
--- a/caperdeck/peers/swim.py
+++ b/caperdeck/peers/swim.py
@@ -2,19 +2,23 @@
 
 Source: Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
 Protocol" (DSN 2002): pings in a shuffled round, requests to ping, suspicion, incarnation numbers, news
-carried along. From Dadgar, Phillips, Currey, "Lifeguard" (DSN-W 2018): a node that hears little waits longer
-before it suspects. Members are the addresses of the configuration by number, so nobody joins or leaves; a
+carried along, those passed on least often first. From Dadgar, Phillips, Currey, "Lifeguard" (DSN-W 2018): a
+node that hears little waits longer before it suspects. From van Renesse, Minsky, Hayden, "A Gossip-Style
+Failure Detection Service" (Middleware 1998), as Lifeguard's program has it beside the pings: while more words
+are new than pings can carry, they are also sent alone to random members, as many as a datagram has room for,
+each a few times. Members are the addresses of the configuration by number, so nobody joins or leaves; a
 silent one is still pinged now and then, and a life that grows tells a restart from a return. Times are float
 milliseconds on the node's own clock; none is ever compared with another node's.
 """
 
 from __future__ import annotations
 
+import heapq
 import math
-from collections import deque
+import operator
 from typing import NamedTuple
 
-from .codec import MOST_UPDATES, Beat, Kind, Message, State, Update
+from .codec import MOST_GOSSIP, MOST_UPDATES, Beat, Kind, Message, State, Update
 from .draws import Draws
 
 PERIOD = 2000.0  # between pings, at the mean
@@ -24,7 +28,10 @@
 SPREAD = 3.0  # times the binary logarithm of the members: so often a word is passed on
 FILLERS = 2  # members whose state goes along though nothing new is known of them
 BEATS = 3  # beats that go along
-MOST_NEWS = 64  # words that wait to be passed on
+MOST_NEWS = 512  # words that wait to be passed on; two racks that are lost at once
+GOSSIP_EVERY = 500.0  # between gossips, at the mean, while there is much new
+GOSSIP_TIMES = 4  # a word is new until it was passed on so often
+GOSSIP_DRAWS = 8  # members drawn for a gossip until one is alive
 SURE = 4000.0  # for so long after its answer no word against a member is believed
 SILENT_PART = 0.5  # of the turns of a silent member, in which it is pinged
 ANSWERS = 20.0  # a second, at the most
@@ -85,7 +92,8 @@
         self.returns = [0] * members  # new lives seen
         self.state[me], self.life[me], self.ever_heard[me] = State.ALIVE, max(life, 1), 1
         self.round: list[int] = []
-        self.news: deque[list] = deque()  # [member, times left], the newest first
+        self.news: dict[int, int] = {}  # members to tell of, the newest last: how often still
+        self.times = math.ceil(SPREAD * math.log2(members + 1))  # that a word is passed on
         self.filler = self.beating = 0  # whose state and beat go along next
         self.nonces = int(self._chance() * 2**32)
         self.out: dict[int, tuple[int, float]] = {}  # own pings: nonce to member, sent at
@@ -93,6 +101,7 @@
         self.relayed: dict[int, tuple[int, int, int, float]] = {}  # nonce to asker, its nonce, about, sent at
         self.probe: tuple[int, float, bool] | None = None  # the round's ping: member, at, others are asked
         self.next_at = now + PERIOD * self._chance()  # nothing in step
+        self.gossip_at = now + GOSSIP_EVERY * self._chance()
         self.ticked_at = now
         self.aware = 0  # rounds in a row, at the most MOST_AWARE - 1, in which nobody answered
         self.answers = Bucket(ANSWERS, now)
@@ -124,9 +133,10 @@
 
     @property
     def due(self) -> float:
+        due = self.next_at if len(self.news) <= MOST_UPDATES else min(self.next_at, self.gossip_at)
         if self.probe is not None and not self.probe[2]:
-            return min(self.next_at, self.probe[1] + self._wait())
-        return self.next_at
+            return min(due, self.probe[1] + self._wait())
+        return due
 
     def _wait(self) -> float:
         return ACK_WAIT * (1 + self.aware)
@@ -146,8 +156,27 @@
             sends += self._ask_helpers(now)
         if now >= self.next_at:
             sends += self._next_round(now)
+        if now >= self.gossip_at:
+            sends += self._gossip(now)
         return sends
 
+    def _gossip(self, now: float) -> list[Send]:
+        self.gossip_at = now + GOSSIP_EVERY * (0.75 + self._chance() / 2)
+        if self.doubled or len(self.news) <= MOST_UPDATES:
+            return []
+        new = sum(left > self.times - GOSSIP_TIMES for left in self.news.values())
+        if new <= MOST_UPDATES:
+            return []
+        for _ in range(GOSSIP_DRAWS):
+            member = int(self._chance() * self.members)
+            if member != self.me and self.state[member] is State.ALIVE:
+                return [Send(member, self._news_alone())]
+        return []
+
+    def _news_alone(self) -> Message:
+        updates = tuple(self._update(i) for i in self._pass_on(MOST_GOSSIP))
+        return self.bare(Kind.GOSSIP, self.me, 0)._replace(updates=updates, beats=(self._own_beat(),))
+
     def _next_round(self, now: float) -> list[Send]:
         self.next_at = now + PERIOD * (0.75 + self._chance() / 2)
         self.beat = min(self.beat + 1, BEAT_MOST)
@@ -239,8 +268,8 @@
         return self._answer(now, m)
 
     def _answer(self, now: float, m: Message) -> tuple[list[Send], Heard | None]:
-        if m.kind in (Kind.ASK, Kind.GIVE, Kind.TELL):
-            return [], None  # the ledger's
+        if m.kind in (Kind.ASK, Kind.GIVE, Kind.TELL, Kind.GOSSIP):
+            return [], None  # the ledger's, or taken in already
         if m.kind is Kind.PING:
             if not self.answers.take(now):
                 self.drop("too-many")
@@ -335,9 +364,20 @@
         self._spread(i)
 
     def _spread(self, i: int) -> None:
-        times = math.ceil(SPREAD * math.log2(self.members + 1))
-        kept = [x for x in self.news if x[0] != i][: MOST_NEWS - 1]
-        self.news = deque([[i, times], *kept])
+        self.news.pop(i, None)
+        if len(self.news) >= MOST_NEWS:
+            del self.news[next(iter(self.news))]
+        self.news[i] = self.times
+
+    def _pass_on(self, most: int) -> list[int]:
+        """Members to tell of: those told of least often, of them the newest first."""
+        chosen = heapq.nlargest(most, reversed(self.news.items()), key=operator.itemgetter(1))
+        for member, left in chosen:
+            if left > 1:
+                self.news[member] = left - 1
+            else:
+                del self.news[member]
+        return [member for member, _ in chosen]
 
     def _update(self, i: int) -> Update:
         incarnation = self.incarnation if i == self.me else self.incarnations[i]
@@ -347,11 +387,7 @@
         """The words passed on least often first, then what is known of the members in turn."""
         # Danger: one held to be silent hears of it late, and until it refutes that, the word goes round.
         doubted = [to] if self.life[to] and self.state[to] is not State.ALIVE else []
-        chosen = sorted(self.news, key=lambda x: -x[1])[: MOST_UPDATES - len(doubted)]
-        for x in chosen:
-            x[1] -= 1
-        self.news = deque(x for x in self.news if x[1] > 0)
-        members = list(dict.fromkeys(doubted + [x[0] for x in chosen]))
+        members = list(dict.fromkeys(doubted + self._pass_on(MOST_UPDATES - len(doubted))))
         least = min(max(FILLERS, len(members)), self.members)
         for _ in range(self.ever_heard.count(1)):
             if len(members) >= least:
@@ -367,9 +403,12 @@
         following = self.ever_heard.find(1, i + 1)
         return following if following >= 0 else self.ever_heard.find(1)
 
+    def _own_beat(self) -> Beat:
+        return Beat(self.me, self.life[self.me] & 0xFFFF, self.beat)
+
     def _beats(self) -> tuple[Beat, ...]:
         """The own beat, and those of members with the newest news in turn."""
-        rows = [Beat(self.me, self.life[self.me] & 0xFFFF, self.beat)]
+        rows = [self._own_beat()]
         for _ in range(self.ever_heard.count(1)):
             if len(rows) >= min(BEATS, self.members):
                 break
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,14 +1,17 @@
 """Membership: the messages, SWIM's states, and what a node knows of its own hearing."""
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from caperdeck.lab.sharing_network import Net
+from caperdeck.lab.slopes.membership_fleet import SECOND, Fleet
 from caperdeck.ledger.sharing import Uses
 from caperdeck.peers import codec
 from caperdeck.peers.codec import Beat, DatagramError, Kind, Message, State, Update
-from caperdeck.peers.swim import ACK_WAIT, PERIOD, Swim
+from caperdeck.peers.swim import ACK_WAIT, MOST_NEWS, PERIOD, SUSPICION, Swim
 
 FLEET = codec.fleet_mark(5, ["a"])
 PING = Message(Kind.PING, 1, 7, 2, 99, (Update(3, State.SUSPECTED, 4, 1),), (Beat(1, 7, 5),), b"")
@@ -261,6 +264,64 @@
     assert not left
 
 
+def test_a_lost_rack_is_known_soon_after_its_suspicion_ends():
+    """Words on all its members at once are more than pings carry."""
+    members, rack = 240, 24
+    fleet = Fleet(members, seed=5, warm=True)
+    fleet.run(10 * SECOND)
+    fleet.killed.update(range(rack))
+    suspicion = SUSPICION * PERIOD * math.log10(members)
+
+    def known(swim):
+        return swim.state[:rack].count(State.SILENT) >= 0.9 * rack
+
+    fleet.run(suspicion + 16 * SECOND)
+    assert sum(map(known, fleet.living)) >= 0.9 * len(fleet.living)
+    assert not any(s is not State.ALIVE for swim in fleet.living for s in swim.state[rack:])
+    sent = fleet.messages
+    fleet.run(60 * SECOND)  # and the words end
+    assert fleet.messages - sent < 60 * 1.2 * len(fleet.living)
+
+
+def gossip_of(s, words, now=0.0):
+    for member in range(1, words + 1):
+        heard(s, member, now=now)
+    s.news = dict.fromkeys(s.news, s.times)  # as if nothing had been passed on
+    return [x for x in s.tick(max(s.gossip_at, now)) if x.message.kind is Kind.GOSSIP]
+
+
+def test_much_that_is_new_goes_to_a_random_member_beside_the_pings_and_nobody_answers_it():
+    assert not gossip_of(swim(members=100), codec.MOST_UPDATES)
+    s = swim(members=100)
+    (send,) = gossip_of(s, 60)
+    data = codec.encode(send.message, FLEET)
+    assert codec.decode(data, FLEET, 100) == send.message and len(data) <= codec.LONGEST
+    assert len(send.message.updates) == codec.MOST_GOSSIP and s.state[send.to] is State.ALIVE
+    other = Swim(send.to, 100, 7, 9, 0.0)
+    assert other.take(0.0, send.message) == ([], None)
+    assert {u.member for u in send.message.updates} - {send.to} <= set(other.alive())
+    # what was told of goes behind what was not
+    told = {u.member for u in send.message.updates}
+    assert not told & {u.member for u in s._news_alone().updates}
+
+
+def test_no_other_message_carries_as_many_words_as_a_gossip():
+    many = PING._replace(updates=PING.updates * (codec.MOST_UPDATES + 1), beats=())
+    data = bytearray(codec.encode(many._replace(kind=Kind.GOSSIP), FLEET))
+    assert len(codec.decode(bytes(data), FLEET, 5).updates) == codec.MOST_UPDATES + 1
+    data[9] = Kind.PING
+    with pytest.raises(DatagramError, match="^too-many-rows$"):
+        codec.decode(resealed(bytes(data)), FLEET, 5)
+
+
+def test_words_past_the_bound_push_out_the_oldest():
+    s = swim(members=2 * MOST_NEWS)
+    for member in range(1, MOST_NEWS + 2):
+        heard(s, member)
+        s.news |= dict.fromkeys(s.news, s.times)  # as if nothing had been passed on
+    assert len(s.news) == MOST_NEWS and MOST_NEWS + 1 in s.news
+
+
 def test_a_zone_that_was_cut_off_with_old_news_is_found_again():
     net = Net(20, uses=MEMBERSHIP)
     net.run(20_000)
