--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -14,7 +14,7 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
-from caperdeck.carry.carrier import SWEEP
+from caperdeck.carry.catch_up import SWEEP
 from caperdeck.core.facade import Balancer
 from caperdeck.core.settings import MS
 from caperdeck.ops.bans import Bans, BansError
@@ -216,7 +216,7 @@
 
     def excused(self) -> bool:
         self.desk.clock()
-        return bool(self.desk.away)
+        return bool(self.desk.stall)
 
     def complain(self, reason: str, text: str) -> None:
         logger.warning("discovery reason={} {}", reason, text)
