Nothing is sent by the list of an ended watch past half a grace: it is asked for anew first

Need: where lists are pushed, what discovery has counts as told with no watch open. A watch that discovery ended was opened anew after a drawn wait of up to 0.6 s (200 nodes), past a grace of 0.25 to 0.5 s; found by reading. Forced now on real sockets: the watch ends, a host drains, and at grace + 0.01 s the program before sends requests to it (grace 0.25 and 0.5 s); also a dial under way goes out there. Ruled out: opening every ended watch at once (200 nodes that lose it in one instant would call in one instant; the bound of 45 calls in 0.1 s is kept by its test), and holding requests until the drawn wait is over (up to 0.5 s of service for nothing). Change: half of invariants.drainGrace after the end of a watch, whatever could lead to a send has the list asked for at once and waits for its first line or its failure, as after a stall: 0.5 s or half of a client's time at the most. Once for each watch that ends, so at most two calls a grace by a node (200 nodes: 1,600 a second at 0.25 s, 400 at 1 s, if discovery ends each watch as it opens). A watch that fell silent keeps its 6 s; where lists are not pushed nothing changes. Tests: five new cases in test_told. A stand-in of test_wire names the new call; no check was eased.

--- a/caperdeck/carry/catch_up.py
+++ b/caperdeck/carry/catch_up.py
@@ -30,6 +30,9 @@
     reads: int  # how often anything of it has come
     open: bool  # what comes can be read, and a line of it has been
 
+    def expired(self) -> bool:
+        """Whether the list is too old to send by: once for each end of what tells it, and asks anew."""
+
     def woke(self) -> None: ...
 
     def unread(self) -> bool:
@@ -128,7 +131,9 @@
 
     def later(self, do: Callable[[], None]) -> bool:
         """Whether the node has yet to read what came before; then this is done after that."""
-        self.clock()
+        now = self.clock()
+        if not self.catching_up and self.source is not None and self.source.expired():
+            self._read_first(now)
         if self.catching_up:
             self.held.append(do)
         return self.catching_up
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -19,6 +20,8 @@
 LEAST_SOCKETS = 32
 LARGEST = 8 << 20  # bytes of a configuration
 LEAST_IDLE = 30.0  # seconds; clients speak every two
+DRAIN_GRACE = 0.25  # seconds, where the settings do not say
+LEAST_LIST_LIFE = 0.05  # seconds; bounds the calls to a discovery that ends each watch as it opens
 
 
 class ConfigError(Exception):
@@ -172,4 +175,13 @@
         longest_wait=MS
         * max(figure(row, "hardLimit", f"listeners[{i}].", over=0.0) for i, row in enumerate(rows)),
         idle=max(figure(limits, "connIdle", "limits.", LEAST_IDLE), LEAST_IDLE) * MS,
+        list_life=_list_life(setup),
     )
+
+
+def _list_life(setup: dict[str, Any]) -> float:
+    """Half of the grace of a drain, the other half for stalls, where lists are pushed; milliseconds."""
+    if setup.get("discovery") == "subscribe":
+        return math.inf
+    grace = figure(setup["invariants"], "drainGrace", "invariants.", DRAIN_GRACE, least=0.0)
+    return max(grace / 2, LEAST_LIST_LIFE) * MS
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -79,6 +79,7 @@
         self.discovery = Discovery(
             reactor, config.discovery, config.rev, self.desk.listed, self.discovery_spoke,
             self.complain, BackOff(config.settings.seed, config.settings.nodes), self.excused,
+            config.limits.list_life / MS,
         )  # fmt: skip
         self.desk.source = self.discovery
         self.narrows = subsets
@@ -312,6 +313,7 @@
             # Danger: the numbers of members mean others in another list.
             self.part()
             self.join()
+        self.discovery.list_life = new.limits.list_life / MS
         if new.discovery != old.discovery:
             self.discovery.move_to(new.discovery)
         logger.info("reload discovery={} sockets={} classes={} kept={}", new.discovery, new.sockets,
--- a/caperdeck/state/limits.py
+++ b/caperdeck/state/limits.py
@@ -13,3 +13,4 @@
     max_back_off: float  # 0 where clients are told none
     longest_wait: float  # of any client
     idle: float  # a standing connection without a line for so long is ended
+    list_life: float  # of the list once its watch has ended; infinite where lists are not pushed
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -100,7 +101,7 @@
     def __init__(
         self, reactor: Any, address: str, rev: int, listed: Callable[[bool, Any], None],
         spoke: Callable[[], None], complain: Callable[[str, str], None], back_off: BackOff,
-        excused: Callable[[], bool] = lambda: False,
+        excused: Callable[[], bool] = lambda: False, list_life: float = math.inf,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.address = address
@@ -109,6 +110,7 @@
         self.spoke = spoke  # called for each line, empty ones too
         self.complain = complain
         self.excused = excused  # whether the node has yet to read what came while it was away
+        self.list_life = list_life  # seconds that the list of a watch that has ended is sent by
         pool = HTTPConnectionPool(reactor, persistent=False)
         self.agent = Agent.usingEndpointFactory(reactor, _ByAddress(reactor, self.connected), pool)
         self.transport: Any = None  # of the call that is out, or the watch
@@ -118,6 +120,9 @@
         self.silence = None
         self.retry = None
         self.reads = 0  # how often anything of the list has come
+        self.ended_at: float | None = None  # of a watch, until a call since was answered or failed
+        self.renewing = False  # a call was made because the list had expired
+        self.renewed = False  # and has brought a line, or failed
 
     def start(self, late: float = 0.0) -> None:
         """Makes the call; so late, an answer is waited for so much less."""
@@ -134,7 +139,7 @@
 
     @property
     def open(self) -> bool:
-        return self.body is not None and self.body.heard
+        return self.renewed or (self.body is not None and self.body.heard)
 
     def unread(self) -> bool:
         """Whether anything has come that is not read yet, the end of the connection too."""
@@ -148,8 +153,20 @@
             pass  # the reactor finds out in the same way
         return True
 
+    def expired(self) -> bool:
+        """Whether the list is too old to send by, as its watch has ended: once for each, and asks anew."""
+        # Danger: what discovery has counts as told whether or not a watch is open, and the wait for the next
+        # watch may be longer than the grace.
+        if self.ended_at is None or self.reactor.seconds() - self.ended_at < self.list_life:
+            return False
+        self.ended_at = None
+        self.woke()
+        self.renewing = True
+        return True
+
     def woke(self) -> None:
         """The node was away: a call that waits is due at once."""
+        self.renewing = self.renewed = False
         # Danger: with the silence counted anew, a node that is away again and again never opens the watch.
         if self.retry is not None and self.retry.active():
             self.retry.cancel()
@@ -181,6 +198,7 @@
     def failed(self, asked: Any, failure: Any) -> None:
         if self.asked is asked:
             self.asked = None
+            self._answered_or_failed()
             if self.back_off.fresh:  # once for each time that discovery is away
                 self.complain("discovery-unreached", failure.getErrorMessage())
             self.again(None)
@@ -188,10 +206,17 @@
     def answered(self, response) -> None:
         self.asked = None
         granted = response.code == 200
+        if not granted:
+            self._answered_or_failed()
         if not granted and self.back_off.fresh:
             self.complain("discovery-refused", f"discovery answered {response.code}")
         response.deliverBody(_WatchBody(self, granted))
 
+    def _answered_or_failed(self) -> None:
+        """A call has been, as far as sends by the list wait for it."""
+        self.ended_at = None
+        self.renewed = self.renewing
+
     def listen_for(self, seconds: float) -> None:
         """The watch on silence starts anew."""
         if self.silence is not None and self.silence.active():
@@ -209,7 +234,10 @@
             waited = SILENT if self.body else ANSWER
             self.complain("discovery-silent", f"nothing from discovery for {waited} s")
         self.give_up()
-        self.again(self.body, late=late)
+        # a change that a silent watch misses is told later than one that any other end hides
+        self.leave()
+        self.ended_at = None
+        self.again(None, late=late)
 
     def _late(self, timer: Any) -> float:
         """By how much a timer that runs now runs late."""
@@ -220,6 +248,8 @@
         """Opens the watch anew a little later, unless that is on the way already."""
         if body is not self.body or self.retry is not None:
             return
+        if body is not None and body.heard:
+            self.ended_at = self.reactor.seconds()
         self.leave()
         cancel(self.silence)
         # Danger: what was told while the node was away counts as told, whether or not it still can read it.
@@ -231,6 +261,7 @@
 
     def line(self, line: bytes) -> None:
         self.listen_for(SILENT)
+        self._answered_or_failed()
         self.spoke()
         self.back_off.heard()
         if not line:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -20,12 +20,12 @@
 class Watched(Loopback):
     """A desk that watches a list; the test is discovery, too."""
 
-    def __init__(self, hosts=2, nodes=3, **parts):
+    def __init__(self, hosts=2, nodes=3, grace=0.25, **parts):
         super().__init__(hosts=hosts, **parts)
         self.agent = Peer()
         self.desk.source = self.watch = Discovery(
             self.reactor, f"127.0.0.1:{self.agent.port}", 1, self.desk.listed, self.desk.discovery_spoke,
-            lambda *_: None, BackOff(7, nodes), self.away,
+            lambda *_: None, BackOff(7, nodes), self.away, grace / 2,
         )  # fmt: skip
         self.watch.start()
         self.desk.turn_at = self.desk.read_clock()
@@ -133,6 +133,102 @@
     assert not lo.sent(0) and lo.sent(1).startswith(b"OPEN ") and not read_all(client)[1]
 
 
+# ---- the watch has ended, and the next one waits to be opened
+
+
+class Unwatched(Watched):
+    """Discovery has ended the watch; the node waits as long as it may until it opens the next one."""
+
+    def __init__(self, grace):
+        super().__init__(dialTimeout=5.0, nodes=200, grace=grace, listener={"handshakeTarget": 3.0})
+        self.watch.back_off.next = lambda kind=LOST: LOST.longest
+        self.opened().close()
+        self.reactor.until(lambda: self.watch.retry is not None)
+        self.drains = list_of(2, self.row(0, "Terminating"), self.row(1))  # discovery has it from now on
+
+    def pass_time(self, seconds):
+        for _ in range(round(seconds / 0.01)):
+            self.sweeps()
+            self.reactor.pass_time(0.01, step=0.005)
+
+    def asked(self):
+        """The sessions whose requests have come to the hosts since the last look."""
+        lines = (self.sent(0) + self.sent(1)).split(b"\r\n")
+        return {line.split()[1][:4] for line in lines if line.startswith(b"OPEN ")}
+
+    def speak(self):
+        """Discovery answers the calls that have come."""
+        while self.agent.accept():
+            self.agent.accepted[-1].send(HEADERS + self.drains)
+
+
+@pytest.fixture
+def unwatched():
+    made = []
+
+    def make(**parts):
+        made.append(Unwatched(**parts))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.close()
+
+
+@pytest.mark.parametrize("grace", [0.25, 0.5])
+def test_nothing_goes_past_the_grace_to_a_host_that_drains_while_no_watch_is_open(unwatched, grace):
+    # Danger: what discovery has counts as told with no watch open, and the wait for the next one is longer.
+    lo = unwatched(grace=grace)
+    lo.pass_time(grace + 0.01)
+    clients = [lo.client(opening(n)) for n in range(8)]
+    for _ in range(5):
+        lo.pass_time(0.01)
+        assert not lo.sent(0)
+        lo.speak()
+    assert lo.sent(1).count(b"OPEN ") == len(clients)
+
+
+def test_a_dial_under_way_as_the_watch_ends_waits_for_the_next_one(unwatched):
+    lo = unwatched(grace=0.25)
+    client, s = lo.taken()
+    first = s.host
+    lo.drains = list_of(2, lo.row(first, "Terminating"), lo.row(1 - first))
+    lo.hold(s)
+    lo.pass_time(0.26)
+    lo.comes_up(s)
+    lo.pass_time(0.02)
+    assert not lo.sent(first) and lo.agent.accept()
+    lo.agent.accepted[-1].send(HEADERS + lo.drains)
+    lo.pass_time(0.02)
+    assert not lo.sent(first) and lo.sent(1 - first).startswith(b"OPEN ")
+
+
+def test_requests_within_the_grace_and_with_a_discovery_that_is_gone_are_not_kept(unwatched):
+    lo = unwatched(grace=0.25)
+    clients = [lo.client(opening(1))]
+    lo.pass_time(0.02)
+    assert lo.asked() == {b"0001"}
+    lo.pass_time(0.3)
+    lo.agent.server.close()
+    clients.append(lo.client(opening(2)))
+    lo.pass_time(0.05)
+    assert lo.asked() == {b"0002"}
+
+
+def test_a_discovery_that_ends_each_watch_is_called_no_more_than_twice_a_grace_however_many_ask(unwatched):
+    lo = unwatched(grace=0.25)
+    calls, began, clients, asked = 0, lo.reactor.now, [], set()
+    for n in range(100):
+        clients.append(lo.client(opening(n)))
+        lo.pass_time(0.01)
+        asked |= lo.asked()
+        while lo.agent.accept():
+            calls += 1
+            lo.agent.accepted[-1].send(HEADERS + chunk(b"\n"))
+            lo.agent.accepted[-1].close()
+    assert 4 <= calls <= (lo.reactor.now - began) * 2 / 0.25 and len(asked) > 80
+
+
 # ---- a new process
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -625,7 +625,8 @@
 @pytest.mark.parametrize("open_, waits", [(True, 0.0), (False, 0.45)])
 def test_a_list_that_cannot_be_read_is_waited_for_and_not_without_end(open_, waits):
     d = desk()
-    d.source = type("Source", (), {"open": open_, "reads": 0, "woke": lambda self: None})()
+    parts = {"open": open_, "reads": 0, "woke": lambda self: None, "expired": lambda self: False}
+    d.source = type("Source", (), parts)()
     asleep(d, 3.0)
     connect(d, OPEN.replace(b"d=1200", b"d=9000"))
     d.reactor.advance(waits)
