A cold host that nobody has looked at yet is looked at though the mean is full and others have room

Cause, forced: a host that was called back has no figure and counts as the mean. Where the mean was past the room, every session went to a host that had room, and the host with none known was neither drawn nor looked at: figures 0.9, 0.9, 0.9, 0.5, 0 of 20 sessions in 5 s, 0 looks; by reading the same for a new host of a release (not forced). The fuller the fleet, the likelier. The design said that a host nobody has looked at is drawn even where the mean is full; that held only where no host had room. Change: a cold host with an open slot and no figure is a candidate whatever the mean is; as one whose figure is old it is looked at before anything is sent there. Without probes nothing changes. Measured: ops, sessions, core_parts, balance and six more files: 488 passed, the known red test apart.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -282,10 +282,15 @@
 
     def _fit(self, s: Held, h: int, room: float) -> bool:
         # Danger: past its headroom a host soon serves nobody; what it is sent there is lost with the rest.
-        fit = self.now >= self.unseen[h] and self._load(self.now, h) < room
+        fit = self.now >= self.unseen[h] and (self._load(self.now, h) < room or self._unlooked(s, h))
         fit = fit and self._well(self.now, h) and self._open(self.now, s, h)
         return fit and self._allowed(self.now, s, h)
 
+    def _unlooked(self, s: Held, h: int) -> bool:
+        """Whether a slot is open at a cold host that is full by the mean alone, as nobody has looked yet."""
+        # Danger: while any host has room no session looks at it, and one that was called back stays unused.
+        return h in s.lots and self._figure(self.now, h) is None and self._old(h)
+
     def _draws(self, s: Held) -> Iterator[tuple[float, Iterator[int]]]:
         """Levels to be under and hosts as drawn; the own zone first where leaving it has a price."""
         # the fewer hosts have room, the more of it is kept for the sessions of the highest utility
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -7,7 +7,7 @@
 )  # fmt: skip
 
 from caperdeck.core.decide import TICK_TOKEN
-from caperdeck.core.model import Move, Outcome, Refuse, Report, RosterScope
+from caperdeck.core.model import Move, Outcome, Probe, Refuse, Report, RosterScope
 from caperdeck.ops.bans import FILE, Bans, BansError
 from caperdeck.ops.calls import Calls, yes
 from caperdeck.state.figures import Figures, Status
@@ -232,6 +232,26 @@
     assert 5 in tried
 
 
+@pytest.mark.parametrize("others", [[0.9, 0.9, 0.9, 0.5], [0.85, 0.8, 0.8, 0.6]])
+def test_a_host_called_back_is_looked_at_though_the_mean_is_full_and_another_host_has_room(others):
+    # Danger: full by the mean alone it was sent nothing, and looked at by nobody, while any host had room.
+    n = node(5, nodes=2)
+    n.unit, n.mean_hint, n.asked = 1200.0, 10.0, 1000
+    figures(n, [0.1, *others])
+    n.ban(START - 4000, 0, True)
+    n.ban(START, 0, False)
+    tried = []
+    for i in range(20):
+        acts = n.ask(START + 250.0 * i, ask(i))
+        looks = [a.host for a in acts if isinstance(a, Probe)]
+        assert not looks or not dials(acts)  # nothing is sent there before the look is answered
+        for h in looks:
+            told = Report(others[h - 1] if h else 0.0, None, 80 if h else 0)
+            acts += n.probed(START + 250.0 * i, h, Outcome.GOOD, told)
+        tried += [a.host for a in dials(acts)]
+    assert len(tried) == 20 and tried.count(0) > 10
+
+
 def test_a_host_taken_out_again_before_it_took_a_session_is_not_tried():
     n = node(3)
     figures(n, [0.2] * 3)
