--- a/caperdeck/distribution/publisher.py
+++ b/caperdeck/distribution/publisher.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from .document import Change
+from .load import HighestLoad
 from .messages import (
     Acknowledge, Busy, Closed, Delta, FromNode, FromPublisher, Heartbeat, Snapshot, Subscribe,
 )  # fmt: skip
@@ -67,6 +68,7 @@
         self.places: dict[str, float] = {}  # of snapshots: by node, the end of its turn
         self.waiting: dict[str, None] = {}  # for a place, the first come first
         self.connects, self.connects_at = CONNECTS_AT_ONCE, now
+        self.load = HighestLoad()
         self.deltas: dict[tuple[int, str], tuple[Change, ...] | None] = {}  # to the newest version
         self.deltas_to = -1
         self.due = now + TICK
@@ -161,8 +163,10 @@
         grown = self.connects + (now - self.connects_at) * CONNECTS_A_SECOND / 1000
         self.connects, self.connects_at = min(grown, CONNECTS_AT_ONCE), now
         if self.connects < 1:
+            self.load.turned_away += 1
             return False
         self.connects -= 1
+        self.load.took(now)
         return True
 
     def _acknowledge(self, now: float, message: Acknowledge) -> None:
@@ -229,6 +233,7 @@
             node = next(iter(self.waiting))
             del self.waiting[node]
             self.places[node] = now + SNAPSHOT_TURN
+            self.load.sends(len(self.places))
             newest, subscription = self.table.newest, self.subscriptions[node]
             self._sent(now, subscription)
             document = self.table.document
--- a/caperdeck/distribution/watching.py
+++ b/caperdeck/distribution/watching.py
@@ -126,6 +126,7 @@
             raise FrameError("old-subscription")
         if len(self.open) > self.most:
             self.drop("too-many-watches")
+            self.publisher.load.turned_away += 1
             watch.put(encode(Busy(message.number, BUSY_WAIT), self.cluster))
             watch.finish()
             return
@@ -164,6 +165,13 @@
         if isinstance(message, Busy | Closed):
             watch.finish()
 
+    def figures(self) -> dict[str, int]:
+        load = self.publisher.load
+        return {
+            "open": len(self.open), "most": self.most, "connects_in_a_second": load.connects_in_a_second,
+            "snapshots_at_once": load.snapshots_at_once, "turned_away": load.turned_away,
+        }  # fmt: skip
+
     def close(self) -> None:
         for watch in list(self.open):
             watch.abort()
--- a/caperdeck/owner/instance.py
+++ b/caperdeck/owner/instance.py
@@ -277,7 +277,7 @@
             "me": self.config.me, "role": raft.role.name.lower(), "term": raft.term, "leader": raft.leader,
             "voters": raft.members.voters, "learners": raft.members.learners, "log": raft.log.last,
             "commit": raft.commit, "snapshot": raft.log.snapshot.index, "dropped": self.net.dropped,
-            "events": self.counted,
+            "events": self.counted, "watches": self.distribution.watches.figures(),
             # its own copy of the table below may lag behind what it was told
             "holds": {w: {"token": r.token, "left": round(r.holder.until - now)} for w, r in held.items()},
             "refused": {w: r.refused for w, r in self.runners.items() if r.refused},
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -288,6 +288,10 @@
     assert sum(bool(of(answer, Snapshot)) for answer in answers) == publisher.SNAPSHOTS_AT_ONCE
     assert sum(beat.queued for answer in answers for beat in of(answer, Heartbeat)) == 100 - 32
     assert of(one.receive(100.0, subscribe("later")), Heartbeat), "a tenth of a second makes room for 40"
+    load = one.load
+    assert (load.connects_in_a_second, load.snapshots_at_once, load.turned_away) == (101, 32, 50)
+    one.receive(1000.0, subscribe("much later"))
+    assert load.connects_in_a_second == 101, "the first hundred are a second ago"
     (turn,) = [send.node for send in one.receive(101.0, acknowledge(one.table, "n5")) if of([send], Snapshot)]
     assert turn == "n32", "the longest in the queue"
     (turn,) = [send.node for send in one.gone(102.0, "n6", 1) if of([send], Snapshot)]
