Owner: an instance raises its soft limit of descriptors to the hard one

With a soft limit of 1,024 an instance took 768 watches, whatever its hard limit allowed; 2,048 are meant. `serve` raises none, contrary to what was expected, so there was nothing to take over: the function of `lab slopes` moves to caperdeck/state/descriptors.py and leaves the hard limit as it is.

Tested on a process started with a soft limit of 512: it takes 2,048, its hard limit is the one of before. test_distribution_processes.py, test_lab_slopes_node.py: passed.

--- a/caperdeck/lab/slopes/bench.py
+++ b/caperdeck/lab/slopes/bench.py
@@ -20,9 +20,10 @@
 from caperdeck.lab.ports import Ports
 from caperdeck.lab.scenario import Scenario
 from caperdeck.lab.setup import node_config
+from caperdeck.state.descriptors import raise_descriptor_limit
 
 from .errors import MeasuringError
-from .process import ProcessError, processor_seconds, raise_descriptor_limit
+from .process import ProcessError, processor_seconds
 
 ROOT = Path(__file__).resolve().parents[3]
 LOOPBACK = "127.0.0.1"
--- a/caperdeck/lab/slopes/process.py
+++ b/caperdeck/lab/slopes/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import ctypes
-import os
 import resource
 import time
 from pathlib import Path
@@ -55,12 +54,3 @@
         if row.startswith(name):
             return int(row.split()[1])
     raise ProcessError(f"{path} has no {name}")
-
-
-def raise_descriptor_limit() -> int:
-    """Raises this process's soft limit of descriptors to its hard one, which its children inherit."""
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if hard == resource.RLIM_INFINITY:
-        hard = os.sysconf("SC_OPEN_MAX")
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    return hard
--- a/caperdeck/owner/process.py
+++ b/caperdeck/owner/process.py
@@ -18,6 +18,7 @@
 
     from caperdeck.lifecycle.logs import start_logging
     from caperdeck.raft.storage import StorageError
+    from caperdeck.state.descriptors import raise_descriptor_limit
 
     from .config import OwnerError, load_instance
     from .instance import Instance
@@ -36,6 +37,7 @@
 
     try:
         config = load_instance(path)
+        raise_descriptor_limit()  # each watch of a node takes one
         sink = start_logging(level)
         from loguru import logger
 
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -24,6 +25,7 @@
 from caperdeck.distribution.stream import LONGEST_FROM_NODE, decode_from_publisher, encode
 from caperdeck.distribution.subscriber import NOTHING, Apply, Leave, State, Subscriber
 from caperdeck.distribution.table import LARGEST_CHANGES
+from caperdeck.distribution.watching import MOST_WATCHES, OTHER_FILES
 from caperdeck.owner.commands import ask
 from caperdeck.owner.config import load_owners
 from caperdeck.owner.process import steady
@@ -304,6 +306,23 @@
     assert newest(instances)["revision"] == before + 1
 
 
+def test_an_instance_takes_as_many_watches_as_its_hard_limit_of_descriptors_allows(tmp_path):
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(soft, 512), hard))
+    try:
+        instances = Instances(tmp_path)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    try:
+        said = until(lambda: instances.ask(0, "status"), 20.0)
+        assert said["watches"]["most"] == min(MOST_WATCHES, hard - OTHER_FILES)
+        limits = Path(f"/proc/{instances.processes[0].pid}/limits").read_text()
+        (row,) = (line.split() for line in limits.splitlines() if line.startswith("Max open files"))
+        assert row[3:5] == [str(hard), str(hard)]
+    finally:
+        instances.stop()
+
+
 # ---- frames
 
 
--- a/tests/test_lab_slopes_node.py
+++ b/tests/test_lab_slopes_node.py
@@ -12,10 +12,9 @@
 from caperdeck.lab.slopes.end import STAMP, stamped
 from caperdeck.lab.slopes.errors import MeasuringError
 from caperdeck.lab.slopes.hosts_end import Sender
-from caperdeck.lab.slopes.process import (
-    ProcessError, kernel_slab, own_memory, processor_seconds, raise_descriptor_limit,
-)  # fmt: skip
+from caperdeck.lab.slopes.process import ProcessError, kernel_slab, own_memory, processor_seconds
 from caperdeck.lab.slopes.record import Source
+from caperdeck.state.descriptors import raise_descriptor_limit
 
 MEBIBYTE = 1 << 20
 
