Distribution: a version that the disk did not take is written again in that life

A version refused for a full disk was kept out until the next version or start. It is written again after 5 s, doubled up to 60 s, 30 times (27 minutes), unless a newer version comes; once it is in force it is refused no more, at the node, in its figures and in the status. Only errors of the disk are tried again (DiskError): a version that the node cannot serve, or that its successor has overtaken, stays refused. Until it is written, status tells it as refused with the disk's reason, as before.

tests/test_control_node.py: a disk that is full for 200 s and then takes it; the bound of tries; a newer version in between.

--- a/caperdeck/distribution/node.py
+++ b/caperdeck/distribution/node.py
@@ -9,7 +9,7 @@
 import threading
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from loguru import logger
 from twisted.internet.threads import deferToThreadPool
@@ -22,9 +22,12 @@
 from .connection import WatchConnection
 from .messages import FromPublisher, Refusal, Subscribe, one_line
 from .subscriber import Action, Apply, Held, Leave, Phase, Send, State, Subscriber
-from .version_file import BLOCK, Reserved, VersionFile, VersionFileError
+from .version_file import BLOCK, DiskError, Reserved, VersionFile, VersionFileError
 
 RESERVE_AGAIN = 5000.0  # ms until numbers are asked of a disk that failed once more
+FIRST_RETRY = 5000.0  # ms until a version that the disk did not take is written again; doubled each time
+LONGEST_RETRY = 60_000.0
+MOST_RETRIES = 30  # of one version: for a little over 27 minutes
 LEAST_WAIT = 1.0  # ms between two turns
 
 Then = Callable[[Any], None]  # what the call gave, or the VersionFileError that it raised
@@ -35,6 +38,18 @@
     """This node cannot serve the version; the text has the field and the reason."""
 
 
+class Unwritten(NamedTuple):
+    """A version that the disk did not take."""
+
+    version: Held
+    tries: int
+
+    @property
+    def wait(self) -> float:
+        """Until the next try, in ms."""
+        return min(FIRST_RETRY * 2 ** (self.tries - 1), LONGEST_RETRY)
+
+
 class Service(Protocol):
     """Whoever serves under the versions."""
 
@@ -86,6 +101,8 @@
         self.running = False
         self.timer: Any = None
         self.reserve_timer: Any = None
+        self.unwritten: Unwritten | None = None
+        self.retry_timer: Any = None
         self.writing = False  # a version is checked and not in force yet
         self.waiting: list[Callable[[], None]] = []  # until that is so
         self.dropped: dict[str, int] = {}  # ends of connections, by reason
@@ -103,6 +120,7 @@
         self.life += 1
         cancel(self.timer)
         cancel(self.reserve_timer)
+        cancel(self.retry_timer)
         self._close()
         self.subscriber, self.reserving, self.writing = None, False, False
         self._go_on()
@@ -163,6 +181,7 @@
             self.place, publishers, self.in_force, first, seed, now, self.refused,
         )  # fmt: skip
         self._set_timer()
+        self._set_retry()
 
     # ---- turns
 
@@ -235,6 +254,11 @@
     # ---- versions
 
     def _apply(self, held: Held) -> None:
+        self.unwritten = None
+        cancel(self.retry_timer)
+        self._write(held)
+
+    def _write(self, held: Held) -> None:
         try:
             prepared = self.service.prepare(held)
         except UnservableError as error:
@@ -248,7 +272,9 @@
 
     def _kept(self, held: Held, prepared: Any, result: VersionFileError | None) -> None:
         self.writing = False
-        if result is not None:
+        if isinstance(result, DiskError):
+            self._refuse_unwritten(held, result)
+        elif result is not None:
             self._refuse(held, str(result))
         elif self._put_in_force(held, prepared):
             self._carry_out(self.subscriber.applied(self.clock(), held.revision))
@@ -261,6 +287,8 @@
             self._refuse_fault(held, error)
             return False
         self.in_force = held
+        if self.refused is not None and self.refused.revision == held.revision:
+            self.refused = None
         logger.info("version in-force revision={} digest={}", held.revision, held.digest)
         return True
 
@@ -274,6 +302,24 @@
         # Danger: a version that is neither applied nor refused would keep out all later ones.
         self._refuse(held, f"internal: {error!r}")
 
+    # ---- a disk that did not take a version
+
+    def _refuse_unwritten(self, held: Held, error: DiskError) -> None:
+        before = self.unwritten.tries if self.unwritten is not None else 0
+        self.unwritten = Unwritten(held, before + 1) if before < MOST_RETRIES else None
+        self._set_retry()
+        self._refuse(held, str(error))
+
+    def _set_retry(self) -> None:
+        cancel(self.retry_timer)
+        if self.unwritten is not None:
+            self.retry_timer = self.reactor.callLater(self.unwritten.wait / 1000, self._retry)
+
+    def _retry(self) -> None:
+        version = self.unwritten.version
+        if self.subscriber.retry(version):
+            self._write(version)
+
     def _go_on(self) -> None:
         waiting, self.waiting = self.waiting, []
         for call in waiting:
--- a/caperdeck/distribution/subscriber.py
+++ b/caperdeck/distribution/subscriber.py
@@ -168,9 +168,19 @@
         """That version is in the node's file and in force."""
         if self.applying is not None and self.applying.revision == revision:
             self.held, self.applying = self.applying, None
+            if self.refusal is not None and self.refusal.revision == revision:
+                self.refusal = None
             self._after_applying(now)
         return self._done()
 
+    def retry(self, version: Held) -> bool:
+        """Whether that version, which was refused, may be applied after all; if so it is being applied."""
+        refused = self.refusal is not None and self.refusal.revision == version.revision
+        if not refused or self.applying is not None or version.revision < self.highest:
+            return False
+        self.applying = version
+        return True
+
     def refused(self, now: float, revision: int, reason: str) -> list[Action]:
         """The node cannot serve that version; the one before stays in force."""
         if self.applying is not None and self.applying.revision == revision:
--- a/caperdeck/distribution/version_file.py
+++ b/caperdeck/distribution/version_file.py
@@ -31,6 +31,10 @@
     """The file cannot be read or written; the text names it and says why."""
 
 
+class DiskError(VersionFileError):
+    """The disk failed, and may work again."""
+
+
 class DamagedFileError(VersionFileError):
     """What is there is no file of a version."""
 
@@ -138,7 +142,7 @@
                 fcntl.flock(lock, fcntl.LOCK_EX)
                 yield
         except OSError as error:
-            raise VersionFileError(f"{self.path}: {error.strerror}") from None
+            raise DiskError(f"{self.path}: {error.strerror}") from None
 
     def _write(self, kept: Kept) -> None:
         new = os.path.join(self.folder, NEW)
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -15,11 +15,12 @@
 from caperdeck.distribution.choice import Place
 from caperdeck.distribution.document import digest
 from caperdeck.distribution.messages import Subscribe
+from caperdeck.distribution.node import LONGEST_RETRY
 from caperdeck.distribution.publisher import Publisher
 from caperdeck.distribution.stream import encode, message_from_node
 from caperdeck.distribution.subscriber import ANSWER, IN_PARTS, Held, State, Subscriber
 from caperdeck.distribution.table import Versions, propose
-from caperdeck.distribution.version_file import BLOCK, VersionFile, VersionFileError
+from caperdeck.distribution.version_file import BLOCK, DiskError, VersionFile, VersionFileError
 from caperdeck.lifecycle.config import load_config, reload_config
 from caperdeck.lifecycle.control import Control, Instance
 from caperdeck.lifecycle.logs import Sink
@@ -50,7 +51,7 @@
     def __call__(self, call, then):
         try:
             if self.full:
-                raise VersionFileError("version: No space left on device")
+                raise DiskError("version: No space left on device")
             result = call()
         except VersionFileError as error:
             result = error
@@ -314,6 +315,40 @@
     assert (node.revision, node.service.config.settings.nodes) == (3, 7)
 
 
+def test_a_version_that_the_disk_did_not_take_is_tried_again_ever_more_slowly_until_it_does(tmp_path):
+    node, instances = served(tmp_path, fleet_size(5))
+    node.disk.full = True
+    with logged() as log:
+        instances.publish(fleet_size(6))
+        node.play(instances, 200.0)
+    tries = [line for line in log if "version refused revision=2" in line]
+    assert len(tries) == 7  # at once and after 5, 15, 35, 75, 135, 195 s
+    node.disk.full = False
+    node.play(instances, LONGEST_RETRY / 1000.0)
+    assert (node.revision, node.service.config.settings.nodes) == (2, 6)
+    assert node.watch.refused is None and node.watch.state() is State.CURRENT
+    (row,) = instances.publisher.status(instances.clock()).rows
+    assert (row.revision, row.refused) == (2, None)
+    assert VersionFile(str(tmp_path), "t", "n1").read().held.revision == 2
+
+
+def test_a_version_is_written_again_so_many_times_and_not_once_there_is_a_newer_one(tmp_path, monkeypatch):
+    monkeypatch.setattr("caperdeck.distribution.node.MOST_RETRIES", 2)
+    node, instances = served(tmp_path, fleet_size(5))
+    node.disk.full = True
+    with logged() as log:
+        instances.publish(fleet_size(6))
+        node.play(instances, 60.0)
+        assert sum("version refused revision=2" in line for line in log) == 3
+        instances.publish(fleet_size(7))
+        node.play(instances, 2.0)
+        node.disk.full = False
+        instances.publish(fleet_size(8))
+        node.play(instances, 30.0)
+    assert sum("version refused revision=3" in line for line in log) == 1
+    assert (node.revision, node.service.config.settings.nodes) == (4, 8)
+
+
 @pytest.mark.parametrize("step", ["prepare", "put_in_force"])
 def test_a_fault_of_the_program_refuses_the_version_and_the_next_one_is_taken(step, tmp_path, monkeypatch):
     # Danger: a version that is neither applied nor refused would keep out all later ones.
@@ -514,4 +549,4 @@
 print(told)
 """
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
-    assert done.stdout == "[(7, True), ('VersionFileError', True)]\n", done.stderr
+    assert done.stdout == "[(7, True), ('DiskError', True)]\n", done.stderr
