Slopes: lines of a later revision are merged into a record with their own provenance

A record holds lines of one revision and one machine, and refuses others. Taking some lines again after a mend would have meant taking all again. `--merge` puts what is measured into the record that is there; each new line carries its own time, revision and machine, and the others stay as they are. Without it a record of another revision or machine is refused as before.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -22,7 +22,7 @@
   caperdeck lab in-force [--nodes=N] [--instances=N] [--processes=N] [--changes=N] [--faults=LIST]
                          [--seconds=N] [--json=FILE]
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
-  caperdeck lab slopes [--out=FILE] [--only=PARTS] [--small]
+  caperdeck lab slopes [--out=FILE] [--only=PARTS] [--small] [--merge]
   caperdeck lab capacity --slopes=FILE --target=FILE [--json=FILE] [--page=FILE]
   caperdeck lab demo
   caperdeck (-h | --help)
@@ -65,6 +65,7 @@
   --out=FILE         The scenario file, page or record to write.
   --only=PARTS       Measure these parts alone, with commas between; what FILE has of others is kept.
   --small            At tiny sizes, to see that it works; the figures say nothing.
+  --merge            Into the record FILE, of whatever revision and machine; new lines carry their own.
   --against=WAY      module, two-by-count, least-loaded, settings:FILE, sharing:USES, subsets, checkout:DIR.
   --base=WAY         What that is measured against, module if not given.
   --pairs=N          Seeds that both ways play, 10 if not given.
--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -172,7 +172,7 @@
     from .slopes.errors import InputError, MeasuringError
 
     try:
-        run(arguments["--out"], arguments["--only"], arguments["--small"], say)
+        run(arguments["--out"], arguments["--only"], arguments["--small"], say, arguments["--merge"])
     except InputError as error:
         return refuse(error)
     except MeasuringError as error:
--- a/caperdeck/lab/slopes/command.py
+++ b/caperdeck/lab/slopes/command.py
@@ -8,13 +8,14 @@
 import importlib
 from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import NamedTuple
 
 import msgspec
 
 from . import record as records
 from .errors import InputError, MeasuringError
 from .line import FitError
-from .record import Measurement
+from .record import Measurement, Provenance, Record
 from .table import rows
 
 Say = Callable[[str], None]
@@ -33,18 +34,18 @@
 SMALL = "small sizes; "  # begins the note of what was measured with --small
 
 
-def run(out: str | None, only: str | None, small: bool, say: Say) -> None:
+def run(out: str | None, only: str | None, small: bool, say: Say, merge: bool = False) -> None:
     """Measures the parts one after the other and writes the record after each.
 
-    Raises InputError before anything is measured, MeasuringError for a part that gave nothing to go by.
+    `merge`: into the record that is there, of whatever revision and machine; what is measured then carries
+    its own. Raises InputError before anything is measured, MeasuringError for a part that gave nothing to
+    go by.
     """
     chosen = chosen_parts(only)
     functions = [(name, function_of(name)) for name in chosen]
-    revision, kept = records.revision(), []
-    if out is not None:
-        check_writable(out)
-        if only is not None:
-            kept = kept_measurements(out, revision, small)
+    # the revision is that of the start: a record that is kept in the work tree changes it
+    revision = records.revision()
+    destination = destination_of(out, only, small, merge, revision)
     measured: list[Measurement] = []
     for name, measure in functions:
         say(f"part {name}")
@@ -52,16 +53,49 @@
             measured += [marked(each, small) for each in measure(small, say)]
         except FitError as error:
             raise MeasuringError(f"part {name}: {error}") from None
-        if out is not None:
-            # the revision is that of the start: a record that is kept in the work tree changes it
-            made = records.record(merged(kept, measured))
-            records.write(out, msgspec.structs.replace(made, revision=revision))
+        if destination is not None:
+            destination.write(measured, revision)
     for row in rows(measured):
         say(row)
     if out is not None:
         say(f"written: {out}")
 
 
+class Destination(NamedTuple):
+    """The file of the record, with what it has of earlier runs."""
+
+    path: str
+    old: Record | None  # what is measured is merged into it; None: it becomes a record of this run
+    kept: list[Measurement]
+
+    def write(self, measured: list[Measurement], revision: str) -> None:
+        if self.old is None:
+            made = records.record(merged(self.kept, measured))
+            records.write(self.path, msgspec.structs.replace(made, revision=revision))
+            return
+        provenance = Provenance(records.now(), revision, records.this_machine())
+        new = [msgspec.structs.replace(each, provenance=provenance) for each in measured]
+        together = tuple(merged(self.kept, new))
+        records.write(self.path, msgspec.structs.replace(self.old, measurements=together))
+
+
+def destination_of(
+    out: str | None, only: str | None, small: bool, merge: bool, revision: str,
+) -> Destination | None:  # fmt: skip
+    """Raises InputError."""
+    if out is None:
+        if merge:
+            raise InputError("--merge: into which record? --out is not given")
+        return None
+    check_writable(out)
+    if merge:
+        old = earlier(out, small)
+        if old is None:
+            raise InputError(f"--merge: there is no {out}")
+        return Destination(out, old, list(old.measurements))
+    return Destination(out, None, kept_measurements(out, revision, small) if only is not None else [])
+
+
 def chosen_parts(only: str | None) -> list[str]:
     """All parts, or those of a list with commas, in the order of PARTS."""
     if only is None:
@@ -93,19 +127,27 @@
 
 def kept_measurements(out: str, revision: str, small: bool) -> list[Measurement]:
     """What the file has from earlier runs; raises InputError unless they fit with this one."""
-    if not Path(out).exists():
+    old = earlier(out, small)
+    if old is None:
         return []
-    try:
-        old = records.read(out)
-    except records.RecordError as error:
-        raise InputError(str(error)) from None
     if old.revision != revision:
         raise InputError(f"{out} is of revision {old.revision}, this is {revision}")
     if old.machine != records.this_machine():
         raise InputError(f"{out} was measured on another machine")
+    return list(old.measurements)
+
+
+def earlier(out: str, small: bool) -> Record | None:
+    """The record that is there, if any; raises InputError for what is none, and for other sizes."""
+    if not Path(out).exists():
+        return None
+    try:
+        old = records.read(out)
+    except records.RecordError as error:
+        raise InputError(str(error)) from None
     if any(each.note.startswith(SMALL) is not small for each in old.measurements):
         raise InputError(f"{out} was measured {'at full size' if small else 'with --small'}")
-    return list(old.measurements)
+    return old
 
 
 def marked(each: Measurement, small: bool) -> Measurement:
--- a/caperdeck/lab/slopes/record.py
+++ b/caperdeck/lab/slopes/record.py
@@ -29,7 +29,25 @@
     VIRTUAL_TIME = "virtual time"  # simulated clock and network
 
 
-class Measurement(msgspec.Struct, frozen=True):
+class Machine(msgspec.Struct, frozen=True):
+    """The machine that was measured on."""
+
+    cores: int
+    memory_bytes: int
+    processor: str
+    system: str
+    python: str
+
+
+class Provenance(msgspec.Struct, frozen=True):
+    """When, on which text and on which machine a measurement was taken."""
+
+    taken_at: str  # UTC, ISO 8601
+    revision: str  # of the repository, with "+" if the work tree had changes
+    machine: Machine
+
+
+class Measurement(msgspec.Struct, frozen=True, omit_defaults=True):
     """One cost against one size. `name` is dotted, `part.cost`, and unique within a record."""
 
     name: str
@@ -40,27 +58,22 @@
     points: tuple[Point, ...]
     line: Line
     note: str = ""  # what a reader has to know: conditions, limits, where the line does not fit
-
-
-class Machine(msgspec.Struct, frozen=True):
-    """The machine that was measured on."""
-
-    cores: int
-    memory_bytes: int
-    processor: str
-    system: str
-    python: str
+    provenance: Provenance | None = None  # its own where it was merged into a record; None: the record's
 
 
 class Record(msgspec.Struct, frozen=True):
-    """All measurements of one run."""
+    """All measurements of one run, and those of later runs that were merged into it."""
 
     format: int
-    taken_at: str  # UTC, ISO 8601
-    revision: str  # of the repository, with "+" if the work tree had changes
+    taken_at: str  # as in Provenance, with the next two: of all measurements without one of their own
+    revision: str
     machine: Machine
     measurements: tuple[Measurement, ...]
 
+    @property
+    def provenance(self) -> Provenance:
+        return Provenance(self.taken_at, self.revision, self.machine)
+
     def find(self, name: str) -> Measurement:
         """Raises RecordError if the record has no measurement of that name."""
         for measurement in self.measurements:
@@ -106,8 +119,11 @@
     names = [each.name for each in measurements]
     if len(set(names)) < len(names):
         raise RecordError(f"measured twice: {', '.join(sorted({n for n in names if names.count(n) > 1}))}")
-    taken_at = datetime.now(UTC).isoformat(timespec="seconds")
-    return Record(FORMAT, taken_at, revision(), this_machine(), tuple(measurements))
+    return Record(FORMAT, now(), revision(), this_machine(), tuple(measurements))
+
+
+def now() -> str:
+    return datetime.now(UTC).isoformat(timespec="seconds")
 
 
 def write(path: str | Path, made: Record) -> None:
--- a/tests/test_lab_slopes_command.py
+++ b/tests/test_lab_slopes_command.py
@@ -80,6 +80,37 @@
     assert out.read_bytes() == before and len(stand_ins) == 1
 
 
+def test_lines_of_a_later_revision_are_merged_with_their_own_provenance(stand_ins, tmp_path, monkeypatch):
+    out = str(tmp_path / "slopes.json")
+    assert slopes("--only=one,two", f"--out={out}") == 0
+    old = read(out)
+    monkeypatch.setattr(record, "revision", lambda: "def")
+    monkeypatch.setattr(record, "this_machine", lambda: record.Machine(1, 2, "another", "Linux", "3"))
+    assert slopes("--only=one", f"--out={out}", "--merge") == 0
+    new = read(out)
+    assert (new.provenance, new.find("two.cost")) == (old.provenance, old.find("two.cost"))
+    own = new.find("one.cost").provenance
+    assert (own.revision, own.machine.processor) == ("def", "another") and old.revision == "abc"
+
+
+@pytest.mark.parametrize(
+    ("options", "reason"),
+    [
+        (["--merge"], "--merge: into which record?"),
+        (["--merge", "--out={out}"], "--merge: there is no"),
+        (["--merge", "--out={out}", "--small"], "was measured at full size"),
+    ],
+)
+def test_a_merge_without_its_record_is_refused(stand_ins, tmp_path, capsys, options, reason):
+    out = tmp_path / "slopes.json"
+    if "--small" in options:
+        assert slopes("--only=one", f"--out={out}") == 0
+    before = len(stand_ins)
+    assert slopes("--only=two", *(option.format(out=out) for option in options)) == 2
+    error = capsys.readouterr().err
+    assert reason in error and error.count("\n") == 1 and len(stand_ins) == before
+
+
 def test_small_sizes_are_marked_and_not_mixed_with_full_ones(stand_ins, tmp_path, capsys):
     out = str(tmp_path / "slopes.json")
     assert slopes("--only=one", "--small", f"--out={out}") == 0
