Slopes: the distribution of configuration, at a node and at the publishing instance

No line said what a watch or a version costs, so capacity counted configuration as carried by nothing. New part `distribution`, from three real instances of which a follower is watched: processor time, bytes and memory of a watch by the number of watches, and of a version by its size; at the instance against watches, sizes, watches taken up, and with all versions that it keeps.

Ruled out: one line for both numbers (watches times bytes), as the fixed work of a version would be in neither.

--- a/caperdeck/lab/slopes/bench.py
+++ b/caperdeck/lab/slopes/bench.py
@@ -135,25 +135,29 @@
             with self.node() as node:
                 yield size, node
 
-    def node(self) -> NodeProcess:
-        return NodeProcess(self)
+    def node(self, control: Path | None = None) -> NodeProcess:
+        """`control`: the file of that name for `caperdeck serve`."""
+        return NodeProcess(self, control)
 
 
 class NodeProcess:
     """A node as `caperdeck serve`, ready for clients within its `with` block."""
 
-    def __init__(self, bench: Bench) -> None:
-        self.bench = bench
+    def __init__(self, bench: Bench, control: Path | None = None) -> None:
+        self.bench, self.control = bench, control
         self.port = bench.ports.take(socket.SOCK_STREAM)
 
     def __enter__(self) -> NodeProcess:
         folder = Path(self.bench.folder.name)
         config, log = folder / "node.json", folder / "node.log"
         config.write_bytes(msgspec.json.encode(self.config()))
+        words = ["caperdeck", "serve", f"--config={config}"]
+        if self.control is not None:
+            words.append(f"--control={self.control}")
         with open(log, "wb") as file:
             self.process = spawn(
-                ["caperdeck", "serve", f"--config={config}"], stdin=subprocess.DEVNULL, stdout=file,
-                stderr=file, env=os.environ | {"TMPDIR": str(folder)},
+                words, stdin=subprocess.DEVNULL, stdout=file, stderr=file,
+                env=os.environ | {"TMPDIR": str(folder)},
             )  # fmt: skip
         try:
             self.await_ready(log)
--- a/caperdeck/lab/slopes/command.py
+++ b/caperdeck/lab/slopes/command.py
@@ -30,6 +30,7 @@
     "owned": "owned_work",
     "agreement": "agreement",
     "configuration": "configuration",
+    "distribution": "distribution",
 }
 SMALL = "small sizes; "  # begins the note of what was measured with --small
 
--- a/caperdeck/lab/slopes/instances.py
+++ b/caperdeck/lab/slopes/instances.py
@@ -79,8 +79,10 @@
 class Instances:
     """So many instances that agree. They begin at `start` and end with the block."""
 
-    def __init__(self, count: int, folder: Path, nodes: dict[str, Address] | None = None) -> None:
-        self.folder, self.ports = folder, Ports()
+    def __init__(
+        self, count: int, folder: Path, nodes: dict[str, Address] | None = None, cluster: str = CLUSTER,
+    ) -> None:  # fmt: skip
+        self.folder, self.ports, self.cluster = folder, Ports(), cluster
         self.addresses = [Address(LOOPBACK, self.ports.take(socket.SOCK_STREAM)) for _ in range(count)]
         self.nodes = nodes or {}
         self.processes: list[Process] = []
@@ -107,13 +109,13 @@
 
     def _file(self, number: int) -> dict[str, Any]:
         return {
-            "cluster": CLUSTER, "me": number, "folder": str(self.disk(number)),
+            "cluster": self.cluster, "me": number, "folder": str(self.disk(number)),
             "instances": {str(i): _text(address) for i, address in enumerate(self.addresses)},
             "nodes": {name: _text(address) for name, address in self.nodes.items()},
         }  # fmt: skip
 
     def status(self, number: int) -> dict[str, Any] | None:
-        return ask(self.addresses[number], CLUSTER, {"do": "status"})
+        return ask(self.addresses[number], self.cluster, {"do": "status"})
 
     def count(self, number: int, event: str) -> int:
         """How often that has happened at an instance; raises InstanceError where it does not answer."""
