--- a/caperdeck/lab/slopes/bench.py
+++ b/caperdeck/lab/slopes/bench.py
@@ -32,7 +32,7 @@
 SPARE = 1000  # descriptors of the limit that sessions leave to everything else
 START = 30.0  # seconds until a part has to answer
 ANSWER = 120.0  # seconds until a command has to be answered
-LOOK = 0.02  # seconds between looks at whether something has come to be
+POLL_EVERY = 0.02  # seconds between polls of what is waited for
 MOST_REFUSED = 0.01  # of the connections, past which a set-up is not what is measured
 IDLE = 3600.0  # seconds after which a client that says nothing would be sent away
 PR_SET_PDEATHSIG = 1
@@ -184,7 +184,7 @@
                 sock.sendall(b"PING\r\n")
                 if sock.recv(64).startswith(b"PONG"):
                     return
-            time.sleep(LOOK)
+            time.sleep(POLL_EVERY)
         raise MeasuringError(f"the node did not start: {log.read_text(errors='replace')[-200:].strip()}")
 
     def __exit__(self, *unused: Any) -> None:
@@ -207,7 +207,7 @@
         while self.bench.hosts.ask("sessions"):
             if time.monotonic() > until:
                 raise MeasuringError("hosts still hold connections that clients have ended")
-            time.sleep(LOOK)
+            time.sleep(POLL_EVERY)
 
     def processor(self) -> float:
         """Processor seconds that the node has used."""
--- a/caperdeck/lab/slopes/deliveries.py
+++ b/caperdeck/lab/slopes/deliveries.py
@@ -22,7 +22,7 @@
 CAUGHT_UP = 0.97  # of the lines sent that have arrived as the sending ends, under which it is full too
 END_FULL = 0.9  # of one processor, from which the clients' process may be what limits
 DRAIN = 20.0  # seconds in which lines under way have to arrive
-LOOK = 0.02  # seconds between looks at that
+POLL_EVERY = 0.02  # seconds between polls of that
 FEW = 10  # lines past a percentile, under which it is a matter of chance
 TRIES = 3  # of a point that is doubtful
 LEAD_IN = 0.5  # seconds at the lowest rate, before anything is kept
@@ -144,7 +144,7 @@
     while (received := bench.clients.ask("received")["received"]) < sent:
         if time.monotonic() > until:
             raise MeasuringError(f"{received} of {sent} lines arrived")
-        time.sleep(LOOK)
+        time.sleep(POLL_EVERY)
 
 
 def measurements(runs: list[Run], sizes: Sizes, length: int, beside: int) -> list[Measurement]:
--- a/caperdeck/lab/slopes/instances.py
+++ b/caperdeck/lab/slopes/instances.py
@@ -25,7 +25,7 @@
 
 CLUSTER = "slopes"
 LOOPBACK = "127.0.0.1"
-LOOK = 0.005  # seconds between two looks at a process that starts
+POLL_EVERY = 0.005  # seconds between two polls of a process that starts
 STARTED = 20.0  # seconds that a start, or an election, may take
 ENDED = 5.0  # seconds until a process that was told to end is killed
 ANSWERED = 30.0  # seconds until a call counts as lost
@@ -146,7 +146,7 @@
                 process.check()
             if time.monotonic() > until:
                 raise InstanceError(f"{text} in {STARTED:g} s")
-            time.sleep(LOOK)
+            time.sleep(POLL_EVERY)
 
 
 def _text(address: Address) -> str:
--- a/caperdeck/lab/slopes/owned_work.py
+++ b/caperdeck/lab/slopes/owned_work.py
@@ -19,7 +19,7 @@
 from caperdeck.lab.ports import Ports
 from caperdeck.state.addresses import Address
 
-from .instances import LOOK, LOOPBACK, OWN_END, STARTED, InstanceError, Instances, Process
+from .instances import LOOPBACK, OWN_END, POLL_EVERY, STARTED, InstanceError, Instances, Process
 from .line import Point
 from .record import Measurement, Source, measurement
 from .targets import HOSTS, Figures
@@ -80,7 +80,7 @@
             self.process.check()
             if time.monotonic() > until:
                 raise InstanceError(f"{text} in {STARTED:g} s")
-            time.sleep(LOOK)
+            time.sleep(POLL_EVERY)
 
 
 @contextmanager
--- a/caperdeck/lab/slopes/watching_nodes.py
+++ b/caperdeck/lab/slopes/watching_nodes.py
@@ -20,7 +20,7 @@
 from caperdeck.lab.in_force.run import stream_bytes
 from caperdeck.state.addresses import Address
 
-from .bench import LOOK, spawn
+from .bench import POLL_EVERY, spawn
 from .errors import MeasuringError
 from .process import own_memory, processor_seconds
 
@@ -155,7 +155,7 @@
         check()
         if time.monotonic() > until:
             raise MeasuringError(f"{text} after {WAIT:g} s")
-        time.sleep(LOOK)
+        time.sleep(POLL_EVERY)
 
 
 class ProcessorMeter:
