--- a/caperdeck/lab/capacity/page.py
+++ b/caperdeck/lab/capacity/page.py
@@ -18,13 +18,13 @@
 
 def between(page: str) -> str:
     """What stands between the marks now."""
-    head, tail = _marks(page)
-    return page[head:tail].strip("\n") + "\n"
+    begin, end = _marks(page)
+    return page[begin:end].strip("\n") + "\n"
 
 
 def rewritten(page: str, generated: str) -> str:
-    head, tail = _marks(page)
-    return f"{page[:head]}\n\n{generated.strip()}\n\n{page[tail:]}"
+    begin, end = _marks(page)
+    return f"{page[:begin]}\n\n{generated.strip()}\n\n{page[end:]}"
 
 
 def rewritten_file(path: str, generated: str) -> str:
@@ -40,7 +40,7 @@
     for mark in (BEGIN, END):
         if page.count(mark) != 1:
             raise PageError(f"the mark {mark} stands {page.count(mark)} times, not once")
-    head, tail = page.index(BEGIN) + len(BEGIN), page.index(END)
-    if tail < head:
+    begin, end = page.index(BEGIN) + len(BEGIN), page.index(END)
+    if end < begin:
         raise PageError("the end mark stands before the begin mark")
-    return head, tail
+    return begin, end
