--- a/caperdeck/lab/capacity/lines.py
+++ b/caperdeck/lab/capacity/lines.py
@@ -24,6 +24,11 @@
     "raft.commit_time_by_size", "raft.start_time",
     "configuration.apply_by_size", "configuration.apply_by_listeners", "configuration.apply_by_customers",
     "configuration.bytes_by_listeners",
+    "distribution.node_cpu", "distribution.node_bytes", "distribution.node_memory",
+    "distribution.version_cpu", "distribution.version_bytes", "distribution.version_memory",
+    "distribution.instance_cpu", "distribution.instance_memory", "distribution.instance_version_cpu",
+    "distribution.instance_version_cpu_by_size", "distribution.subscribe_cpu",
+    "distribution.commit_cpu", "distribution.history_memory",
 )  # fmt: skip
 """Every measurement that the tables rest on."""
 
--- a/caperdeck/lab/capacity/needs.py
+++ b/caperdeck/lab/capacity/needs.py
@@ -41,11 +41,16 @@
         "core/decide; each node paces by its own part of the room, nothing paces the fleet",
         (Need.MEMBERSHIP,),
     ),
-    Need.CONFIGURATION: Carrier(NOTHING, "a file and a SIGHUP by hand at each node process"),
+    Need.CONFIGURATION: Carrier(
+        "a watch at an instance (`--control`; off in `run`)",
+        "distribution/, where `serve --control` is given; in `run` a file and a SIGHUP by hand at each "
+        "node process",
+        (Need.AGREEMENT,),
+    ),
     Need.MEMBER_LIST: Carrier(
         NOTHING,
         "peers stand by number in the file of each node, so a member in another place is a change "
-        "at all others",
+        "at all others, and a version of the configuration may not set them",
         (Need.CONFIGURATION,),
     ),
     Need.MEMBERSHIP: Carrier("SWIM over datagrams", "peers/swim", (Need.MEMBER_LIST,)),
--- a/caperdeck/lab/capacity/roles/control.py
+++ b/caperdeck/lab/capacity/roles/control.py
@@ -9,7 +9,14 @@
 from ..load import DAY, tick_share
 from ..needs import Need
 from ..row import Kind, Role, Row, row
-from .configuration import apply_seconds, file_bytes, file_changes
+from ..versions import (
+    version_processor,
+    version_rate,
+    version_traffic,
+    watch_bytes,
+    watch_memory,
+    watch_processor,
+)
 
 
 class Spent(NamedTuple):
@@ -25,7 +32,7 @@
     return Role(
         "Control at a node machine",
         (
-            *_rows(fleet, Kind.PROCESSOR, "part of a core", "", processor(fleet), control.core_part),
+            *_rows(fleet, Kind.PROCESSOR, "share of a core", "", processor(fleet), control.core_part),
             *_rows(fleet, Kind.MEMORY, "memory", "B", memory(fleet), control.memory),
             *_rows(fleet, Kind.MESSAGES, "bytes", "B/s", sent(fleet), control.bytes_per_second),
         ),
@@ -48,13 +55,14 @@
     """Parts of a core."""
     lines, members, hosts = fleet.lines, fleet.members, fleet.assumed("hosts")
     list_changes = fleet.assumed("hosts_replaced_a_day") / DAY
-    configurations = apply_seconds(fleet) * file_changes(fleet) / DAY
+    versions = version_processor(fleet) * version_rate(fleet).mean
     return (
         Spent(Need.MEMBERSHIP, "membership", lines.at("peers.cpu", members)),
         Spent(Need.OWNED_WORK, "acts of owners", lines.at("owned.cpu_node", members)),
         Spent(Need.HOST_FIGURES, "the decisions' tick", tick_share(fleet.target, lines)),
         Spent(Need.HOST_LIST, "changes of the list of hosts", lines.at("node.change", hosts) * list_changes),
-        Spent(Need.CONFIGURATION, "configurations, if something brought them", configurations),
+        Spent(Need.CONFIGURATION, "the watch for versions", watch_processor(fleet)),
+        Spent(Need.CONFIGURATION, "versions at the mean", versions),
     )
 
 
@@ -64,7 +72,7 @@
     return (
         Spent(Need.MEMBERSHIP, "membership", lines.at("peers.state_bytes", fleet.members)),
         Spent(Need.HOST_LIST, "the list of hosts", lines.at("node.list_memory", fleet.assumed("hosts"))),
-        Spent(Need.CONFIGURATION, "the text of a configuration", file_bytes(fleet)),
+        Spent(Need.CONFIGURATION, "the watch and the version in force", watch_memory(fleet)),
     )
 
 
@@ -72,10 +80,11 @@
     """Bytes a second."""
     lines, members = fleet.lines, fleet.members
     list_changes = fleet.assumed("hosts_replaced_a_day") / DAY
-    configurations = file_bytes(fleet) * file_changes(fleet) / DAY
+    versions = version_traffic(fleet) * version_rate(fleet).mean
     return (
         Spent(Need.MEMBERSHIP, "membership", lines.at("peers.bytes", members)),
         Spent(Need.OWNED_WORK, "acts of owners", lines.at("owned.bytes", members) / members),
         Spent(Need.HOST_LIST, "changes of the list of hosts", fleet.assumed("host_row_bytes") * list_changes),
-        Spent(Need.CONFIGURATION, "whole configurations, if something brought them", configurations),
+        Spent(Need.CONFIGURATION, "the watch for versions", watch_bytes(fleet)),
+        Spent(Need.CONFIGURATION, "versions at the mean", versions),
     )
--- a/caperdeck/lab/capacity/roles/membership.py
+++ b/caperdeck/lab/capacity/roles/membership.py
@@ -43,7 +43,7 @@
             row(
                 need,
                 Kind.PROCESSOR,
-                "one process, part of a core",
+                "one process, share of a core",
                 "",
                 lines.at("peers.cpu", members),
                 share.core_part,
--- a/caperdeck/lab/capacity/roles/process.py
+++ b/caperdeck/lab/capacity/roles/process.py
@@ -49,7 +49,7 @@
     lost = utilisation(target, lines, fleet.load(fleet.zone_machines))
     return [
         *(
-            row(Need.DELIVERY, Kind.PROCESSOR, f"{name}, part of a reactor, quiet machine", "", part)
+            row(Need.DELIVERY, Kind.PROCESSOR, f"{name}, share of a reactor, quiet machine", "", part)
             for name, part in parts.items()
         ),
         row(Need.DELIVERY, Kind.PROCESSOR, "all of it, quiet machine", "", quiet, bound),
--- a/caperdeck/lab/capacity/sizing.py
+++ b/caperdeck/lab/capacity/sizing.py
@@ -1,7 +1,7 @@
 """How many node processes a machine must run.
 
 The rule: the least number for which, with the largest zone lost and its load on the rest,
-1. the steady load stays under the assumed part of a reactor,
+1. the steady load stays under the assumed share of a reactor,
 2. the target's part of the deliveries passes the node within the assumed part of a delivery's time,
 3. the zone's connections, back at the rest all at once, are served within the assumed time.
 Each condition gives a number by itself; the largest of them counts.
--- a/caperdeck/lab/capacity/tables.py
+++ b/caperdeck/lab/capacity/tables.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from caperdeck.lab.slopes.record import Measurement
+from caperdeck.lab.slopes.record import Measurement, Provenance
 
 from .faults import Fault
 from .figure import Figure
@@ -46,12 +46,13 @@
 
 def _source(report: Report) -> list[str]:
     record = report.record
-    machine = record.machine
-    lines = [
-        f"Lines taken {record.taken_at} at revision {record.revision}: {machine.processor}, "
-        f"{machine.cores} cores, {amount(machine.memory_bytes, 'B')}, {machine.system}, "
-        f"Python {machine.python}."
-    ]
+    lines = [f"Lines taken {_provenance(record.provenance)}."]
+    merged: dict[Provenance, list[str]] = {}
+    for each in record.measurements:
+        if each.provenance is not None:
+            merged.setdefault(each.provenance, []).append(each.name)
+    for provenance, names in merged.items():
+        lines.append(f"\nBut {', '.join(names)}: taken {_provenance(provenance)}.")
     if any(each.note.startswith(SMALL) for each in record.measurements):
         lines.append("**Measured at small sizes, to see that it works: the figures say nothing.**")
     if report.missing:
@@ -59,6 +60,14 @@
     return lines
 
 
+def _provenance(taken: Provenance) -> str:
+    machine = taken.machine
+    return (
+        f"{taken.taken_at} at revision {taken.revision}: {machine.processor}, {machine.cores} cores, "
+        f"{amount(machine.memory_bytes, 'B')}, {machine.system}, Python {machine.python}"
+    )
+
+
 def _sizing(sizing: Sizing) -> list[str]:
     heading = ("with a zone lost", "processes a machine", "comes to", "bound", "line stretched", "origin")
     rows = [
