--- a/caperdeck/lab/slopes/bench.py
+++ b/caperdeck/lab/slopes/bench.py
@@ -32,7 +32,7 @@
 SPARE = 1000  # descriptors of the limit that sessions leave to everything else
 START = 30.0  # seconds until a part has to answer
 ANSWER = 120.0  # seconds until a command has to be answered
-LOOK = 0.02  # seconds between looks at whether something has come to be
+POLL_EVERY = 0.02  # seconds between polls of what is waited for
 MOST_REFUSED = 0.01  # of the connections, past which a set-up is not what is measured
 IDLE = 3600.0  # seconds after which a client that says nothing would be sent away
 
@@ -129,25 +129,29 @@
             with self.node() as node:
                 yield size, node
 
-    def node(self) -> NodeProcess:
-        return NodeProcess(self)
+    def node(self, control: Path | None = None) -> NodeProcess:
+        """`control`: the file of that name for `caperdeck serve`."""
+        return NodeProcess(self, control)
 
 
 class NodeProcess:
     """A node as `caperdeck serve`, ready for clients within its `with` block."""
 
-    def __init__(self, bench: Bench) -> None:
-        self.bench = bench
+    def __init__(self, bench: Bench, control: Path | None = None) -> None:
+        self.bench, self.control = bench, control
         self.port = bench.ports.take(socket.SOCK_STREAM)
 
     def __enter__(self) -> NodeProcess:
         folder = Path(self.bench.folder.name)
         config, log = folder / "node.json", folder / "node.log"
         config.write_bytes(msgspec.json.encode(self.config()))
+        words = ["caperdeck", "serve", f"--config={config}"]
+        if self.control is not None:
+            words.append(f"--control={self.control}")
         with open(log, "wb") as file:
             self.process = spawn(
-                ["caperdeck", "serve", f"--config={config}"], stdin=subprocess.DEVNULL, stdout=file,
-                stderr=file, env=os.environ | {"TMPDIR": str(folder)},
+                words, stdin=subprocess.DEVNULL, stdout=file, stderr=file,
+                env=os.environ | {"TMPDIR": str(folder)},
             )  # fmt: skip
         try:
             self.await_ready(log)
@@ -174,7 +178,7 @@
                 sock.sendall(b"PING\r\n")
                 if sock.recv(64).startswith(b"PONG"):
                     return
-            time.sleep(LOOK)
+            time.sleep(POLL_EVERY)
         raise MeasuringError(f"the node did not start: {log.read_text(errors='replace')[-200:].strip()}")
 
     def __exit__(self, *unused: Any) -> None:
@@ -197,7 +201,7 @@
         while self.bench.hosts.ask("sessions"):
             if time.monotonic() > until:
                 raise MeasuringError("hosts still hold connections that clients have ended")
-            time.sleep(LOOK)
+            time.sleep(POLL_EVERY)
 
     def processor(self) -> float:
         """Processor seconds that the node has used."""
--- a/caperdeck/lab/slopes/instances.py
+++ b/caperdeck/lab/slopes/instances.py
@@ -24,7 +24,7 @@
 
 CLUSTER = "slopes"
 LOOPBACK = "127.0.0.1"
-LOOK = 0.005  # seconds between two looks at a process that starts
+POLL_EVERY = 0.005  # seconds between two polls of a process that starts
 STARTED = 20.0  # seconds that a start, or an election, may take
 ENDED = 5.0  # seconds until a process that was told to end is killed
 ANSWERED = 30.0  # seconds until a call counts as lost
@@ -77,8 +77,10 @@
 class Instances:
     """So many instances that agree. They begin at `start` and end with the block."""
 
-    def __init__(self, count: int, folder: Path, nodes: dict[str, Address] | None = None) -> None:
-        self.folder, self.ports = folder, Ports()
+    def __init__(
+        self, count: int, folder: Path, nodes: dict[str, Address] | None = None, cluster: str = CLUSTER,
+    ) -> None:  # fmt: skip
+        self.folder, self.ports, self.cluster = folder, Ports(), cluster
         self.addresses = [Address(LOOPBACK, self.ports.take(socket.SOCK_STREAM)) for _ in range(count)]
         self.nodes = nodes or {}
         self.processes: list[Process] = []
@@ -105,13 +107,13 @@
 
     def _file(self, number: int) -> dict[str, Any]:
         return {
-            "cluster": CLUSTER, "me": number, "folder": str(self.disk(number)),
+            "cluster": self.cluster, "me": number, "folder": str(self.disk(number)),
             "instances": {str(i): _text(address) for i, address in enumerate(self.addresses)},
             "nodes": {name: _text(address) for name, address in self.nodes.items()},
         }  # fmt: skip
 
     def status(self, number: int) -> dict[str, Any] | None:
-        return ask(self.addresses[number], CLUSTER, {"do": "status"})
+        return ask(self.addresses[number], self.cluster, {"do": "status"})
 
     def count(self, number: int, event: str) -> int:
         """How often that has happened at an instance; raises InstanceError where it does not answer."""
@@ -142,7 +144,7 @@
                 process.check()
             if time.monotonic() > until:
                 raise InstanceError(f"{text} in {STARTED:g} s")
-            time.sleep(LOOK)
+            time.sleep(POLL_EVERY)
 
 
 def _text(address: Address) -> str:
