Lab: in force with a region cut off, seven in ten nodes back at once, a version that half refuse

`--faults` takes region-cut (60 s, the leader in the smaller region, through a relay process whose connections hang half open), crowd (seven in ten processes of nodes killed and back beside a change, then once more with empty folders) and refuse (own files of half of the nodes that do not bear the version). Refusals are taken only from the nodes that had to refuse, the rest as before; `when_all_had_it` of a look became the names that had it.

--- a/caperdeck/lab/in_force/command.py
+++ b/caperdeck/lab/in_force/command.py
@@ -10,9 +10,10 @@
 from caperdeck.lab.scale.command import check_place
 from caperdeck.lab.scenario import ScenarioError
 
+from .faults import FAULTS, OF_INSTANCES
 from .measured import Result, conclude
 from .plan import LEAST_INSTANCES, MOST_INSTANCES
-from .run import FAULTS, InForceRun, Settings
+from .run import InForceRun, Settings
 
 MOST_NODES, MOST_PROCESSES, MOST_CHANGES, MOST_REST = 4000, 120, 100, 120
 EVERY = 2.0  # seconds between changes: 30 a minute
@@ -20,7 +21,7 @@
 
 def in_force(arguments: dict[str, Any]) -> int:
     check_place("--json", arguments["--json"])
-    result = conclude(InForceRun(settings_of(arguments), say).play())
+    result = conclude(InForceRun(settings_of(arguments), say, FAULTS).play())
     for line in lines(result):
         say(line)
     if arguments["--json"]:
@@ -38,8 +39,9 @@
     nodes = given("nodes", 1, MOST_NODES, 100)
     faults = faults_of(arguments["--faults"])
     instances = given("instances", LEAST_INSTANCES, MOST_INSTANCES, MOST_INSTANCES)
-    if instances <= len(faults):
-        raise ScenarioError(f"--faults: {len(faults)} need {len(faults) + 1} instances, each has its own")
+    needed = len([fault for fault in faults if fault in OF_INSTANCES]) + 1
+    if instances < needed:
+        raise ScenarioError(f"--faults: these need {needed} instances, each has its own")
     return Settings(
         nodes, instances,
         given("processes", 1, min(MOST_PROCESSES, nodes), min(8, nodes)),
@@ -74,6 +76,10 @@
         f"the dearest instance, {cost.span}: {cost.core_share:.1%} of a core, {cost.memory_mb:.0f} MB"
         for cost in result.instance_costs
     ]
+    found += [
+        f"{row.instance}: {row.connects_in_a_second} connects within a second, {row.snapshots_at_once} "
+        f"snapshots at once at the most, {row.turned_away} turned away" for row in result.watches
+    ]  # fmt: skip
     found += [f"broken: {line}" for line in result.broken] + [f"void: {line}" for line in result.void]
     word = {0: "held", 1: "broken", 3: "void"}[result.code]
     return [
--- a/caperdeck/lab/in_force/instances.py
+++ b/caperdeck/lab/in_force/instances.py
@@ -14,15 +14,16 @@
 import tomli_w
 
 from caperdeck.distribution import commands
+from caperdeck.distribution.choice import Place
 from caperdeck.distribution.document import Document
 from caperdeck.lab.ports import Ports
 from caperdeck.lab.rig_process import ROOT, VoidError
 from caperdeck.owner.commands import ask
-from caperdeck.owner.config import load_owners
+from caperdeck.owner.config import Owners, load_owners
 from caperdeck.owner.process import steady
-from caperdeck.state.addresses import Address
+from caperdeck.state.addresses import Address, parse_address
 
-from .plan import CLUSTER, instance_places
+from .plan import CLUSTER, NORTH, SOUTH, instance_places
 
 PORT_KIND = 1  # of the ports' keeper
 LEADS_WITHIN = 20.0  # seconds
@@ -37,19 +38,46 @@
     answered: float
 
 
+class WatchFigures(msgspec.Struct):
+    """Of one instance, since its start."""
+
+    instance: str
+    open: int
+    most: int  # that it takes
+    connects_in_a_second: int  # the highest, of those that it took
+    snapshots_at_once: int  # the highest
+    turned_away: int  # told to come later
+
+
 class Instances:
     def __init__(self, count: int, folder: Path) -> None:
         self.places = instance_places(count)
         self.folder, self.ports = folder, Ports()
         self.addresses = [f"127.0.0.1:{self.ports.take(PORT_KIND)}" for _ in range(count)]
-        table = {str(i): address for i, address in enumerate(self.addresses)}
-        path = folder / "owners.toml"
-        path.write_text(tomli_w.dumps({"cluster": CLUSTER, "instances": table}))
-        self.owners = load_owners(str(path))
-        for i in range(count):
-            row = {"cluster": CLUSTER, "me": i, "folder": str(folder / f"o{i}"), "instances": table}
-            self._file(i).write_text(tomli_w.dumps(row))
         self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.owners: dict[str, Owners] = {}  # what operators know, by their region
+
+    def write_files(self, across: dict[str, str]) -> None:
+        """`across`: by name, where whoever is in the other region reaches an instance, if elsewhere."""
+        for region in (NORTH, SOUTH):
+            path = self.folder / f"owners-{region}.toml"
+            path.write_text(tomli_w.dumps({"cluster": CLUSTER, "instances": self._table(region, across)}))
+            self.owners[region] = load_owners(str(path))
+        for i, place in enumerate(self.places):
+            table = self._table(place.region, across)
+            row = {"cluster": CLUSTER, "me": i, "folder": str(self.folder / f"o{i}"), "instances": table}
+            self._file(i).write_text(tomli_w.dumps(row))
+
+    def _table(self, region: str, across: dict[str, str]) -> dict[str, str]:
+        """By number, where whoever is in that region reaches the instances."""
+        return {
+            str(i): address if place.region == region else across.get(place.name, address)
+            for i, (place, address) in enumerate(self.placed())
+        }
+
+    def placed(self) -> list[tuple[Place, str]]:
+        """Each with its own address."""
+        return list(zip(self.places, self.addresses, strict=True))
 
     def _file(self, i: int) -> Path:
         return self.folder / f"o{i}.toml"
@@ -102,10 +130,26 @@
     async def _ask(self, i: int, body: dict[str, Any]) -> Any:
         if self.processes[i].returncode is not None:
             return None
-        return await asyncio.to_thread(ask, self.owners.instances[i], CLUSTER, body)
+        return await asyncio.to_thread(ask, parse_address(self.addresses[i]), CLUSTER, body)
+
+    async def lead_from(self, i: int) -> None:
+        """That instance leads from now on. Raises VoidError."""
+        until = steady() + LEADS_WITHIN * 1000.0
+        while (leader := await self.leader()) != i:
+            if steady() > until:
+                raise VoidError(f"o{i} did not come to lead within {LEADS_WITHIN:g} s")
+            await self._ask(leader, {"do": "transfer", "number": i})
+            await asyncio.sleep(LOOK)
+
+    async def watches(self) -> list[WatchFigures]:
+        """What each instance that answers says of its watches."""
+        said = [(i, await self._ask(i, {"do": "status"})) for i in self.processes]
+        return [
+            WatchFigures(f"o{i}", **known["watches"]) for i, known in said if known and known.get("watches")
+        ]
 
     async def publish(self, document: Document) -> Published:
-        """By the operators' command; raises VoidError where it does not commit."""
+        """By the operators' command in the larger region; raises VoidError where it does not commit."""
         times: list[float] = []
         revisions: list[int] = []
 
@@ -120,7 +164,7 @@
 
         def call() -> int:
             with contextlib.redirect_stdout(io.StringIO()):
-                return commands.publish(self.owners, document, None, timed)
+                return commands.publish(self.owners[NORTH], document, None, timed)
 
         try:
             await asyncio.to_thread(call)
--- a/caperdeck/lab/in_force/measured.py
+++ b/caperdeck/lab/in_force/measured.py
@@ -9,10 +9,11 @@
 import msgspec
 from msgspec import field
 
+from caperdeck.distribution.publisher import CONNECTS_A_SECOND, CONNECTS_AT_ONCE, SNAPSHOTS_AT_ONCE
 from caperdeck.lab.scale.beat import Late
 
-from .instances import Published
-from .plan import InForce
+from .instances import Published, WatchFigures
+from .plan import InForce, Refused
 
 KIND = "caperdeck in force"
 WITHIN = 9.0  # seconds from the commit, at every node
@@ -27,7 +28,33 @@
     confirmed: bool
     revision: int
     in_force: list[str]
-    when_all_had_it: bool = False  # asked after all nodes had it, and their words had time to come in
+    had_it: list[str] = []  # nodes that had it for so long that their words had time to come in
+    stale: list[str] = []
+    not_heard: list[str] = []
+    refused: list[Refused] = []
+
+
+class CutLook(msgspec.Struct):
+    """While the regions were cut off from each other, and nodes had time to see it: what was said in each.
+
+    None where no instance of a region answered.
+    """
+
+    rest: list[str]  # nodes of the larger region, which has the quorum
+    cut_off: list[str]  # of the smaller one
+    by_rest: StatusLook | None  # the status that operators of the larger region have
+    by_cut_off: StatusLook | None
+    uncurrent: list[str]  # nodes that did not call themselves current then
+    stale: list[str]  # of these the ones that called themselves stale
+
+
+class RefusalLook(msgspec.Struct):
+    """A version that some nodes cannot serve: what the status said once the others had it."""
+
+    revision: int
+    refusing: list[str]  # that have to refuse it
+    reason: str  # how the reason has to begin
+    said: StatusLook | None
 
 
 class Step(msgspec.Struct):
@@ -35,10 +62,16 @@
 
     phase: str
     published: Published
+    names: list[str] | None = None  # nodes that were to have it; None for all
+    since: float | None = None  # counted from this time, not from the commit; ms of the shared clock
+
+    @property
+    def counted_from(self) -> float:
+        return self.published.asked if self.since is None else self.since
 
 
 class Times(msgspec.Struct):
-    """Seconds from when the commit was asked for, over all nodes and changes of a phase."""
+    """Seconds from when the commit was asked for, or from the heal, over the nodes and changes of a phase."""
 
     phase: str
     changes: int
@@ -80,8 +113,13 @@
     looks: list[StatusLook] = field(default_factory=list)
     node_costs: list[NodeCost] = field(default_factory=list)
     instance_costs: list[InstanceCost] = field(default_factory=list)
+    begun: list[InForce] = field(default_factory=list)  # with what a node began each of its lives
+    emptied: list[str] = field(default_factory=list)  # nodes whose folder was emptied between two lives
+    cut_looks: list[CutLook] = field(default_factory=list)
+    refusal_looks: list[RefusalLook] = field(default_factory=list)
+    watches: list[WatchFigures] = field(default_factory=list)  # at the end
     current: int = 0  # nodes that called themselves current at the end
-    refused: int = 0  # nodes that had refused a version at the end
+    refused: list[Refused] = field(default_factory=list)  # by nodes of the lives at the end
     dead: list[str] = field(default_factory=list)  # processes that should live at the end and do not
     late: dict[str, Late] = field(default_factory=dict)  # by process
 
@@ -103,6 +141,7 @@
     broken: list[str]
     void: list[str]
     worst_beat_ms: float
+    watches: list[WatchFigures] = []
     kind: str = KIND
 
     @property
@@ -128,6 +167,10 @@
             for (before, _), (after, _) in pairwise(history) if after <= before
         ]  # fmt: skip
 
+    def before(self, name: str, at: float) -> int:
+        """The revision that the node had put in force by then; 0 for none."""
+        return max((revision for revision, since in self.of[name] if since < at), default=0)
+
     def had(self, name: str, revision: int) -> float:
         """When the node had that revision or a later one; infinity if it never did."""
         history = self.of[name]
@@ -138,10 +181,10 @@
 def times_of(steps: list[Step], histories: Histories) -> list[Times]:
     found = []
     for phase in dict.fromkeys(step.phase for step in steps):
-        changes = [step.published for step in steps if step.phase == phase]
+        changes = [step for step in steps if step.phase == phase]
         spans = sorted(
-            (histories.had(name, change.revision) - change.asked) / 1000.0
-            for change in changes for name in histories.of
+            (histories.had(name, step.published.revision) - step.counted_from) / 1000.0
+            for step in changes for name in (histories.of if step.names is None else step.names)
         )  # fmt: skip
         there = [span for span in spans if span <= WITHIN]
         if there:
@@ -162,32 +205,107 @@
         f"status: revision {look.revision} in force at {name}, which had not got it"
         for name in look.in_force if histories.had(name, look.revision) > look.answered
     ]  # fmt: skip
-    if look.when_all_had_it and (missing := sorted(histories.of.keys() - said)):
+    if missing := sorted(set(look.had_it) - said):
         wrong.append(f"status: revision {look.revision} not told of at {len(missing)}, such as {missing[0]}")
-    if look.when_all_had_it and not look.confirmed:
-        wrong.append(f"status: revision {look.revision} not confirmed, though all nodes had it")
+    if look.had_it and not look.confirmed:
+        wrong.append(f"status: revision {look.revision} not confirmed, though nodes had it for long")
     if look.confirmed and look.revision < newest:
         wrong.append(f"status: revision {look.revision} confirmed as the newest after {newest} was committed")
     return wrong
 
 
+def fallen_back(m: Measured, histories: Histories) -> list[str]:
+    """Lives that began with less than the node had in force in an earlier one, its folder not emptied."""
+    found = []
+    for life in m.begun:
+        before = histories.before(life.node, life.at)
+        emptied = life.revision == 0 and life.node in m.emptied
+        if life.revision < before and not emptied:
+            found.append(f"{life.node} began anew with revision {life.revision} after {before}")
+    return found
+
+
+def false_in_cut(look: CutLook) -> list[str]:
+    """Where nodes, or a status, did not say of a region cut off what is so."""
+    wrong = [f"{name} cut off and not stale" for name in sorted(set(look.cut_off) - set(look.stale))]
+    wrong += [f"{name} not current beside a region cut off" for name in look.uncurrent if name in look.rest]
+    if look.by_rest is None or look.by_cut_off is None:
+        return [*wrong, "status: no instance of a region answered while the other was cut off"]
+    if sorted(look.by_rest.not_heard) != sorted(look.cut_off):
+        wrong.append(f"status: {len(look.by_rest.not_heard)} not heard of, {len(look.cut_off)} were cut off")
+    if look.by_cut_off.confirmed:
+        wrong.append(f"status: revision {look.by_cut_off.revision} confirmed in the region cut off")
+    if missing := sorted(set(look.cut_off) - set(look.by_cut_off.stale)):
+        wrong.append(f"status: {len(missing)} cut off not told of as stale, such as {missing[0]}")
+    return wrong
+
+
+def false_refusals(look: RefusalLook, histories: Histories) -> list[str]:
+    """Where nodes that cannot serve a version had it, or a status did not tell which they are, and why."""
+    wrong = [
+        f"{name} had revision {look.revision} in force, which it cannot serve"
+        for name in look.refusing if any(revision == look.revision for revision, _ in histories.of[name])
+    ]  # fmt: skip
+    if look.said is None:
+        return [*wrong, f"status: no instance answered after revision {look.revision}"]
+    said = {row.node for row in look.said.refused if row.revision == look.revision}
+    wrong += [f"status: {name} not told of as refusing" for name in sorted(set(look.refusing) - said)]
+    wrong += [f"status: {name} said to refuse" for name in sorted(said - set(look.refusing))]
+    wrong += [
+        f"status: {row.node} refused with {row.reason!r}"
+        for row in look.said.refused if not row.reason.startswith(look.reason)
+    ]  # fmt: skip
+    return wrong
+
+
+def leaks(steps: list[Step], histories: Histories) -> list[str]:
+    """Nodes that had a version before the time from which on they could: the cut was none."""
+    return [
+        f"{step.phase}: {name} had revision {step.published.revision} before"
+        for step in steps if step.since is not None
+        for name in step.names or () if histories.had(name, step.published.revision) < step.since
+    ]  # fmt: skip
+
+
+def past_bounds(watches: list[WatchFigures]) -> list[str]:
+    """Instances that took more at once than they may."""
+    most = int(CONNECTS_AT_ONCE + CONNECTS_A_SECOND)
+    wrong = [
+        f"{row.instance} took {row.connects_in_a_second} connects within a second, over {most}"
+        for row in watches if row.connects_in_a_second > most
+    ]  # fmt: skip
+    return wrong + [
+        f"{row.instance} sent {row.snapshots_at_once} snapshots at once, over {SNAPSHOTS_AT_ONCE}"
+        for row in watches if row.snapshots_at_once > SNAPSHOTS_AT_ONCE
+    ]  # fmt: skip
+
+
+def unplanned(m: Measured) -> list[Refused]:
+    planned = {(name, look.revision) for look in m.refusal_looks for name in look.refusing}
+    return [row for row in m.refused if (row.node, row.revision) not in planned]
+
+
 def conclude(m: Measured) -> Result:
     histories = Histories(m.names, m.put)
     times = times_of(m.steps, histories)
-    broken = histories.went_back()
+    broken = histories.went_back() + fallen_back(m, histories)
     broken += [
         f"{row.phase}: {row.missing} times not in force within {WITHIN:g} s" for row in times if row.missing
     ]
     broken += [line for look in m.looks for line in false_words(look, m.steps, histories)]
     if m.current < m.nodes:
         broken.append(f"{m.nodes - m.current} nodes not current at the end")
-    if m.refused:
-        broken.append(f"{m.refused} nodes refused a version")
+    broken += [line for look in m.cut_looks for line in false_in_cut(look)]
+    broken += [line for look in m.refusal_looks for line in false_refusals(look, histories)]
+    broken += past_bounds(m.watches)
+    if refused := unplanned(m):
+        broken.append(f"{len(refused)} nodes refused a version, such as {refused[0].node}")
     void = [f"{name} ended" for name in m.dead]
+    void += leaks(m.steps, histories)
     void += [f"{name} ran late {late.share:.1%} of its time" for name, late in m.late.items()
              if late.share > LATE_SHARE]  # fmt: skip
     return Result(
         m.nodes, m.instances, m.processes, m.document_bytes, m.descriptors, m.start_s, m.seconds, times,
         m.node_costs, m.instance_costs, len(m.looks), broken, void,
-        max((late.worst_ms for late in m.late.values()), default=0.0),
+        max((late.worst_ms for late in m.late.values()), default=0.0), m.watches,
     )  # fmt: skip
--- a/caperdeck/lab/in_force/nodes.py
+++ b/caperdeck/lab/in_force/nodes.py
@@ -31,7 +31,11 @@
 from caperdeck.owner.process import steady
 from caperdeck.state.addresses import parse_address
 
-from .plan import CLUSTER, InForce, NodePlan, Plan, Report
+from .plan import CLUSTER, NORTH, SOUTH, InForce, NodePlan, Plan, Refused, Report
+
+
+# For one listener: a version with two is refused over it, as it says nothing of the second one's aim.
+ONE_AIM = {"specifics": {"messageAim": [0.3, "none"]}}
 
 
 class Figures:
@@ -50,18 +54,36 @@
 
     clock = staticmethod(steady)
 
-    def __init__(self, control: Control, disk: DiskThread, put: list[InForce]) -> None:
+    def __init__(self, control: Control, disk: DiskThread, put: list[InForce], refuses: bool) -> None:
         own = STAND_IN | {"name": control.place.name}
+        if refuses:
+            own |= {"settings": own["settings"] | ONE_AIM}
         super().__init__(reactor, control, lambda: replace(decode(own, None), own=own), disk)
         self.put, self.desk = put, Desk()
         self.config = self.first(self.read_own())
 
+    @property
+    def name(self) -> str:
+        return self.control.place.name
+
+    def refusal(self) -> Refused:
+        return Refused(self.name, *self.watch.refused)
+
     def take(self, config: Config) -> None:
         self.config = config
 
     def put_in_force(self, held: Held, prepared: Config) -> None:
         super().put_in_force(held, prepared)
-        self.put.append(InForce(self.control.place.name, held.revision, steady()))
+        self.put.append(InForce(self.name, held.revision, steady()))
+
+
+def instances_of(plan: Plan, region: str) -> dict[str, Instance]:
+    """As a node of that region reaches them."""
+    found = {}
+    for name, (place, address) in plan.instances.items():
+        reached_at = address if place.region == region else plan.across.get(name, address)
+        found[name] = Instance(place, parse_address(reached_at))
+    return found
 
 
 class NodesProcess:
@@ -69,18 +91,19 @@
         self.plan, self.traffic, self.write = plan, traffic, write
         start_logging("ERROR")
         self.put: list[InForce] = []
+        self.begun: list[InForce] = []
         self.beats = Beats(plan.beat_ms)
         self.base_uss = psutil.Process().memory_full_info().uss
         self.encode = msgspec.json.Encoder().encode
-        self.instances = {
-            name: Instance(place, parse_address(address)) for name, (place, address) in plan.instances.items()
-        }
+        self.instances = {region: instances_of(plan, region) for region in (NORTH, SOUTH)}
         self.disk = DiskThread(reactor)
         self.nodes = [self._node(node) for node in plan.nodes]
 
     def _node(self, node: NodePlan) -> ControlledNode:
-        control = Control(CLUSTER, node.place, node.folder, self.instances)
-        return ControlledNode(control, self.disk, self.put)
+        control = Control(CLUSTER, node.place, node.folder, self.instances[node.place.region])
+        made = ControlledNode(control, self.disk, self.put, node.refuses)
+        self.begun.append(InForce(node.place.name, made.held.revision, steady()))
+        return made
 
     def start(self) -> None:
         for node in self.nodes:
@@ -96,13 +119,15 @@
 
     def report(self) -> None:
         reactor.callLater(self.plan.report, self.report)
-        current = sum(node.watch.state() is State.CURRENT for node in self.nodes)
+        uncurrent = [node for node in self.nodes if node.watch.state() is not State.CURRENT]
+        stale = [node.name for node in uncurrent if node.watch.state() is State.STALE]
         report = Report(
-            current == len(self.nodes), self.put.copy(), current,
-            sum(node.watch.refused is not None for node in self.nodes), time.process_time(), self.base_uss,
-            self.traffic, self.beats.late,
+            not uncurrent, self.put.copy(), self.begun.copy(), [node.name for node in uncurrent], stale,
+            [node.refusal() for node in self.nodes if node.watch.refused is not None],
+            time.process_time(), self.base_uss, self.traffic, self.beats.late,
         )  # fmt: skip
         self.put.clear()
+        self.begun.clear()
         self.write(self.encode(report) + b"\n")
 
 
--- a/caperdeck/lab/in_force/plan.py
+++ b/caperdeck/lab/in_force/plan.py
@@ -10,6 +10,7 @@
 
 CLUSTER = "in-force"
 INSTANCE_ZONES = (0, 1, 3, 2, 4, 0, 3)  # of each instance; seven of them: four in the larger region
+NORTH, SOUTH = "north", "south"  # regions, the larger one first
 ZONES = 5
 ZONES_OF_NORTH = 3
 LEAST_INSTANCES, MOST_INSTANCES = 3, len(INSTANCE_ZONES)
@@ -20,6 +21,7 @@
 
     place: Place
     folder: str
+    refuses: bool = False  # its own file does not bear a version with two listeners
 
 
 class Plan(msgspec.Struct):
@@ -29,6 +31,7 @@
     instances: dict[str, tuple[Place, str]]  # by name, with the address
     beat_ms: float
     report: float  # seconds between reports
+    across: dict[str, str] = {}  # by name, the address for nodes of the other region, where it is another
 
 
 class InForce(msgspec.Struct):
@@ -39,13 +42,23 @@
     at: float
 
 
+class Refused(msgspec.Struct):
+    """The version that a node has refused last."""
+
+    node: str
+    revision: int
+    reason: str
+
+
 class Report(msgspec.Struct):
-    """Of all nodes of a process together; `put` holds what came since the report before."""
+    """Of all nodes of a process together; `put` and `begun` hold what came since the report before."""
 
     ready: bool
     put: list[InForce]
-    current: int  # nodes that call themselves current
-    refused: int  # nodes that have refused a version
+    begun: list[InForce]  # what each node began its life with, 0 where its folder had nothing
+    uncurrent: list[str]  # nodes that do not call themselves current
+    stale: list[str]  # of these the ones that say so of themselves
+    refused: list[Refused]
     cpu: float  # seconds of processor time
     base_uss: int  # bytes of memory before its nodes were made
     traffic: Traffic
@@ -53,7 +66,11 @@
 
 
 def place_in(name: str, zone: int) -> Place:
-    return Place(name, f"z{zone}", "north" if zone < ZONES_OF_NORTH else "south")
+    return Place(name, f"z{zone}", NORTH if zone < ZONES_OF_NORTH else SOUTH)
+
+
+def other_region(region: str) -> str:
+    return SOUTH if region == NORTH else NORTH
 
 
 def node_places(count: int) -> list[Place]:
@@ -63,3 +80,8 @@
 
 def instance_places(count: int) -> list[Place]:
     return [place_in(f"o{i}", zone) for i, zone in enumerate(INSTANCE_ZONES[:count])]
+
+
+def refusing_names(places: list[Place]) -> set[str]:
+    """Every second node of each zone: these cannot serve a version that is made for it."""
+    return {place.name for i, place in enumerate(places) if i // ZONES % 2}
--- a/caperdeck/lab/in_force/run.py
+++ b/caperdeck/lab/in_force/run.py
@@ -15,7 +15,6 @@
 import psutil
 
 from caperdeck.distribution import commands
-from caperdeck.distribution.choice import preferred
 from caperdeck.distribution.document import Document, canonical
 from caperdeck.lab.rig_process import VoidError
 from caperdeck.lab.scale.beat import BEAT, Beats
@@ -25,15 +24,13 @@
 
 from .instances import Instances, Published
 from .measured import WITHIN, InstanceCost, Measured, NodeCost, StatusLook, Step
-from .plan import InForce, NodePlan, Plan, Report, node_places
+from .plan import NORTH, NodePlan, Plan, Refused, Report, node_places, refusing_names
+from .relay import RelayChild, RelayPlan
 
-FAULTS = ("leader", "kill", "stop")
 BEAT_MS = 150.0  # a beat that comes later than this is late, as in the scale run
 REPORT = 0.25  # seconds between reports of a process of nodes
 LOOK = 0.02  # seconds between looks at what is waited for
 START = 120.0  # seconds
-STOPPED = 10.0  # seconds that an instance is stopped
-SETTLE = 3.0  # seconds from an instance's start or waking to the next fault
 WORDS = 1.5  # seconds after a version is in force in which the nodes' words come in
 CUSTOMERS = 100  # in the document
 BURST = 10  # changes one after the other
@@ -52,21 +49,35 @@
 class NodesChild(ChildProcess):
     """A process of nodes, with its last report."""
 
-    def __init__(self, name: str, folder: Path, put: list[InForce]) -> None:
+    def __init__(self, name: str, folder: Path, plan: Plan, measured: Measured) -> None:
         super().__init__(name, "caperdeck.lab.in_force.nodes", folder / f"{name}.log")
-        self.put, self.last, self.at = put, None, 0.0
+        self.plan, self.measured = plan, measured
+        self.last: Report | None = None  # of this life
+        self.at = 0.0  # when that came, seconds
         self.reader: Any = None
 
-    async def start(self, plan: Plan) -> None:
+    @property
+    def names(self) -> list[str]:
+        return [node.place.name for node in self.plan.nodes]
+
+    async def start(self) -> None:
+        self.last = None
         await self.spawn()
-        self.process.stdin.write(msgspec.json.encode(plan) + b"\n")
+        self.process.stdin.write(msgspec.json.encode(self.plan) + b"\n")
         self.reader = asyncio.ensure_future(self._read())
 
     async def _read(self) -> None:
         decode = msgspec.json.Decoder(Report).decode
         while (line := await self.process.stdout.readline()).endswith(b"\n"):
             self.last, self.at = decode(line), time.monotonic()
-            self.put += self.last.put
+            self.measured.put += self.last.put
+            self.measured.begun += self.last.begun
+
+    async def kill(self) -> None:
+        await super().kill()
+        if self.reader is not None:
+            with suppress(asyncio.CancelledError):
+                await self.reader
 
 
 class CostSpan:
@@ -96,16 +107,19 @@
     return report.traffic.stream_bytes_in + report.traffic.stream_bytes_out
 
 
-def document_of(change: int) -> Document:
+def document_of(change: int, **settings: Any) -> Document:
     """Each change renames one customer."""
     customers = [{"name": f"customer-{i}"} for i in range(CUSTOMERS)]
     customers[change % CUSTOMERS] = {"name": f"customer-{change % CUSTOMERS}-{change}"}
-    return {"settings": {"projects": customers}}
+    return {"settings": {"projects": customers} | settings}
+
+
+Fault = Callable[["InForceRun"], Awaitable[None]]  # plays it, with the changes beside it
 
 
 class InForceRun:
-    def __init__(self, settings: Settings, tell: Callable[[str], None]) -> None:
-        self.settings, self.tell = settings, tell
+    def __init__(self, settings: Settings, tell: Callable[[str], None], faults: dict[str, Fault]) -> None:
+        self.settings, self.tell, self.faults = settings, tell, faults
         self.places = node_places(settings.nodes)
         files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self.measured = Measured(
@@ -113,8 +127,9 @@
             names=[place.name for place in self.places],
         )  # fmt: skip
         self.children: list[NodesChild] = []
+        self.relay: RelayChild | None = None
         self.beats = Beats(BEAT_MS)
-        self.change = 0
+        self.changes = 0  # that were published
         self.faulty: set[int] = set()  # instances that were killed or stopped
 
     def play(self) -> Measured:
@@ -129,7 +144,7 @@
             beating = asyncio.ensure_future(self._beat())
             try:
                 await self._play()
-                self._note_end()
+                await self._note_end()
             finally:
                 beating.cancel()
                 await self._close()
@@ -148,51 +163,77 @@
         await self._plain_changes()
         await self._burst()
         for fault in self.settings.faults:
-            await getattr(self, f"_{fault}")()
+            await self.faults[fault](self)
 
     # ---- start and end
 
     async def _start(self) -> None:
         s, m = self.settings, self.measured
         self.tell(f"start: {s.instances} instances, {s.nodes} nodes")
+        if "region-cut" in s.faults:
+            self.relay = RelayChild(self.folder)
+            await self.relay.start(RelayPlan(self.instances.placed()))
+        self.instances.write_files(self.across)
         await self.instances.start_all()
         await self.instances.publish(document_of(0))
         began = time.monotonic()
-        self.children = [NodesChild(f"nodes{i}", self.folder, m.put) for i in range(s.processes)]
-        for i, child in enumerate(self.children):
-            await child.start(self._plan(i))
-        if not await self._until(lambda: all(c.last and c.last.ready for c in self.children), START):
+        self.children = [
+            NodesChild(f"nodes{i}", self.folder, self._plan(i), m) for i in range(s.processes)
+        ]  # fmt: skip
+        for child in self.children:
+            await child.start()
+        if not await self.until(lambda: all(c.last and c.last.ready for c in self.children), START):
             raise VoidError(f"not all nodes were current within {START:g} s")
         m.start_s = time.monotonic() - began
         self.beats.zero(time.monotonic())
 
     def _plan(self, process: int) -> Plan:
+        refusing = refusing_names(self.places) if "refuse" in self.settings.faults else set()
         nodes = [
-            NodePlan(place, str(self.folder / place.name))
+            NodePlan(place, str(self.folder / place.name), place.name in refusing)
             for place in self.places[process :: self.settings.processes]
         ]
         for node in nodes:
             Path(node.folder).mkdir()
-        addresses = zip(self.instances.places, self.instances.addresses, strict=True)
-        named = {place.name: (place, address) for place, address in addresses}
-        return Plan(nodes, named, BEAT_MS, REPORT)
-
-    def _note_end(self) -> None:
-        m, reports = self.measured, [child.last for child in self.children]
-        m.current = sum(report.current for report in reports)
-        m.refused = sum(report.refused for report in reports)
-        m.dead = self.instances.dead() + [child.name for child in self.children if not child.alive]
+        named = {place.name: (place, address) for place, address in self.instances.placed()}
+        return Plan(nodes, named, BEAT_MS, REPORT, self.across)
+
+    @property
+    def across(self) -> dict[str, str]:
+        """By name of an instance, where whoever is in the other region reaches it, if elsewhere."""
+        return self.relay.addresses if self.relay is not None else {}
+
+    async def _note_end(self) -> None:
+        m = self.measured
+        m.current = m.nodes - len(self.uncurrent())
+        m.refused = self.refused()
+        m.watches = await self.instances.watches()
+        rig = [*self.children, *([self.relay] if self.relay else [])]
+        m.dead = self.instances.dead() + [child.name for child in rig if not child.alive]
         m.late = {child.name: child.last.late for child in self.children} | {"run": self.beats.late}
 
     async def _close(self) -> None:
         for child in self.children:
             await child.kill()
-            if child.reader is not None:
-                with suppress(asyncio.CancelledError):
-                    await child.reader
         await self.instances.close()
+        if self.relay is not None:
+            await self.relay.kill()
+
+    # ---- what the nodes said last
+
+    def uncurrent(self) -> list[str]:
+        return [name for child in self.children for name in child.last.uncurrent]
+
+    def stale(self) -> list[str]:
+        return [name for child in self.children for name in child.last.stale]
 
-    async def _until(self, held: Callable[[], bool], seconds: float) -> bool:
+    def refused(self) -> list[Refused]:
+        return [row for child in self.children if child.last for row in child.last.refused]
+
+    def names_in(self, region: str) -> list[str]:
+        return [place.name for place in self.places if place.region == region]
+
+    async def until(self, held: Callable[[], bool], seconds: float) -> bool:
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             if held():
@@ -225,16 +266,16 @@
 
     # ---- changes
 
-    async def _publish(self, phase: str) -> Published:
-        self.change += 1
-        published = await self.instances.publish(document_of(self.change))
-        self.measured.steps.append(Step(phase, published))
+    async def publish(self, phase: str, names: list[str] | None = None, **settings: Any) -> Published:
+        """A change, with these settings beside it, which those nodes are to have; all where None."""
+        self.changes += 1
+        published = await self.instances.publish(document_of(self.changes, **settings))
+        self.measured.steps.append(Step(phase, published, names))
         return published
 
-    async def _in_force(self, published: Published) -> bool:
-        """Waits until the nodes have told that they have it, or the bound has passed; looks at the status."""
-        await self._look()
-        waits: dict[str, None] = dict.fromkeys(self.measured.names)
+    async def in_force(self, published: Published, names: list[str]) -> bool:
+        """Waits until these nodes have told that they have it, or the bound has passed."""
+        waits: dict[str, None] = dict.fromkeys(names)
         seen = 0
 
         def everywhere() -> bool:
@@ -246,89 +287,56 @@
             seen = len(put)
             return not waits
 
-        return await self._until(everywhere, WITHIN + 2 * REPORT)
+        return await self.until(everywhere, WITHIN + 2 * REPORT)
 
-    async def _look(self, when_all_had_it: bool = False) -> None:
-        asked = steady()
-        known = await asyncio.to_thread(commands.read_statuses, self.instances.owners, commands.ask)
+    async def look(self, had_it: list[str] | None = None, region: str = NORTH) -> StatusLook | None:
+        """The status that operators of that region have; None where no instance answers them.
+
+        `had_it`: nodes that have the newest version, and had time to tell so.
+        """
+        asked, owners = steady(), self.instances.owners[region]
+        known = await asyncio.to_thread(commands.read_statuses, owners, commands.ask)
         heard = [status for status in known.values() if status is not None]
-        if heard:
-            summary = await asyncio.to_thread(
-                commands.read_summary, self.instances.owners, heard, self.measured.names, commands.ask
-            )
-            self.measured.looks.append(StatusLook(
-                asked, steady(), summary.confirmed, summary.revision, list(summary.in_force), when_all_had_it
-            ))  # fmt: skip
-
-    async def _change(self, phase: str, beside: Callable[[], Awaitable[None]] | None = None) -> None:
-        """`beside` happens as soon as the commit is answered."""
-        published = await self._publish(phase)
+        if not heard:
+            return None
+        names = self.measured.names
+        said = await asyncio.to_thread(commands.read_summary, owners, heard, names, commands.ask)
+        refused = [Refused(name, *refusal) for name, refusal in said.refused]
+        look = StatusLook(
+            asked, steady(), said.confirmed, said.revision, list(said.in_force), had_it or [],
+            list(said.stale), list(said.not_heard), refused,
+        )  # fmt: skip
+        self.measured.looks.append(look)
+        return look
+
+    async def change(
+        self, phase: str, beside: Callable[[], Awaitable[None]] | None = None, names: list[str] | None = None,
+        **settings: Any,
+    ) -> StatusLook | None:  # fmt: skip
+        """`beside` happens as soon as the commit is answered. Gives the status once nodes have told of it."""
+        published = await self.publish(phase, names, **settings)
         if beside is not None:
             await beside()
-        everywhere = await self._in_force(published)
+        await self.look()
+        return await self.settle(published, self.measured.names if names is None else names)
+
+    async def settle(self, published: Published, names: list[str]) -> StatusLook | None:
+        """Waits until these nodes have it, and for their words; gives the status then."""
+        everywhere = await self.in_force(published, names)
         await asyncio.sleep(WORDS)
-        await self._look(everywhere)
+        return await self.look(names if everywhere else None)
 
     async def _plain_changes(self) -> None:
         self.tell(f"{self.settings.changes} changes, {self.settings.every:g} s apart")
         span = CostSpan(self)
         for _ in range(self.settings.changes):
             began = time.monotonic()
-            await self._change("no fault")
+            await self.change("no fault")
             await asyncio.sleep(max(began + self.settings.every - time.monotonic(), 0.0))
         span.end("changes")
 
     async def _burst(self) -> None:
         self.tell(f"a burst of {BURST} changes")
         for _ in range(BURST - 1):
-            await self._publish("burst")
-        await self._change("burst")
-
-    # ---- faults
-
-    async def _leader(self) -> None:
-        """The leader is killed as soon as a commit is answered; and the change after it."""
-        leader = await self.instances.leader()
-        self.faulty.add(leader)
-        self.tell(f"fault: o{leader}, the leader, which {self._preferring(leader)} nodes prefer, killed")
-        await self._change("leader killed", lambda: self.instances.kill(leader))
-        await self._change("leader gone")
-        await self._start_again(leader)
-
-    async def _kill(self) -> None:
-        """Another instance is killed with all its watches, and a change published at once."""
-        other = await self._follower()
-        self.tell(f"fault: o{other}, which {self._preferring(other)} nodes prefer, killed beside a change")
-        await self.instances.kill(other)
-        await self._change("instance killed")
-        await self._start_again(other)
-
-    async def _stop(self) -> None:
-        """Another instance is stopped with all its watches; a change as it stops, and one as it wakes."""
-        other = await self._follower()
-        self.tell(f"fault: o{other}, which {self._preferring(other)} nodes prefer, stopped {STOPPED:g} s")
-        until = time.monotonic() + STOPPED
-        self.instances.stop(other)
-        await self._change("instance stopped")
-        await asyncio.sleep(max(until - time.monotonic(), 0.0))
-        self.instances.wake(other)
-        await self._change("instance woken")
-        await asyncio.sleep(SETTLE)
-
-    async def _follower(self) -> int:
-        """One that does not lead, the highest: the operators' command asks the lowest first.
-
-        None that was faulty before: its nodes come back to it only after a minute or two.
-        """
-        out = self.faulty | {await self.instances.leader()}
-        chosen = max(i for i in range(self.settings.instances) if i not in out)
-        self.faulty.add(chosen)
-        return chosen
-
-    def _preferring(self, instance: int) -> int:
-        places, name = self.instances.places, f"o{instance}"
-        return sum(preferred(node, places)[0].name == name for node in self.places)
-
-    async def _start_again(self, i: int) -> None:
-        await self.instances.start(i)
-        await asyncio.sleep(SETTLE)
+            await self.publish("burst")
+        await self.change("burst")
