--- a/caperdeck/lab/slopes/owned_work.py
+++ b/caperdeck/lab/slopes/owned_work.py
@@ -121,6 +121,8 @@
     owner, lost = instances.processes[0], instances.count(0, "lost")
     owner_cpu, node_cpu = owner.cpu(), nodes.process.cpu()
     before, began = nodes.figures(), time.perf_counter()
+    if before.connections < count:
+        raise InstanceError(f"{before.connections} connections counted, though {count} nodes were reached")
     time.sleep(span)
     after, took = nodes.figures(), time.perf_counter() - began
     owner.check()
