Tests: the mean that a told figure stands in for is of a node whose hosts tell figures

Need: the test fails on the joined text: it set a mean by hand at a node whose settings have no probes and no figures. Cause: without figures there is no mean; unmarked hosts count by what other nodes have met. The assertions are as they were.

--- a/tests/test_sharing_node.py
+++ b/tests/test_sharing_node.py
@@ -202,7 +202,7 @@
 def test_a_told_figure_stands_in_for_the_mean_and_ends():
     d, s, m = shares()
     n, now = s.node, d.clock()
-    n.mean_figure = 0.5
+    n.has_figures, n.mean_figure = True, 0.5  # there is a mean only where hosts tell figures
     m.told(now, n.mark[0], 0.9, now - 100)
     assert n._load(now, 0) == 0.9 and n._load(now, 1) == 0.5
     m.told(now, n.mark[0], 0.1, now - 500)  # older
