Tests: one way to close a stepped reactor, and one for fixtures that make and close

Need: the loop that closes a reactor with its pair stood twice, the fixture that makes rigs and closes them three times.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -284,6 +284,25 @@
     return ports
 
 
+def close_reactor(reactor):
+    """Every socket is closed, and the pair by which threads wake a reactor."""
+    for selectable in (*reactor.removeAll(), reactor.waker):
+        selectable.connectionLost(Failure(ConnectionDone()))
+
+
+def made_and_closed(kind):
+    """What a fixture yields from: a function that makes these, each closed after the test."""
+    made = []
+
+    def make(**parts):
+        made.append(kind(**parts))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.close()
+
+
 # ---- a stepped reactor: real loopback sockets, a clock that only the test moves
 
 
@@ -330,9 +349,7 @@
                 self.addWriter(transport)
 
     def close(self):
-        """Every socket is closed, and the pair by which threads wake a reactor."""
-        for selectable in (*self.removeAll(), self.waker):
-            selectable.connectionLost(Failure(ConnectionDone()))
+        close_reactor(self)
 
     def pass_time(self, seconds, step=0.05):
         """The clock goes on in small steps, sockets are read at each of them."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,7 +6,7 @@
 
 import pytest
 from helpers import (
-    OPEN, START, Loopback, Peer, Stepped, opening, read_all, reset, row, service_over,
+    OPEN, START, Loopback, Peer, Stepped, made_and_closed, opening, read_all, reset, row, service_over,
 )  # fmt: skip
 from hypothesis import given
 from hypothesis import settings as runs
@@ -177,15 +177,7 @@
 
 @pytest.fixture
 def loop():
-    made = []
-
-    def make(**parts):
-        made.append(Loopback(**parts))
-        return made[-1]
-
-    yield make
-    for each in made:
-        each.close()
+    yield from made_and_closed(Loopback)
 
 
 @pytest.mark.parametrize("leaves", [lambda sock: sock.close(), reset], ids=["end", "reset"])
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -13,10 +13,8 @@
 
 import pytest
 import tomli_w
-from helpers import CONFIG, free_ports
-from twisted.internet.error import ConnectionDone
+from helpers import CONFIG, close_reactor, free_ports
 from twisted.internet.selectreactor import SelectReactor
-from twisted.python.failure import Failure
 
 from caperdeck.distribution import commands
 from caperdeck.distribution.choice import Place, preferred
@@ -210,8 +208,7 @@
             node.close()
         for _ in range(5):
             self.reactor.iterate(0.001)
-        for selectable in (*self.reactor.removeAll(), self.reactor.waker):
-            selectable.connectionLost(Failure(ConnectionDone()))
+        close_reactor(self.reactor)
 
 
 @pytest.fixture
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -5,7 +5,9 @@
 """
 
 import pytest
-from helpers import CONFIG, OPEN, Loopback, Peer, Stepped, free_ports, opening, read_all, row, write
+from helpers import (
+    CONFIG, OPEN, Loopback, Peer, Stepped, free_ports, made_and_closed, opening, read_all, row, write,
+)  # fmt: skip
 from test_crossings import HEADERS, chunk, list_of
 from twisted.internet.tcp import Client
 
@@ -71,15 +73,7 @@
 
 @pytest.fixture
 def watched():
-    made = []
-
-    def make(**parts):
-        made.append(Watched(**parts))
-        return made[-1]
-
-    yield make
-    for each in made:
-        each.close()
+    yield from made_and_closed(Watched)
 
 
 # ---- one turn reads the host's socket before the list's
@@ -164,15 +158,7 @@
 
 @pytest.fixture
 def unwatched():
-    made = []
-
-    def make(**parts):
-        made.append(Unwatched(**parts))
-        return made[-1]
-
-    yield make
-    for each in made:
-        each.close()
+    yield from made_and_closed(Unwatched)
 
 
 @pytest.mark.parametrize("grace", [0.25, 0.5])
