Core: what own sends count for is worked out only where it is known what fills a host

Need: at nodes whose hosts tell no figures each load of a host raised a power for the other nodes' part, also while nothing is counted by it. Change: the load is returned before that while what fills a host is not known; the result is the same.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -328,9 +328,11 @@
             figure = self.prior[h]  # says whether the host is worth a look of the own, which decides
         # Danger: work piled up serves nobody in time while the load over capacity looks fine again.
         figure += self._pile(now, h)
+        if not self.unit:
+            return figure
         # other nodes see the same reports; not all draw this host, and few connections tell little of theirs
         alike = self.alike if self.has_figures else self.alike * self._met_by_others(1)
-        return figure + alike * self.extra[h] / self._fills(h) if self.unit else figure
+        return figure + alike * self.extra[h] / self._fills(h)
 
     def _unreported(self, now: float, h: int) -> float:
         """The load of a host without a figure: the mean of those told, or else by what this node met."""
