Timers run on the monotonic clock, and starts of hosts count from when they are heard of

Cause: the reactor sets every timer by time.time, so a step of the date delays or hurries all of them; the node's clock took its offset to Unix time once, so a process started under a wrong date misjudged cold hosts, and the two processes of an upgrade read different times for one connection. Ruled out: stalls, the node's own clock within one process (monotonic already), hosts, discovery. Change: all processes install one reactor whose seconds are time.monotonic; the node's clock is monotonic with a constant origin; a host's start is placed by when it was first heard of, relative to others told with it; numbers of the configuration's file go on by Unix time, named so. A step of the date is logged.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -107,13 +107,14 @@
     subsets: bool = False, control: Any = None,
 ) -> int:  # fmt: skip
     load_in_steps(NODE)
-    from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
     from caperdeck.lifecycle.logs import start_logging
+    from caperdeck.lifecycle.reactor import install_reactor
     from caperdeck.lifecycle.service import Service
     from caperdeck.ops.bans import BansError
 
+    reactor = install_reactor()
     sink, reread, published = start_logging(level), lambda: reload_config(os.environ, path), None
     if control is not None:
         from caperdeck.lifecycle.published import Published
--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -387,7 +387,7 @@
         logger.info("roster reason={} uids={}", "taken-out" if out else "called-back", uid)
 
     def listed(self, whole: bool, rows: Any) -> None:
-        entries = self.hosts.take(whole, rows, self.complain_entry)
+        entries = self.hosts.take(self.read_clock(), whole, rows, self.complain_entry)
         self.budget.probes = self.hosts.running()
         for host in list(self.probes.open):
             if self.hosts.state[host] is HostState.GONE:
--- a/caperdeck/core/host_table.py
+++ b/caperdeck/core/host_table.py
@@ -28,14 +28,16 @@
         self.zone: list[int] = []
         self.cell: list[int] = []
         self.mark: list[int] = []  # alike at every node
-        self.born: list[float] = []  # the start, 0 if long ago
+        self.born: list[float] = []  # the start on the own clock, 0 if long ago
+        self.boot: list[float] = []  # the same as the roster tells it
         self.banned: dict[int, float] = {}  # hosts taken out by hand, since when
+        self.called_back: dict[int, float] = {}  # hosts that count as started when they were called back
         # the own sessions
         self.held: list[int] = []  # dials out and standing sessions
         self.dialing: list[int] = []  # dials out
         self.standing: list[dict[int, Held]] = []  # standing sessions by number
         self.mine: dict[int, None] = {}  # hosts with standing sessions
-        self.sent: dict[tuple[int, float], int] = {}  # dials by host and its start
+        self.sent: dict[tuple[int, float], int] = {}  # dials by host and its start, as the roster tells it
         self.added: list[list[tuple[float, float]]] = []  # own load sent since the last report, with times
         self.extra: list[float] = []  # and its sum
         self.rights = Rights()  # own parts, in load: of the fleet's room, and at h + 1 of cold hosts
@@ -75,8 +77,9 @@
     def _append_blank(self) -> None:
         blanks: tuple[tuple[list[Any], Any], ...] = (
             (self.listed, HostState.GONE), (self.size, 1.0), (self.zone, 0), (self.cell, 0),
-            (self.mark, 0), (self.born, 0.0), (self.held, 0), (self.dialing, 0), (self.standing, {}),
-            (self.added, []), (self.extra, 0.0), (self.pile, 0.0), (self.pile_at, -math.inf),
+            (self.mark, 0), (self.born, 0.0), (self.boot, 0.0), (self.held, 0), (self.dialing, 0),
+            (self.standing, {}), (self.added, []), (self.extra, 0.0), (self.pile, 0.0),
+            (self.pile_at, -math.inf),
             (self.figure, None), (self.figure_at, -math.inf), (self.seen_at, -math.inf),
             (self.probe_out, 0.0), (self.acted_at, -math.inf), (self.ill, 0.0), (self.shunned, 0.0),
             (self.lookers, []), (self.crowd, None), (self.unseen, 0.0), (self.able, 0.0),
@@ -90,12 +93,13 @@
         """Takes a line of the roster in; a process that started anew is another host."""
         h = e.host
         self._grow(now, h)
-        if e.state is HostState.RUNNING and (self.listed[h] is HostState.GONE or e.born > self.born[h]):
+        if e.state is HostState.RUNNING and (self.listed[h] is HostState.GONE or e.boot > self.boot[h]):
             self._forget(now, h)
         # a listed size that is lowered by what the host holds says little of the host's own
         self.size[h] = e.size or 1.0 if self.set.sizes_stand else 1.0
         self.listed[h], self.zone[h], self.cell[h], self.mark[h] = e.state, e.zone, e.cell, e.mark
-        self.born[h] = max(e.born, self.born[h])
+        if e.boot >= self.boot[h]:
+            self.boot[h], self.born[h] = e.boot, max(e.born, self.called_back.get(h, 0.0))
 
     def _drop_unlisted(self, entries: list[Entry]) -> None:
         """What the whole roster does not name is gone."""
@@ -110,7 +114,8 @@
             self.banned[h] = now if since is None else since
         elif since is not None:
             # Danger: it was restarted meanwhile, and the roster that tells may come late; it counts as cold.
-            self.born[h] = self.born[h] if self.born[h] > since else now
+            if self.born[h] <= since:
+                self.born[h] = self.called_back[h] = now
             self._forget(now, h)
 
     def _forget(self, now: float, h: int) -> None:
@@ -145,7 +150,7 @@
 
     def _enter_dial(self, now: float, s: Held, h: int) -> None:
         """A dial of the session goes out to the host."""
-        self.sent[h, self.born[h]] = self.sent.get((h, self.born[h]), 0) + 1
+        self.sent[h, self.boot[h]] = self.sent.get((h, self.boot[h]), 0) + 1
         s.dials.append(Sent(h, now, self.born[h], self._group(s, h)))
         s.out = True
         self.held[h] += 1
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -97,7 +97,11 @@
 
 
 class Entry(NamedTuple):
-    """A line of the roster; born is 0 where the host started long ago; mark is alike at every node."""
+    """A line of the roster; mark and boot are alike at every node.
+
+    born is the host's start on this node's clock; boot is the same as the roster tells it, and names the
+    start. Both are 0 where it started long ago.
+    """
 
     host: int
     state: HostState
@@ -106,6 +110,7 @@
     cell: int
     born: float
     mark: int
+    boot: float = 0.0
 
 
 class Report(NamedTuple):
--- a/caperdeck/core/shares.py
+++ b/caperdeck/core/shares.py
@@ -38,9 +38,9 @@
         return max(self.dialled() - sum(self.node.held), 0)
 
     def sent_cold(self) -> list[tuple[int, float, int]]:
-        """Cold hosts, since when they run, and the dials to each since then; grows only for one start."""
+        """Cold hosts, their starts as the roster tells them, the dials since; grows only for one start."""
         n = self.node
-        return [(h, n.born[h], n.sent[h, n.born[h]]) for h in n.cold if (h, n.born[h]) in n.sent]
+        return [(h, n.boot[h], n.sent[h, n.boot[h]]) for h in n.cold if (h, n.boot[h]) in n.sent]
 
     def wants(self, now: float) -> list[tuple[int, float]]:
         """Pots in which the node is short, and the load that it would take there."""
--- a/caperdeck/distribution/node.py
+++ b/caperdeck/distribution/node.py
@@ -16,6 +16,7 @@
 from twisted.python.threadpool import ThreadPool
 
 from caperdeck.state.addresses import Address
+from caperdeck.state.clocks import unix_time
 from caperdeck.state.timers import cancel
 
 from .choice import Place
@@ -77,7 +78,7 @@
 
 
 class NodeWatch:
-    """`clock` gives Unix time in float ms, never steps, and counts on while the process is stopped.
+    """`clock` gives float ms, never steps, and counts on while the process is stopped; `date` is Unix time.
 
     `held` is what is in force at the start, `refused` a version that was refused in this life already.
     """
@@ -85,9 +86,9 @@
     def __init__(
         self, reactor: Any, clock: Callable[[], float], cluster: str, place: Place,
         instances: dict[str, tuple[Place, Address]], file: VersionFile, disk: Disk, service: Service,
-        held: Held, refused: Refusal | None = None,
+        held: Held, refused: Refusal | None = None, date: Callable[[], float] = unix_time,
     ) -> None:  # fmt: skip
-        self.reactor, self.clock = reactor, clock
+        self.reactor, self.clock, self.date = reactor, clock, date
         self.cluster, self.place, self.instances = cluster, place, instances
         self.file, self.disk, self.service = file, disk, service
         self.in_force, self.refused = held, refused
@@ -148,7 +149,7 @@
 
     def _reserve(self) -> None:
         self.reserving = True
-        self._on_disk(partial(self.file.reserve, self.clock()), self._reserved)
+        self._on_disk(partial(self.file.reserve, self.date()), self._reserved)
 
     def _reserved(self, result: Reserved | VersionFileError) -> None:
         self.reserving = False
--- a/caperdeck/lab/in_force/nodes.py
+++ b/caperdeck/lab/in_force/nodes.py
@@ -14,7 +14,7 @@
 
 import msgspec
 import psutil
-from twisted.internet import reactor, stdio
+from twisted.internet import stdio
 
 from caperdeck.distribution.node import DiskThread
 from caperdeck.distribution.subscriber import Held, State
@@ -28,11 +28,14 @@
 from caperdeck.lifecycle.logs import start_logging
 from caperdeck.lifecycle.merge import STAND_IN
 from caperdeck.lifecycle.published import Published
+from caperdeck.lifecycle.reactor import install_reactor
 from caperdeck.owner.process import steady
 from caperdeck.state.addresses import parse_address
 
 from .plan import CLUSTER, NORTH, SOUTH, InForce, NodePlan, Plan, Refused, Report
 
+reactor = install_reactor()
+
 
 # For one listener: a version with two is refused over it, as it says nothing of the second one's aim.
 ONE_AIM = {"specifics": {"messageAim": [0.3, "none"]}}
--- a/caperdeck/lab/in_force/relay.py
+++ b/caperdeck/lab/in_force/relay.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import msgspec
-from twisted.internet import reactor, stdio
+from twisted.internet import stdio
 
 from caperdeck.distribution.choice import Place
 from caperdeck.lab.links import Links
@@ -21,10 +21,13 @@
 from caperdeck.lab.relay import Relay
 from caperdeck.lab.rig_process import VoidError
 from caperdeck.lab.scale.processes import ChildProcess
+from caperdeck.lifecycle.reactor import install_reactor
 from caperdeck.state.addresses import parse_address
 
 from .plan import other_region
 
+reactor = install_reactor()
+
 NO_DELAY = (0.0, 0.0)  # milliseconds
 LINE = b"\n"
 
--- a/caperdeck/lab/scale/hollow.py
+++ b/caperdeck/lab/scale/hollow.py
@@ -15,7 +15,7 @@
 
 import msgspec
 import psutil
-from twisted.internet import reactor, stdio
+from twisted.internet import stdio
 
 from caperdeck.lab.parent_death import end_with_parent
 from caperdeck.lab.plan_reader import PlanReader, TakeOrder, Write
@@ -24,6 +24,7 @@
 from caperdeck.ledger.sharing import Uses
 from caperdeck.lifecycle.config import Config, decode_config
 from caperdeck.lifecycle.logs import start_logging
+from caperdeck.lifecycle.reactor import install_reactor
 from caperdeck.lifecycle.service import Service
 from caperdeck.ops.front import Caller, Front
 from caperdeck.owner.config import Owners
@@ -34,6 +35,8 @@
 from .plan import Order, Plan, Sample
 from .traffic import Traffic, count_received_datagrams, count_traffic
 
+reactor = install_reactor()
+
 MOST = 0.9  # of the members
 NO_CLIENTS = "127.0.0.1:9"  # where a hollow node would listen for clients
 
--- a/caperdeck/lab/scale/lists.py
+++ b/caperdeck/lab/scale/lists.py
@@ -5,13 +5,16 @@
 import os
 import sys
 
-from twisted.internet import reactor, stdio
+from twisted.internet import stdio
 from twisted.internet.protocol import Protocol
 
 from caperdeck.lab.discovery import Agent, Roster
 from caperdeck.lab.parent_death import end_with_parent
+from caperdeck.lifecycle.reactor import install_reactor
 from caperdeck.state.addresses import parse_address
 
+reactor = install_reactor()
+
 OPEN = b"open\n"
 
 
--- a/caperdeck/lab/slopes/clients_end.py
+++ b/caperdeck/lab/slopes/clients_end.py
@@ -9,13 +9,15 @@
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
-from twisted.internet import reactor
 from twisted.internet.protocol import Protocol
 
 from caperdeck.lab.single_connection import SingleConnectionFactory
+from caperdeck.lifecycle.reactor import install_reactor
 
 from .end import POLL, STAMP, End, Reply
 
+reactor = install_reactor()
+
 WAIT = 5000  # milliseconds that a client waits for its answer
 LOAD = 0.002  # seconds of work a second that a client announces
 RETRY = 0.1  # seconds until a client that was refused comes again
--- a/caperdeck/lab/slopes/ends.py
+++ b/caperdeck/lab/slopes/ends.py
@@ -12,13 +12,17 @@
 from typing import Any
 
 import msgspec
-from twisted.internet import reactor, stdio
+from twisted.internet import stdio
 from twisted.protocols.basic import LineOnlyReceiver
 
+from caperdeck.lifecycle.reactor import install_reactor
+
 from .clients_end import ClientsEnd
 from .end import End
 from .hosts_end import HostsEnd
 
+reactor = install_reactor()
+
 ROLES = {"hosts": HostsEnd, "clients": ClientsEnd}
 
 
--- a/caperdeck/lab/slopes/hosts_end.py
+++ b/caperdeck/lab/slopes/hosts_end.py
@@ -9,14 +9,16 @@
 from array import array
 from typing import Any
 
-from twisted.internet import reactor
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineOnlyReceiver
 
 from caperdeck.lab.discovery import Agent, Roster
+from caperdeck.lifecycle.reactor import install_reactor
 
 from .end import LOOPBACK, POLL, End, Reply, stamped
 
+reactor = install_reactor()
+
 BACKLOG = 4096
 NANOSECONDS = 1e9
 
--- a/caperdeck/lab/slopes/targets.py
+++ b/caperdeck/lab/slopes/targets.py
@@ -11,10 +11,10 @@
 
 import msgspec
 import orjson
-from twisted.internet import reactor
 
 from caperdeck.leases.target import Target
 from caperdeck.lifecycle.owners import LONGEST_ACT
+from caperdeck.lifecycle.reactor import install_reactor
 from caperdeck.ops.calls import Answer, Calls, Then, no, yes
 from caperdeck.ops.front import Caller, Front
 from caperdeck.owner.asking import Asking
@@ -23,6 +23,8 @@
 
 from .instances import CLUSTER, LOOPBACK
 
+reactor = install_reactor()
+
 HOSTS = [f"s-{i}" for i in range(50)]  # on each node's list; none is ever ill
 LINE_END = 2  # bytes
 
--- a/caperdeck/lab/worker.py
+++ b/caperdeck/lab/worker.py
@@ -13,10 +13,12 @@
 from typing import Any
 
 import msgspec
-from twisted.internet import reactor, stdio
+from twisted.internet import stdio
 from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
 from twisted.protocols.basic import LineOnlyReceiver
 
+from caperdeck.lifecycle.reactor import install_reactor
+
 from .clients import Clients
 from .discovery import Discovery
 from .hosts import Host, HostPort
@@ -25,6 +27,8 @@
 from .relay import Relay
 from .scenario import Scenario, decode
 
+reactor = install_reactor()
+
 BEAT = 0.02  # seconds between looks at how late this process runs
 LATE = 30.0  # milliseconds from which that is reported
 TRIES = 200  # connections by which the relay measures its head-room
--- a/caperdeck/lifecycle/loading.py
+++ b/caperdeck/lifecycle/loading.py
@@ -21,7 +21,7 @@
     "twisted.python.reflect", "twisted.python.failure", "twisted.python.log", "twisted.internet.interfaces",
     "twisted.internet.defer", "twisted.internet.address", "twisted.internet.error",
     "twisted.internet.abstract", "twisted.internet.tcp", "twisted.internet.epollreactor",
-    "twisted.internet.reactor", "hyperlink", "twisted.internet.endpoints", "twisted.web.http",
+    "caperdeck.lifecycle.reactor", "hyperlink", "twisted.internet.endpoints", "twisted.web.http",
     "twisted.web.client", "loguru", "caperdeck.core.facade", "caperdeck.carry.carrier",
     "caperdeck.ops.upgrade", "caperdeck.lifecycle.service",
 )  # fmt: skip
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -5,7 +5,6 @@
 import os
 import signal
 import socket
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
@@ -24,6 +23,7 @@
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.backoff import BackOff
+from caperdeck.state.clocks import DateWatch, node_clock
 from caperdeck.turns.subset import SubsetError, Subsets
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
@@ -42,12 +42,6 @@
 LINGER = 150.0  # from the last end until the exit
 
 
-def make_clock():
-    """Unix time in milliseconds, which never steps after the start."""
-    offset = time.time() - time.monotonic()
-    return lambda: (time.monotonic() + offset) * MS
-
-
 def subsets_of(config: Config) -> Subsets | None:
     """By the own number on the list of nodes; None where there is none."""
     if config.peers.me is None:
@@ -69,7 +63,7 @@
         self.config = config
         self.reread = reread
         self.sink = sink
-        self.clock = clock or make_clock()
+        self.clock = clock or node_clock
         balancer = Balancer(config.settings, self.clock())
         budget = SocketBudget(config.sockets, 0)
         self.desk = Desk(
@@ -112,13 +106,14 @@
         self.knows = False  # it has the list of hosts and the bans
         self.early: list[tuple[str, bool, Then]] = []  # calls out and back that wait until it does
         self.upgrade = Upgrade(reactor, self)
+        self.date_watch = DateWatch()
 
     def start(self) -> None:
         config = self.config
         self.mind_signals()
         alone = not self.upgrade.succeed()
         if alone:
-            self.know(config.known)
+            self.know_saved()
             self.discovery.start()
             self.desk.wait_for_list()
             self.listen()
@@ -135,6 +130,11 @@
         ):  # fmt: skip
             signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
 
+    def know_saved(self) -> None:
+        """Takes in the hosts of the configuration, a list that was saved some time ago, and the bans."""
+        self.know(self.config.known)
+        self.desk.hosts.start_times.heard_in_saved_list()
+
     def know(self, rows: list, uids: Iterable[str] | None = None) -> None:
         """Takes in the hosts, and the bans, those of the file if none are given, before anything is sent."""
         if uids is None:
@@ -232,6 +232,9 @@
         loop.start(SWEEP / MS, now=False).addErrback(self.keep_sweeping)
 
     def sweep(self) -> None:
+        if (step := self.date_watch.step()) is not None:
+            # nothing is timed by the date, but the lines before and after this one carry it
+            logger.warning("clock reason=date-stepped ms={:.0f}", step)
         self.desk.sweep()
         self.sink.flush()
 
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -36,6 +36,7 @@
     takes: bool
 
     def know(self, rows: list, uids: Iterable[str] | None = None) -> None: ...
+    def know_saved(self) -> None: ...
     def listen(self, fd: int = -1) -> None: ...
     def begin(self) -> None: ...
     def take_clients(self) -> None: ...
@@ -114,7 +115,7 @@
         memory = node.desk.balancer.memory()
         uids = node.desk.hosts.uid[: len(memory["able"])]
         state = {"rev": node.discovery.rev, "bans": list(node.bans.uids), "told_at": node.desk.told_at,
-                 "memory": memory, "uids": uids}  # fmt: skip
+                 "memory": memory, "uids": uids, "starts": node.desk.hosts.starts()}  # fmt: skip
         return node.desk.hosts.rows(), state, [node.port.fileno()]
 
     def stop_taking(self) -> None:
@@ -168,8 +169,9 @@
 
     def take_state(self, rows: list, state: dict, fds: list[int]) -> None:
         node = self.node
-        node.know(rows, state["bans"])
         hosts = node.desk.hosts
+        hosts.take_starts(state["starts"])
+        node.know(rows, state["bans"])
         for row in rows:
             hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
         # Danger: a process that knows no host's measure yet takes the cold ones' for all, and starves them.
@@ -199,7 +201,7 @@
         logger.warning("upgrade reason=alone")
         try:
             if node.port is None:
-                node.know(node.config.known)
+                node.know_saved()
                 node.discovery.start()
                 node.desk.wait_for_list()
                 node.listen()
--- a/caperdeck/owner/process.py
+++ b/caperdeck/owner/process.py
@@ -13,17 +13,17 @@
 
 
 def serve(path: str, level: str) -> int:
-    from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
     from caperdeck.lifecycle.logs import start_logging
+    from caperdeck.lifecycle.reactor import install_reactor
     from caperdeck.raft.storage import StorageError
     from caperdeck.state.descriptors import raise_descriptor_limit
 
     from .config import OwnerError, load_instance
     from .instance import Instance
 
-    code = [0]
+    reactor, code = install_reactor(), [0]
 
     def end(number: int) -> None:
         code[0] = code[0] or number
--- a/caperdeck/simwire/codec.py
+++ b/caperdeck/simwire/codec.py
@@ -78,6 +78,7 @@
             cell=cell or 0,
             born=(born or 0.0) * MS,
             mark=zlib.crc32(host.encode()),
+            boot=(born or 0.0) * MS,
         )
 
     def ask(self, row: list) -> Ask:
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -9,6 +9,7 @@
 from caperdeck.core.model import Entry, HostState
 
 from .addresses import Address, AddressError, parse_address
+from .start_times import Start, StartTimes
 
 MOST_COMPLAINTS = 5  # of one list; the rest is counted
 STATES = {"Ready": HostState.RUNNING, "Terminating": HostState.DRAINING, "Gone": HostState.GONE}
@@ -29,6 +30,7 @@
         self.sent_away: list[float] = []  # when a client was last sent away by the host itself
         self.spoke_at: list[float] = []  # when anything last came from the host
         self.held: dict[int, None] = {}  # hosts held to drain though the list has not said so
+        self.start_times = StartTimes()
 
     def running(self) -> int:
         return sum(state is HostState.RUNNING for state in self.state)
@@ -36,8 +38,18 @@
     def listed(self) -> list[int]:
         return [h for h, state in enumerate(self.state) if state is not HostState.GONE]
 
-    def take(self, whole: bool, rows: object, complain: Callable[[str], None]) -> list[Entry]:
+    def take(self, now: float, whole: bool, rows: object, complain: Callable[[str], None]) -> list[Entry]:
         """The entries of one list or change; a row that is broken is complained of and left out."""
+        entries = self._read(whole, rows, complain)
+        self.start_times.hear(now, {e.host: e.boot for e in entries})
+        return [self._placed(e) for e in entries]
+
+    def _placed(self, e: Entry) -> Entry:
+        """With the host's start on the node's clock."""
+        placed = self.entry[e.host] = e._replace(born=self.start_times.at(e.host, e.boot))
+        return placed
+
+    def _read(self, whole: bool, rows: object, complain: Callable[[str], None]) -> list[Entry]:
         entries, broken = [], 0
         for row in rows if isinstance(rows, list) else []:
             try:
@@ -84,15 +96,15 @@
         uid, state = row["uid"], row.get("state")
         if not isinstance(state, str) or state not in STATES:
             raise EntryError(f"host {uid} has the unknown state {state!r:.50}")
-        size, cell, born = (row.get(key) or 0 for key in ("capacity_hint", "pod_group", "boot_ms"))
-        if not all(isinstance(x, (int, float)) for x in (size, cell, born)) or size < 0:
+        size, cell, boot = (row.get(key) or 0 for key in ("capacity_hint", "pod_group", "boot_ms"))
+        if not all(isinstance(x, (int, float)) for x in (size, cell, boot)) or size < 0:
             raise EntryError(f"host {uid} has a figure that is no number, or a size under 0")
         address = self._address(uid, row)
         h = self.know(uid)
         zone = row.get("az")
         zone = self.zones.get(zone, -1) if isinstance(zone, str) else -1
         mark = zlib.crc32(uid.encode())
-        entry = Entry(h, STATES[state], float(size), zone, int(cell), float(born), mark)
+        entry = Entry(h, STATES[state], float(size), zone, int(cell), 0.0, mark, float(boot))
         self.address[h], self.state[h], self.entry[h] = address, entry.state, entry
         self.held.pop(h, None)
         return entry
@@ -103,11 +115,19 @@
         return [
             {"uid": self.uid[e.host], "endpoint": "{}:{}".format(*self.address[e.host]),
              "state": names[e.state if e.host in self.held else self.state[e.host]], "az": zones.get(e.zone),
-             "pod_group": e.cell, "capacity_hint": e.size, "boot_ms": e.born,
+             "pod_group": e.cell, "capacity_hint": e.size, "boot_ms": e.boot,
              "sent_away": max(self.sent_away[e.host], 0.0)}
             for e in self.entry if e is not None and self.address[e.host] is not None
         ]  # fmt: skip
 
+    def starts(self) -> dict[str, Start]:
+        """By uid, for another process of this node."""
+        return {self.uid[h]: start for h, start in self.start_times.starts.items()}
+
+    def take_starts(self, starts: dict[str, tuple[float, float]]) -> None:
+        """The same at that process, before it takes the list in."""
+        self.start_times.take_over((self.know(uid), Start(*start)) for uid, start in starts.items())
+
     def hold(self, since: float) -> list[Entry]:
         """While discovery is silent: entries of the hosts that have sent clients away, as if they drained.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,10 @@
 
 import pytest
 
+from caperdeck.lifecycle.reactor import install_reactor
+
+install_reactor()  # before a test loads a part of the library that would install another one
+
 LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MOST = 3
 MOST_LEFT_OPEN = 24  # by a test file: the shared stand-ins that run until the process ends
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -50,7 +50,7 @@
 
 
 def entry(host, state=HostState.RUNNING, zone=0, cell=0, born=0.0, size=1.0) -> Entry:
-    return Entry(host, state, size, zone, cell, born, 0x9E3779B1 * (host + 1) % 2**32)
+    return Entry(host, state, size, zone, cell, born, 0x9E3779B1 * (host + 1) % 2**32, born)
 
 
 def node(hosts=4, entries=None, **changes) -> Node:
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,30 +1,35 @@
 """The wall clock of a node's machine is stepped while the node runs, or is wrong as it starts.
 
-Seen: clients with a wait of 2 s had their final answer after 9 to 30 s, and connections whose host had vanished
-were ended after 15 s, at four nodes; nothing but what a timer does was late.
-How it came about: the date of each of these machines had gone back by 20 s to an hour while dials were out.
-Cause: the reactor of the network library sets its timers by `time.time`. After a step back no timer runs until
-the date has caught up, after a step forward all run at once.
-Proof: the node's log names each instant at which its date steps, and no dial ran out of time from there until
-the date stepped forward; the same step on a node between a host that hangs and one client, below, does the same.
-
-Related: starts of hosts are told in Unix time. A process that starts while its date is wrong by an hour took a
-cold host for a warm one, or for a cold one for the next hour.
+Seen: clients with a wait of 2 s had their final answer after 9 to 30 s, and connections whose host had
+vanished were ended after 15 s, at four nodes; nothing but what a timer does was late.
+How it came about: the date of each of these machines had gone back by 20 s to an hour with dials out.
+Cause: the reactor of the network library sets its timers by `time.time`. After a step back no timer runs
+until the date has caught up, after a step forward all run at once.
+Proof: the node's log shows each instant at which its date steps, and no dial ran out of time from there until
+the date stepped forward; the same step on a node between a host that hangs and one client does the same here.
+
+Related: starts of hosts are told in Unix time. A process that starts while its date is wrong by an hour took
+a cold host for a warm one, or for a cold one for the next hour.
 """
 
 import os
+import re
 import signal
 import socket
 import subprocess
 import sys
 import threading
 import time
+from pathlib import Path
 
 import pytest
-from helpers import CONFIG, OPEN, free_ports, row, serve_lines, serve_list, write
+from helpers import CONFIG, OPEN, START, desk, free_ports, row, serve_lines, serve_list, write
 
 from caperdeck.lab.wall_clock import WallClock
+from caperdeck.state.clocks import DateWatch, node_clock
+from caperdeck.state.start_times import StartTimes
 
+ROOT = Path(__file__).parents[1]
 HOUR = 3600.0
 WAIT = 1.2  # seconds that the client waits
 SLACK = 0.05
@@ -32,13 +37,21 @@
       "from caperdeck.__main__ import main; sys.exit(main(['serve']))"  # fmt: skip
 
 
+class StandIns:
+    """A discovery whose one host answers each line by what the test at hand says."""
+
+    def __init__(self):
+        self.at_host = None
+        host = serve_lines(lambda line: self.at_host(line))
+        self.discovery = serve_list(row("s-0", port=host))
+
+
 class RunningNode:
-    """A node as a process whose wall clock a test steps; one host answers by what the test hands in."""
+    """A node as a process whose wall clock a test steps."""
 
-    def __init__(self, folder, at_host):
+    def __init__(self, folder, discovery):
         self.clock = WallClock(folder / "wall-clock")
         (self.port,) = free_ports(1)
-        discovery = serve_list(row("s-0", port=serve_lines(at_host)))
         config = CONFIG | {"listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
                            "known": {"rev": 41, "targets": []}}  # fmt: skip
         environment = os.environ | write(folder / "c", config)
@@ -56,12 +69,18 @@
         self.process.stderr.close()
 
 
+@pytest.fixture(scope="module")
+def stand_ins():
+    return StandIns()
+
+
 @pytest.fixture
-def run_node(tmp_path):
+def run_node(tmp_path, stand_ins):
     nodes = []
 
     def run(at_host):
-        nodes.append(RunningNode(tmp_path, at_host))
+        stand_ins.at_host = at_host
+        nodes.append(RunningNode(tmp_path, stand_ins.discovery))
         return nodes[-1]
 
     yield run
@@ -75,10 +94,12 @@
     def __init__(self, after):
         self.after = after
         self.asked = threading.Event()
+        self.requests = 0
 
     def __call__(self, line):
         if not line.startswith(b"OPEN"):
             return line
+        self.requests += 1
         self.asked.set()
         if self.after is None:
             return None
@@ -100,6 +121,20 @@
     assert time.monotonic() - sent <= WAIT + SLACK
 
 
+@pytest.mark.parametrize("step", [HOUR, 5.0])
+def test_a_step_forward_ends_no_wait_before_its_time(run_node, step):
+    host = SlowHost(0.15)  # less than the time-out of a first dial
+    node = run_node(host)
+    with node.client() as client, node.client() as other:
+        client.sendall(OPEN + b"\r\n")
+        assert host.asked.wait(5)
+        node.clock.step_to(step)
+        other.sendall(b"PING\r\n")  # wakes the node before the host answers
+        assert other.makefile("rb").readline() == b"PONG\r\n"
+        assert client.makefile("rb").readline() == b"UP r1\r\n"
+    assert host.requests == 1
+
+
 @pytest.mark.parametrize("step", [-HOUR, HOUR])
 def test_a_stop_takes_its_time_whatever_the_date_says(run_node, step):
     node = run_node(SlowHost(0.0))
@@ -135,3 +170,96 @@
         client.sendall(b"say\r\n")
         assert answers.readline() == b"MOVE\r\n"
         assert time.monotonic() - sent < 3.0
+
+
+# ---- starts of hosts
+
+NOW = START + 50_000.0
+BOOT = 1_780_000_000_000.0
+
+
+def ages(d):
+    return [d.clock() - d.balancer._node.born[h] for h in range(len(d.hosts.uid))]
+
+
+def test_a_start_counts_from_when_it_is_heard_of_whatever_the_date_says():
+    for date in (BOOT - HOUR * 1000, BOOT, BOOT + HOUR * 1000):
+        d = desk(hosts=1)
+        d.listed(False, [row("s-9", boot=date)])
+        d.reactor.advance(3.0)
+        assert ages(d)[1] == pytest.approx(3000.0) and d.balancer._node._warmth(d.clock(), 1) < 1
+
+
+def test_starts_heard_of_together_are_told_apart_by_what_discovery_says():
+    starts = StartTimes()
+    starts.hear(NOW, {0: BOOT, 1: BOOT - 5000.0, 2: 0.0})
+    assert [starts.at(0, BOOT), starts.at(1, BOOT - 5000.0), starts.at(2, 0.0)] == [NOW, NOW - 5000.0, 0.0]
+    starts.hear(NOW + 9000.0, {0: BOOT, 1: BOOT + 8000.0})
+    assert (starts.at(0, BOOT), starts.at(1, BOOT + 8000.0)) == (NOW, NOW + 9000.0)
+
+
+def test_starts_of_a_saved_list_are_told_apart_anew_by_the_first_that_discovery_tells():
+    starts = StartTimes()
+    starts.hear(NOW, {0: BOOT, 1: BOOT - 2000.0})
+    starts.heard_in_saved_list()
+    starts.hear(NOW + 300.0, {0: BOOT, 1: BOOT - 2000.0, 2: BOOT + 20_000.0})
+    assert starts.at(2, BOOT + 20_000.0) == NOW + 300.0
+    assert starts.at(0, BOOT) == NOW + 300.0 - 20_000.0
+    starts.hear(NOW + 5000.0, {0: BOOT, 2: BOOT + 20_000.0})
+    assert starts.at(0, BOOT) == NOW + 300.0 - 20_000.0
+
+
+def test_a_start_in_a_saved_list_is_no_younger_by_being_heard_of_again():
+    starts = StartTimes()
+    starts.hear(NOW, {0: BOOT})
+    starts.heard_in_saved_list()
+    starts.hear(NOW + 400.0, {0: BOOT})
+    assert starts.at(0, BOOT) == NOW
+
+
+def test_another_process_of_the_node_reads_the_same_clock_and_knows_the_same_starts(monkeypatch):
+    before = desk(hosts=1)
+    before.listed(False, [row("s-9", boot=BOOT)])
+    read = node_clock()
+    monkeypatch.setattr("time.time", lambda: 0.0)
+    assert 0 <= node_clock() - read < 1000.0
+    after = desk(hosts=0)
+    after.hosts.take_starts(before.hosts.starts())
+    after.reactor.advance(2.0)
+    after.listed(True, before.hosts.rows())
+    assert ages(after)[after.hosts.index["s-9"]] == pytest.approx(2000.0)
+
+
+# ---- nothing but these reads the date
+
+READS_OF_THE_DATE = {"caperdeck/state/clocks.py": 1, "caperdeck/lab/real.py": 2, "caperdeck/lab/launch.py": 2,
+                     "caperdeck/lab/wall_clock.py": 2, "caperdeck/lab/slopes/record.py": 3}  # fmt: skip
+DATE = re.compile(r"time\.time\b(?!\w)|datetime|localtime|gmtime|CLOCK_REALTIME|internet import reactor")
+
+
+def test_no_span_of_the_program_is_measured_by_the_date():
+    found = {}
+    for path in (ROOT / "caperdeck").rglob("*.py"):
+        code = "\n".join(line.partition("#")[0] for line in path.read_text().splitlines())
+        code = re.sub(r'"""[\s\S]*?"""|`[^`]*`', "", code)
+        if hits := len(DATE.findall(code)):
+            found[str(path.relative_to(ROOT))] = hits
+    assert found == READS_OF_THE_DATE
+
+
+def test_a_process_that_has_another_reactor_does_not_go_on():
+    code = "from twisted.internet import reactor\n" \
+           "from caperdeck.lifecycle.reactor import install_reactor\ninstall_reactor()"  # fmt: skip
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert "WallClockReactorError: EPollReactor is installed already" in done.stderr
+
+
+def test_a_step_of_the_date_is_noticed_once_and_a_slow_reading_is_none():
+    steady, date = [0.0], [5000.0]
+    watch = DateWatch(lambda: steady[0], lambda: date[0])
+    for passed, stepped, said in ((250, 0, None), (250, -HOUR * 1000, -HOUR * 1000), (250, 0, None),
+                                  (250, 150, None), (250, 20_000, 20_000)):  # fmt: skip
+        steady[0] += passed
+        date[0] += passed + stepped
+        assert watch.step() == (None if said is None else pytest.approx(said))
+    assert watch.steps == 2
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -228,9 +228,9 @@
 
 
 def test_an_instance_whose_disk_is_full_answers_nothing_more_and_says_so(tmp_path, monkeypatch):
-    from twisted.internet import reactor
+    from caperdeck.lifecycle.reactor import install_reactor
 
-    ended, now = [], [0.0]
+    reactor, ended, now = install_reactor(), [], [0.0]
     config = load_instance(kept(tmp_path, folder=str(tmp_path / "d"), instances={"0": "127.0.0.1:7100"}))
     with pytest.raises(StorageError, match="another instance"):
         first = Storage(config.folder, "t", 0, config_members(config))
