Momentary errors of system calls, ends before the earliest kill, why dials and sessions ended

Need: the class of the incident is a wait or an error taken for something else; every module was looked through for more of it. Found, each forced by a test that failed before: accept that finds no descriptor closed clients unanswered; connect and socket that fail for a moment used up a session's dials and blamed hosts; a peek without memory counted as the client's end; a request that came late in a stop was still out at the earliest SIGKILL; a request that crossed the close of a resting connection was read and not answered; a disk that is full ended an upgrade half way; a session without its timer was never answered. Logging: a line for each dial that fails, with outcome and whether the request had gone; counters of ends by reason, failed dials by outcome, overdue answers and steps of the date.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable
@@ -36,6 +37,7 @@
 SUSPECT = 300.0  # one that has brought nothing back for so long, on any connection, is probed
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
 MOVED_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
+OVERDUE_ANSWER = 50.0  # a client that has waited so much longer than it said has been forgotten
 IDLE = 2000.0  # a client that has sent no first line for so long is closed
 IDLE_SHORT = 250.0  # the same while sockets are short
 
@@ -68,6 +70,7 @@
         self.subsets: Subsets | None = None  # None: all hosts are drawn alike
         self.searched_at = clock()  # for clients that fell silent
         self.stopping = False
+        self.answer_by = math.inf  # every session has its final answer by then, as the process ends
         self.accepting: Callable[[bool], None] = lambda on: None
         self.orders: deque[Order] = deque()
         self.at_work = False
@@ -206,7 +209,7 @@
     # ---- dials
 
     def _dial(self, s: Session, dial: int, host: int, until: float) -> None:
-        s.host, s.dial = host, dial
+        s.host, s.dial, s.dialed_at = host, dial, self.clock()
         wait = max(until - self.clock(), 0.0)
         s.conn = self.open_host(s, until, min(self.limits.connect_time_out, wait + 1))
         s.timer = self.reactor.callLater(wait / MS, self._late, s.conn)
@@ -215,7 +218,7 @@
         """Takes up a connection that stood at its host before this node started."""
         if s.over:
             return
-        s.host, s.dial = self.hosts.index[s.request.at], 0
+        s.host, s.dial, s.dialed_at = self.hosts.index[s.request.at], 0, self.clock()
         s.conn = self.open_host(s, s.deadline, RESUME_TIME_OUT)
 
     def dial_open(self, conn: HostSide) -> None:
@@ -258,6 +261,12 @@
         """A dial that has not come to stand is over."""
         if s.conn is None or s.up_at:
             return
+        name = outcome.name.lower().replace("_", "-")
+        self.figures.dials[name] += 1
+        logger.info(
+            "dial id={} dial={} host={} outcome={} sent={} ms={:.0f}", s.request.id, s.dial,
+            self.hosts.uid[s.host], name, s.conn.sent, self.clock() - s.dialed_at,
+        )  # fmt: skip
         self._hang_up(s, reset=False)
         if s.request.at is None:
             self.report(Over(s.index, s.dial, outcome, False))
@@ -323,6 +332,22 @@
         self._hang_up(s, reset=False)
         s.client.close(line)
 
+    def give_up(self, s: Session, reason: str) -> None:
+        """Answers a session that does not stand, whatever became of its dial."""
+        dialing = s.conn is not None
+        self._answer(s, self.failed, reason)
+        if s.request.at is not None:
+            return  # the balancer has not heard of it yet
+        self.report(Left(s.index))
+        if dialing:
+            self.report(Over(s.index, s.dial, Outcome.WITHDRAWN, True))
+
+    def answer_all(self) -> None:
+        """The process ends: who has no answer by now has one from this node, or from nobody."""
+        for s in list(self.sessions.opening):
+            self.give_up(s, "stopping")
+        self.close_idle(math.inf)
+
     def move(self, s: Session, reason: str, outcome: Outcome = Outcome.WITHDRAWN) -> None:
         """Tells the client of a standing session to come again; lines are whole, so it is between two."""
         if not s.up_at or s.over:
@@ -336,6 +361,7 @@
         """The one log line of a session."""
         self.sessions.drop(s)
         self.budget.sessions -= 1
+        self.figures.ended[reason] += 1
         now = self.clock()
         host = self.hosts.uid[s.host] if s.host >= 0 else "-"
         logger.info(
@@ -443,6 +469,10 @@
         # Danger: after the node itself stood still, what it has not read yet looks like silence.
         if not self.catching_up:
             self._mind_silence(now)
+            # every wait has a timer of its own; should one be lost, its client is answered all the same
+            for s in self.sessions.overdue(now - OVERDUE_ANSWER):
+                self.figures.overdue += 1
+                self.give_up(s, "overdue")
             # Danger: a machine that vanished says nothing and its connections stay open.
             for s in self.sessions.silent(now - SILENCE):
                 if not s.conn.paused:
@@ -467,6 +497,7 @@
         for client in list(self.idle):
             if client.opened >= before:
                 break
-            # Danger: closed over a line that has come in this instant, the client would have no answer to it.
+            # Danger: closed over a line that has come in this instant, the client would have no answer to it;
+            # and one that crosses the close finds this one.
             if not client.unread():
-                client.close(linger=self.budget.may_serve() and not self.stopping)
+                client.close(self.busy(0.0), linger=self.budget.may_serve() and not self.stopping)
--- a/caperdeck/lab/simulated/port.py
+++ b/caperdeck/lab/simulated/port.py
@@ -45,10 +45,12 @@
     def stopReading(self) -> None:
         self.reads = False
 
-    def doRead(self) -> None:
-        """Takes in one of those who wait."""
-        if self.queue:
-            self._take(self.queue.pop(0))
+    def accept_all(self) -> bool:
+        """Takes in those who wait; whether nobody waits any more."""
+        queue, self.queue = self.queue, []
+        for end in queue:
+            self._take(end)
+        return True
 
     def fileno(self) -> int:
         return -1
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -20,6 +20,7 @@
 from caperdeck.ops.calls import CallError, Calls, Then, carry_out, yes
 from caperdeck.ops.front import RESERVED, Front
 from caperdeck.ops.upgrade import Upgrade
+from caperdeck.state.errors import call_again
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.backoff import BackOff
@@ -39,6 +40,8 @@
 MOVING = 1200.0  # the last part of that, in which they are moved, evenly
 SHORT_EVERY = 1000.0  # the log says so often at the most that sockets are short
 JOIN_AGAIN = 1.0  # seconds until the port for peers is tried again
+KILLED_AFTER = 700.0  # SIGKILL may come the longest wait of a client and so much more after SIGTERM
+ANSWER_BEFORE = 250.0  # so long before that everybody has been answered
 LINGER = 150.0  # from the last end until the exit
 
 
@@ -100,6 +103,7 @@
         self.short_at = 0.0  # when the log last said that sockets are short
         self.exit_code = 0
         self.stopped_at = 0.0
+        self.stop_span = self._stop_span()  # from then until all clients are moved
         self.left = False
         self.takes = False  # this process accepts clients
         self.accepts_more = True  # until the end of a stop
@@ -140,7 +144,7 @@
         if uids is None:
             self.bans.load()
         else:
-            self.bans.replace(uids)
+            self._replace_bans(uids)
         self.desk.listed(True, rows)
         for uid in self.bans.uids:
             self.desk.ban(uid, True)
@@ -149,15 +153,23 @@
         for call in early:
             carry_out(self.ban, *call)
 
+    def _replace_bans(self, uids: Iterable[str]) -> None:
+        try:
+            self.bans.replace(uids)
+        except BansError as error:
+            # Danger: a disk that is full for a moment must not end an upgrade half way; they hold in memory.
+            logger.error("upgrade reason=bans-unwritable {}", error)
+
     def listen(self, fd: int = -1) -> None:
         """Opens the clients' port, or goes on with one that was handed on; accepts nobody yet."""
         address, factory = self.config.listen, ClientFactory(self.desk)
         if fd < 0:
             self.port = ClientPort(address.port, factory, BACKLOG, address.host, self.reactor)
+            call_again(self.port.startListening)
         else:
             self.port = ClientPort._fromListeningDescriptor(self.reactor, fd, socket.AF_INET, factory)
             os.close(fd)
-        self.port.startListening()
+            self.port.startListening()
         self.port.stopReading()
 
     def begin(self) -> None:
@@ -235,6 +247,7 @@
         if (step := self.date_watch.step()) is not None:
             # nothing is timed by the date, but the lines before and after this one carry it
             logger.warning("clock reason=date-stepped ms={:.0f}", step)
+            self.desk.figures.date_steps += 1
         self.desk.sweep()
         self.sink.flush()
 
@@ -329,20 +342,28 @@
         if self.stopped_at:
             return
         self.stopped_at = self.clock()
+        # frozen here: a SIGHUP that comes after it must not put off an end that SIGKILL does not wait for
+        self.stop_span = self._stop_span()
         self.desk.stopping = True
+        answer_after = self._longest_wait() + KILLED_AFTER - ANSWER_BEFORE
+        self.desk.answer_by = self.stopped_at + answer_after
+        self.reactor.callLater(answer_after / MS, self.desk.answer_all)
         # Danger: a successor that ends must not take over a port and connections that it would end with it.
         if self.upgrade.waits:
             self.exit()
             return
         logger.info("stop sessions={}", len(self.desk.sessions.table))
         # Danger: in a rolling restart the node before may not be back; who is moved early has nowhere to go.
-        self.reactor.callLater(max(self.stop_span() - MOVING, SERVE_ON) / MS, self.move_some)
+        self.reactor.callLater(max(self.stop_span - MOVING, SERVE_ON) / MS, self.move_some)
 
-    def stop_span(self) -> float:
-        return min(max(self.config.limits.longest_wait, SERVE_ON), LONGEST_STOP) + STOP_AFTER
+    def _longest_wait(self) -> float:
+        return min(self.config.limits.longest_wait, LONGEST_STOP)
+
+    def _stop_span(self) -> float:
+        return max(self._longest_wait(), SERVE_ON) + STOP_AFTER
 
     def move_some(self) -> None:
-        last = self.stopped_at + self.stop_span()
+        last = self.stopped_at + self.stop_span
         standing = self.desk.sessions.standing()
         left = last - self.clock()
         steps = max(int(left / 50.0), 1)
@@ -352,24 +373,23 @@
         if self.desk.budget.clients or self.clock() < self.stopped_at + 2 * SERVE_ON:
             self.reactor.callLater(0.05, self.move_some)
         elif self.accepts_more:
-            self.accepts_more = False
-            self.shut_port()
+            self.accepts_more = not self.shut_port()
             self.reactor.callLater(LINGER / MS, self.move_some)
         else:
             self.exit()
 
-    def shut_port(self) -> None:
-        """Takes in who has connected by now, and nobody who comes later."""
+    def shut_port(self) -> bool:
+        """Takes in who has connected by now, and nobody who comes later; whether that could be done."""
+        if self.port is None:
+            return True
+        # Danger: who lies in the queue of a port that closes is reset, with the request that is on the way.
+        takes = self.takes and self.desk.budget.may_accept() and self.clock() < self.desk.answer_by
+        if takes and not self.port.accept_all():
+            return False
         port, self.port = self.port, None
-        if port is None:
-            return
         self.upgrade.shut()
-        # Danger: who lies in the queue of a port that closes is reset, with the request that is on the way.
-        budget, before = self.desk.budget, -1
-        while self.takes and budget.may_accept() and budget.clients != before:
-            before = budget.clients
-            port.doRead()
         port.stopListening()
+        return True
 
     def exit(self, code: int = 0) -> None:
         if self.left:
--- a/caperdeck/ops/front.py
+++ b/caperdeck/ops/front.py
@@ -14,6 +14,7 @@
 from zope.interface import implementer
 
 from caperdeck.state.addresses import Address
+from caperdeck.state.errors import call_again
 from caperdeck.state.timers import cancel
 from caperdeck.wire.lines import BoundedPort, LineConnection
 
@@ -40,7 +41,7 @@
         self.timer: Any = None
 
     def connectionMade(self) -> None:
-        self.transport.setTcpNoDelay(True)
+        self.send_at_once()
         self.timer = self.front.reactor.callLater(PATIENCE, self.transport.abortConnection)
         self.front.came(self)
 
@@ -105,7 +106,7 @@
 
     def listen(self, address: Address) -> BoundedPort:
         port = BoundedPort(address.port, self, BACKLOG, address.host, self.reactor)
-        port.startListening()
+        call_again(port.startListening)
         return port
 
     @property
--- a/caperdeck/ops/handover.py
+++ b/caperdeck/ops/handover.py
@@ -84,7 +84,8 @@
         conn.taken_up = True
         adopt(desk, fds[1], conn)
         s.host, s.dial, s.conn = desk.hosts.know(message["host"]), message["dial"], conn
-        s.deadline, s.up_at, s.heard_at = message["deadline"], message["up_at"], message["heard_at"]
+        desk.sessions.stands(s, message["up_at"])
+        s.deadline, s.heard_at = message["deadline"], message["heard_at"]
         desk.took_up(s, message["asked"])
     finally:
         for fd in fds:
--- a/caperdeck/state/figures.py
+++ b/caperdeck/state/figures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from enum import IntEnum
 
@@ -20,6 +21,10 @@
         self.relayed = 0  # heads written whole to hosts
         self.accepted = 0  # files taken at SIGHUP
         self.invalid = 0  # and turned down
+        self.overdue = 0  # sessions answered only as a sweep found them past their time
+        self.date_steps = 0  # of the wall clock
+        self.ended: Counter[str] = Counter()  # sessions by the reason why they ended
+        self.dials: Counter[str] = Counter()  # dials that did not come to stand, by outcome
 
     def know(self, classes: Iterable[str]) -> None:
         """Classes of the settings; one that is dropped later keeps its counts."""
@@ -43,8 +48,11 @@
         ]  # fmt: skip
         totals = {
             "relayed_total": self.relayed, "cfg_accepted_total": self.accepted,
-            "cfg_invalid_total": self.invalid,
+            "cfg_invalid_total": self.invalid, "overdue_answers_total": self.overdue,
+            "date_steps_total": self.date_steps,
         }  # fmt: skip
+        lines += [f'app_ended_total{{reason="{reason}"}} {n}' for reason, n in self.ended.items()]
+        lines += [f'app_failed_dials_total{{outcome="{name}"}} {n}' for name, n in self.dials.items()]
         return lines + [f"app_{name} {value}" for name, value in (totals | gauges).items()]
 
 
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -68,6 +68,7 @@
     deadline: float
     host: int = -1
     dial: int = -1
+    dialed_at: float = 0.0  # when the last dial began
     conn: HostSide | None = None  # the dial that is out, or the stream's host side
     timer: Any = None  # ends the dial that is out
     up_at: float = 0.0  # 0 until it stands
@@ -79,6 +80,7 @@
 class Sessions:
     def __init__(self) -> None:
         self.table: dict[int, Session] = {}
+        self.opening: dict[Session, None] = {}  # without a final answer, the oldest first
         self.unanswered: dict[Session, None] = {}  # with a line that waits, the longest wait first
         self.made = 0
         self.ids: set[str] = set()  # as clients gave them
@@ -90,15 +92,26 @@
         s = Session(self.made, request, client, now, now + request.wait)
         self.made += 1
         self.table[s.index] = s
+        self.opening[s] = None
         self.ids.add(request.id)
         return s
 
     def drop(self, s: Session) -> None:
         s.over = True
+        self.opening.pop(s, None)
         self.unanswered.pop(s, None)
         self.table.pop(s.index, None)
         self.ids.discard(s.request.id)
 
+    def stands(self, s: Session, now: float) -> None:
+        """The session has its final answer, and lines pass from now on."""
+        s.up_at = s.heard_at = now
+        self.opening.pop(s, None)
+
+    def overdue(self, now: float) -> list[Session]:
+        """The sessions whose client has stopped waiting for an answer."""
+        return [s for s in self.opening if s.deadline < now]
+
     def line_from_client(self, s: Session, now: float) -> None:
         s.heard_at = now
         if not s.asked_at:
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -12,6 +12,7 @@
 from zope.interface import implementer
 
 from caperdeck.state.budget import SocketBudget
+from caperdeck.state.errors import is_momentary
 from caperdeck.state.sessions import Session
 from caperdeck.state.timers import cancel
 
@@ -52,7 +53,7 @@
         self.closing = False
 
     def connectionMade(self) -> None:
-        self.transport.setTcpNoDelay(True)
+        self.send_at_once()
         self.opened = self.desk.clock()
         self.desk.client_came(self)
 
@@ -89,8 +90,8 @@
             return self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return None
-        except OSError:
-            return b""
+        except OSError as error:
+            return None if is_momentary(error) else b""
 
     def abort(self) -> None:
         self.closing = True
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -45,9 +45,8 @@
 
     def first_line(self, client: ClientConnection, line: bytes) -> None:
         if line == b"PING":
-            if self.stopping:
-                client.close()
-            else:
+            # without a PONG the front sends nobody more; a request that follows is answered all the same
+            if not self.stopping:
                 client.pass_on(b"PONG")
             return
         self.idle.pop(client, None)
@@ -70,6 +69,10 @@
                 self.figures.answered(request.listener, Status.FAULTED)
             self._turn_away(client, b"ERR", str(error), line[:80])
             return
+        if self.clock() >= self.answer_by:
+            self.figures.answered(request.listener, Status.THROTTLED)
+            self._turn_away(client, self.busy(0.0), "stopping", b"")
+            return
         if not self.budget.may_serve():
             back_off = min(FULL_BACK_OFF, self.limits.max_back_off)
             self.figures.answered(request.listener, Status.THROTTLED)
@@ -79,6 +82,7 @@
         now = self.clock()
         # Danger: a line that lay there in a stall has run down its client's wait unseen.
         s = client.session = self.sessions.new(request, client, now - self.age())
+        s.deadline = min(s.deadline, self.answer_by)
         if request.at is not None:
             self.resume(s)
             return
@@ -157,7 +161,8 @@
             logger.warning("host uid={} reason=bad-load line={!r}", self.hosts.uid[s.host], line[:80])
 
     def _stand(self, s: Session, conn: HostConnection, line: bytes) -> None:
-        now = s.up_at = s.heard_at = self.clock()
+        now = self.clock()
+        self.sessions.stands(s, now)
         cancel(s.timer)
         client, request = s.client, s.request
         logger.debug("up id={} host={} class={}", request.id, self.hosts.uid[s.host], request.listener)
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -12,7 +12,7 @@
 from caperdeck.state.sessions import Session
 from caperdeck.state.timers import cancel
 
-from .lines import LineConnection, OneConnection
+from .lines import LineConnection, RetriedConnection
 
 
 class HostHandler(Protocol):
@@ -42,10 +42,12 @@
         self.connector = None
 
     def dial_to(self, address: Address, time_out: float) -> None:
-        self.connector = self.desk.reactor.connectTCP(*address, OneConnection(self), time_out / MS)
+        reactor, seconds = self.desk.reactor, time_out / MS
+        factory = RetriedConnection(reactor, self, seconds)
+        self.connector = reactor.connectTCP(*address, factory, seconds)
 
     def connectionMade(self) -> None:
-        self.transport.setTcpNoDelay(True)
+        self.send_at_once()
         if self.ended:
             self.transport.abortConnection()
         elif not self.taken_up:
--- a/caperdeck/wire/lines.py
+++ b/caperdeck/wire/lines.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import socket
+from contextlib import suppress
 from typing import Any
 
+from loguru import logger
+from twisted.internet.address import IPv4Address
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.tcp import Port
 from twisted.protocols.basic import LineReceiver
 
+from caperdeck.state.errors import TRY_AGAIN_AFTER, is_momentary
+from caperdeck.state.timers import cancel
+
 CRLF = b"\r\n"
 LONGEST_LINE = 4096
 LINGER = 0.8  # seconds in which what was written last has to go out
@@ -19,6 +26,12 @@
     MAX_LENGTH = LONGEST_LINE
     lingers = None
 
+    def send_at_once(self) -> None:
+        """Small lines are not held back until the one before has been acknowledged."""
+        # a connection that has broken already says so here first; reading finds it out again
+        with suppress(OSError):
+            self.transport.setTcpNoDelay(True)
+
     def pass_on(self, line: bytes) -> None:
         self.transport.writeSequence((line, CRLF))
 
@@ -38,14 +51,58 @@
 class BoundedPort(Port):
     """Accepts no more connections at once than its factory says are `acceptable`."""
 
-    # Danger: the library takes a hundred in one go, and closes unanswered those that find no descriptor.
+    # The library's own loop takes a hundred in one go, closes unanswered those that find no descriptor, and
+    # gives up on errors that it does not know.
+
+    resuming: Any = None  # the timer after which it accepts again
+
     @property
     def numberAccepts(self) -> int:
         return self.factory.acceptable
 
     @numberAccepts.setter
     def numberAccepts(self, wanted: int) -> None:
-        pass
+        """The library sets a number of its own as it begins to listen."""
+
+    def doRead(self) -> None:
+        self.accept_all()
+
+    def accept_all(self) -> bool:
+        """Whether nobody waits in the queue any more; False also where that cannot be told just now."""
+        for _ in range(self.numberAccepts):
+            try:
+                sock, address = self.socket.accept()
+            except BlockingIOError:
+                return True
+            except OSError as error:
+                logger.warning("accept reason=failed {}", error.strerror)
+                if is_momentary(error):
+                    self._pause()
+                    return False
+                continue  # that one connection has broken in the queue
+            self._let_in(sock, address)
+        return False
+
+    def _let_in(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        number, self.sessionno = self.sessionno, self.sessionno + 1
+        protocol = self.factory.buildProtocol(IPv4Address("TCP", *address))
+        if protocol is None:
+            sock.close()
+            return
+        protocol.makeConnection(self.transport(sock, protocol, address, self, number, self.reactor))
+
+    def _pause(self) -> None:
+        # the queue stays readable: without a pause the reactor would turn on it and do nothing else
+        super().stopReading()
+        self.resuming = self.reactor.callLater(TRY_AGAIN_AFTER, self.startReading)
+
+    def startReading(self) -> None:
+        cancel(self.resuming)
+        super().startReading()
+
+    def stopReading(self) -> None:
+        cancel(self.resuming)
+        super().stopReading()
 
 
 class OneConnection(ClientFactory):
@@ -61,3 +118,26 @@
 
     def clientConnectionFailed(self, connector, reason) -> None:
         self.conn.failed()
+
+
+class RetriedConnection(OneConnection):
+    """The same, tried again while this machine lacks something for it, for so many seconds.
+
+    `conn.ended` says that nobody waits for it any more.
+    """
+
+    def __init__(self, reactor: Any, conn: Any, seconds: float) -> None:
+        super().__init__(conn)
+        self.reactor = reactor
+        self.until = reactor.seconds() + seconds
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        # what this machine lacks for a moment says nothing about the other side, and must not use up dials
+        if is_momentary(reason.value) and self.reactor.seconds() + TRY_AGAIN_AFTER < self.until:
+            self.reactor.callLater(TRY_AGAIN_AFTER, self._try_again, connector)
+        else:
+            self.conn.failed()
+
+    def _try_again(self, connector: Any) -> None:
+        if not self.conn.ended:
+            connector.connect()
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -13,7 +13,7 @@
 from caperdeck.state.timers import cancel
 
 from .report import parse_report
-from .lines import LineConnection, OneConnection
+from .lines import LineConnection, RetriedConnection
 
 
 class ProbeConnection(LineConnection):
@@ -39,7 +39,7 @@
         if self.ended:
             self.transport.abortConnection()
             return
-        self.transport.setTcpNoDelay(True)
+        self.send_at_once()
         if self.waits is not None:
             self.send()
 
@@ -118,7 +118,9 @@
             return
         if conn is None:
             conn = self.open[host] = ProbeConnection(self, host, address)
-            conn.connector = self.reactor.connectTCP(*address, OneConnection(conn), self.time_out / MS)
+            seconds = self.time_out / MS
+            factory = RetriedConnection(self.reactor, conn, seconds)
+            conn.connector = self.reactor.connectTCP(*address, factory, seconds)
         if conn.waits is None:
             conn.ask()
 
