Starts of hosts go by the date where it fits what is heard

A process that has just started took the newest hosts of its list for cold. Change: the offset between discovery's times and the node's clock is the date's at the start, as before, until it does not fit: a start in the future, one in a change that is over 4 s old, or a list whose newest start is over 20 s old. Then the newest one counts from now. Open: a process that begins under a date that is less than 20 s ahead takes a host for up to that much older, until the next start is heard of.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -24,7 +24,7 @@
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
 from caperdeck.state.backoff import BackOff
-from caperdeck.state.clocks import DateWatch, node_clock
+from caperdeck.state.clocks import DateWatch, node_clock, unix_time
 from caperdeck.turns.subset import SubsetError, Subsets
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.desk import Desk
@@ -59,20 +59,22 @@
 class Service:
     def __init__(
         self, reactor: Any, config: Config, sink: Sink, reread: Callable[[], Config],
-        clock: Callable[[], float] | None = None, uses: Any = None, owners: Any = None,
-        subsets: bool = False, published: Any = None,
+        clock: Callable[[], float] = node_clock, date: Callable[[], float] = unix_time, uses: Any = None,
+        owners: Any = None, subsets: bool = False, published: Any = None,
     ) -> None:  # fmt: skip
         self.reactor = reactor
         self.config = config
         self.reread = reread
         self.sink = sink
-        self.clock = clock or node_clock
+        self.clock = clock
+        self.date_watch = DateWatch(clock, date)
         balancer = Balancer(config.settings, self.clock())
         budget = SocketBudget(config.sockets, 0)
         self.desk = Desk(
             reactor, self.clock, balancer, config.names, config.limits, Hosts(config.names.zones), budget,
         )  # fmt: skip
         self.desk.accepting = self.accept
+        self.desk.hosts.start_times.go_by(self.date_watch.ahead)
         self.discovery = Discovery(
             reactor, config.discovery, config.rev, self.desk.listed, self.discovery_spoke,
             self.complain, BackOff(config.settings.seed, config.settings.nodes), self.excused,
@@ -110,7 +112,6 @@
         self.knows = False  # it has the list of hosts and the bans
         self.early: list[tuple[str, bool, Then]] = []  # calls out and back that wait until it does
         self.upgrade = Upgrade(reactor, self)
-        self.date_watch = DateWatch()
 
     def start(self) -> None:
         config = self.config
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -170,7 +170,7 @@
     def take_state(self, rows: list, state: dict, fds: list[int]) -> None:
         node = self.node
         hosts = node.desk.hosts
-        hosts.take_starts(state["starts"])
+        hosts.take_starts(*state["starts"])
         node.know(rows, state["bans"])
         for row in rows:
             hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
--- a/caperdeck/state/clocks.py
+++ b/caperdeck/state/clocks.py
@@ -26,9 +26,7 @@
 class DateWatch:
     """Notices that the date was stepped."""
 
-    def __init__(
-        self, steady: Callable[[], float] = node_clock, date: Callable[[], float] = unix_time
-    ) -> None:
+    def __init__(self, steady: Callable[[], float], date: Callable[[], float]) -> None:
         self.steady, self.date = steady, date
         self.ahead = date() - steady()
         self.steps = 0
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -41,7 +41,7 @@
     def take(self, now: float, whole: bool, rows: object, complain: Callable[[str], None]) -> list[Entry]:
         """The entries of one list or change; a row that is broken is complained of and left out."""
         entries = self._read(whole, rows, complain)
-        self.start_times.hear(now, {e.host: e.boot for e in entries})
+        self.start_times.hear(now, whole, {e.host: e.boot for e in entries})
         return [self._placed(e) for e in entries]
 
     def _placed(self, e: Entry) -> Entry:
@@ -120,13 +120,15 @@
             for e in self.entry if e is not None and self.address[e.host] is not None
         ]  # fmt: skip
 
-    def starts(self) -> dict[str, Start]:
-        """By uid, for another process of this node."""
-        return {self.uid[h]: start for h, start in self.start_times.starts.items()}
+    def starts(self) -> tuple[float, dict[str, Start]]:
+        """What is known of starts, by uid, for another process of this node."""
+        times = self.start_times
+        return times.ahead, {self.uid[h]: start for h, start in times.starts.items()}
 
-    def take_starts(self, starts: dict[str, tuple[float, float]]) -> None:
+    def take_starts(self, ahead: float, starts: dict[str, tuple[float, float]]) -> None:
         """The same at that process, before it takes the list in."""
-        self.start_times.take_over((self.know(uid), Start(*start)) for uid, start in starts.items())
+        known = ((self.know(uid), Start(*start)) for uid, start in starts.items())
+        self.start_times.take_over(ahead, known)
 
     def hold(self, since: float) -> list[Entry]:
         """While discovery is silent: entries of the hosts that have sent clients away, as if they drained.
