Soak: real processes under seeded mixtures of faults, with two more rules on ends and departures

Change: caperdeck lab soak draws a deployment and a dozen faults from each seed; a stop is killed at the longest wait and 0.7 s; clients rest before they ask, and leave early; sends after a client's end and requests held at the end of a node are breaches.

--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -24,6 +24,7 @@
   caperdeck lab report FILE [--scenario=FILE] [--out=FILE]
   caperdeck lab slopes [--out=FILE] [--only=PARTS] [--small] [--merge]
   caperdeck lab capacity --slopes=FILE --target=FILE [--json=FILE] [--page=FILE]
+  caperdeck lab soak [--runs=N] [--seed=N] [--processes=N] [--logs=DIR]
   caperdeck lab demo
   caperdeck (-h | --help)
 
@@ -43,8 +44,8 @@
            a history, slopes measures what each part costs at several sizes and fits straight lines, demo
            shows a small fleet, capacity works out from measured lines what the fleet needs at its target
            (docs/CAPACITY.md), scale plays hollow nodes beside real ones, up to the whole target, in-force
-           measures how long a version takes from its commit until all nodes have it. Exit code 0 all held,
-           1 broken, 2 bad input, 3 void.
+           measures how long a version takes from its commit until all nodes have it, soak plays seeded
+           mixtures of faults (docs/lab.md). Exit code 0 all held, 1 broken, 2 bad input, 3 void.
 
 Options:
   --config=FILE      The node's configuration, JSON; EDGE_CONFIG names it otherwise.
@@ -61,7 +62,7 @@
   --virtual          In virtual time, in this process, instead of real processes.
   --json=FILE        Keep the history, one event a line, the comparison, or what was worked out.
   --logs=DIR         Keep the nodes' logs.
-  --runs=N           So many schedules at the most, 100 if not given.
+  --runs=N           So many schedules at the most, 100 if not given. Of lab soak, seeds, 50 if not given.
   --out=FILE         The scenario file, page or record to write.
   --only=PARTS       Measure these parts alone, with commas between; what FILE has of others is kept.
   --small            At tiny sizes, to see that it works; the figures say nothing.
@@ -74,7 +75,7 @@
   --page=FILE        Rewrite the tables of this page, between its marks.
   --nodes=N          Hollow nodes; the scenario's own otherwise, as with the next two. Of config status, a
                      file with the names of all nodes, one a line.
-  --processes=N      Processes that the hollow nodes share.
+  --processes=N      Processes that the hollow nodes share. Of lab soak, runs at once, 2 if not given.
   --seconds=N        Of the steady span, in which the cost is measured.
   --changes=N        So many versions are published, 5 if not given, and a burst of 10 after them.
   --faults=LIST      With commas between: leader, kill, stop (docs/lab.md); none if not given.
--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -205,6 +205,26 @@
     return play_in_force(arguments)
 
 
+def soak(arguments: dict[str, Any]) -> int:
+    from pathlib import Path
+
+    from .soak import line
+    from .soak import soak as play_seeds
+
+    first = number(arguments["--seed"], "seed", 0, 2**31, 1)
+    seeds = number(arguments["--runs"], "runs", 1, 10_000, 50)
+    at_once = number(arguments["--processes"], "processes", 1, 8, 2)
+    broken = voids = 0
+    for result in play_seeds(
+        first, seeds, at_once, Path(arguments["--logs"]) if arguments["--logs"] else None
+    ):
+        say(line(result))
+        broken += bool(result.breaches)
+        voids += bool(result.void)
+    say(f"{seeds - broken - voids} of {seeds} seeds held, {broken} broken, {voids} void")
+    return BROKEN if broken else VOID if voids else HELD
+
+
 def demo(arguments: dict[str, Any]) -> int:
     from rich.console import Console
 
@@ -222,7 +242,7 @@
 
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, _interrupt)
-    verbs = (fleet, search, compare, report, scale, in_force, slopes, capacity, demo)
+    verbs = (fleet, search, compare, report, scale, in_force, slopes, capacity, soak, demo)
     verb = next(each for each in verbs if arguments[each.__name__.replace("_", "-")])
     try:
         return verb(arguments)
--- a/caperdeck/lab/clients.py
+++ b/caperdeck/lab/clients.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.protocol import Protocol
 from twisted.protocols.basic import LineReceiver
 
 from .scenario import Scenario
@@ -32,14 +33,38 @@
         self.waits: Any = None
         self.spoke: list[float] = []  # lines that no answer has come to yet
         self.up_at, self.badly = 0.0, 0.0  # how long it was served badly
+        self.sent = False
 
     def connectionMade(self) -> None:
+        span = self.clients.scenario.clients.rest
+        if span[1]:
+            rest = self.clients.between(span)
+            self.asked += rest
+            self.waits = self.clients.reactor.callLater(rest / 1000.0, self.ask)
+        else:
+            self.ask()
+
+    def ask(self) -> None:
+        if self.over:
+            return
+        self.sent = True
         scenario = self.clients.scenario
         left = max(scenario.clients.wait - (self.clients.now() - self.asked), 1.0)
         head = f"OPEN {self.id} k{self.number} c=live,t=t,d={left:.0f},h={self.load / 1000:.5f},n={self.node}"
         self.clients.emit("ask", who=self.node, id=self.id, wait=round(left, 1))
         self.sendLine(head.encode())
         self.waits = self.clients.reactor.callLater(left / 1000.0, self.give_up)
+        impatient = scenario.clients.impatient
+        if impatient and self.clients.chance() < impatient:
+            self.clients.reactor.callLater(left * self.clients.chance() / 1000.0, self.lose_patience)
+
+    def lose_patience(self) -> None:
+        """Leaves before it has an answer."""
+        if not self.answered and not self.over:
+            self.answered = self.over = True
+            self.waits.cancel()
+            self.clients.emit("left", who=self.node, id=self.id)
+            self.transport.loseConnection()
 
     def connect_failed(self) -> None:
         """The node is not there, or cut off; it has taken nothing."""
@@ -66,6 +91,8 @@
         word = line.split(b" ", 1)[0]
         if self.up:
             self.heard(word)
+        elif not self.sent:
+            self.turned_away()
         elif self.answered:
             self.answer(word.decode("utf-8", "replace").lower())
         elif word == b"UP":
@@ -83,6 +110,14 @@
             self.over = True
             self.transport.loseConnection()
 
+    def turned_away(self) -> None:
+        """The node has ended a connection on which nothing had been asked."""
+        if not self.over:
+            self.over = True
+            self.waits.cancel()
+            self.clients.refused(self, 0.0)
+            self.close()
+
     def speak(self) -> None:
         if self.over:
             return
@@ -131,7 +166,9 @@
             self.transport.loseConnection()
 
     def connectionLost(self, reason: Any) -> None:
-        if self.up and not self.over:
+        if not self.sent:
+            self.turned_away()
+        elif self.up and not self.over:
             self.finish("broke")
             self.clients.again(self)
         elif not self.over:
@@ -142,6 +179,14 @@
             self.waits.cancel()
 
 
+class Idler(Protocol):
+    """A connection on which nothing is ever said."""
+
+    def leave(self) -> None:
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
 class Clients(SeededRandom):
     """All clients and the front: which node a client comes to, and when it comes again."""
 
@@ -159,6 +204,7 @@
         self.weight = {n: 1.0 + (weights.uneven if i % 5 == 0 else 0.0) for i, n in enumerate(addresses)}
         self.ended = False
         self.live: dict[Client, None] = {}  # the ones that stand
+        self.crowds: dict[str, list[Idler]] = {}  # who says nothing, by node
 
     def name(self) -> str:
         self.named += 1
@@ -200,6 +246,15 @@
         wait = self.scenario.clients.wait / 1000.0
         self.reactor.connectTCP(host, port, SingleConnectionFactory(client, client.connect_failed), wait)
 
+    def crowd(self, node: str, number: int) -> None:
+        """So many connections to the node that say nothing; those of before end."""
+        for idler in self.crowds.pop(node, ()):
+            idler.leave()
+        self.crowds[node] = [Idler() for _ in range(number)]
+        host, port = self.addresses[node]
+        for idler in self.crowds[node]:
+            self.reactor.connectTCP(host, port, SingleConnectionFactory(idler, lambda: None), 2.0)
+
     def choose_node(self) -> str:
         now = self.now()
         while self.left_out and self.left_out[0][0] <= now:
--- a/caperdeck/lab/faults.py
+++ b/caperdeck/lab/faults.py
@@ -17,7 +17,8 @@
 BACK = (500.0, 1500.0)  # until a killed process is started again where the fault does not say
 DUTY = 0.1  # seconds of one turn of a slowed process
 NOTICE = (1400.0, 4600.0)  # until discovery has noticed that a host died
-LONGEST_STOP = 4.0  # seconds from SIGTERM to SIGKILL
+LONGEST_WAIT = 3.0  # seconds from SIGTERM: the longest wait of a client, or this if that is longer, and
+KILL_AFTER = 0.7  # so many more, until SIGKILL comes at the earliest
 
 
 class Driver(Protocol):
@@ -42,6 +43,18 @@
 
     def clock(self, node: str, offset: float, drift: float) -> None: ...
 
+    def step(self, node: str, offset: float) -> None:
+        """The wall clock of the node's process is off by so many milliseconds from now on."""
+
+    def fail_calls(self, node: str, rate: float) -> None:
+        """This part of the node's system calls fails or falls short from now on."""
+
+    def reload(self, node: str) -> None:
+        """SIGHUP."""
+
+    def crowd(self, node: str, clients: int) -> None:
+        """So many clients connect to the node and say nothing; those of before leave."""
+
     def reset(self, a: str, b: str) -> None: ...
 
     def hold(self, a: str, b: str, on: bool) -> None:
@@ -190,6 +203,15 @@
             elif do in ON_OWNERS:
                 work = fault.of.removeprefix(HOLDER) if fault.of.startswith(HOLDER) else ""
                 driver.stop_at_act(n, work, do == "stop-after-act") if on else driver.wake(n)
+            elif do == "step":
+                driver.step(n, fault.offset if on else 0.0)
+            elif do == "errors":
+                driver.fail_calls(n, fault.amount if on else 0.0)
+            elif do == "crowd":
+                driver.crowd(n, int(fault.amount) if on else 0)
+            elif do == "reload":
+                if on:
+                    driver.reload(n)
             elif do == "slow":
                 self.slowed[n] = self.slowed.get(n, 0) + 1
                 if on:
@@ -209,7 +231,8 @@
             then()
             return
         self.driver.terminate(n)
-        self._await_exit(n, LONGEST_STOP, then)
+        longest = min(self.scenario.clients.wait / 1000.0, LONGEST_WAIT)
+        self._await_exit(n, longest + KILL_AFTER, then)
 
     def _await_exit(self, n: str, left: float, then: Callable[[], None]) -> None:
         if not self.driver.alive(n) or left <= 0:
--- a/caperdeck/lab/fleet.py
+++ b/caperdeck/lab/fleet.py
@@ -61,6 +61,18 @@
     def stop_at_act(self, owner: str, work: str, after: bool) -> None:  # noqa: B027
         """Only real processes have one."""
 
+    def step(self, node: str, offset: float) -> None:  # noqa: B027
+        """Only real processes have a clock of the machine's beside the run's."""
+
+    def fail_calls(self, node: str, rate: float) -> None:  # noqa: B027
+        """Only real processes make system calls."""
+
+    def reload(self, node: str) -> None:  # noqa: B027
+        """Only real processes take signals."""
+
+    def crowd(self, node: str, clients: int) -> None:  # noqa: B027
+        """Only real processes run out of descriptors."""
+
     def hold(self, a: str, b: str, on: bool) -> None:  # noqa: B027
         """Only links between real processes do."""
 
--- a/caperdeck/lab/launch.py
+++ b/caperdeck/lab/launch.py
@@ -13,6 +13,8 @@
 from typing import Any
 
 from caperdeck.lab.parent_death import end_with_parent
+from caperdeck.lab.system_errors import fail_now_and_then
+from caperdeck.lab.wall_clock import follow
 
 
 def skew(offset: float, drift: float) -> None:
@@ -92,6 +94,8 @@
 def main() -> int:
     end_with_parent()
     tell(int(os.environ["LAB_EVENTS"]))
+    follow(os.environ["LAB_WALL_CLOCK"])
+    fail_now_and_then(os.environ["LAB_ERROR_RATE"], int(os.environ["LAB_SEED"]))
     offset, drift = float(os.environ["LAB_OFFSET"]), float(os.environ["LAB_DRIFT"])
     if offset or drift:
         skew(offset, drift)
--- a/caperdeck/lab/oracle.py
+++ b/caperdeck/lab/oracle.py
@@ -15,6 +15,9 @@
 from .scenario import Scenario
 
 
+LEFT_GRACE = 100.0 + 50.0  # milliseconds, the second part for the rig's own way
+
+
 @dataclass(frozen=True, slots=True)
 class Breach:
     rule: str
@@ -79,6 +82,9 @@
     def on_extra(self, e: Event) -> None:
         self.breach("sessions", f"{e.get('what')!r} after the final answer", e)
 
+    def on_left(self, e: Event) -> None:
+        self.answered[e["id"]] = e | {"what": "left"}
+
     def on_life(self, e: Event) -> None:
         if e["state"] in ("killed", "exit", "asleep"):
             self._down(e["who"], "process", e["t"])
@@ -164,6 +170,51 @@
         self.ran[sid] = e["to"]
 
 
+class Departures(Check):
+    """Nothing is sent to a host later than a moment after its client has left."""
+
+    def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
+        super().__init__(scenario, together)
+        self.left: dict[str, float] = {}
+
+    def on_left(self, e: Event) -> None:
+        self.left[e["id"]] = e["t"]
+
+    def on_dial(self, e: Event) -> None:
+        if e["t"] - self.left.get(e["id"], math.inf) > LEFT_GRACE:
+            self.breach("sessions", "sent after its client had left", e)
+
+
+class Stops(Check):
+    """A node that was told to end has answered everybody by its end, or by the earliest SIGKILL."""
+
+    def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
+        super().__init__(scenario, together)
+        self.waiting: dict[str, dict[str, Event]] = {}  # by node, who has no answer
+        self.stopping: set[str] = set()
+
+    def on_ask(self, e: Event) -> None:
+        self.waiting.setdefault(e["who"], {})[e["id"]] = e
+
+    def on_answer(self, e: Event) -> None:
+        self.waiting.get(e["who"], {}).pop(e["id"], None)
+
+    def on_left(self, e: Event) -> None:
+        self.on_answer(e)
+
+    def on_life(self, e: Event) -> None:
+        node = e["who"]
+        if e["state"] == "stopping":
+            self.stopping.add(node)
+        elif e["state"] in ("killed", "exit"):
+            held = self.waiting.pop(node, {}) if node in self.stopping else {}
+            self.stopping.discard(node)
+            for ask in held.values():
+                # what was on the way to the node as it ended never reached it
+                if e["t"] - ask["t"] > self.scenario.rules.slack:
+                    self.breach("sessions", f"held without an answer as the node was {e['state']}", ask)
+
+
 class Drains(Check):
     """Nothing new to a host later than the grace after the node was told that it drains or is gone."""
 
@@ -275,7 +326,7 @@
             self.breach("wire", f"a datagram of {e['size']} bytes", e)
 
 
-CHECKS: list[type[Check]] = [Answers, Effects, Drains, Cold, Processes, Wire]
+CHECKS: list[type[Check]] = [Answers, Effects, Departures, Stops, Drains, Cold, Processes, Wire]
 
 
 def judge(
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -23,8 +23,16 @@
 from .rig_process import START, RigProcess, VoidError
 from .scenario import MOST_PROCESSES, Scenario, ScenarioError
 from .setup import node_config
+from .system_errors import ErrorRate
+from .wall_clock import WallClock
 
 HEADROOM = 2.0  # times the scenario's rate at least, as the relay measured it
+SIGNALS_AFTER_TERM = (
+    (0.01, signal.SIGTERM),
+    (0.05, signal.SIGHUP),
+    (0.3, signal.SIGTERM),
+    (0.31, signal.SIGHUP),
+)
 ROLES = ("hosts", "agents", "clients", "relay")  # of workers
 LOOPBACK = "127.0.0.1"
 POLL = 0.02  # seconds between two tries to reach a process that starts
@@ -45,6 +53,8 @@
         self.boot = time.time() * 1000.0
         super().__init__(scenario, seed, watch)
         self.logs = logs
+        self.wall_clocks: dict[str, WallClock] = {}
+        self.error_rates: dict[str, ErrorRate] = {}
         self.launcher = Launcher(self.history, self._run_time, self._exited)
         self.processes = self.launcher.processes
         self.starting: list[asyncio.Task] = []
@@ -121,6 +131,14 @@
             self.front("ready", node)
 
     async def _launch(self, name: str, words: list[str], **environment: str) -> Process:
+        folder = Path(self.folder)
+        if name not in self.wall_clocks:
+            self.wall_clocks[name] = WallClock(folder / f"{name}.wall-clock")
+            self.error_rates[name] = ErrorRate(folder / f"{name}.error-rate")
+        environment |= {
+            "LAB_WALL_CLOCK": str(self.wall_clocks[name].path),
+            "LAB_ERROR_RATE": str(self.error_rates[name].path), "LAB_SEED": str(self.seed),
+        }  # fmt: skip
         return await self.launcher.start(
             name, words, self._log(name), self.skews.get(name, (0.0, 0.0)), environment
         )
@@ -166,6 +184,8 @@
         self.launcher.signal(node, signal.SIGKILL)
 
     def terminate(self, node: str) -> None:
+        for wait, number in SIGNALS_AFTER_TERM if self.scenario.signals_in_series else ():
+            self.later(wait, self.launcher.signal, node, number)
         if self.launcher.signal(node, signal.SIGTERM):
             self.life(node, "stopping")
             if node[0] == "n":
@@ -185,6 +205,18 @@
                 self.launcher.signal(node, signal.SIGRTMIN)
             self.launcher.signal(node, signal.SIGCONT)
 
+    def step(self, node: str, offset: float) -> None:
+        self.wall_clocks[node].step_to(offset / 1000.0)
+
+    def fail_calls(self, node: str, rate: float) -> None:
+        self.error_rates[node].set(rate)
+
+    def reload(self, node: str) -> None:
+        self.launcher.signal(node, signal.SIGHUP)
+
+    def crowd(self, node: str, clients: int) -> None:
+        self.workers["clients"].tell("crowd", node=node, number_of=clients)
+
     def front(self, what: str, node: str) -> None:
         self.workers["clients"].tell("front", what=what, node=node)
 
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -54,6 +54,8 @@
     back: tuple[float, float] = (140.0, 1200.0)  # until one that broke or was moved comes again
     uneven: float = 0.0  # some nodes see so many times the mean more
     notice: tuple[float, float] = (1100.0, 3900.0)  # until the front leaves a dead node out
+    rest: tuple[float, float] = (0.0, 0.0)  # milliseconds from the connection until the first line
+    impatient: float = 0.0  # this part of them leaves before its wait is over
 
 
 class Rules(Table):
@@ -91,7 +93,7 @@
     do: Literal[
         "loss", "delay", "double", "reorder", "cut", "silence", "reset", "hold", "kill", "restart", "stop",
         "slow", "clock", "drain", "start", "ill", "discovery", "cut-zone", "mass-kill", "mass-restart",
-        "rolling", "stop-before-act", "stop-after-act",
+        "rolling", "stop-before-act", "stop-after-act", "step", "errors", "reload", "crowd",
     ]  # fmt: skip
     name: str = ""
     at: float | None = None  # seconds
@@ -103,7 +105,7 @@
     to: str = "*"  # for links, the far end
     amount: float = 0.5  # a rate, a part of the fleet, or a duty
     spread: tuple[float, float] = (0.0, 0.0)  # milliseconds, random between
-    offset: float = 0.0  # of a clock, milliseconds
+    offset: float = 0.0  # of a clock, milliseconds; with `step`, of the wall clock of a process that runs
     drift: float = 0.0  # of a clock, milliseconds a second
 
 
@@ -120,6 +122,8 @@
     owners: int = 0  # instances that agree on owners of work on behalf of the fleet
     sharing: list[str] | None = None  # what the nodes share: uses by name; none of them is membership alone
     subsets: bool = False  # the nodes draw the hosts of a subset of their own first
+    sockets: int = 8192  # of a node
+    signals_in_series: bool = False  # SIGTERM comes again, with SIGHUP between
     fault: list[Fault] = field(default_factory=list)
 
     def uses(self) -> Uses | None:
@@ -157,7 +161,9 @@
 
 
 ON_LINKS = ("loss", "delay", "double", "reorder", "cut", "silence", "reset", "hold")
-ON_NODES = ("restart", "stop", "slow", "clock", "rolling", "mass-kill", "mass-restart")
+ON_REAL_PROCESSES = ("step", "errors", "reload", "crowd")
+ON_NODES = ("restart", "stop", "slow", "clock", "rolling", "mass-kill", "mass-restart", *ON_REAL_PROCESSES)
+PARTS_OF_ALL = ("loss", "double", "reorder", "slow", "mass-kill", "mass-restart", "ill", "errors")
 ON_OWNERS = ("stop-before-act", "stop-after-act")
 ON_HOSTS = ("drain", "start", "ill")
 SEEN = ("ask", "answer", "dial", "back", "told", "life", "sent", "gone", "list", "fault", "host", "datagram",
@@ -267,7 +273,7 @@
         yield "of", f"{f.of!r} are not all instances"
     if f.do in ("stop", "slow", "cut-zone", "hold", *ON_OWNERS) and f.span is None and not f.until:
         yield "for", f"{f.do} needs an end"
-    if f.do in ("loss", "double", "reorder", "slow", "mass-kill", "mass-restart", "ill") and f.amount > 1:
+    if f.do in PARTS_OF_ALL and f.amount > 1:
         yield "amount", f"{f.amount} is over 1"
     if f.span is not None and f.until:
         yield "until", "for and until exclude each other"
--- a/caperdeck/lab/setup.py
+++ b/caperdeck/lab/setup.py
@@ -9,7 +9,6 @@
 from .scenario import Scenario
 
 UTILITY = 1.0
-SOCKETS = 8192
 
 
 def node_config(
@@ -34,7 +33,7 @@
     }  # fmt: skip
     return {
         "name": name, "listen": listen, "discovery": discovery, "seed": f"{mark:016x}",
-        "limits": {"cores": 1.0, "memory_mb": 256, "sockets": SOCKETS},
+        "limits": {"cores": 1.0, "memory_mb": 256, "sockets": scenario.sockets},
         "known": {"rev": 0, "all": True, "targets": []},
         **({"admin_addr": admin} if admin else {}),
         "peer_listen": peer_listen, "peers": list(peers), "peers_all": peers_all,
--- a/caperdeck/lab/worker.py
+++ b/caperdeck/lab/worker.py
@@ -115,6 +115,9 @@
     def do_stop(self) -> None:
         self.clients.stop()
 
+    def do_crowd(self, node: str, number_of: int) -> None:
+        self.clients.crowd(node, number_of)
+
     def do_front(self, what: str, node: str) -> None:
         self.clients.node(what, node)
 
--- /dev/null
+++ b/tests/test_lab_soak.py
@@ -0,0 +1,75 @@
+"""The soak, a few seeds of it: real processes under mixtures of faults, and faults that it has to find."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from caperdeck.lab.oracle import judge
+from caperdeck.lab.scenario import Clients, Scenario
+from caperdeck.lab.soak import LEAST_AFTER, SECONDS, line, scenario_of, soak
+
+ROOT = Path(__file__).parents[1]
+SEEDS = 6
+AT_ONCE = 2
+SCENARIO = Scenario(name="s", seconds=10.0, clients=Clients(wait=1200.0))
+
+
+def test_real_processes_hold_the_rules_under_seeded_mixtures_of_faults(tmp_path):
+    results = list(soak(1, SEEDS, AT_ONCE, tmp_path))
+    said = "\n".join(map(line, results))
+    assert not any(r.breaches or r.void for r in results), said
+    assert all(r.answers > 50 for r in results), said
+    played = {name for r in results for name in r.faults}
+    assert {"step", "errors", "restart", "reload"} <= played, said
+
+
+# the reactor as it was, whose timers run on the wall clock
+ON_THE_WALL_CLOCK = """
+import time
+import caperdeck.lifecycle.reactor as module
+module.MonotonicReactor.seconds = staticmethod(lambda: time.time())
+"""
+
+
+def test_the_soak_finds_timers_that_run_on_the_wall_clock(tmp_path):
+    (tmp_path / "sitecustomize.py").write_text(
+        "import sys\n"
+        "if any(word == 'serve' for word in getattr(sys, 'orig_argv', ())):\n"
+        + "".join(f"    {text}\n" for text in ON_THE_WALL_CLOCK.strip().splitlines())
+    )
+    environment = os.environ | {"PYTHONPATH": str(tmp_path)}
+    words = [sys.executable, "-B", "-m", "caperdeck", "lab", "soak", "--runs=1", "--seed=101"]
+    done = subprocess.run(words, cwd=ROOT, env=environment, capture_output=True, text=True, timeout=120)
+    assert done.returncode == 1 and "sessions: " in done.stdout, done.stdout + done.stderr
+
+
+def test_a_seed_draws_the_same_mixture_each_time_and_every_fault_ends_within_the_run():
+    assert scenario_of(7) == scenario_of(7) != scenario_of(8)
+    for seed in range(200):
+        for fault in scenario_of(seed).fault:
+            assert fault.at + (fault.span or 0.0) <= SECONDS - LEAST_AFTER
+
+
+def event(t, ev, **values):
+    return {"t": float(t), "ev": ev, "who": "n0", **values}
+
+
+@pytest.mark.parametrize("sent_at, found", [(900, False), (1140, False), (1200, True)])
+def test_a_request_that_is_sent_after_its_client_had_left_is_a_breach(sent_at, found):
+    events = [event(500, "ask", id="a", wait=1200.0), event(1000, "left", id="a"),
+              event(sent_at, "dial", id="a", to="h0")]  # fmt: skip
+    breaches = judge(SCENARIO, sorted(events, key=lambda e: e["t"]))
+    assert any("after its client had left" in b.text for b in breaches) is found
+
+
+@pytest.mark.parametrize("answered, found", [(True, False), (False, True)])
+@pytest.mark.parametrize("end", ["killed", "exit"])
+def test_who_is_held_without_an_answer_as_a_node_ends_is_a_breach(answered, found, end):
+    events = [event(500, "ask", id="a", wait=3000.0), event(600, "life", state="stopping")]
+    events += [event(700, "answer", id="a", what="busy")] * answered
+    events.append(event(2500, "life", state=end))
+    breaches = judge(SCENARIO, events)
+    assert any("held without an answer" in b.text for b in breaches) is found
