--- a/caperdeck/__main__.py
+++ b/caperdeck/__main__.py
@@ -91,14 +91,10 @@
 import sys
 from typing import Any
 
-from caperdeck.lifecycle.loading import COMMAND, NODE, load_in_steps
+from docopt import docopt
 
-load_in_steps(COMMAND)
-
-from docopt import docopt  # noqa: E402
-
-from caperdeck import __version__  # noqa: E402
-from caperdeck.lifecycle.config import Config, ConfigError, load_config, reload_config  # noqa: E402
+from caperdeck import __version__
+from caperdeck.lifecycle.config import Config, ConfigError, load_config, reload_config
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -107,7 +103,6 @@
     config: Config, level: str, path: str | None, uses: Any = None, owners: Any = None,
     subsets: bool = False, control: Any = None,
 ) -> int:  # fmt: skip
-    load_in_steps(NODE)
     from twisted.internet.error import CannotListenError
 
     from caperdeck.lifecycle.logs import start_logging
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -364,13 +364,22 @@
         return max(self._longest_wait(), SERVE_ON) + STOP_AFTER
 
     def move_some(self) -> None:
-        last = self.stopped_at + self.stop_span
+        try:
+            self._move_share()
+        finally:
+            # Danger: one session that fails to move must not keep the process from ending.
+            self._go_on_stopping()
+
+    def _move_share(self) -> None:
+        """The sessions whose turn it is, so that all are moved evenly by the end of the span."""
         standing = self.desk.sessions.standing()
-        left = last - self.clock()
+        left = self.stopped_at + self.stop_span - self.clock()
         steps = max(int(left / 50.0), 1)
         for s in standing[: -(-len(standing) // steps)]:
             self.desk.move(s, "stop")
         self.desk.close_idle(self.clock() - SERVE_ON)
+
+    def _go_on_stopping(self) -> None:
         if self.desk.budget.clients or self.clock() < self.stopped_at + 2 * SERVE_ON:
             self.reactor.callLater(0.05, self.move_some)
         elif self.accepts_more:
