Tests: a hundred starts are bounded by their processor time, as no start waits between its modules

Change: each start still has to come within 20 s beside 8 busy processes, and now within 2 s of a core. As strict: it is what the waits were there to bear.

--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -16,6 +16,7 @@
 
 from caperdeck.lab.history import read
 from caperdeck.lab.scenario import load
+from caperdeck.lab.slopes.process import processor_seconds
 
 ROOT = Path(__file__).parents[1]
 VOID = 3
@@ -24,6 +25,7 @@
 BUSY = 8  # processes that keep the machine busy
 STARTS = 104
 WITHIN = 20.0  # seconds for a node's start
+MOST_PROCESSOR_TIME = 2.0  # seconds of a core that a start takes, also where others take turns with it
 
 
 def command(*words):
@@ -177,7 +179,7 @@
 
 
 def test_a_hundred_starts_on_a_busy_machine_each_come_in_time(tmp_path):
-    # Danger: nodes that start by hundreds on few cores were taken for stuck, as loading never waited.
+    # Danger: what a start costs is paid a hundred times over when all nodes of a machine start together.
     spin = "import time\nend = time.monotonic() + 90\nwhile time.monotonic() < end: pass"
     busy = [subprocess.Popen([sys.executable, "-c", spin], stdin=subprocess.DEVNULL) for _ in range(BUSY)]
     try:
@@ -186,7 +188,7 @@
             try:
                 for node, port, began in nodes:
                     ping_until_ready(port, began + WITHIN)
-                    assert node.poll() is None and waits_of(node.pid) >= 5
+                    assert node.poll() is None and processor_seconds(node.pid) <= MOST_PROCESSOR_TIME
             finally:
                 for node, _, _ in nodes:
                     node.kill()
@@ -207,9 +209,3 @@
     serve = [sys.executable, "-B", "-m", "caperdeck", "serve", f"--config={path}"]
     node = subprocess.Popen(serve, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
     return node, port, time.monotonic()
-
-
-def waits_of(pid):
-    """How often a process has waited by itself."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    return int(status.split("\nvoluntary_ctxt_switches:")[1].split()[0])
