--- a/tests/test_lab_soak.py
+++ b/tests/test_lab_soak.py
@@ -34,16 +34,37 @@
 """
 
 
-def test_the_soak_finds_timers_that_run_on_the_wall_clock(tmp_path):
-    (tmp_path / "sitecustomize.py").write_text(
-        "import sys\n"
-        "if any(word == 'serve' for word in getattr(sys, 'orig_argv', ())):\n"
-        + "".join(f"    {text}\n" for text in ON_THE_WALL_CLOCK.strip().splitlines())
-    )
-    environment = os.environ | {"PYTHONPATH": str(tmp_path)}
-    words = [sys.executable, "-B", "-m", "caperdeck", "lab", "soak", "--runs=1", "--seed=101"]
+STEPPED = """
+name = "stepped"
+seconds = 8
+nodes = 2
+[hosts]
+count = 3
+[[fault]]
+do = "silence"
+of = "n0"
+to = "h*"
+at = 3.0
+for = 4.0
+[[fault]]
+do = "step"
+of = "n0"
+at = 3.2
+offset = -3600000.0
+"""
+
+
+@pytest.mark.parametrize("planted, code", [(False, 0), (True, 1)])
+def test_the_rig_finds_timers_that_run_on_the_wall_clock(tmp_path, planted, code):
+    text = "".join(f"    {line}\n" for line in ON_THE_WALL_CLOCK.strip().splitlines())
+    serves = "import sys\nif 'serve' in getattr(sys, 'orig_argv', ()):\n"
+    (tmp_path / "sitecustomize.py").write_text(serves + text if planted else "")
+    (tmp_path / "stepped.toml").write_text(STEPPED)
+    environment = os.environ | {"PYTHONPATH": f"{tmp_path}{os.pathsep}{ROOT}"}
+    words = [sys.executable, "-B", "-m", "caperdeck", "lab", "fleet", str(tmp_path / "stepped.toml")]
     done = subprocess.run(words, cwd=ROOT, env=environment, capture_output=True, text=True, timeout=120)
-    assert done.returncode == 1 and "sessions: " in done.stdout, done.stdout + done.stderr
+    assert done.returncode == code, done.stdout + done.stderr
+    assert ("no answer in its time" in done.stdout) is planted
 
 
 def test_a_seed_draws_the_same_mixture_each_time_and_every_fault_ends_within_the_run():
