Lab: one SAME_TURN for all judges, and the soak writes scenarios by the search's own text

Need: the tolerance of the relay stood three times, and the soak had written again what lab/search does to put a scenario into a file. Change: the constant stands in the oracle; the soak calls search.text. No behaviour changes.

--- a/caperdeck/lab/cli.py
+++ b/caperdeck/lab/cli.py
@@ -10,12 +10,11 @@
 from .figures import figures
 from .figures import lines as figure_lines
 from .history import Event, read, write
-from .oracle import Breach, judge
+from .oracle import SAME_TURN, Breach, judge
 from .owned import CHECKS
 from .scenario import Scenario, ScenarioError, load
 
 HELD, BROKEN, BAD, VOID = 0, 1, 2, 3
-SAME_TURN = 20.0  # milliseconds in which the relay may see two sockets of one node in the wrong order
 
 
 class InterruptedRunError(Exception):
--- a/caperdeck/lab/oracle.py
+++ b/caperdeck/lab/oracle.py
@@ -15,6 +15,7 @@
 from .scenario import Scenario
 
 
+SAME_TURN = 20.0  # milliseconds in which the relay may see two sockets of one node in the wrong order
 LEFT_GRACE = 100.0 + 50.0  # milliseconds, the second part for the rig's own way
 
 
--- a/caperdeck/lab/scale/run.py
+++ b/caperdeck/lab/scale/run.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from caperdeck.lab.oracle import judge
+from caperdeck.lab.oracle import SAME_TURN, judge
 from caperdeck.lab.owned import CHECKS
 from caperdeck.lab.rig_process import VoidError
 from caperdeck.lab.scenario import dump
@@ -29,7 +29,6 @@
 MOST = 0.9  # of the nodes
 LOOK = 0.05  # seconds between looks at what a fault waits for
 TELL = 1.0  # seconds between the samples of a hollow process
-SAME_TURN = 20.0  # as in the rig with real processes: what its relay may see in the wrong order
 STARTS_AT_ONCE = 8  # hollow processes that load the program and make their nodes
 SETTLE = 0.5  # seconds after the clients have left
 CLUSTER = "lab"  # as the rig names it
--- a/caperdeck/lab/soak.py
+++ b/caperdeck/lab/soak.py
@@ -14,13 +14,13 @@
 from typing import NamedTuple
 
 import msgspec
-import tomli_w
 
 from .history import Event
-from .oracle import Breach, judge
+from .oracle import SAME_TURN, Breach, judge
 from .real import RealFleet
 from .rig_process import VoidError
-from .scenario import Clients, Fault, Hosts, Net, Scenario, check, dump
+from .scenario import Clients, Fault, Hosts, Net, Scenario, check
+from .search import text
 
 SECONDS = 10.0
 FAULTS = (8, 14)
@@ -29,7 +29,6 @@
 STEPS = (5_000.0, 20_000.0, 400_000.0, 3_600_000.0)  # milliseconds of the wall clock, forward or back
 WAITS = (400.0, 800.0, 1200.0, 2000.0)
 EFFECTS = ("idempotent", "deduplicated", "at_most_once")
-SAME_TURN = 20.0  # milliseconds in which the relay may see two sockets of one node in the wrong order
 TRIES = 3  # of a seed where the machine was too slow to say anything
 
 
@@ -134,17 +133,11 @@
             reason = f"a part of the rig ran {fleet.late:.0f} ms late"
             continue
         if folder is not None:
-            (folder / "scenario.toml").write_text(tomli_w.dumps(_plain(made)))
+            (folder / "scenario.toml").write_text(text(made))
         return Result(seed, breaches, _answers(events), _faults(made))
     return Result(seed, [], 0, _faults(made), void=reason)
 
 
-def _plain(made: Scenario) -> dict:
-    return {key: value for key, value in dump(made).items() if value is not None and key != "fault"} | {
-        "fault": [{k: v for k, v in f.items() if v is not None} for f in dump(made)["fault"]]
-    }
-
-
 def _answers(events: list[Event]) -> int:
     return sum(e["ev"] == "answer" and e["what"] == "up" for e in events)
 
