--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -4,16 +4,13 @@
 import os
 import signal
 import socket
-import subprocess
-import sys
 import threading
-import time
 
 import pytest
 from helpers import (
-    CONFIG, at_host, connect, desk, free_ports, opening, row, serve_lines, serve_list, service_over, up,
-    write,
+    connect, desk, opening, row, service_over, up,
 )  # fmt: skip
+from node_processes import NodeProcesses, StandIns, until
 from twisted.internet.task import Clock
 
 from caperdeck.ops.link import FILE, Doorbell, Link, reach
@@ -357,68 +354,9 @@
 # ---- processes
 
 
-class Nodes:
-    """Processes of one node, and calls to them."""
-
-    def __init__(self, folder):
-        self.folder = folder
-        (folder / "tmp").mkdir()
-        discovery = serve_list(row("s-0", port=serve_lines(at_host)))
-        self.port, *self.admin = free_ports(4)
-        self.config = CONFIG | {"listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
-                                "known": {"rev": 41, "targets": []}}  # fmt: skip
-        self.started = []
-
-    def start(self):
-        n, process = len(self.started), self.launch()
-        until(lambda: self.call(n, b"readyz") == [b"ACK"])
-        return process
-
-    def launch(self):
-        n = len(self.started)
-        config = self.config | {"admin_addr": f"127.0.0.1:{self.admin[n]}"}
-        environment = os.environ | write(self.folder / f"c{n}", config) | {"TMPDIR": str(self.folder / "tmp")}
-        process = subprocess.Popen(
-            [sys.executable, "-m", "caperdeck", "serve"],
-            env=environment,
-            stderr=open(self.folder / f"log{n}", "wb"),  # noqa: SIM115
-        )
-        self.started.append(process)
-        return process
-
-    def call(self, n, line):
-        try:
-            with socket.create_connection(("127.0.0.1", self.admin[n]), 2) as sock:
-                sock.sendall(line + b"\r\n")
-                return sock.makefile("rb").read().split(b"\r\n")[:-1]
-        except OSError:
-            return []
-
-    def figure(self, n, name):
-        return next(int(line.split()[1]) for line in self.call(n, b"telemetry") if line.startswith(name))
-
-    def client(self, number):
-        sock = socket.create_connection(("127.0.0.1", self.port), 5)
-        sock.sendall(opening(number) + b"\r\n")
-        return sock, sock.makefile("rb")
-
-    def end(self):
-        for process in self.started:
-            process.kill()
-            process.wait()
-
-
-def until(true, seconds=30.0):
-    """Waits for what another process does."""
-    end = time.monotonic() + seconds
-    while not true():
-        assert time.monotonic() < end
-        time.sleep(0.02)
-
-
 @pytest.fixture
 def nodes(tmp_path):
-    nodes = Nodes(tmp_path)
+    nodes = NodeProcesses(tmp_path, StandIns())
     yield nodes
     nodes.end()
 
