Log of calls to take hosts out, and why a process that starts finds none before it

Need: the incident's logs could not say whether the second process had looked for the first one, nor which process answered a call. Both are lines now: call verb= uid= answer= ms=, and upgrade reason=no-incumbent with the error.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -17,7 +17,7 @@
 from caperdeck.core.facade import Balancer
 from caperdeck.core.settings import MS
 from caperdeck.ops.bans import Bans, BansError
-from caperdeck.ops.calls import CallError, Calls, Then, carry_out, yes
+from caperdeck.ops.calls import Answer, CallError, Calls, Then, carry_out, yes
 from caperdeck.ops.front import RESERVED, Front
 from caperdeck.ops.upgrade import Upgrade
 from caperdeck.state.errors import call_again
@@ -91,8 +91,10 @@
         self.calls = Calls()
         self.calls.add("readyz", 0, self.readyz)
         self.calls.add("telemetry", 0, self.telemetry)
-        self.calls.add("exclude", 1, lambda uid, then: self.ban(uid, True, then))
-        self.calls.add("include", 1, lambda uid, then: self.ban(uid, False, then))
+        self.calls.add("exclude", 1, lambda uid, then: self.ban(uid, True, self.logged("exclude", uid, then)))
+        self.calls.add(
+            "include", 1, lambda uid, then: self.ban(uid, False, self.logged("include", uid, then))
+        )
         if owners is not None:
             from .owners import Owned
 
@@ -286,6 +288,19 @@
         self.desk.ban(uid, out or (self.owned is not None and self.owned.is_out(uid)))
         self.upgrade.tell_ban(uid, out, lambda: then(yes()))
 
+    def logged(self, uid: str, out: bool, then: Then) -> Then:
+        """What takes the answer to such a call, and says in the log when it came and what was answered."""
+        came_at, verb = self.clock(), "exclude" if out else "include"
+
+        def answer(lines: Answer) -> None:
+            took = self.clock() - came_at
+            logger.info(
+                "call verb={} uid={} answer={} ms={:.0f}", verb, uid, "_".join(lines[0].split()), took
+            )
+            then(lines)
+
+        return answer
+
     def bans_of(self) -> Iterable[str]:
         """Hosts that an operator has taken out here."""
         return self.bans.uids
--- a/caperdeck/ops/link.py
+++ b/caperdeck/ops/link.py
@@ -43,13 +43,15 @@
     """A connection to the process that serves, None where there is none."""
     try:
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    except OSError:
+    except OSError as error:
+        logger.info("upgrade reason=no-incumbent {}", error)
         return None
     sock.setblocking(False)
     try:
         with Path(folder) as path:
             sock.connect(path)
-    except OSError:
+    except OSError as error:
+        logger.info("upgrade reason=no-incumbent {}", error)
         sock.close()
         return None
     return sock
