A call to take a host out binds every process of the node, whether or not they have met

Cause: a process that could not reach the one that serves, for a moment's lack of a socket as well, took it for gone. Both went on under one address, and each went by the calls that it was told itself; the file of bans was read at the start alone, and written over. Change: the file is shared truth. Tests replaced, as strict: a ban that cannot be written was refused and changed nothing; operators hold the node to it a second after the call, whatever was answered, so it holds here and is written later, and is no yes.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -72,6 +72,8 @@
         self.stopping = False
         self.answer_by = math.inf  # every session has its final answer by then, as the process ends
         self.accepting: Callable[[bool], None] = lambda on: None
+        # takes in which hosts other processes of this node were told to leave out
+        self.look_for_bans: Callable[[], None] = lambda: None
         self.making_room = None  # the timer after which idle clients are looked at again
         self.orders: deque[Order] = deque()
         self.at_work = False
@@ -249,6 +251,7 @@
             self.reactor.callLater(0, self.dial_open, conn)
 
     def _send(self, s: Session, conn: HostSide) -> None:
+        self.look_for_bans()
         # Danger: what held when the host was chosen may have lapsed while its connection came up.
         if s.request.at is None and not self.balancer.still_allowed(self.clock(), s.index):
             self._end_dial(s, Outcome.NEVER_SENT)
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -16,10 +16,11 @@
 from caperdeck.carry.catch_up import SWEEP
 from caperdeck.core.facade import Balancer
 from caperdeck.core.settings import MS
-from caperdeck.ops.bans import Bans, BansError
-from caperdeck.ops.calls import Answer, CallError, Calls, Then, carry_out, yes
+from caperdeck.ops.ban_calls import BanCalls
+from caperdeck.ops.bans import Ban, Bans
+from caperdeck.ops.calls import CallError, Calls, Then, yes
 from caperdeck.ops.front import RESERVED, Front
-from caperdeck.ops.upgrade import Upgrade
+from caperdeck.ops.upgrade import State, Upgrade
 from caperdeck.state.errors import call_again
 from caperdeck.state.budget import SocketBudget, open_descriptors
 from caperdeck.state.hosts import Hosts
@@ -91,10 +92,11 @@
         self.calls = Calls()
         self.calls.add("readyz", 0, self.readyz)
         self.calls.add("telemetry", 0, self.telemetry)
-        self.calls.add("exclude", 1, lambda uid, then: self.ban(uid, True, self.logged("exclude", uid, then)))
-        self.calls.add(
-            "include", 1, lambda uid, then: self.ban(uid, False, self.logged("include", uid, then))
-        )
+        self.bans = Bans(config.scratch)
+        self.ban_calls = BanCalls(reactor, self.bans, self)
+        self.desk.look_for_bans = self.ban_calls.look
+        self.calls.add("exclude", 1, self.ban_calls.exclude)
+        self.calls.add("include", 1, self.ban_calls.include)
         if owners is not None:
             from .owners import Owned
 
@@ -102,7 +104,6 @@
                 reactor, self.desk, owners, config.name, config.settings.nodes, self.bans_of,
             )  # fmt: skip
             self.calls.add("act", 3, self.owned.act, self.owned.longest, keeps=True)
-        self.bans = Bans(config.scratch)
         self.accepts = True
         self.short_at = 0.0  # when the log last said that sockets are short
         self.exit_code = 0
@@ -111,8 +112,6 @@
         self.left = False
         self.takes = False  # this process accepts clients
         self.accepts_more = True  # until the end of a stop
-        self.knows = False  # it has the list of hosts and the bans
-        self.early: list[tuple[str, bool, Then]] = []  # calls out and back that wait until it does
         self.upgrade = Upgrade(reactor, self)
 
     def start(self) -> None:
@@ -142,26 +141,18 @@
         self.know(self.config.known)
         self.desk.hosts.start_times.heard_in_saved_list()
 
-    def know(self, rows: list, uids: Iterable[str] | None = None) -> None:
+    def know(self, rows: list, bans: State | None = None) -> None:
         """Takes in the hosts, and the bans, those of the file if none are given, before anything is sent."""
-        if uids is None:
+        if bans is None:
             self.bans.load()
         else:
-            self._replace_bans(uids)
+            self.bans.adopt(bans["bans"], bans.get("unsaved_bans", {}))
+            # Danger: a disk that is full for a moment must not end an upgrade half way; they hold in memory.
+            self.ban_calls.save()
         self.desk.listed(True, rows)
         for uid in self.bans.uids:
             self.desk.ban(uid, True)
-        self.knows = True
-        early, self.early = self.early, []
-        for call in early:
-            carry_out(self.ban, *call)
-
-    def _replace_bans(self, uids: Iterable[str]) -> None:
-        try:
-            self.bans.replace(uids)
-        except BansError as error:
-            # Danger: a disk that is full for a moment must not end an upgrade half way; they hold in memory.
-            logger.error("upgrade reason=bans-unwritable {}", error)
+        self.ban_calls.begin()
 
     def listen(self, fd: int = -1) -> None:
         """Opens the clients' port, or goes on with one that was handed on; accepts nobody yet."""
@@ -252,6 +243,8 @@
             logger.warning("clock reason=date-stepped ms={:.0f}", step)
             self.desk.figures.date_steps += 1
         self.desk.sweep()
+        self.ban_calls.look()
+        self.ban_calls.save()
         self.sink.flush()
 
     def accept(self, on: bool) -> None:
@@ -272,34 +265,16 @@
             raise CallError("stopping" if self.stopped_at else "not-taking-clients")
         then(yes())
 
-    def ban(self, uid: str, out: bool, then: Then) -> None:
-        """Takes a host out, or lets it serve again; in force when the yes goes out."""
-        if not self.knows:
-            # Danger: a successor that has not been told of the hosts yet would deny one that is listed.
-            self.early.append((uid, out, then))
-            return
-        if uid not in self.desk.hosts.index:
-            raise CallError("unknown-host")
-        try:
-            self.bans.keep(uid, out)
-        except BansError as error:
-            logger.error("call reason=bans-unwritable {}", error)
-            raise CallError("bans-unwritable") from None
-        self.desk.ban(uid, out or (self.owned is not None and self.owned.is_out(uid)))
-        self.upgrade.tell_ban(uid, out, lambda: then(yes()))
-
-    def logged(self, uid: str, out: bool, then: Then) -> Then:
-        """What takes the answer to such a call, and says in the log when it came and what was answered."""
-        came_at, verb = self.clock(), "exclude" if out else "include"
-
-        def answer(lines: Answer) -> None:
-            took = self.clock() - came_at
-            logger.info(
-                "call verb={} uid={} answer={} ms={:.0f}", verb, uid, "_".join(lines[0].split()), took
-            )
-            then(lines)
-
-        return answer
+    def knows_host(self, uid: str) -> bool:
+        return uid in self.desk.hosts.index
+
+    def put_in_force(self, ban: Ban) -> None:
+        """Takes a host out, or lets it serve again, at this process."""
+        owned_out = self.owned is not None and self.owned.is_out(ban.uid)
+        self.desk.ban(ban.uid, ban.out or owned_out)
+
+    def tell_other_process(self, ban: Ban, then: Callable[[], None]) -> None:
+        self.upgrade.tell_ban(ban.uid, ban.out, then)
 
     def bans_of(self) -> Iterable[str]:
         """Hosts that an operator has taken out here."""
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from itertools import islice
 from typing import Any, Protocol
 
@@ -14,15 +14,19 @@
 from twisted.internet.error import CannotListenError
 
 from caperdeck.state.budget import open_descriptors
+from caperdeck.state.timers import cancel
 from caperdeck.wire.request import RequestError
 
-from .bans import BansError
+from .bans import Ban, BansError
 from .handover import let_go, may_go, packet, take_up
-from .link import Doorbell, Link, reach
+from .link import Doorbell, FolderAddress, Link, NodeAddress, UnixAddress, reach
 from .succession import Incumbent, Successor
 
+State = dict[str, Any]  # what an incumbent tells its successor of itself
+
 ASK_EVERY = 0.25  # seconds until a successor asks again that found its incumbent busy
 MOST_ASKED = 24
+RING_AGAIN = 0.25  # seconds until an address that could not be had is tried again
 
 
 class Node(Protocol):
@@ -32,10 +36,11 @@
     desk: Any
     discovery: Any
     bans: Any
+    ban_calls: Any
     port: Any
     takes: bool
 
-    def know(self, rows: list, uids: Iterable[str] | None = None) -> None: ...
+    def know(self, rows: list, bans: State | None = None) -> None: ...
     def know_saved(self) -> None: ...
     def listen(self, fd: int = -1) -> None: ...
     def begin(self) -> None: ...
@@ -49,8 +54,11 @@
         self.reactor = reactor
         self.node = node
         self.side: Incumbent | Successor | None = None
-        self.doorbell: Doorbell | None = None
+        self.doorbells: dict[UnixAddress, Doorbell] = {}
+        self.ringing_again: Any = None  # the timer after which the addresses that failed are tried again
         self.asked = 0  # so often one that was busy
+        self.addresses: list[UnixAddress] = []  # where this process is to be found
+        self.complained: set[UnixAddress] = set()  # of those that could not be had
 
     @property
     def under_way(self) -> bool:
@@ -81,19 +89,33 @@
 
     def banned(self, uid: str, out: bool) -> None:
         """The other process was told so, and has kept it."""
-        self.node.bans.note(uid, out)
-        self.node.desk.ban(uid, out)
+        self.node.ban_calls.told(Ban(uid, out))
 
     # ---- the incumbent
 
+    def _addresses(self) -> list[UnixAddress]:
+        """Where a successor looks, in its order; none without a second address, and so without upgrades."""
+        config = self.node.config
+        if config.admin is None:
+            return []
+        # one of the two is there whatever the disk lacks, and an older program knows the folder alone
+        in_folder = [FolderAddress(config.scratch)] if config.scratch is not None else []
+        return [NodeAddress(self.identity()), *in_folder]
+
     def ring(self) -> None:
-        """Lets a successor find this process."""
-        if self.node.config.scratch is None:
-            return
-        try:
-            self.doorbell = Doorbell(self.reactor, self.node.config.scratch, self.rung)
-        except OSError as error:
-            logger.warning("upgrade reason=no-doorbell {}", error)
+        """Lets a successor find this process, at every address that can be had; the others follow."""
+        if not self.addresses:
+            self.addresses = self._addresses()
+        missing = [address for address in self.addresses if address not in self.doorbells]
+        for address in missing:
+            try:
+                self.doorbells[address] = Doorbell(self.reactor, address, self.rung)
+            except OSError as error:
+                if address not in self.complained:
+                    self.complained.add(address)
+                    logger.warning("upgrade reason=no-doorbell at={} {}", type(address).__name__, error)
+        if len(self.doorbells) < len(self.addresses):
+            self.ringing_again = self.reactor.callLater(RING_AGAIN, self.ring)
 
     def rung(self, sock: socket.socket) -> None:
         link = Link(self.reactor, sock)
@@ -106,15 +128,17 @@
 
     def shut(self) -> None:
         """No successor finds this process any more."""
-        if self.doorbell is not None:
-            self.doorbell.close()
-            self.doorbell = None
+        cancel(self.ringing_again)
+        for doorbell in self.doorbells.values():
+            doorbell.close()
+        self.doorbells.clear()
 
     def tell_state(self) -> tuple[list[dict], dict, list[int]]:
         node = self.node
         memory = node.desk.balancer.memory()
         uids = node.desk.hosts.uid[: len(memory["able"])]
-        state = {"rev": node.discovery.rev, "bans": list(node.bans.uids), "told_at": node.desk.told_at,
+        state = {"rev": node.discovery.rev, "bans": list(node.bans.uids), "unsaved_bans": node.bans.unsaved,
+                 "told_at": node.desk.told_at,
                  "memory": memory, "uids": uids, "starts": node.desk.hosts.starts()}  # fmt: skip
         return node.desk.hosts.rows(), state, [node.port.fileno()]
 
@@ -154,8 +178,7 @@
 
     def succeed(self) -> bool:
         """Asks the process that serves, if there is one."""
-        scratch = self.node.config.scratch
-        before = reach(scratch) if scratch else None
+        before = reach(self._addresses())
         if before is not None:
             self.side = Successor(self.reactor, Link(self.reactor, before), self)
         return before is not None
@@ -171,7 +194,7 @@
         node = self.node
         hosts = node.desk.hosts
         hosts.take_starts(*state["starts"])
-        node.know(rows, state["bans"])
+        node.know(rows, state)
         for row in rows:
             hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
         # Danger: a process that knows no host's measure yet takes the cold ones' for all, and starves them.
--- a/caperdeck/state/errors.py
+++ b/caperdeck/state/errors.py
@@ -27,13 +27,16 @@
     return any(getattr(e, "errno", e) in MOMENTARY for e in (error, *inner))
 
 
-def call_again(call: Callable[[], T]) -> T:
-    """Calls until it works or fails for good, waiting meanwhile: for a start, when nobody is served yet."""
+def call_again(call: Callable[[], T], passes: Callable[[BaseException], bool] = is_momentary) -> T:
+    """Calls until it works or fails for good, waiting meanwhile: for a start, when nobody is served yet.
+
+    `passes` tells the errors that may pass by themselves from the others.
+    """
     for _ in range(CALLS):
         try:
             return call()
         except Exception as error:
-            if not is_momentary(error):
+            if not passes(error):
                 raise
         time.sleep(TRY_AGAIN_AFTER)
     return call()
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -95,6 +95,7 @@
             return
         if s.over:
             return
+        self.look_for_bans()
         request, now = s.request, self.clock()
         left = max(s.deadline - now - ANSWER_MARGIN, 0.0)
         customer = self.names.customers.get(request.tenant, -1)
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -10,12 +10,19 @@
 hand-over; a second process whose socket fails for a moment as it starts does the same here.
 """
 
+import errno
+import fcntl
+import json
+import os
 import signal
 
+import orjson
 import pytest
-from helpers import opening
+from helpers import OPEN, accept, connect, desk, logged, opening, service_over
 from node_processes import NodeProcesses, StandIns
 
+from caperdeck.ops.bans import FILE, Ban, Bans, Stamp
+
 # what the machine lacks: the old process as it starts, the new one as it starts, and a folder that both have
 LACKS = [
     ("", "no_unix_socket_for_a_moment", True),
@@ -88,3 +95,157 @@
     for sock, lines in clients:
         sock.sendall(b"still\r\n")
         assert lines.readline() == b"still\r\n"
+
+
+# ---- the file that both share, where no word passes between them
+
+
+def both(folder, hosts=2):
+    """Two services of one node that have not met, each over a desk of its own."""
+    return [service_over(desk(hosts=hosts), folder) for _ in range(2)]
+
+
+def say(service, line):
+    answers = []
+    service.calls.call(line, answers.append)
+    return answers[0][0] if answers else None
+
+
+def test_a_request_whose_host_was_taken_out_at_the_other_process_meanwhile_is_not_sent(tmp_path):
+    here, there = both(tmp_path, hosts=1)
+    client = connect(here.desk, OPEN)
+    assert say(there, b"exclude s-0") == "ACK"
+    host = accept(here.desk)
+    assert host.transport.value() == b"" and not client.transport.value().startswith(b"UP")
+
+
+def test_a_host_called_back_at_one_process_serves_again_at_both(tmp_path):
+    here, there = both(tmp_path)
+    assert say(there, b"exclude s-0") == "ACK"
+    here.sweep()
+    assert not here.desk.balancer.may_send(0) and list(here.bans.uids) == ["s-0"]
+    assert say(here, b"include s-0") == "ACK"
+    there.sweep()
+    assert there.desk.balancer.may_send(0) and not there.bans.uids
+
+
+def test_calls_to_both_processes_at_once_are_all_kept(tmp_path):
+    here, there = both(tmp_path)
+    assert say(here, b"exclude s-0") == say(there, b"exclude s-1") == "ACK"
+    here.sweep()
+    assert set(here.bans.uids) == {"s-0", "s-1"} == set(orjson.loads((tmp_path / FILE).read_bytes()))
+
+
+def test_changes_that_the_stamp_of_the_file_does_not_show_are_read_all_the_same(tmp_path, monkeypatch):
+    here, there = Bans(str(tmp_path)), Bans(str(tmp_path))
+    monkeypatch.setattr(Bans, "_stamp", lambda bans: Stamp(1, 1, 1))  # as within one tick of the kernel
+    for out in (True, False, True):
+        there.change(Ban("s-0", out))
+        there.save()
+        here.changed_elsewhere(1000.0)
+        assert ("s-0" in here.uids) is out
+
+
+def test_a_call_that_a_disk_takes_after_a_moment_is_answered_yes(tmp_path, monkeypatch):
+    here, there = both(tmp_path)
+    said = []
+    with monkeypatch.context() as full:
+        full.setattr("caperdeck.ops.bans.os.rename", lambda *_: raised(errno.EIO))
+        here.calls.call(b"exclude s-0", said.append)
+        here.desk.reactor.pump([0.02] * 10)
+        assert not said and not here.desk.balancer.may_send(0)
+    here.desk.reactor.pump([0.02] * 2)
+    there.sweep()
+    assert said == [["ACK"]] and not there.desk.balancer.may_send(0)
+
+
+def test_a_call_back_that_no_disk_took_is_not_undone_by_the_old_file(tmp_path, monkeypatch):
+    (here, _) = both(tmp_path)
+    assert say(here, b"exclude s-0") == "ACK"
+    monkeypatch.setattr("caperdeck.ops.bans.os.rename", lambda *_: raised(errno.ENOSPC))
+    assert say(here, b"include s-0") is None
+    here.sweep()
+    assert here.desk.balancer.may_send(0)
+    successor = Bans(str(tmp_path))
+    successor.adopt(list(here.bans.uids), here.bans.unsaved)
+    assert not successor.uids
+
+
+def test_a_call_that_crosses_the_state_told_to_a_successor_stays_in_force(tmp_path):
+    here, there = both(tmp_path)
+    rows, state, _ = tell_state(here)
+    assert say(here, b"exclude s-0") == "ACK"
+    there.know(rows, json.loads(orjson.dumps(state)))
+    here.sweep()
+    assert not here.desk.balancer.may_send(0) and not there.desk.balancer.may_send(0)
+
+
+def tell_state(service):
+    service.port = Listening()
+    return service.upgrade.tell_state()
+
+
+class Listening:
+    def fileno(self):
+        return 0
+
+
+def test_a_folder_that_somebody_empties_calls_nobody_back(tmp_path):
+    here, there = both(tmp_path)
+    assert say(there, b"exclude s-0") == "ACK"
+    here.sweep()
+    (tmp_path / FILE).unlink()
+    here.sweep()
+    assert not here.desk.balancer.may_send(0)
+    later = Bans(str(tmp_path))
+    later.load()
+    assert list(later.uids) == ["s-0"]
+
+
+def test_a_file_that_is_spoilt_while_a_node_serves_calls_nobody_back(tmp_path):
+    here, _ = both(tmp_path)
+    assert say(here, b"exclude s-0") == "ACK"
+    (tmp_path / FILE).write_text('["s-')
+    with logged() as lines:
+        here.sweep()
+        here.sweep()
+    assert not here.desk.balancer.may_send(0) and len(lines) == 1 and "bans-unreadable" in lines[0]
+    assert say(here, b"exclude s-1") == "ACK"
+    assert set(orjson.loads((tmp_path / FILE).read_bytes())) == {"s-0", "s-1"}
+
+
+def test_a_write_waits_for_one_that_another_process_is_at(tmp_path):
+    here, _ = both(tmp_path)
+    said = []
+    fd = os.open(tmp_path, os.O_RDONLY)
+    fcntl.flock(fd, fcntl.LOCK_EX)
+    here.calls.call(b"exclude s-0", said.append)
+    here.desk.reactor.advance(0.02)
+    assert not said and not here.desk.balancer.may_send(0)
+    os.close(fd)
+    here.desk.reactor.advance(0.02)
+    assert said == [["ACK"]]
+
+
+@pytest.mark.parametrize("number", [errno.EIO, errno.EMFILE])
+def test_bans_that_cannot_be_read_for_a_moment_do_not_keep_a_node_from_starting(
+    tmp_path, monkeypatch, number
+):
+    (tmp_path / FILE).write_text('["s-0"]')
+    left, read = [3], open
+
+    def failing(path, *rest, **named):
+        if str(path).endswith(FILE) and left[0]:
+            left[0] -= 1
+            raise OSError(number, os.strerror(number))
+        return read(path, *rest, **named)
+
+    monkeypatch.setattr("builtins.open", failing)
+    monkeypatch.setattr("caperdeck.state.errors.time.sleep", lambda seconds: None)
+    bans = Bans(str(tmp_path))
+    bans.load()
+    assert list(bans.uids) == ["s-0"] and not left[0]
+
+
+def raised(number):
+    raise OSError(number, os.strerror(number))
