Soak: processes are replaced, hosts taken out, folders fail; the oracle holds nodes to their yes

Change: faults upgrade, exclude and disk for real processes; a node keeps its folder over all its lives; Unix sockets fail in their own ways, and a packet of them goes whole or not at all. A new rule of the oracle: nothing new to a host from a node's yes until the call back, whichever process serves.

--- a/caperdeck/lab/faults.py
+++ b/caperdeck/lab/faults.py
@@ -52,6 +52,15 @@
     def reload(self, node: str) -> None:
         """SIGHUP."""
 
+    def upgrade(self, node: str) -> None:
+        """A second process takes over from the one that serves."""
+
+    def fail_disk(self, node: str, rate: float) -> None:
+        """This part of the node's writes to its folder fails from now on."""
+
+    def take_out(self, host: str, out: bool) -> None:
+        """An operator takes the host out at every node, or calls it back."""
+
     def crowd(self, node: str, clients: int) -> None:
         """So many clients connect to the node and say nothing; those of before leave."""
 
@@ -179,6 +188,9 @@
         elif do in ("drain", "start", "ill") or (do == "kill" and endpoints and endpoints[0][0] == "h"):
             for h in (p for p in endpoints if p[0] == "h"):
                 driver.host(h, do if on else ("well" if do == "ill" else "start"), fault.amount)
+        elif do == "exclude":
+            for h in (p for p in endpoints if p[0] == "h"):
+                driver.take_out(h, on)
         elif do == "rolling":
             if on:
                 self._roll([p for p in endpoints if p[0] == "n"], max(fault.amount, 0.01))
@@ -207,6 +219,11 @@
                 driver.step(n, fault.offset if on else 0.0)
             elif do == "errors":
                 driver.fail_calls(n, fault.amount if on else 0.0)
+            elif do == "disk":
+                driver.fail_disk(n, fault.amount if on else 0.0)
+            elif do == "upgrade":
+                if on:
+                    driver.upgrade(n)
             elif do == "crowd":
                 driver.crowd(n, int(fault.amount) if on else 0)
             elif do == "reload":
--- a/caperdeck/lab/fleet.py
+++ b/caperdeck/lab/fleet.py
@@ -70,6 +70,15 @@
     def reload(self, node: str) -> None:  # noqa: B027
         """Only real processes take signals."""
 
+    def upgrade(self, node: str) -> None:  # noqa: B027
+        """Only a real process can have a second one beside it."""
+
+    def fail_disk(self, node: str, rate: float) -> None:  # noqa: B027
+        """Only real processes have a folder."""
+
+    def take_out(self, host: str, out: bool) -> None:  # noqa: B027
+        """Only real processes have a second address."""
+
     def crowd(self, node: str, clients: int) -> None:  # noqa: B027
         """Only real processes run out of descriptors."""
 
--- a/caperdeck/lab/launch.py
+++ b/caperdeck/lab/launch.py
@@ -12,6 +12,7 @@
 import time
 from typing import Any
 
+from caperdeck.lab.disk_errors import fail_writes_now_and_then
 from caperdeck.lab.parent_death import end_with_parent
 from caperdeck.lab.system_errors import fail_now_and_then
 from caperdeck.lab.wall_clock import follow
@@ -96,6 +97,9 @@
     tell(int(os.environ["LAB_EVENTS"]))
     follow(os.environ["LAB_WALL_CLOCK"])
     fail_now_and_then(os.environ["LAB_ERROR_RATE"], int(os.environ["LAB_SEED"]))
+    folder = os.environ.get("TMPDIR", "")
+    if folder:
+        fail_writes_now_and_then(os.environ["LAB_DISK_RATE"], folder, int(os.environ["LAB_SEED"]))
     offset, drift = float(os.environ["LAB_OFFSET"]), float(os.environ["LAB_DRIFT"])
     if offset or drift:
         skew(offset, drift)
--- a/caperdeck/lab/launcher.py
+++ b/caperdeck/lab/launcher.py
@@ -64,7 +64,10 @@
             transport.close()
 
     async def _await_exit(self, name: str, process: Process) -> None:
-        self.exited(name, await process.wait())
+        code = await process.wait()
+        # it may go by another name by now, as another process took over from it
+        known = (other for other, found in self.processes.items() if found is process)
+        self.exited(next(known, name), code)
 
     def alive(self, name: str) -> bool:
         process = self.processes.get(name)
--- a/caperdeck/lab/oracle.py
+++ b/caperdeck/lab/oracle.py
@@ -253,6 +253,25 @@
                 self.breach("drains", f"sent {e['t'] - since:.0f} ms after the list said {state}", e)
 
 
+class Bans(Check):
+    """Nothing new to a host from a node's yes to take it out until the call back, whoever serves there."""
+
+    def __init__(self, scenario: Scenario, together: float = 0.0) -> None:
+        super().__init__(scenario, together)
+        self.out: dict[tuple[str, str], float] = {}  # by node and host, when the node said yes
+
+    def on_ban(self, e: Event) -> None:
+        if e["out"]:
+            self.out[e["who"], e["to"]] = e["t"]
+        else:
+            self.out.pop((e["who"], e["to"]), None)
+
+    def on_dial(self, e: Event) -> None:
+        since = e["t"] - self.out.get((e["who"], e["to"]), math.inf)
+        if since > self.scenario.rules.slack:
+            self.breach("drains", f"sent {since:.0f} ms after the node had taken the host out", e)
+
+
 class Cold(Check):
     """A cold host is not sent more than a multiple of what it can do, for a time, by all nodes together.
 
@@ -327,7 +346,7 @@
             self.breach("wire", f"a datagram of {e['size']} bytes", e)
 
 
-CHECKS: list[type[Check]] = [Answers, Effects, Departures, Stops, Drains, Cold, Processes, Wire]
+CHECKS: list[type[Check]] = [Answers, Effects, Departures, Stops, Drains, Bans, Cold, Processes, Wire]
 
 
 def judge(
--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -17,11 +17,12 @@
 from .history import Event
 from .launch import stop_signal
 from .launcher import Launcher
+from .operator import OLD, Operator
 from .ports import Ports
 from .probes import accepts, answers_ping
 from .process_files import write_instance_file, write_node_file, write_owners_file, write_sharing_file
 from .rig_process import START, RigProcess, VoidError
-from .scenario import MOST_PROCESSES, Scenario, ScenarioError
+from .scenario import BY_OPERATOR, MOST_PROCESSES, Scenario, ScenarioError
 from .setup import node_config
 from .system_errors import ErrorRate
 from .wall_clock import WallClock
@@ -55,6 +56,8 @@
         self.logs = logs
         self.wall_clocks: dict[str, WallClock] = {}
         self.error_rates: dict[str, ErrorRate] = {}
+        self.disk_rates: dict[str, ErrorRate] = {}
+        self.operator = Operator(self, scenario.node_names(), scenario.clients.wait / 1000.0)
         self.launcher = Launcher(self.history, self._run_time, self._exited)
         self.processes = self.launcher.processes
         self.starting: list[asyncio.Task] = []
@@ -115,32 +118,45 @@
 
     async def _start(self, node: str) -> None:
         life = self.lives[node] = self.lives.get(node, 0) + 1
+        process = await self._launch_node(node, life)
+        if await self._until_up(node, process, answers_ping):
+            self.life(node, "up", life=life)
+            self.front("ready", node)
+
+    async def launch_second(self, node: str) -> tuple[tuple[str, int], Process]:
+        """Starts a process beside the one that serves; its second address, and the process."""
+        life = self.lives[node] = self.lives[node] + 1
+        admin = self._take_port(socket.SOCK_STREAM)
+        self.admins[node] = plain(admin)
+        self.processes[node + OLD] = self.processes[node]
+        return admin, await self._launch_node(node, life)
+
+    async def _launch_node(self, node: str, life: int) -> Process:
         config = node_config(
             self.scenario, node, self.listen[node], self.agents[node], life, self.seed, self.seen_peers[node],
             self.everyone[node], plain(self.peers[node]), self.extra_settings(node),
             admin=self.admins.get(node),
         )  # fmt: skip
         path = write_node_file(Path(self.folder), node, config)
-        scratch = Path(self.folder) / f"{node}-{life}"
-        scratch.mkdir()
+        scratch = Path(self.folder) / f"{node}-disk"
+        scratch.mkdir(exist_ok=True)
         words = ["serve", *self._sharing_flag(), *self._owners_flag(node)]
         words += ["--subsets"] * self.scenario.subsets
-        process = await self._launch(node, words, EDGE_CONFIG=str(path), TMPDIR=str(scratch))
-        if await self._until_up(node, process, answers_ping):
-            self.life(node, "up", life=life)
-            self.front("ready", node)
+        return await self._launch(node, words, EDGE_CONFIG=str(path), TMPDIR=str(scratch))
 
     async def _launch(self, name: str, words: list[str], **environment: str) -> Process:
         folder = Path(self.folder)
         if name not in self.wall_clocks:
             self.wall_clocks[name] = WallClock(folder / f"{name}.wall-clock")
             self.error_rates[name] = ErrorRate(folder / f"{name}.error-rate")
+            self.disk_rates[name] = ErrorRate(folder / f"{name}.disk-rate")
         environment |= {
             "LAB_WALL_CLOCK": str(self.wall_clocks[name].path),
             "LAB_ERROR_RATE": str(self.error_rates[name].path), "LAB_SEED": str(self.seed),
+            "LAB_DISK_RATE": str(self.disk_rates[name].path),
         }  # fmt: skip
         return await self.launcher.start(
-            name, words, self._log(name), self.skews.get(name, (0.0, 0.0)), environment
+            name, words, self.log_of(name), self.skews.get(name, (0.0, 0.0)), environment
         )
 
     async def _until_up(
@@ -153,10 +169,10 @@
                 self.workers["relay"].tell("down", name=name, down=False)
                 return True
             await asyncio.sleep(POLL)
-        self.launcher.report_crash(name, process, self._log(name))
+        self.launcher.report_crash(name, process, self.log_of(name))
         return False
 
-    def _log(self, name: str) -> Path:
+    def log_of(self, name: str) -> Path:
         return Path(self.logs or self.folder) / f"{name}.log"
 
     def extra_settings(self, node: str) -> dict[str, Any] | None:
@@ -175,13 +191,19 @@
     def _exited(self, name: str, code: int) -> None:
         if self.over:
             return
+        if name.endswith(OLD) or self.alive(name + OLD):
+            # another process of the node serves on
+            if code > 0:
+                self.history.emit("crash", who=name.removesuffix(OLD), code=code, text="ended by itself")
+            return
         self.workers["relay"].tell("down", name=name, down=True)
         self.gone(name, "exit" if code == 0 else "killed")
         if code > 0:
             self.history.emit("crash", who=name, code=code, text="ended by itself")
 
     def kill(self, node: str) -> None:
-        self.launcher.signal(node, signal.SIGKILL)
+        for name in (node, node + OLD):
+            self.launcher.signal(name, signal.SIGKILL)
 
     def terminate(self, node: str) -> None:
         for wait, number in SIGNALS_AFTER_TERM if self.scenario.signals_in_series else ():
@@ -211,9 +233,18 @@
     def fail_calls(self, node: str, rate: float) -> None:
         self.error_rates[node].set(rate)
 
+    def fail_disk(self, node: str, rate: float) -> None:
+        self.disk_rates[node].set(rate)
+
     def reload(self, node: str) -> None:
         self.launcher.signal(node, signal.SIGHUP)
 
+    def upgrade(self, node: str) -> None:
+        self.operator.upgrade(node)
+
+    def take_out(self, host: str, out: bool) -> None:
+        self.operator.take_out(host, out)
+
     def crowd(self, node: str, clients: int) -> None:
         self.workers["clients"].tell("crowd", node=node, number_of=clients)
 
@@ -292,8 +323,8 @@
         owners, second = s.owner_names(), {}
         for o in owners:
             self.addresses[o] = self._take_port(socket.SOCK_STREAM)
-        if owners:
-            second = {n: self._take_port(socket.SOCK_STREAM) for n in nodes}
+        if owners or any(fault.do in BY_OPERATOR for fault in s.fault):
+            second = self.operator.admins = {n: self._take_port(socket.SOCK_STREAM) for n in nodes}
         self.listen = {n: plain(address) for n, address in self.addresses.items()}
         self.admins = {n: plain(address) for n, address in second.items()}
         # agents tell the relay's addresses of hosts, and lie behind the relay themselves
@@ -361,7 +392,7 @@
         for process in everyone:
             await process.wait()
         self.taken.close()
-        tasks = self.starting + self.launcher.tasks
+        tasks = self.starting + self.launcher.tasks + self.operator.tasks
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, *(p.reader for p in self.workers.values()), return_exceptions=True)
--- a/caperdeck/lab/scenario.py
+++ b/caperdeck/lab/scenario.py
@@ -93,7 +93,8 @@
     do: Literal[
         "loss", "delay", "double", "reorder", "cut", "silence", "reset", "hold", "kill", "restart", "stop",
         "slow", "clock", "drain", "start", "ill", "discovery", "cut-zone", "mass-kill", "mass-restart",
-        "rolling", "stop-before-act", "stop-after-act", "step", "errors", "reload", "crowd",
+        "rolling", "stop-before-act", "stop-after-act", "step", "errors", "reload", "crowd", "upgrade",
+        "disk", "exclude",
     ]  # fmt: skip
     name: str = ""
     at: float | None = None  # seconds
@@ -161,11 +162,12 @@
 
 
 ON_LINKS = ("loss", "delay", "double", "reorder", "cut", "silence", "reset", "hold")
-ON_REAL_PROCESSES = ("step", "errors", "reload", "crowd")
+ON_REAL_PROCESSES = ("step", "errors", "reload", "crowd", "upgrade", "disk")
+BY_OPERATOR = ("upgrade", "exclude")  # faults for which nodes have a second address
 ON_NODES = ("restart", "stop", "slow", "clock", "rolling", "mass-kill", "mass-restart", *ON_REAL_PROCESSES)
-PARTS_OF_ALL = ("loss", "double", "reorder", "slow", "mass-kill", "mass-restart", "ill", "errors")
+PARTS_OF_ALL = ("loss", "double", "reorder", "slow", "mass-kill", "mass-restart", "ill", "errors", "disk")
 ON_OWNERS = ("stop-before-act", "stop-after-act")
-ON_HOSTS = ("drain", "start", "ill")
+ON_HOSTS = ("drain", "start", "ill", "exclude")
 SEEN = ("ask", "answer", "dial", "back", "told", "life", "sent", "gone", "list", "fault", "host", "datagram",
         "held", "acted", "refused-at", "withheld")  # fmt: skip
 
--- a/caperdeck/lab/soak.py
+++ b/caperdeck/lab/soak.py
@@ -2,7 +2,8 @@
 
 Each seed draws a deployment, its clients and a dozen faults: steps of the wall clock, system calls that fail,
 signals in series, SIGKILL at its earliest, processes that stand still, hosts that hang, drain or vanish, cut
-links, silent discovery, crowds. Every run is judged by the rules of the oracle.
+links, silent discovery, crowds, and what operators do meanwhile: hosts taken out and called back, processes
+replaced by others, over a folder that cannot be written for a while. The oracle's rules judge every run.
 """
 
 from __future__ import annotations
@@ -59,6 +60,7 @@
         net=Net(list_late=(50.0, draws.choice((300.0, 1500.0)))),
     )  # fmt: skip
     faults = [_within(_fault(draws, made)) for _ in range(draws.randint(*FAULTS))]
+    faults += [_within(fault) for fault in _by_operator(draws, made)]
     if crowded:
         faults.append(_within(_fault_on_node(draws, made, "crowd")))
     made = msgspec.structs.replace(made, fault=sorted(faults, key=lambda f: f.at or 0.0))
@@ -80,6 +82,21 @@
     return _fault_on_node(draws, s, kind if kind not in on_host else "step")
 
 
+def _by_operator(draws: random.Random, s: Scenario) -> list[Fault]:
+    """A host is taken out for a while, and nodes are replaced while their folders fail, at about one time."""
+    out_at, host = _at(draws), draws.choice(s.host_names())
+    made = [Fault(do="exclude", of=host, at=out_at, span=draws.uniform(0.8, 4.0))]
+    for of in s.node_names()[: draws.randint(1, 2)]:
+        # a process is ready after some tenths of a second; the call comes before, amid and after that
+        at = round(max(out_at - draws.uniform(0.0, 1.2), FROM), 2)
+        made.append(Fault(do="upgrade", of=of, at=at))
+        if draws.random() < 0.5:
+            made.append(Fault(do="disk", of=of, at=at, span=draws.uniform(0.3, 2.0), amount=0.7))
+        if draws.random() < 0.5:
+            made.append(Fault(do="errors", of=of, at=at, span=draws.uniform(0.3, 1.0), amount=0.5))
+    return made
+
+
 def _fault_on_node(draws: random.Random, s: Scenario, kind: str) -> Fault:
     of, at = draws.choice(s.node_names()), _at(draws)
     match kind:
--- a/caperdeck/lab/system_errors.py
+++ b/caperdeck/lab/system_errors.py
@@ -19,6 +19,8 @@
 ACCEPT = (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO)
 CONNECT = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS)
 SOCKET = (errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+CONNECT_UNIX = (errno.EAGAIN, errno.ENOBUFS, errno.ENOMEM)
+SEND_PACKET = (errno.ENOBUFS, errno.ENOMEM, errno.ETOOMANYREFS)
 LEAST_TAKEN = 1  # bytes of a read or write that falls short
 
 
@@ -55,7 +57,7 @@
 
 def _replace_calls(fails: Any, raise_one_of: Any, short: Any, draws: random.Random) -> None:
     kind = socket.socket
-    made, accept, connect = kind.__init__, kind.accept, kind.connect_ex
+    made, accept, connect, connect_now = kind.__init__, kind.accept, kind.connect_ex, kind.connect
     send, recv, sendmsg = kind.send, kind.recv, kind.sendmsg
 
     def failing_init(self: Any, *arguments: Any, **named: Any) -> None:
@@ -72,6 +74,11 @@
     def failing_connect(self: Any, address: Any) -> int:
         return draws.choice(CONNECT) if fails() else connect(self, address)
 
+    def failing_unix_connect(self: Any, address: Any) -> None:
+        if self.family == socket.AF_UNIX and fails():
+            raise_one_of(CONNECT_UNIX)
+        connect_now(self, address)
+
     def short_send(self: Any, data: Any, *flags: int) -> int:
         return send(self, memoryview(data)[: short(len(data))] if fails() else data, *flags)
 
@@ -81,8 +88,11 @@
     def short_sendmsg(self: Any, pieces: Any, *rest: Any) -> int:
         if not fails():
             return sendmsg(self, pieces, *rest)
+        if self.type == socket.SOCK_SEQPACKET:
+            raise_one_of(SEND_PACKET)  # a packet goes whole or not at all
         data = b"".join(bytes(piece) for piece in pieces)
         return send(self, data[: short(len(data))])
 
     kind.__init__, kind.accept, kind.connect_ex = failing_init, failing_accept, failing_connect
+    kind.connect = failing_unix_connect
     kind.send, kind.recv, kind.sendmsg = short_send, short_recv, short_sendmsg
--- a/tests/test_lab_soak.py
+++ b/tests/test_lab_soak.py
@@ -23,7 +23,7 @@
     assert not any(r.breaches or r.void for r in results), said
     assert all(r.answers > 50 for r in results), said
     played = {name for r in results for name in r.faults}
-    assert {"step", "errors", "restart", "reload"} <= played, said
+    assert {"step", "errors", "restart", "reload", "exclude", "upgrade", "disk"} <= played, said
 
 
 # the reactor as it was, whose timers run on the wall clock
