An upgrade hands on slots at cold hosts, call-backs and SIGHUP; one budget for both processes

Read through: ops, lifecycle, carry, wire, state, core. Found: the slots of a cold host's budget were used by both processes from the hand-over on, a host that was called back was warm at the new process until discovery told its start, SIGHUP bound the process that it came to. Each is told over the link now; a successor that ends gives back. Measured: both together use as many slots as one alone, to one; 1.5 times as many and more where each has all.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -174,7 +174,7 @@
     def _lot(self, now: float, s: Held, h: int) -> bool:
         """Whether a slot at a cold host is open to the session."""
         slot, price = self._slot(now, h), self._price(now, s)
-        if self.rights.have(now, h + 1) < slot:
+        if self.slots_elsewhere or self.rights.have(now, h + 1) < slot:
             return False
         if price <= slot or self.chance() * price < slot:
             return True
@@ -187,6 +187,26 @@
         fill = self._fills(h) or self.mean_hint * self.set.warm_after / self.set.fall_span
         return self._cold_rate(now, h) * fill / self.set.nodes
 
+    def hand_over_slots(self, now: float) -> dict[int, float]:
+        """Another process of this node sends to the cold hosts from now on: what it goes on with, by host."""
+        # Danger: the slots are the node's; two processes that use them at once use them twice.
+        self.slots_elsewhere = True
+        for h in self.cold:
+            self._slot(now, h)
+        return {h: self.rights.saved[h + 1] for h in self.cold if self.in_turn[h]}
+
+    def take_over_slots(self, now: float, slots: dict[int, float]) -> None:
+        """The same at that process."""
+        for h, saved in slots.items():
+            self.rights.settle(now, h + 1, saved)
+            self.in_turn[h] = True
+
+    def take_slots_back(self) -> None:
+        """That process has ended; they are taken up anew, as at a start."""
+        self.slots_elsewhere = False
+        for h in self.cold:
+            self.in_turn[h] = False
+
     def _mean_load(self) -> float:
         """Of a connection: of those that stand, or of those that asked while none is known."""
         return self.each or self.mean_hint
@@ -198,7 +218,9 @@
 
     def _open(self, now: float, s: Held, h: int) -> bool:
         slot = self._mean_load()
-        return self._warmth(now, h) >= 1 or h in s.lots and self.rights.have(now, h + 1) >= slot
+        if self._warmth(now, h) >= 1:
+            return True
+        return not self.slots_elsewhere and h in s.lots and self.rights.have(now, h + 1) >= slot
 
     def _pay(self, now: float, s: Held, h: int) -> bool:
         """At the gate: what goes to a cold host takes a slot that is open to it."""
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -212,6 +212,21 @@
         for h, load in able.items():
             n.able[h] = load
 
+    def hand_over_slots(self, now: float) -> dict[int, float]:
+        """What another process of this node goes on with at cold hosts, which this one leaves to it."""
+        return self._node.hand_over_slots(now)
+
+    def take_over_slots(self, now: float, slots: dict[int, float]) -> None:
+        self._node.take_over_slots(now, slots)
+
+    def take_slots_back(self) -> None:
+        self._node.take_slots_back()
+
+    @property
+    def called_back(self) -> dict[int, float]:
+        """Hosts that count as started when an operator called them back, and when that was."""
+        return self._node.called_back
+
     def may_send(self, host: int) -> bool:
         """Whether anything new may go to the host."""
         return self._node.state[host] is HostState.RUNNING
--- a/caperdeck/core/host_table.py
+++ b/caperdeck/core/host_table.py
@@ -42,6 +42,7 @@
         self.extra: list[float] = []  # and its sum
         self.rights = Rights()  # own parts, in load: of the fleet's room, and at h + 1 of cold hosts
         self.in_turn: list[bool] = []  # the own slots at a cold host go on from its start
+        self.slots_elsewhere = False  # another process of this node uses them
         # reports and health
         self.figure: list[float | None] = []  # load over capacity, as last probed
         self.figure_at: list[float] = []  # and when
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -132,7 +132,7 @@
 
     def mind_signals(self) -> None:
         for number, do in (
-            (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
+            (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.told_to_reload),
         ):  # fmt: skip
             signal.signal(number, lambda *_, do=do: self.reactor.callFromThread(do))
 
@@ -288,6 +288,12 @@
 
     # ---- a new configuration
 
+    def told_to_reload(self) -> None:
+        """By a signal, which comes to one process of the node."""
+        # Danger: the one that was not told would go on by the old file, and turn the new classes away.
+        self.upgrade.tell_reload()
+        self.reload()
+
     def reload(self) -> None:
         """Takes the file whole or not at all; what needs a restart is named and stays as it is."""
         if self.published is not None and self.published.busy(self.reload):
@@ -395,6 +401,7 @@
         if self.left:
             return
         self.left, self.exit_code = True, code
+        self.ban_calls.save()
         self.part()
         for part in (self.owned, self.published):
             if part is not None:
--- a/caperdeck/ops/succession.py
+++ b/caperdeck/ops/succession.py
@@ -23,6 +23,10 @@
 class NodeSide(Protocol):
     """What a node does at the word of its succession."""
 
+    def hand_over_slots(self) -> dict[str, float]: ...
+    def take_over_slots(self, slots: dict[str, float]) -> None: ...
+    def reload(self) -> None: ...
+
     def identity(self) -> list[str]: ...
     def tell_state(self) -> tuple[list[Message], Message, list[int]]: ...
     def stop_taking(self) -> None: ...
@@ -61,6 +65,11 @@
         self.link.send({"say": "ban", "uid": uid, "out": out, "number": number})
         self.reactor.callLater(BAN_WAIT, self._told, number)
 
+    def tell_reload(self) -> None:
+        """This process was told to read its configuration again; the other one serves the same node."""
+        if self.open:
+            self.link.send({"say": "reload"})
+
     def _told(self, number: int) -> None:
         if (then := self.waiting.pop(number, None)) is not None:
             then()
@@ -72,9 +81,14 @@
                 self.link.send({"say": "banned", "number": message["number"]})
             case "banned":
                 self._told(message["number"])
+            case "reload":
+                self.told_to_reload()
             case say:
                 self.heard(say, message, fds)
 
+    def told_to_reload(self) -> None:
+        self.node.reload()
+
     def heard(self, say: Any, message: Message, fds: list[int]) -> None:
         """A word of this side's own."""
 
@@ -111,7 +125,7 @@
         elif say == "take" and not self.given:
             self.given = True
             self.node.stop_taking()
-            self.link.send({"say": "given", "held": self.node.held()})
+            self.link.send({"say": "given", "held": self.node.held(), "slots": self.node.hand_over_slots()})
             self._go_on()
 
     def _go_on(self) -> None:
@@ -136,6 +150,7 @@
         super().__init__(reactor, link, node)
         self.rows: list = []
         self.knows = self.asked_for = self.began = False
+        self.reloads_later = False  # it was told to, and does not know the node yet
         link.send({"say": "hello", "who": [VERSION, *node.identity()]})
         self.timer = reactor.callLater(ANSWER_WAIT, self._alone)
 
@@ -155,14 +170,24 @@
             self.timer.cancel()
             self.knows = True
             self.node.take_state(self.rows, message, fds)
+            if self.reloads_later:
+                self.node.reload()
             self.timer = self.reactor.callLater(LIST_WAIT, self.take)
         elif say == "given":
+            # none from an older program
+            self.node.take_over_slots(message.get("slots") or {})
             self._begin(message["held"])
         elif say == "session":
             self.node.take_session(message, fds)
         elif say == "held":
             self.node.others_hold(message["held"])
 
+    def told_to_reload(self) -> None:
+        if self.knows:
+            self.node.reload()
+        else:
+            self.reloads_later = True
+
     def listed(self) -> None:
         """Discovery has spoken to this process."""
         if self.knows:
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -46,6 +46,7 @@
     def begin(self) -> None: ...
     def take_clients(self) -> None: ...
     def stop_taking(self) -> None: ...
+    def reload(self) -> None: ...
     def exit(self, code: int = 0) -> None: ...
 
 
@@ -75,6 +76,14 @@
         else:
             self.side.tell_ban(uid, out, then)
 
+    def tell_reload(self) -> None:
+        if self.side is not None:
+            self.side.tell_reload()
+
+    def reload(self) -> None:
+        """The other process was told to."""
+        self.node.reload()
+
     def listed(self) -> None:
         """Discovery has spoken to this process."""
         if isinstance(self.side, Successor):
@@ -137,9 +146,17 @@
         node = self.node
         memory = node.desk.balancer.memory()
         uids = node.desk.hosts.uid[: len(memory["able"])]
-        state = {"rev": node.discovery.rev, "bans": list(node.bans.uids), "unsaved_bans": node.bans.unsaved,
-                 "told_at": node.desk.told_at,
-                 "memory": memory, "uids": uids, "starts": node.desk.hosts.starts()}  # fmt: skip
+        called_back = node.desk.balancer.called_back
+        state = {
+            "rev": node.discovery.rev,
+            "bans": list(node.bans.uids),
+            "unsaved_bans": node.bans.unsaved,
+            "called_back": {node.desk.hosts.uid[h]: at for h, at in called_back.items()},
+            "told_at": node.desk.told_at,
+            "memory": memory,
+            "uids": uids,
+            "starts": node.desk.hosts.starts(),
+        }
         return node.desk.hosts.rows(), state, [node.port.fileno()]
 
     def stop_taking(self) -> None:
@@ -150,6 +167,7 @@
     def take_again(self) -> None:
         node = self.node
         logger.error("upgrade reason=successor-lost sessions={}", len(node.desk.sessions.table))
+        node.desk.balancer.take_slots_back()
         node.take_clients()
         node.join()
         self.ring()
@@ -167,6 +185,16 @@
             let_go(conn)
         return not desk.sessions.table and not desk.budget.clients
 
+    def hand_over_slots(self) -> dict[str, float]:
+        desk = self.node.desk
+        slots = desk.balancer.hand_over_slots(desk.clock())
+        return {desk.hosts.uid[h]: saved for h, saved in slots.items()}
+
+    def take_over_slots(self, slots: dict[str, float]) -> None:
+        desk = self.node.desk
+        known = {desk.hosts.index[uid]: saved for uid, saved in slots.items() if uid in desk.hosts.index}
+        desk.balancer.take_over_slots(desk.clock(), known)
+
     def held(self) -> int:
         return open_descriptors()
 
@@ -194,6 +222,9 @@
         node = self.node
         hosts = node.desk.hosts
         hosts.take_starts(*state["starts"])
+        # Danger: a host that was called back counts as cold though discovery may not have told its start yet.
+        called_back = {hosts.know(uid): at for uid, at in state.get("called_back", {}).items()}
+        node.desk.balancer.called_back.update(called_back)
         node.know(rows, state)
         for row in rows:
             hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -18,9 +18,14 @@
 
 import orjson
 import pytest
-from helpers import OPEN, accept, connect, desk, logged, opening, service_over
+from helpers import (
+    OPEN, START, accept, ask, connect, desk, dials, entry, figures, logged, opening, service_over, settings,
+)  # fmt: skip
 from node_processes import NodeProcesses, StandIns
+from test_upgrade import names, sides
 
+from caperdeck.core.decide import Node
+from caperdeck.core.model import Outcome, RosterScope
 from caperdeck.ops.bans import FILE, Ban, Bans, Stamp
 
 # what the machine lacks: the old process as it starts, the new one as it starts, and a folder that both have
@@ -249,3 +254,87 @@
 
 def raised(number):
     raise OSError(number, os.strerror(number))
+
+
+# ---- what else binds the node, whichever of its processes was told
+
+
+def test_a_host_called_back_before_an_upgrade_is_cold_at_the_new_process_too(tmp_path):
+    here, there = both(tmp_path)
+    say(here, b"exclude s-0")
+    say(here, b"include s-0")
+    at = here.desk.balancer.called_back[0]
+    rows, state, _ = tell_state(here)
+    there.listen = there.discovery.start = lambda *_: None
+    there.upgrade.take_state(rows, json.loads(orjson.dumps(state)), [0])
+    node = there.desk.balancer._node
+    assert node.born[0] == at and node._warmth(at + 1.0, 0) == pytest.approx(0.3, abs=0.01)
+    assert node._warmth(at + 1.0, 1) == 1.0
+
+
+SPAN = 4000.0  # milliseconds in which sessions come to both processes
+EVERY = 10.0
+
+
+def cold_node(now):
+    """A node of three that knows what a session weighs; of its two hosts the first has just started."""
+    made = Node(settings(), now)
+    made.roster(now, RosterScope.SAVED, [entry(0, born=START), entry(1)])
+    made.unit, made.mean_hint, made.asked, made.each = 2000.0, 10.0, 1000, 10.0
+    return made
+
+
+def sent_cold(nodes, first, until):
+    """Requests that the nodes, each asked in turn, send the cold host from the time on."""
+    count, now = 0, first
+    while now < until:
+        for number, made in enumerate(nodes):
+            made.seen_at = [now, now]
+            figures(made, [0.1, 0.1], now)
+            sid = int(now) * len(nodes) + number
+            count += sum(dial.host == 0 for dial in dials(made.ask(now, ask(sid))))
+            made.hangup(now, sid)
+            made.outcome(now, sid, 0, Outcome.WITHDRAWN, True)
+        now += EVERY
+    return count
+
+
+def test_both_processes_of_an_upgrade_together_use_the_slots_of_one_at_a_cold_host():
+    alone = sent_cold([cold_node(START)], START, START + SPAN)
+    half = START + SPAN / 2
+    old, new = cold_node(START), cold_node(half)
+    count = sent_cold([old], START, half)
+    new.take_over_slots(half, old.hand_over_slots(half))
+    count += sent_cold([old, new], half, START + SPAN)
+    assert alone > 10 and abs(count - alone) <= 1
+    apart = sent_cold([cold_node(START), cold_node(START)], START, START + SPAN)
+    assert apart > 1.5 * alone  # what two processes use that each hold all slots for their own
+
+
+def test_slots_come_back_from_a_process_that_has_ended():
+    old = cold_node(START)
+    old.hand_over_slots(START + 100.0)
+    assert sent_cold([old], START + 100.0, START + 1000.0) == 0
+    old.take_slots_back()
+    assert sent_cold([old], START + 1000.0, START + SPAN) > 5
+
+
+@pytest.mark.parametrize("told", ["old", "new"])
+def test_a_new_configuration_told_to_one_process_is_read_by_both(told):
+    _, incumbent, successor, old, new, carry = sides()
+    carry()
+    here, there = (incumbent, new) if told == "old" else (successor, old)
+    here.tell_reload()
+    carry()
+    assert names(there).count("reload") == 1
+
+
+def test_a_successor_reads_its_configuration_again_once_it_knows_the_node():
+    _, incumbent, successor, _, new, carry = sides()
+    incumbent.tell_reload()
+    for message in incumbent.link.sent:
+        successor.received(message, [])
+    incumbent.link.sent.clear()
+    assert names(new) == []
+    carry()
+    assert names(new) == ["take_state", "reload"]
