Tests: an upgrade where discovery has told a start hands connections on; fails as listed

Cause of the incident found by the soak: the state that the old process tells holds starts of hosts as named tuples, which the encoder of the link refuses. The error ends the link, so the two processes never meet. The tests of upgrades told no starts.

--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -26,11 +26,11 @@
 
 
 class StandIns:
-    """A discovery and its one host s-0."""
+    """A discovery and its one host s-0, whose start it tells where it is not 0."""
 
-    def __init__(self):
+    def __init__(self, boot=0):
         self.requests = 0  # first lines that the host has had
-        self.discovery = serve_list(row("s-0", port=serve_lines(self._at_host)))
+        self.discovery = serve_list(row("s-0", port=serve_lines(self._at_host), boot=boot))
 
     def _at_host(self, line):
         self.requests += line.startswith(b"OPEN")
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -4,10 +4,12 @@
 seconds after an upgrade.
 How it came about: the call came in the moment of SIGTERM to the old process, which went on
 serving its clients.
-Cause: the processes had not met. One that cannot reach the other as it starts, for a moment's lack of the
-machine as well, took it for gone; each then went by the calls that it was told itself.
+Cause: the processes had not met. Once discovery had told the start of any host, as it does of one that was
+restarted while it was out, the old process could not put what it knows into a packet, and the link ended; the
+new one took it for gone. Each then went by the calls that it was told itself. The same comes of a moment's
+lack of the machine as the new process looks for the old one.
 Proof: no connection of before the upgrade lived on, and the old process took the span of a stop, not of a
-hand-over; a second process whose socket fails for a moment as it starts does the same here.
+hand-over; an upgrade between processes that know of a start does the same here, and its log has the error.
 """
 
 import errno
@@ -58,6 +60,20 @@
         nodes.end()
 
 
+def test_a_process_that_knows_of_starts_of_hosts_hands_its_connections_on(tmp_path):
+    nodes = NodeProcesses(tmp_path, StandIns(boot=1_790_000_000_000))
+    try:
+        old = nodes.start()
+        _, lines = nodes.client(0)
+        assert lines.readline() == b"UP r1\r\n"
+        nodes.start()
+        old.send_signal(signal.SIGTERM)
+        assert old.wait(30) == 0 and nodes.figure(1, b"app_open_requests") == 1
+        assert "reason=handed-on" in nodes.log(0)
+    finally:
+        nodes.end()
+
+
 @pytest.mark.parametrize("old, new, folder", LACKS)
 def test_the_old_process_sends_nothing_to_a_host_that_the_new_one_was_told_to_take_out(
     run_nodes, stand_ins, old, new, folder
