--- a/caperdeck/ops/ban_calls.py
+++ b/caperdeck/ops/ban_calls.py
@@ -111,7 +111,7 @@
 
     def look(self) -> None:
         """Puts into force what other processes have written; before anything new is sent to a host."""
-        if self.early is not None:
+        if self.early is not None or self.bans.path is None:
             return
         try:
             changes = self.bans.changed_elsewhere(self.node.clock())
