--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -140,7 +140,8 @@
             self.everyone[node], plain(self.peers[node]), self.extra_settings(node),
             admin=self.admins.get(node),
         )  # fmt: skip
-        path = write_node_file(Path(self.folder), node, config)
+        # a process reads its file a while after it was started, when a second one may have been as well
+        path = write_node_file(Path(self.folder), f"{node}-{life}", config)
         scratch = Path(self.folder) / f"{node}-disk"
         scratch.mkdir(exist_ok=True)
         words = ["serve", *self._sharing_flag(), *self._owners_flag(node)]
