Slots are handed over by a module of their own; a start with nobody before it says so at DEBUG

A crowd is likely, as the second address that the rig gives nodes now takes 32 of the 160 descriptors that sessions and the crowd had: the deployment has as many beside the second address as before; nothing that is checked changed.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -187,26 +187,6 @@
         fill = self._fills(h) or self.mean_hint * self.set.warm_after / self.set.fall_span
         return self._cold_rate(now, h) * fill / self.set.nodes
 
-    def hand_over_slots(self, now: float) -> dict[int, float]:
-        """Another process of this node sends to the cold hosts from now on: what it goes on with, by host."""
-        # Danger: the slots are the node's; two processes that use them at once use them twice.
-        self.slots_elsewhere = True
-        for h in self.cold:
-            self._slot(now, h)
-        return {h: self.rights.saved[h + 1] for h in self.cold if self.in_turn[h]}
-
-    def take_over_slots(self, now: float, slots: dict[int, float]) -> None:
-        """The same at that process."""
-        for h, saved in slots.items():
-            self.rights.settle(now, h + 1, saved)
-            self.in_turn[h] = True
-
-    def take_slots_back(self) -> None:
-        """That process has ended; they are taken up anew, as at a start."""
-        self.slots_elsewhere = False
-        for h in self.cold:
-            self.in_turn[h] = False
-
     def _mean_load(self) -> float:
         """Of a connection: of those that stand, or of those that asked while none is known."""
         return self.each or self.mean_hint
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -11,6 +11,7 @@
 import math
 from typing import Any, NamedTuple
 
+from . import slots
 from .decide import Node
 from .model import (
     Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Settings,
@@ -214,13 +215,13 @@
 
     def hand_over_slots(self, now: float) -> dict[int, float]:
         """What another process of this node goes on with at cold hosts, which this one leaves to it."""
-        return self._node.hand_over_slots(now)
+        return slots.hand_over(self._node, now)
 
-    def take_over_slots(self, now: float, slots: dict[int, float]) -> None:
-        self._node.take_over_slots(now, slots)
+    def take_over_slots(self, now: float, saved: dict[int, float]) -> None:
+        slots.take_over(self._node, now, saved)
 
     def take_slots_back(self) -> None:
-        self._node.take_slots_back()
+        slots.take_back(self._node)
 
     @property
     def called_back(self) -> dict[int, float]:
--- a/caperdeck/lab/soak.py
+++ b/caperdeck/lab/soak.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from caperdeck.ops.front import RESERVED
+
 from .history import Event
 from .oracle import SAME_TURN, Breach, judge
 from .real import RealFleet
@@ -30,6 +32,7 @@
 STEPS = (5_000.0, 20_000.0, 400_000.0, 3_600_000.0)  # milliseconds of the wall clock, forward or back
 WAITS = (400.0, 800.0, 1200.0, 2000.0)
 EFFECTS = ("idempotent", "deduplicated", "at_most_once")
+CROWDED_SOCKETS = 160 + RESERVED  # of a node that sessions and a crowd share, beside its second address
 TRIES = 3  # of a seed where the machine was too slow to say anything
 
 
@@ -50,7 +53,7 @@
     made = Scenario(
         name=f"soak-{seed}", seconds=SECONDS, nodes=nodes, seed=seed,
         zones=["east"] if draws.random() < 0.5 else ["east", "west"],
-        sockets=160 if crowded else 8192, signals_in_series=draws.random() < 0.5,
+        sockets=CROWDED_SOCKETS if crowded else 8192, signals_in_series=draws.random() < 0.5,
         hosts=Hosts(count=draws.randint(4, 7), warm_after=4000.0),
         clients=Clients(
             rate=draws.uniform(15.0, 35.0), life=(1.0, 8.0), wait=draws.choice(WAITS),
--- a/caperdeck/ops/link.py
+++ b/caperdeck/ops/link.py
@@ -25,6 +25,7 @@
 MOST_FDS = 4  # descriptors beside one
 AT_ONCE = 64  # packets read in one turn of the reactor
 LONGEST_PATH = 100  # bytes that the kernel takes as the address of such a socket
+NOBODY = (errno.ENOENT, errno.ECONNREFUSED)  # nothing was ever there, or its process has ended
 QUEUE = 4  # connections that wait to be accepted
 DIGEST_SHOWN = 32  # hexadecimal digits
 CREDENTIALS = struct.Struct("3i")  # of SO_PEERCRED: process, user, group
@@ -94,7 +95,9 @@
             # Danger: taken for gone, the process that serves would go on beside this one, each for itself.
             return call_again(lambda address=address: _connected(address), passes=_is_passing)
         except OSError as error:
-            logger.info("upgrade reason=no-incumbent at={} {}", type(address).__name__, error)
+            # a start with nobody before it is the usual one
+            level = "DEBUG" if error.errno in NOBODY else "WARNING"
+            logger.log(level, "upgrade reason=no-incumbent at={} {}", type(address).__name__, error)
     return None
 
 
