--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -24,7 +24,7 @@
     OPEN, START, accept, ask, connect, desk, dials, entry, figures, logged, opening, service_over, settings,
 )  # fmt: skip
 from node_processes import NodeProcesses, StandIns, until
-from test_upgrade import names, sides
+from test_upgrade import PortNumber, names, raised, sides
 
 from caperdeck.core import slots
 from caperdeck.core.decide import Node
@@ -203,15 +203,10 @@
 
 
 def tell_state(service):
-    service.port = Listening()
+    service.port = PortNumber()
     return service.upgrade.tell_state()
 
 
-class Listening:
-    def fileno(self):
-        return 0
-
-
 def test_a_folder_that_somebody_empties_calls_nobody_back(tmp_path):
     here, there = both(tmp_path)
     assert say(there, b"exclude s-0") == "ACK"
@@ -269,10 +264,6 @@
     assert list(bans.uids) == ["s-0"] and not left[0]
 
 
-def raised(number):
-    raise OSError(number, os.strerror(number))
-
-
 # ---- what else binds the node, whichever of its processes was told
 
 
