Log: what a node's descriptors are kept for, and the ids of clients that are turned away

Need: the incident's evidence does not tell what a node keeps its descriptors for, nor which clients it turned away for want of them: the lines said how many were open, and an empty first line. Change: the start and the pause of accepting say descriptors used, reserved, kept for probes, and the room for sessions; a client turned away while stopping or short of descriptors is named by the beginning of its line.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -172,8 +172,8 @@
         self.take_clients()
         self.join()
         self.upgrade.ring()
-        logger.info("start node={} listen={}:{} hosts={} sockets={}", config.name, *config.listen,
-                    self.desk.hosts.running(), config.sockets)  # fmt: skip
+        logger.info("start node={} listen={}:{} hosts={} sockets={} {}", config.name, *config.listen,
+                    self.desk.hosts.running(), config.sockets, self.desk.budget.spoken_for)  # fmt: skip
 
     def join(self) -> None:
         """Speaks to its peers from now on, where the operator wants it and the settings allow it."""
@@ -256,7 +256,8 @@
             (self.port.startReading if on else self.port.stopReading)()
             if not on and self.clock() - self.short_at > SHORT_EVERY:
                 self.short_at = self.clock()
-                logger.warning("accept reason=no-sockets open={}", self.desk.budget.clients)
+                budget = self.desk.budget
+                logger.warning("accept reason=no-sockets open={} {}", budget.clients, budget.spoken_for)
 
     # ---- calls to the second address
 
--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -6,6 +6,7 @@
 
 RESERVE = 192  # for clients that come at once and are turned away, for files and what libraries open
 RESERVE_PART = 0.25  # and no more than this part of the limit
+DESCRIPTORS_A_SESSION = 2  # its client's side and its host's
 
 
 def open_descriptors() -> int:
@@ -33,6 +34,12 @@
         held = self.used + self.elsewhere + self.probes + self.clients + self.sessions
         return self.limit - self.reserve - held
 
+    @property
+    def spoken_for(self) -> str:
+        """What descriptors are used and kept for, and the sessions there is room for, as the log says it."""
+        room = max(self.left // DESCRIPTORS_A_SESSION, 0)
+        return f"used={self.used + self.elsewhere} reserve={self.reserve} probes={self.probes} room={room}"
+
     def may_serve(self) -> bool:
         return self.left > 0
 
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -71,12 +71,12 @@
             return
         if self.clock() >= self.answer_by:
             self.figures.answered(request.listener, Status.THROTTLED)
-            self._turn_away(client, self.busy(0.0), "stopping", b"")
+            self._turn_away(client, self.busy(0.0), "stopping", line[:80])
             return
         if not self.budget.may_serve():
             back_off = min(FULL_BACK_OFF, self.limits.max_back_off)
             self.figures.answered(request.listener, Status.THROTTLED)
-            self._turn_away(client, self.busy(back_off), "no-sockets", b"")
+            self._turn_away(client, self.busy(back_off), "no-sockets", line[:80])
             return
         self.budget.sessions += 1
         now = self.clock()
