--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -25,6 +25,10 @@
         time.sleep(0.02)
 
 
+def connected(port):
+    return socket.create_connection(("127.0.0.1", port), 5)
+
+
 class StandIns:
     """A discovery and its one host s-0, whose start it tells where it is not 0."""
 
@@ -97,7 +101,7 @@
         return sock, lines
 
     def _connect(self):
-        sock = socket.create_connection(("127.0.0.1", self.port), 5)
+        sock = connected(self.port)
         self.clients.append(sock)
         return sock, sock.makefile("rb")
 
