Probes keep a bounded number of descriptors, however many servers are on the list

Callers saw: with thousands of servers, connections that stood before a node's start never came up, and nearly all new ones were refused. Cause: SocketBudget kept one descriptor free for each running server, as each is probed on a connection of its own that rests open. A node may have 512 descriptors over its standing connections; with a list longer than what is left of them, none is left for a client: BUSY for want of descriptors, or the port not read at all. Evidence: the reproduction, with the budget in the log of the start (1,200 servers: room=39 of 593; 3,200: none). Ruled out: processor time and size of lists (ready in 0.5 s and all served with 3,200 servers once this is changed). Change: at most 128 connections, and a quarter of the limit, are kept for probes; beyond them the one that has rested longest is ended, or, where all are out, a free descriptor is used; without one the probe is not made, which says nothing about the server. Up to 128 servers nothing changes.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -414,7 +414,8 @@
         if self.figures_void:
             return
         self.report(news)
-        if not alive and self._suspect(news.host):
+        # Danger: a probe that this node had no descriptor for says nothing about its host.
+        if not alive and news.outcome is not Outcome.NEVER_SENT and self._suspect(news.host):
             for s in self.sessions.standing():
                 if s.host == news.host:
                     self.move(s, "host-silent", Outcome.RESET)
@@ -426,7 +427,7 @@
 
     def listed(self, whole: bool, rows: Any) -> None:
         entries = self.hosts.take(self.read_clock(), whole, rows, self.complain_entry)
-        self.budget.probes = self.hosts.running()
+        self.budget.hosts = self.hosts.running()
         for host in list(self.probes.open):
             if self.hosts.state[host] is HostState.GONE:
                 self.probes.close(host)
--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -623,7 +623,7 @@
             if self.state[h] is HostState.RUNNING:
                 self._learn(now, h, report)
                 self.probe_credit += self.set.figures and self.figure[h] is None
-        elif self.state[h] is HostState.RUNNING:
+        elif self.state[h] is HostState.RUNNING and result is not Outcome.NEVER_SENT:
             # Danger: a host that drains or is gone tells nothing and looks like the mean; each session that
             # waits would look again at once, and all nodes together do so by the hundred.
             self.unseen[h] = now + FRESH * (0.75 + self.chance() / 2)
--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -6,6 +6,8 @@
 
 RESERVE = 192  # for clients that come at once and are turned away, for files and what libraries open
 RESERVE_PART = 0.25  # and no more than this part of the limit
+PROBES = 128  # connections for probes that descriptors are kept for, however many hosts there are
+PROBES_PART = 0.25  # and no more than this part of the limit
 DESCRIPTORS_A_SESSION = 2  # its client's side and its host's
 
 
@@ -19,7 +21,8 @@
     def __init__(self, limit: int, used: int) -> None:
         self.resize(limit)
         self.used = used  # open before anything was counted here
-        self.probes = 0  # kept free, one for each host of the roster
+        self.hosts = 0  # that run and may be probed
+        self.probing = 0  # connections for probes that are open
         self.clients = 0
         self.elsewhere = 0  # held by another process of this node
         self.sessions = 0  # each has a host's side, from its first line on
@@ -27,6 +30,13 @@
     def resize(self, limit: int) -> None:
         self.limit = limit
         self.reserve = min(RESERVE, int(limit * RESERVE_PART))
+        self.most_probes = min(PROBES, int(limit * PROBES_PART))
+
+    @property
+    def probes(self) -> int:
+        """Descriptors that are kept for probes: those in use, and one for each host up to a bound."""
+        # Danger: kept for each of thousands of hosts, they would leave none for clients.
+        return max(min(self.hosts, self.most_probes), self.probing)
 
     @property
     def left(self) -> int:
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -36,7 +36,7 @@
     def __init__(self, *parts: Any) -> None:
         super().__init__(*parts)
         reports, time_out = self.limits.reports, 2 * self.limits.connect_time_out
-        self.probes = Probes(self.reactor, reports, time_out, self.probed, self.later)
+        self.probes = Probes(self.reactor, self.budget, reports, time_out, self.probed, self.later)
 
     def busy(self, back_off: float) -> bytes:
         return b"BUSY %d" % back_off if back_off >= 1 else b"BUSY"
--- a/caperdeck/wire/probe.py
+++ b/caperdeck/wire/probe.py
@@ -1,4 +1,4 @@
-"""Probes: one connection a host, kept open between them."""
+"""Probes: one connection a host, kept open between them for as many hosts as the budget has room for."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from caperdeck.core.model import Outcome
 from caperdeck.core.settings import MS, decode_report
 from caperdeck.state.addresses import Address
+from caperdeck.state.budget import SocketBudget
 from caperdeck.state.timers import cancel
 
 from .report import parse_report
@@ -95,14 +96,15 @@
     """The probe connections, one a host."""
 
     def __init__(
-        self, reactor: Any, reports: bool, time_out: float, concluded: Callable[[Looked], None],
-        later: Callable[[Callable[[], None]], bool] = lambda do: False,
+        self, reactor: Any, budget: SocketBudget, reports: bool, time_out: float,
+        concluded: Callable[[Looked], None], later: Callable[[Callable[[], None]], bool] = lambda do: False,
     ) -> None:  # fmt: skip
         self.reactor = reactor
+        self.budget = budget
         self.retune(reports, time_out)
         self.concluded = concluded
         self.later = later  # whether what is to be done waits until what lies in the sockets is read
-        self.open: dict[int, ProbeConnection] = {}
+        self.open: dict[int, ProbeConnection] = {}  # by host, the one that was asked longest ago first
 
     def retune(self, reports: bool, time_out: float) -> None:
         self.question = b"STATS" if reports else b"PING"
@@ -117,16 +119,38 @@
             self.concluded(Looked(host, Outcome.UNREACHED))
             return
         if conn is None:
-            conn = self.open[host] = ProbeConnection(self, host, address)
+            if not self._make_room():
+                # what this node lacks says nothing about the host
+                self.concluded(Looked(host, Outcome.NEVER_SENT))
+                return
+            conn = ProbeConnection(self, host, address)
+        self._use(conn)
+        if conn.connector is None:
             seconds = self.time_out / MS
             factory = RetriedConnection(self.reactor, conn, seconds)
             conn.connector = self.reactor.connectTCP(*address, factory, seconds)
         if conn.waits is None:
             conn.ask()
 
+    def _make_room(self) -> bool:
+        """Whether one more connection may be opened; the one that has rested longest is ended for it."""
+        if self.budget.probing < self.budget.most_probes:
+            return True
+        resting = next((conn for conn in self.open.values() if conn.waits is None), None)
+        if resting is not None:
+            resting.end(Outcome.WITHDRAWN)
+            return True
+        return self.budget.may_serve()
+
+    def _use(self, conn: ProbeConnection) -> None:
+        self.open.pop(conn.host, None)
+        self.open[conn.host] = conn
+        self.budget.probing = len(self.open)
+
     def forget(self, conn: ProbeConnection) -> None:
         if self.open.get(conn.host) is conn:
             del self.open[conn.host]
+            self.budget.probing = len(self.open)
 
     def close(self, host: int) -> None:
         if host in self.open:
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -6,7 +6,7 @@
 
 import pytest
 from helpers import (
-    CONFIG, at_host, free_ports, opening, ping_until_ready, row, serve_lines, serve_list, write,
+    CONFIG, Wire, at_host, desk, free_ports, opening, ping_until_ready, row, serve_lines, serve_list, write,
 )  # fmt: skip
 from node_processes import connected
 
@@ -84,3 +84,35 @@
     for i in range(STANDING):
         fleet.client(opening(i))
     assert fleet.answers(time.monotonic() + 5.0) == [b"UP r1\r\n"] * STANDING
+
+
+def looked_at(d, host, answers=True):
+    """The desk has probed the host, whose answer has come where it gives one."""
+    d.probes.probe(host, d.hosts.address[host])
+    if answers:
+        conn = d.reactor.tcpClients[-1][2].buildProtocol(None)
+        conn.makeConnection(Wire())
+        conn.dataReceived(b"PONG x0=0.2\r\n")
+
+
+# guards against: a descriptor in use for each of thousands of servers that were probed once
+def test_probes_of_thousands_of_servers_rest_on_a_bounded_number_of_connections():
+    d = desk(hosts=3200, sockets=OVER_STANDING, mayProbe=True)
+    room = d.budget.left
+    for host in range(3200):
+        looked_at(d, host)
+    assert len(d.probes.open) == d.budget.most_probes and d.budget.left == room
+    assert list(d.probes.open)[-1] == 3199 and min(d.balancer._node.seen_at) > 0
+
+
+# guards against: servers held to be ill, and connections moved off them, as the node lacks a descriptor
+def test_a_probe_that_finds_no_descriptor_says_nothing_about_its_server():
+    d = desk(hosts=40, sockets=64, mayProbe=True)
+    for host in range(d.budget.most_probes):
+        looked_at(d, host, answers=False)
+    d.budget.clients += d.budget.left
+    dialed = len(d.reactor.tcpClients)
+    d.probes.probe(39, d.hosts.address[39])
+    node = d.balancer._node
+    assert len(d.reactor.tcpClients) == dialed and 39 not in d.probes.open
+    assert not any(node.ill) and not node.unseen[39] and not node.probe_out[39]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -14,6 +14,7 @@
 from caperdeck.core.model import HostState, Outcome, Report
 from caperdeck.state.addresses import Address
 from caperdeck.state.backoff import REFUSED, BackOff
+from caperdeck.state.budget import SocketBudget
 from caperdeck.wire.client import ClientFactory, ClientPort
 from caperdeck.wire.discovery import ANSWER, MOST_HOSTS, SILENT, Discovery, _WatchBody
 from caperdeck.wire.probe import Probes
@@ -391,7 +392,7 @@
 @pytest.fixture
 def probes():
     told = []
-    pool = Probes(MemoryReactorClock(), True, 500.0, told.append)
+    pool = Probes(MemoryReactorClock(), SocketBudget(1024, 0), True, 500.0, told.append)
     pool.probe(3, Address("127.0.0.1", 9003))
     return pool, told
 
