A port whose clients cannot be let in is not read until descriptors are free

Cause: reading stops as a client comes and none fits behind it. Where none fits from the start on, or another process of the node holds the descriptors, no client ever comes, the queue stays readable, and the reactor turns on it. A pause of 5 ms instead was tried: a crowd of 200 at 64 descriptors then took too long in the test of it.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -178,8 +178,12 @@
         self.budget.clients += 1
         self.idle[client] = None
         if not self.budget.may_accept():
-            self.accepting(False)
-            self._make_room()
+            self.clients_wait()
+
+    def clients_wait(self) -> None:
+        """Nobody more can be taken in until descriptors are free."""
+        self.accepting(False)
+        self._make_room()
 
     def _make_room(self) -> None:
         """Ends idle clients, now and again until others can be taken in."""
@@ -479,6 +483,8 @@
     def sweep(self) -> None:
         now = self.clock()
         self.turn_at = now
+        if self.budget.may_accept():
+            self.accepting(True)
         # Danger: after the node itself stood still, what it has not read yet looks like silence.
         if not self.catching_up:
             self._mind_silence(now)
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -30,6 +30,9 @@
 
     def client_came(self, client: ClientConnection) -> None: ...
 
+    def clients_wait(self) -> None:
+        """Clients have connected whom no descriptor is left for."""
+
     def first_line(self, client: ClientConnection, line: bytes) -> None: ...
 
     def from_client(self, s: Session, line: bytes) -> None: ...
@@ -143,5 +146,8 @@
     def acceptable(self) -> int:
         return self.desk.budget.acceptable
 
+    def none_acceptable(self) -> None:
+        self.desk.clients_wait()
+
     def buildProtocol(self, addr) -> ClientConnection:
         return ClientConnection(self.desk)
--- a/caperdeck/wire/lines.py
+++ b/caperdeck/wire/lines.py
@@ -49,7 +49,10 @@
 
 
 class BoundedPort(Port):
-    """Accepts no more connections at once than its factory says are `acceptable`."""
+    """Accepts no more connections at once than its factory says are `acceptable`.
+
+    Where somebody waits and that is 0, `none_acceptable` of the factory is called, which stops the reading.
+    """
 
     # The library's own loop takes a hundred in one go, closes unanswered those that find no descriptor, and
     # gives up on errors that it does not know.
@@ -69,7 +72,10 @@
 
     def accept_all(self) -> bool:
         """Whether nobody waits in the queue any more; False also where that cannot be told just now."""
-        for _ in range(self.numberAccepts):
+        if not (most := self.numberAccepts):
+            # the queue stays readable: the reactor would turn on it and do nothing else
+            self.factory.none_acceptable()
+        for _ in range(most):
             try:
                 sock, address = self.socket.accept()
             except BlockingIOError:
--- a/tests/test_system_errors.py
+++ b/tests/test_system_errors.py
@@ -71,6 +71,22 @@
     assert faulty.calls == 1 and read_all(client) == (b"", "")
 
 
+# guards against: a core in full use at a port that is read while no descriptor is left for a client
+def test_while_no_client_can_be_let_in_the_reactor_does_not_turn_on_the_port(loop, monkeypatch):
+    lo = loop()
+    lo.desk.accepting = lambda on: (lo.port.startReading if on else lo.port.stopReading)()
+    lo.desk.budget.elsewhere = lo.desk.budget.limit
+    client, reads, read = lo.client(OPEN), [], lo.port.doRead
+    monkeypatch.setattr(lo.port, "doRead", lambda: reads.append(read()))
+    lo.reactor.settle(50)
+    assert len(reads) == 1
+    lo.desk.budget.elsewhere = 0
+    lo.desk.sweep()
+    lo.host_side().send(b"UP r1\r\n")
+    lo.reactor.settle()
+    assert read_all(client) == (b"UP r1\r\n", "")
+
+
 def test_a_queue_that_cannot_be_let_in_just_now_is_not_closed_over_its_clients(loop, monkeypatch, tmp_path):
     lo = loop()
     service = service_over(lo.desk, tmp_path)
