A burst of clients takes all the room for sessions, not none of it

Cause: clients were let in up to the last descriptor before the first line of any was read. Each then counted against the room of all the others, and no descriptor was left for a host's side. Change: at once as many are let in as can be served or turned away; room is counted by sessions, and a session needs a descriptor that is free. All that is open together stays within the limit less half of the reserve, as before.

--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -30,6 +30,7 @@
     def resize(self, limit: int) -> None:
         self.limit = limit
         self.reserve = min(RESERVE, int(limit * RESERVE_PART))
+        self.for_turned_away = self.reserve // 2
         self.most_probes = min(PROBES, int(limit * PROBES_PART))
 
     @property
@@ -39,19 +40,25 @@
         return max(min(self.hosts, self.most_probes), self.probing)
 
     @property
-    def left(self) -> int:
-        """Descriptors that sessions may still take."""
-        held = self.used + self.elsewhere + self.probes + self.clients + self.sessions
-        return self.limit - self.reserve - held
+    def room(self) -> int:
+        """How many more sessions there may be."""
+        for_sessions = self.limit - self.reserve - self.used - self.elsewhere - self.probes
+        return max(for_sessions // DESCRIPTORS_A_SESSION - self.sessions, 0)
+
+    @property
+    def free(self) -> int:
+        """Descriptors that clients and hosts' sides may still take, with half of the reserve."""
+        open_now = self.used + self.elsewhere + self.probes + self.clients + self.sessions
+        return max(self.limit - self.reserve + self.for_turned_away - open_now, 0)
 
     @property
     def spoken_for(self) -> str:
         """What descriptors are used and kept for, and the sessions there is room for, as the log says it."""
-        room = max(self.left // DESCRIPTORS_A_SESSION, 0)
-        return f"used={self.used + self.elsewhere} reserve={self.reserve} probes={self.probes} room={room}"
+        used = self.used + self.elsewhere
+        return f"used={used} reserve={self.reserve} probes={self.probes} room={self.room}"
 
     def may_serve(self) -> bool:
-        return self.left > 0
+        return self.room > 0 and self.free > 0
 
     def may_accept(self) -> bool:
         """Whether one more client can be taken in, if only to be answered from the reserve."""
@@ -59,5 +66,6 @@
 
     @property
     def acceptable(self) -> int:
-        """How many clients may be taken in at once; half of the reserve is for those that are turned away."""
-        return max(self.left + self.reserve // 2, 0)
+        """How many clients may be taken in before their first lines are read."""
+        # Danger: let in together up to the last descriptor, they would leave none for their own hosts' sides.
+        return min((self.free + self.for_turned_away) // DESCRIPTORS_A_SESSION, self.free)
