Connections that stood before a start wait for their server's row and for descriptors

Cause: such a first line was judged like a new one. Short of descriptors it was told BUSY; naming a server that the list of the start, which may be old, does not have yet it was told ERR at once; naming one that only an operator's call has named, its connection was closed unanswered, as that server has no address. Change: a module of their own. They wait, at most 40 s (the stated target) and their client's own time, for the row, the address and a descriptor, and are dialed again after a dial that failed; the log says for what they wait.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -30,9 +30,8 @@
 from caperdeck.turns.subset import Place, Subsets
 
 from .catch_up import CatchUp
+from .resumption import Resumption
 
-AGAIN = 200.0  # until a connection that stood before is tried again at its host
-RESUME_TIME_OUT = 3000.0  # for one such try
 SILENCE = 2000.0  # a host that has brought nothing back for so long is given up
 SUSPECT = 300.0  # one that has brought nothing back for so long, on any connection, is probed
 SILENT_LIST = 2500.0  # discovery that has said nothing for so long is down
@@ -63,6 +62,7 @@
         self.hosts = hosts
         self.budget = budget
         self.sessions = Sessions()
+        self.resumption = Resumption(self)
         self.figures = Figures()
         self.figures.know(names.listeners)
         self.idle: dict[ClientSide, None] = {}  # without a first line, the oldest first
@@ -229,12 +229,11 @@
         s.conn = self.open_host(s, until, min(self.limits.connect_time_out, wait + 1))
         s.timer = self.reactor.callLater(wait / MS, self._late, s.conn)
 
-    def resume(self, s: Session) -> None:
-        """Takes up a connection that stood at its host before this node started."""
-        if s.over:
-            return
-        s.host, s.dial, s.dialed_at = self.hosts.index[s.request.at], 0, self.clock()
-        s.conn = self.open_host(s, s.deadline, RESUME_TIME_OUT)
+    def dial_again(self, s: Session, host: int, connect_time_out: float, until: float) -> None:
+        """Dials the host at which the session stood before this node started."""
+        s.host, s.dial, s.dialed_at = host, 0, self.clock()
+        s.conn = self.open_host(s, until, connect_time_out)
+        s.timer = self.reactor.callLater(max(until - s.dialed_at, 0.0) / MS, self._late, s.conn)
 
     def dial_open(self, conn: HostSide) -> None:
         """The connection is up; the one place where a request line goes out."""
@@ -286,10 +285,8 @@
         self._hang_up(s, reset=False)
         if s.request.at is None:
             self.report(Over(s.index, s.dial, outcome, False))
-        elif self.clock() + AGAIN < s.deadline:
-            self.reactor.callLater(AGAIN / MS, self.resume, s)
         else:
-            self._answer(s, self.failed, "host-lost")
+            self.resumption.dial_failed(s, name)
 
     def _hang_up(self, s: Session, reset: bool) -> None:
         """Ends the host's side of a session."""
@@ -377,6 +374,7 @@
         """The one log line of a session."""
         self.sessions.drop(s)
         self.budget.sessions -= 1
+        self.resumption.ended(s)
         self.figures.ended[reason] += 1
         now = self.clock()
         host = self.hosts.uid[s.host] if s.host >= 0 else "-"
--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -25,7 +25,8 @@
         self.probing = 0  # connections for probes that are open
         self.clients = 0
         self.elsewhere = 0  # held by another process of this node
-        self.sessions = 0  # each has a host's side, from its first line on
+        self.sessions = 0  # each has a host's side, from its first line on, but for those
+        self.undialed = 0  # that stood before this node started and have yet to be dialed
 
     def resize(self, limit: int) -> None:
         self.limit = limit
@@ -48,7 +49,7 @@
     @property
     def free(self) -> int:
         """Descriptors that clients and hosts' sides may still take, with half of the reserve."""
-        open_now = self.used + self.elsewhere + self.probes + self.clients + self.sessions
+        open_now = self.used + self.elsewhere + self.probes + self.clients + self.sessions - self.undialed
         return max(self.limit - self.reserve + self.for_turned_away - open_now, 0)
 
     @property
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -56,8 +56,6 @@
             listener = self.names.listeners.get(request.listener)
             if listener is None:
                 raise RequestError("unknown-class")
-            if request.at is not None and request.at not in self.hosts.index:
-                raise RequestError("unknown-host")
             # a connection that stood before the node started has all the time that the start takes
             if request.at is None and request.wait > WAITS * max(self.limits.longest_wait, MS):
                 raise RequestError("bad-wait")
@@ -73,7 +71,8 @@
             self.figures.answered(request.listener, Status.THROTTLED)
             self._turn_away(client, self.busy(0.0), "stopping", line[:80])
             return
-        if not self.budget.may_serve():
+        # a connection that stood before has had its descriptors, and waits for them
+        if request.at is None and not self.budget.may_serve():
             back_off = min(FULL_BACK_OFF, self.limits.max_back_off)
             self.figures.answered(request.listener, Status.THROTTLED)
             self._turn_away(client, self.busy(back_off), "no-sockets", line[:80])
@@ -84,7 +83,7 @@
         s = client.session = self.sessions.new(request, client, now - self.age())
         s.deadline = min(s.deadline, self.answer_by)
         if request.at is not None:
-            self.resume(s)
+            self.resumption.begin(s)
             return
         self._pick(s, listener)
 
