Decisions take hardly more processor time at sixteen times the servers

A choice with 1,600 servers in slow start took 9.2 ms of a core, each session makes several, and one that waits makes one every 100 ms. Cause: the slots of all cold servers were worked out for each choice; a tick and a change of the list went through all servers several times, a choice without figures summed over all, an order of servers for a group was a whole sort. Evidence: trial with a clock on each call at 90 and 3,200 servers, and calls of functions counted. Change: a server's slot is looked at again once it can have opened, at half of the soonest time, as what it takes may change by twice; what has grown meanwhile is the sum over the warm-up, not the last rate times the span, which would give too much. Slots are a module of their own. Lists that a tick needs are kept by those that have anything in them; orders for groups are bounded, they grew for as long as no server came or went.

--- a/caperdeck/core/decide.py
+++ b/caperdeck/core/decide.py
@@ -6,20 +6,20 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections.abc import Generator, Iterator
 from itertools import chain, islice
 
 from .chance import chance
 from .forecast import forecast, take_load_note
-from .host_table import HostTable
 from .model import (
     NEVER_RAN, Action, Ask, Dial, Effect, Entry, Held, HostState, Move, Note, Outcome, Probe, Refuse, Report,
     RosterScope, Scope, Sent, Settings, TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
 from .rights import ROOM_BUDGET
 from .sampling import without_replacement
-from .warmup import warm_time
+from .slots import ColdSlots
 
 # ---- constants (milliseconds, or shares of full load)
 
@@ -51,6 +51,7 @@
 REPORT_LAG = 1000.0  # what a report tells is about so old when it comes
 DRAWS = 16  # so many hosts are drawn for two that may have room
 GROUP_PRIME = 4294967291  # shuffles the hosts' marks for a group
+MOST_ORDERS = 4096  # of groups are kept
 GROUP_MARGIN = 0.2  # the first host of a group is left only for one with so much less load
 TICK = 500.0
 FIRST_TIME_OUT = 0.6  # of the handshake target; each further dial has
@@ -63,7 +64,6 @@
 CROWDED = (Outcome.FULL, Outcome.LATE, Outcome.RESET)
 BACK_OFF = 500.0
 ARRIVAL = 50.0  # until what is sent has arrived at its host
-COLD_PART = 0.75  # of a cold host's budget, for all nodes' parts together
 UNEVEN = 1.5  # times its even share of the fleet's room a node may fill: clients come unevenly
 UNIT_SMOOTH = 0.03  # of the way, each tick, to what the last reports say fills a host
 UNIT_SPAN = 2.0  # times as much or as little as the mean, at the most, is believed of one host
@@ -71,7 +71,7 @@
 TICK_TOKEN = -1
 
 
-class Node(HostTable):
+class Node(ColdSlots):
     """One balancer's decisions. It knows only what its own events have told it."""
 
     def __init__(self, settings: Settings, now: float) -> None:
@@ -102,6 +102,8 @@
         self.most_utility = max(c.utility for c in settings.listeners) or 1.0
         self.shortest = min(c.message_target for c in settings.listeners)
         self.has_figures = settings.may_probe and settings.figures  # hosts tell figures when probed
+        for budget in range(len(self.rights.idle_until)):
+            self.rights.look_again(budget)
         self._recount(self.now)
         return []
 
@@ -145,71 +147,6 @@
         self.known.clear()
         self._survey(now)
 
-    def _cold_rate(self, now: float, h: int) -> float:
-        """Of what fills a cold host, so much all nodes together send it in a millisecond."""
-        # a cold host takes new load no faster than would fill it over its warm-up
-        return COLD_PART * self.set.fall_multiple * self._warmth(now, h) / self.set.warm_after
-
-    def _slot(self, now: float, h: int) -> float:
-        """The load of one slot: what the node may send a cold host is open to it one by one, in its turn."""
-        # Danger: drawn by each node for itself, what all of them send in a second scatters by its root, and
-        # pushes one host in twenty over. Spread over the fleet by number, and taken up anew from the common
-        # clock by a process that starts, the slots of all nodes together come due one after the other.
-        slot, budget, rate = self._mean_load(), h + 1, self.part_of_cold(now, h)
-        if not slot:
-            return math.inf
-        if not self.in_turn[h]:
-            grown = warm_time(now - self.born[h], self.set.cold_from, self.set.warm_after)
-            turn = rate / self._warmth(now, h) * grown / slot + self.set.me / self.set.nodes
-            self.rights.settle(now, budget, (turn + self.mark[h] / 2**32) % 1 * slot)
-            self.in_turn[h] = True
-        self.rights.mint(now, budget, rate, math.inf)
-        # Danger: kept open for long, slots that lay idle are used at once when clients come in a wave. Those
-        # of this time and of the rule's span are the budget and most of what is put down to chance.
-        calls = rate * self.set.nodes * self.set.fall_span / COLD_PART / slot
-        lasts = ((1 + 1.5 * (calls**-0.5 + 1 / calls)) / COLD_PART - 1) * self.set.fall_span
-        self.rights.lapse(budget, slot, slot + rate * lasts)
-        return slot
-
-    def _lot(self, now: float, s: Held, h: int) -> bool:
-        """Whether a slot at a cold host is open to the session."""
-        slot, price = self._slot(now, h), self._price(now, s)
-        if self.slots_elsewhere or self.rights.have(now, h + 1) < slot:
-            return False
-        if price <= slot or self.chance() * price < slot:
-            return True
-        # what is heavier draws, and has used the slot either way
-        self.rights.spend(now, h + 1, slot)
-        return False
-
-    def part_of_cold(self, now: float, h: int) -> float:
-        """The own part, in load a millisecond, of what all nodes together send a cold host."""
-        fill = self._fills(h) or self.mean_hint * self.set.warm_after / self.set.fall_span
-        return self._cold_rate(now, h) * fill / self.set.nodes
-
-    def _mean_load(self) -> float:
-        """Of a connection: of those that stand, or of those that asked while none is known."""
-        return self.each or self.mean_hint
-
-    def _price(self, now: float, s: Held) -> float:
-        # Danger: at the mean's price heavy sessions come by chance in one second, and a host is pushed over;
-        # and clients that are refused ask again and again, heavy ones most, and double the mean of all.
-        return max(self._forecast(now, s), self._mean_load())
-
-    def _open(self, now: float, s: Held, h: int) -> bool:
-        slot = self._mean_load()
-        if self._warmth(now, h) >= 1:
-            return True
-        return not self.slots_elsewhere and h in s.lots and self.rights.have(now, h + 1) >= slot
-
-    def _pay(self, now: float, s: Held, h: int) -> bool:
-        """At the gate: what goes to a cold host takes a slot that is open to it."""
-        if not self._open(now, s, h):
-            return False
-        if self._warmth(now, h) < 1:
-            self.rights.spend(now, h + 1, self._mean_load())
-        return True
-
     def _failed(self, now: float, h: int) -> None:
         self.ill[h] = min(self.ill[h] + 1, 8.0)
         if self.ill[h] >= ILL:
@@ -263,7 +200,7 @@
         looks, after, margin = 0, math.inf, 0.0 if s.group is None else GROUP_MARGIN
         # Danger: drawn at random only, a cold host is met so seldom by a node with few sessions that most of
         # its budget lapses, while the warm ones are filled past their headroom.
-        s.lots = [h for h in self.cold if self._lot(self.now, s, h)]
+        s.lots = self._lots(self.now, s)
         for room, draw in self._draws(s):
             after = min(after, room)
             draw = chain(s.lots, draw)
@@ -301,11 +238,7 @@
         room = ROOM - LESSER * max(1 - s.listener.utility / self.most_utility, 0.0) * self.scarce
         if s.group is not None:
             # every host that holds one of a group pays for the group: all nodes draw the same two for it
-            if s.group not in self.orders:
-                group, marks = s.group, self.mark
-                mixed = sorted([(group * marks[h] % GROUP_PRIME) << 20 | h for h in self.running])
-                self.orders[group] = [x & 0xFFFFF for x in mixed[:DRAWS]]
-            yield room, iter(self.orders[s.group])
+            yield room, iter(self._order_of(s.group))
         else:
             # Danger: drawn from all, nearly every session pays for new looks; of few, one serves several.
             if self.set.cross_price:
@@ -318,6 +251,18 @@
         span = FRESH * max(self.set.nodes / FULL_LOOKS, 1.0)
         yield math.inf, (h for h in self._drawn(self.running) if self._old(h, span))
 
+    def _order_of(self, group: int) -> list[int]:
+        """The first hosts of those that run in the order that all nodes give them for the group."""
+        if (order := self.orders.get(group)) is None:
+            marks = self.mark
+            mixed = [(group * marks[h] % GROUP_PRIME) << 20 | h for h in self.running]
+            order = [x & 0xFFFFF for x in heapq.nsmallest(DRAWS, mixed)]
+            # Danger: groups come and go for as long as no host does.
+            if len(self.orders) >= MOST_ORDERS:
+                del self.orders[next(iter(self.orders))]
+            self.orders[group] = order
+        return order
+
     def _drawn(self, hosts: list[int]) -> Iterator[int]:
         """Up to DRAWS of the hosts, in random order."""
         return without_replacement(hosts, DRAWS, self.chance)
@@ -356,7 +301,7 @@
 
     def _count_load(self, h: int) -> float:
         """Without figures: own connections for the host's size, below every threshold; unused is the mean."""
-        mean = sum(self.held) / (self.whole_size or 1.0)
+        mean = self.holding / (self.whole_size or 1.0)
         own = self.held[h] / self.size[h] or mean
         return own / (own + mean) * 0.5 if own else 0.0
 
@@ -371,12 +316,11 @@
         while self.known and now - self.figure_at[oldest := next(iter(self.known))] >= FIGURE_LIFE:
             del self.known[oldest]
         # Danger: where no report comes own sends add up, until the host is closed to this node for good.
-        for h, added in enumerate(self.added):
-            if added and added[0][0] <= now - FIGURE_LIFE:
-                self._drop_added(h, now - FIGURE_LIFE)
+        for h in [h for h in self.loaded if self.added[h][0][0] <= now - FIGURE_LIFE]:
+            self._drop_added(h, now - FIGURE_LIFE)
         self.ailing = {h: None for h in self.ailing if self.ill[h] >= ILL}
         # Danger: the room of a host that drains or is gone is no room.
-        known = [(self.figure[h], h) for h in self.running if h in self.known and self.figure[h] is not None]
+        known = [(self.figure[h], h) for h in sorted(self.known) if self._has_figure(h)]
         self.most_ill = 2 * len(self.ailing) > len(self.known.keys() | self.ailing.keys())
         self.mean_figure = sum(f for f, _ in known) / len(known) if known else None
         if not known:
@@ -401,8 +345,11 @@
         if loads and full:
             self.unit += (loads / full - self.unit) * (max(UNIT_SMOOTH, 1 / self.asked) if self.unit else 1.0)
         # Danger: what cold hosts lack is room on paper; taken for that, it is sent to the warm ones.
-        most = {h: self._cold_rate(now, h) * REPORT_LAG for h in self.cold}
-        rooms = [max(min(ROOM - f - self._pile(now, h), most.get(h, ROOM)), 0.0) for f, h in known]
+        most = [self._cold_rate(now, h) * REPORT_LAG if self._is_cold(now, h) else ROOM for _, h in known]
+        rooms = [
+            max(min(ROOM - f - self._pile(now, h), at_most), 0.0)
+            for (f, h), at_most in zip(known, most, strict=True)
+        ]
         self.scarce = sum(r == 0 for r in rooms) / len(rooms)
         if not self.has_figures:
             # Danger: a mark tells of its own host. That the others look full too is read off the marks that
@@ -418,6 +365,10 @@
         # Danger: the fewer hosts have room, the more nodes draw the same one and fill it many times over.
         self.alike = self.fleet ** (0.5 + 0.5 * self.scarce)
 
+    def _has_figure(self, h: int) -> bool:
+        """Whether the host runs and has told a figure since it started."""
+        return self.state[h] is HostState.RUNNING and self.figure[h] is not None
+
     def _know(self, now: float, h: int, figure: float) -> None:
         self.figure[h], self.figure_at[h] = figure, now
         self.known.pop(h, None)
@@ -476,7 +427,7 @@
         """A connection that stood before this node started; its dial 0 counts as made."""
         s = self._new(now, a)
         s.dials.append(Sent(h, now, self.born[h], self._group(s, h)))
-        self.held[h] += 1
+        self._hold(h, 1)
         self._stand(s, now - MOVE_AGE)
         return []
 
@@ -547,7 +498,7 @@
             return []
         h = s.dials[dial].host
         s.out = False
-        self.held[h] -= 1
+        self._hold(h, -1)
         self.dialing[h] -= s.stands is None
         if self.standing[h].pop(sid, None) and not self.standing[h]:
             del self.mine[h]
@@ -589,20 +540,20 @@
         if now >= self.watch_at:
             self.watch_at = math.inf
             self.acts.append(Watch())
-        self.cold = [h for h in self.cold if self._warmth(now, h) < 1]
+        self.cold = self._cold_of(now, self.cold)
         self._survey(now)
         rate = max(ALL_LOOKS * len(self.mine) / self.set.nodes, 1.0) / PROBE_EVERY
         self.probe_credit = min(self.probe_credit + TICK * rate, len(self.mine) + 1)
         # Danger: an overfilled host goes unseen where few sessions pay, or while it has told no figure yet.
         lack = PROBE_EVERY * self.set.figures
-        age = [now - t + lack * (f is None) for t, f in zip(self.seen_at, self.figure, strict=True)]
+        age = {h: now - self.seen_at[h] + lack * (self.figure[h] is None) for h in self.mine}
         for h in sorted(self.mine, key=lambda h: (-age[h], h)):
             if age[h] < PROBE_EVERY or self.probe_credit < 1:
                 break
             if not (self.set.may_probe and self.set.figures):
                 # Danger: where figures are told but none is there yet, many nodes with few connections each
                 # would clear the fleet by their counts; and what chance brings beside the mean is no excess.
-                self.seen_at[h], mean = now, sum(self.held) / max(len(self.running), 1)
+                self.seen_at[h], mean = now, self.holding / max(len(self.running), 1)
                 if self.held[h] > mean + max(COUNT_CHANCE * math.sqrt(mean), COUNT_LEAST):
                     limit = max(COUNT_TRIGGER * mean, mean + 1)
                     self._relieve(now, h, self.held[h], limit, False, SETTLE)
--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -11,7 +11,6 @@
 import math
 from typing import Any, NamedTuple
 
-from . import slots
 from .decide import Node
 from .model import (
     Action, Ask, Dial, Entry, HostState, Move, Note, Outcome, Probe, Refuse, Report, RosterScope, Settings,
@@ -215,13 +214,13 @@
 
     def hand_over_slots(self, now: float) -> dict[int, float]:
         """What another process of this node goes on with at cold hosts, which this one leaves to it."""
-        return slots.hand_over(self._node, now)
+        return self._node.hand_over_slots(now)
 
     def take_over_slots(self, now: float, saved: dict[int, float]) -> None:
-        slots.take_over(self._node, now, saved)
+        self._node.take_over_slots(now, saved)
 
     def take_slots_back(self) -> None:
-        slots.take_back(self._node)
+        self._node.take_slots_back()
 
     @property
     def called_back(self) -> dict[int, float]:
--- a/caperdeck/core/host_table.py
+++ b/caperdeck/core/host_table.py
@@ -13,6 +13,9 @@
 from .warmup import warm_share
 
 
+LONG_AGO = 0.0  # the start of a host whose start is not told
+
+
 class HostTable:
     """The hosts as the roster has them, what is known of each, and the own sessions there.
 
@@ -34,12 +37,14 @@
         self.called_back: dict[int, float] = {}  # hosts that count as started when they were called back
         # the own sessions
         self.held: list[int] = []  # dials out and standing sessions
+        self.holding = 0  # the same at all hosts together
         self.dialing: list[int] = []  # dials out
         self.standing: list[dict[int, Held]] = []  # standing sessions by number
         self.mine: dict[int, None] = {}  # hosts with standing sessions
         self.sent: dict[tuple[int, float], int] = {}  # dials by host and its start, as the roster tells it
         self.added: list[list[tuple[float, float]]] = []  # own load sent since the last report, with times
         self.extra: list[float] = []  # and its sum
+        self.loaded: dict[int, None] = {}  # hosts with any of it
         self.rights = Rights()  # own parts, in load: of the fleet's room, and at h + 1 of cold hosts
         self.in_turn: list[bool] = []  # the own slots at a cold host go on from its start
         self.slots_elsewhere = False  # another process of this node uses them
@@ -130,16 +135,29 @@
 
     def _recount(self, now: float) -> None:
         """The states that count and the subsets, after a change of roster, bans or settings."""
-        self.state = [max(x, HostState(h in self.banned)) for h, x in enumerate(self.listed)]
+        self.state = list(self.listed)
+        for h in self.banned:
+            self.state[h] = max(self.state[h], HostState.DRAINING)
         running = [h for h, state in enumerate(self.state) if state is HostState.RUNNING]
-        self.near = [h for h in running if self.zone[h] == self.set.zone]
-        self.cold = [h for h in running if self._warmth(now, h) < 1]
+        zone, own = self.zone, self.set.zone
+        self.near = [h for h in running if zone[h] == own]
+        self.cold = self._cold_of(now, running)
         if running != self.running:
             self.running, self.orders, self.whole_size = running, {}, sum(self.size[h] for h in running)
 
+    def _cold_of(self, now: float, hosts: list[int]) -> list[int]:
+        """Those of the hosts that are not warm yet."""
+        if self.set.cold_from >= 1:
+            return []
+        born, since = self.born, now - self.set.warm_after
+        return [h for h in hosts if born[h] > since and born[h] != LONG_AGO]
+
+    def _is_cold(self, now: float, h: int) -> bool:
+        return self._warmth(now, h) < 1
+
     def _warmth(self, now: float, h: int) -> float:
         """The least share of its capacity that a host has now."""
-        if not self.born[h]:
+        if self.born[h] == LONG_AGO:
             return 1.0
         return warm_share(now - self.born[h], self.set.cold_from, self.set.warm_after)
 
@@ -154,9 +172,14 @@
         self.sent[h, self.boot[h]] = self.sent.get((h, self.boot[h]), 0) + 1
         s.dials.append(Sent(h, now, self.born[h], self._group(s, h)))
         s.out = True
-        self.held[h] += 1
+        self._hold(h, 1)
         self.dialing[h] += 1
 
+    def _hold(self, h: int, more: int) -> None:
+        """So many more dials and sessions at the host."""
+        self.held[h] += more
+        self.holding += more
+
     def _stand(self, s: Held, since: float) -> None:
         """The session's last dial has become a stream."""
         h = s.dials[-1].host
@@ -165,9 +188,12 @@
     def _add(self, now: float, h: int, load: float) -> None:
         """Own load sent to the host, or moved off it where under 0, which no report shows yet."""
         self.added[h].append((now, load))
+        self.loaded[h] = None
         self.extra[h] += load
 
     def _drop_added(self, h: int, until: float) -> None:
         """What was sent to the host until then counts no longer."""
         self.added[h] = [x for x in self.added[h] if x[0] > until]
         self.extra[h] = sum(load for _, load in self.added[h])
+        if not self.added[h]:
+            self.loaded.pop(h, None)
--- a/caperdeck/core/rights.py
+++ b/caperdeck/core/rights.py
@@ -21,11 +21,13 @@
         self.at: list[float] = []  # up to when `saved` has grown
         self.loan: list[float] = []
         self.until: list[float] = []  # the end of the loan
+        self.idle_until: list[float] = []  # nothing more can be at hand sooner, as its owner worked it out
 
     def grow(self, now: float, budget: int) -> None:
         while len(self.saved) <= budget:
             for array, blank in (
                 (self.saved, 0.0), (self.at, now), (self.loan, 0.0), (self.until, -math.inf),
+                (self.idle_until, -math.inf),
             ):  # fmt: skip
                 array.append(blank)
 
@@ -55,6 +57,7 @@
     def settle(self, now: float, budget: int, amount: float) -> None:
         """All at hand, borrowed or not, has become so much."""
         self.saved[budget], self.at[budget], self.loan[budget] = amount, now, 0.0
+        self.look_again(budget)
 
     def spend(self, now: float, budget: int, amount: float) -> None:
         """What is borrowed goes first, as it ends; the own may go under 0 and has to grow back."""
@@ -75,3 +78,8 @@
         held = self.borrowed(now, budget)
         self.until[budget] = min(self.until[budget], until) if held else until
         self.loan[budget] = held + amount
+        self.look_again(budget)
+
+    def look_again(self, budget: int) -> None:
+        """What was worked out of it holds no longer."""
+        self.idle_until[budget] = -math.inf
--- a/caperdeck/core/shares.py
+++ b/caperdeck/core/shares.py
@@ -87,7 +87,7 @@
             cap = rate * n.set.fall_span
             # Danger: a lot that was won is a whole session's, more than is ever saved; it is in use.
             if n.rights.saved[budget] <= cap:
-                n.rights.mint(now, budget, rate, cap)
+                n.mint_cold(now, budget - 1, cap)
         saved = n.rights.saved[budget]
         return n.rights.lend(budget, min(most, saved * (1 - KEPT))) if saved <= cap < math.inf else 0.0
 
--- a/caperdeck/core/warmup.py
+++ b/caperdeck/core/warmup.py
@@ -18,3 +18,9 @@
     """The sum of that share over the time since the start, up to the end of the warm-up, in milliseconds."""
     age = min(max(age, 0.0), warm_after)
     return age * (cold_from + (1 - cold_from) / 2 * age / warm_after)
+
+
+def mean_share(age: float, span: float, cold_from: float, warm_after: float) -> float:
+    """The mean of that share over the last part of the age, of this length over 0."""
+    grown = warm_time(age, cold_from, warm_after) - warm_time(age - span, cold_from, warm_after)
+    return (grown + max(age - max(age - span, warm_after), 0.0)) / span
--- a/caperdeck/lab/rights_model.py
+++ b/caperdeck/lab/rights_model.py
@@ -34,7 +34,7 @@
         c = object.__new__(type(self))
         c.me, c.life, c.awake, c.own, c.lent = self.me, self.life, self.awake, self.own, self.lent
         c.rights, c.loans = Rights(), Loans(self.loans.nonce)
-        for name in ("saved", "at", "loan", "until"):
+        for name in ("saved", "at", "loan", "until", "idle_until"):
             setattr(c.rights, name, list(getattr(self.rights, name)))
         c.loans.asked, c.loans.answered = dict(self.loans.asked), dict(self.loans.answered)
         return c
--- a/caperdeck/state/hosts.py
+++ b/caperdeck/state/hosts.py
@@ -33,7 +33,7 @@
         self.start_times = StartTimes()
 
     def running(self) -> int:
-        return sum(state is HostState.RUNNING for state in self.state)
+        return self.state.count(HostState.RUNNING)
 
     def listed(self) -> list[int]:
         return [h for h, state in enumerate(self.state) if state is not HostState.GONE]
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -6,10 +6,14 @@
 
 import pytest
 from helpers import (
-    CONFIG, Wire, at_host, desk, free_ports, opening, ping_until_ready, row, serve_lines, serve_list, write,
+    CONFIG, START, Wire, ask, at_host, desk, entry, free_ports, node, opening, ping_until_ready, row,
+    serve_lines, serve_list, write,
 )  # fmt: skip
 from node_processes import connected
 
+from caperdeck.core.decide import TICK_TOKEN
+from caperdeck.core.model import Outcome, Report
+
 STANDING = 60  # connections from before the start
 OVER_STANDING = 512  # descriptors over two for each of those, the least that deployments give
 UP_WITHIN = 40.0  # seconds, the stated target for connections that stood before
@@ -116,3 +120,57 @@
     node = d.balancer._node
     assert len(d.reactor.tcpClients) == dialed and 39 not in d.probes.open
     assert not any(node.ill) and not node.unseen[39] and not node.probe_out[39]
+
+
+GROWTH = 1.4  # the stated target for a node's processor time at sixteen times the servers
+
+
+def calls_made(work):
+    """How many calls of functions the work takes: a measure of processor time that does not scatter."""
+    made = [0]
+
+    def count(frame, event, argument):
+        made[0] += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return made[0]
+
+
+def busy_node(servers, cold):
+    """A node of a fleet of 200 in a release; more servers are smaller ones, all together do the same."""
+    born = [START - 2000.0] * cold + [0.0] * (servers - cold)
+    n = node(nodes=200, entries=[entry(h, zone=h % 3, born=born[h]) for h in range(servers)])
+    for h in range(0, servers, servers // 60):
+        n.probed(START, h, Outcome.GOOD, Report(0.4, None, 6000.0 / servers))
+    for i in range(40):
+        n.taken_over(START, ask(1000 + i), i * servers // 40)
+    n.bell(START, TICK_TOKEN)
+    return n
+
+
+def serve_for_a_second(n, start):
+    """20 sessions of groups of their own come, look, and leave; two ticks."""
+    for i in range(20):
+        now, number = start + 50.0 * i, int(start) + i
+        n.ask(now, ask(number, group=number))
+        n.bell(now + 20.0, number)
+        n.hangup(now + 40.0, number)
+        if i % 10 == 9:
+            n.bell(now, TICK_TOKEN)
+
+
+def calls_in_service(servers, cold):
+    """Of a second after one in which the node has met the servers that have started."""
+    n = busy_node(servers, cold)
+    serve_for_a_second(n, START)
+    return calls_made(lambda: serve_for_a_second(n, START + 1000.0))
+
+
+# guards against: processor time that grows with the servers, most of all with those in slow start
+@pytest.mark.parametrize("cold", [0, 100])
+def test_sessions_take_hardly_more_work_at_sixteen_times_the_servers(cold):
+    assert calls_in_service(3200, 16 * cold) <= GROWTH * calls_in_service(200, cold)
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -26,7 +26,6 @@
 from node_processes import NodeProcesses, StandIns, until
 from test_upgrade import PortNumber, names, raised, sides
 
-from caperdeck.core import slots
 from caperdeck.core.decide import Node
 from caperdeck.core.model import Outcome, RosterScope
 from caperdeck.ops.bans import FILE, Ban, Bans, Stamp
@@ -312,7 +311,7 @@
     half = START + SPAN / 2
     old, new = cold_node(START), cold_node(half)
     count = sent_cold([old], START, half)
-    slots.take_over(new, half, slots.hand_over(old, half))
+    new.take_over_slots(half, old.hand_over_slots(half))
     count += sent_cold([old, new], half, START + SPAN)
     assert alone > 10 and abs(count - alone) <= 1
     apart = sent_cold([cold_node(START), cold_node(START)], START, START + SPAN)
@@ -321,9 +320,9 @@
 
 def test_slots_come_back_from_a_process_that_has_ended():
     old = cold_node(START)
-    slots.hand_over(old, START + 100.0)
+    old.hand_over_slots(START + 100.0)
     assert sent_cold([old], START + 100.0, START + 1000.0) == 0
-    slots.take_back(old)
+    old.take_slots_back()
     assert sent_cold([old], START + 1000.0, START + SPAN) > 5
 
 
