What an upgrade tells of each server goes in parts that fit into a packet

Callers saw: nothing yet; with 3,200 servers of longer names, or as many in slow start, an upgrade would have ended its link as in the incident before, and both processes would have gone on each for itself. Cause: the load that fills each server and its name went in one packet, and the slots of all cold ones in another. Change: the load goes with the row of its server, 200 to a packet; slots in parts of 200, the last with the word that the port is given, so an older program takes what it takes today where there are few. Test: packets of 3,200 cold servers with short and long names, taken in whole by a successor; the long names fail before.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -305,10 +305,10 @@
         customer, hints = self.names.customers.get(request.tenant, -1), self.hints(s)
         self.carry_out(self.balancer.resume(now, s.index, listener, customer, s.host, *hints))
 
-    def remember(self, memory: dict[str, Any], uids: list[str]) -> None:
-        """What another process of this node has learned of these hosts."""
-        index, able = self.hosts.index, zip(uids, memory["able"], strict=True)
-        self.balancer.remember(memory, {index[uid]: load for uid, load in able if uid in index})
+    def remember(self, memory: dict[str, Any], able: dict[str, float]) -> None:
+        """What another process of this node has learned, and the load that fills each host."""
+        index = self.hosts.index
+        self.balancer.remember(memory, {index[uid]: load for uid, load in able.items() if uid in index})
 
     def handed_on(self, s: Session) -> None:
         """Another process of this node has the session now; it has not ended."""
--- a/caperdeck/ops/succession.py
+++ b/caperdeck/ops/succession.py
@@ -107,6 +107,12 @@
         self.link.broke = lambda: None
 
 
+def parts_of(slots: dict[str, float]) -> list[dict[str, float]]:
+    """The same in parts that fit into a packet each; one at the least."""
+    items = list(slots.items())
+    return [dict(items[at : at + ROWS]) for at in range(0, len(items), ROWS)] or [{}]
+
+
 class Incumbent(Side):
     def __init__(self, reactor: Any, link: Any, node: NodeSide) -> None:
         super().__init__(reactor, link, node)
@@ -125,7 +131,10 @@
         elif say == "take" and not self.given:
             self.given = True
             self.node.stop_taking()
-            self.link.send({"say": "given", "held": self.node.held(), "slots": self.node.hand_over_slots()})
+            *parts, last = parts_of(self.node.hand_over_slots())
+            for slots in parts:
+                self.link.send({"say": "slots", "slots": slots})
+            self.link.send({"say": "given", "held": self.node.held(), "slots": last})
             self._go_on()
 
     def _go_on(self) -> None:
@@ -173,6 +182,8 @@
             if self.reloads_later:
                 self.node.reload()
             self.timer = self.reactor.callLater(LIST_WAIT, self.take)
+        elif say == "slots":
+            self.node.take_over_slots(message["slots"])
         elif say == "given":
             # none from an older program
             self.node.take_over_slots(message.get("slots") or {})
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -145,7 +145,11 @@
     def tell_state(self) -> tuple[list[dict], dict, list[int]]:
         node = self.node
         memory = node.desk.balancer.memory()
-        uids = node.desk.hosts.uid[: len(memory["able"])]
+        # Danger: what is told of each host of a large fleet is over a packet; it goes with the host's row.
+        able, rows = memory.pop("able"), node.desk.hosts.rows()
+        for row in rows:
+            h = node.desk.hosts.index[row["uid"]]
+            row["able"] = able[h] if h < len(able) else 0.0
         called_back = node.desk.balancer.called_back
         state = {
             "rev": node.discovery.rev,
@@ -153,12 +157,11 @@
             "unsaved_bans": node.bans.unsaved,
             "called_back": {node.desk.hosts.uid[h]: at for h, at in called_back.items()},
             "told_at": node.desk.told_at,
-            "memory": memory,
-            "uids": uids,
-            # Danger: those of a large fleet fill a packet and more; each goes with the row of its host.
+            "memory": memory | {"able": []},  # which an older program takes with the names beside it
+            "uids": [],
             "starts": (node.desk.hosts.start_times.ahead, {}),
         }
-        return node.desk.hosts.rows(), state, [node.port.fileno()]
+        return rows, state, [node.port.fileno()]
 
     def stop_taking(self) -> None:
         logger.info("upgrade reason=given sessions={}", len(self.node.desk.sessions.table))
@@ -232,7 +235,9 @@
         for row in rows:
             hosts.sent_away[hosts.know(row["uid"])] = row["sent_away"]
         # Danger: a process that knows no host's measure yet takes the cold ones' for all, and starves them.
-        node.desk.remember(state["memory"], state["uids"])
+        able = dict(zip(state["uids"], state["memory"]["able"], strict=True))  # of an older program
+        able |= {row["uid"]: row["able"] for row in rows if row.get("able") is not None}
+        node.desk.remember(state["memory"], able)
         node.desk.told_at, node.discovery.rev = state["told_at"], state["rev"]
         node.listen(fds[0])
         node.discovery.start()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -322,7 +322,8 @@
     n = d.balancer._node
     n.unit, n.each, n.able[1] = 4000.0, 25.0, 5000.0
     later.listed(True, [row("s-2", port=9002), row("s-1", port=9001)])
-    later.remember(d.balancer.memory(), list(d.hosts.uid))
+    memory = d.balancer.memory()
+    later.remember(memory, dict(zip(d.hosts.uid, memory["able"], strict=True)))
     m = later.balancer._node
     assert (m.unit, m.each, m.able[later.hosts.index["s-1"]]) == (4000.0, 25.0, 5000.0)
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,6 +16,7 @@
 
 from caperdeck.ops.link import FILE, LARGEST, Doorbell, FolderAddress, Link, NodeAddress, encode, reach
 from caperdeck.ops.succession import BAN_WAIT, LIST_WAIT, VERSION, Incumbent, Successor
+from caperdeck.state.clocks import unix_time
 
 WHO = [VERSION, "n1", "127.0.0.1:9000"]
 
@@ -62,6 +63,10 @@
     def held(self):
         return 40 + self.left
 
+    def hand_over_slots(self):
+        self.did.append(("hand_over_slots",))
+        return {}
+
     def __getattr__(self, name):
         return lambda *args: self.did.append((name, *args))
 
@@ -533,18 +538,32 @@
     assert json.loads(encode({"slots": service.upgrade.hand_over_slots(), "held": 1}))
 
 
-def test_the_state_of_the_largest_fleet_fits_into_its_packets(tmp_path):
+# guards against: an upgrade that ends the link, as what is told of thousands of servers is over a packet
+@pytest.mark.parametrize("uid", ["s-{:08x}", "slot-server-{:04}.portland-east.cells.example.org-long-name"])
+def test_the_state_of_the_largest_fleet_fits_into_its_packets(tmp_path, uid):
     d = desk(hosts=0)
     service = service_over(d, tmp_path)
-    d.listed(True, [row(f"s-{i:08x}", boot=1_790_000_000_000 + i) for i in range(3200)])
+    started = unix_time() - 1000.0
+    d.listed(True, [row(uid.format(i), boot=started + i / 10) for i in range(3200)])
     node = d.balancer._node
     node.able = [123.456789012345678 + i for i in range(3200)]
+    node.in_turn = [True] * 3200
     service.port = PortNumber()
     sent = []
     side = Incumbent(d.reactor, Wired(), service.upgrade)
     side.link.send = lambda message, fds=(): sent.append(encode(message))
+    service.stop_taking = lambda: None
     side.received({"say": "hello", "who": [VERSION, *service.upgrade.identity()]}, [])
-    assert len(sent) == 17 and max(map(len, sent)) < LARGEST
+    side.received({"say": "take"}, [])
+    assert len(node.cold) == 3200 and max(map(len, sent)) < LARGEST
+    assert sum(len(json.loads(packet).get("slots", ())) for packet in sent) == 3200
+    later = service_over(desk(hosts=0), tmp_path)
+    later.listen = later.discovery.start = later.begin = lambda *_: None
+    successor = Successor(later.reactor, Wired(), later.upgrade)
+    for packet in sent:
+        successor.received(json.loads(packet), [0])
+    learned = later.desk.balancer._node
+    assert learned.able == node.able and sum(learned.in_turn) == 3200
 
 
 class PortNumber:
