A list that comes in small pieces is put together once, not at each piece

Cause: the library's reader of lines joins what it has with each piece and searches all of it again, so the time grows with the square of the line. Change: pieces are kept and joined at the end of the line. A line over the bound is dropped as before.

--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -9,7 +9,7 @@
 
 import orjson
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.protocols.basic import LineOnlyReceiver
+from twisted.internet.protocol import Protocol
 from twisted.web.client import URI, Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory
@@ -18,6 +18,7 @@
 from caperdeck.state.backoff import LOST, REFUSED, BackOff, Spans
 from caperdeck.state.timers import cancel
 
+LINE_END = b"\n"
 LONGEST_LIST = 16 << 20
 MOST_HOSTS = 10_000  # of one list
 # What discovery has to tell counts as told 6 s later, if it could be reached, whatever became of the calls.
@@ -60,14 +61,15 @@
         return protocol
 
 
-class _WatchBody(LineOnlyReceiver):
-    delimiter = b"\n"
-    MAX_LENGTH = LONGEST_LIST
+class WatchBody(Protocol):
+    """The lines of one watch. What a line has come in is put together once, at its end."""
 
     def __init__(self, watch: Discovery, granted: bool = True) -> None:
         self.watch = watch
         self.granted = granted
         self.heard = False  # a whole line has come
+        self.pieces: list[bytes] = []  # of the line that has yet to end
+        self.length = 0  # bytes, of the same
 
     def connectionMade(self) -> None:
         if self.granted:
@@ -79,18 +81,30 @@
 
     def dataReceived(self, data: bytes) -> None:
         self.watch.reads += 1
-        super().dataReceived(data)
-
-    def lineReceived(self, line: bytes) -> None:
+        # Danger: joined with what came before at each piece, a list takes time by the square of its length.
+        first, *rest = data.split(LINE_END)
+        self._add(first)
+        for piece in rest:
+            line, self.pieces, self.length = b"".join(self.pieces), [], 0
+            self._line(line)
+            self._add(piece)
+
+    def _add(self, piece: bytes) -> None:
+        if not piece or self.length > LONGEST_LIST:
+            return
+        self.pieces.append(piece)
+        self.length += len(piece)
+        if self.length > LONGEST_LIST:
+            self.pieces.clear()
+            self.watch.complain("list-too-long", f"a line of discovery is over {LONGEST_LIST} bytes")
+            self.watch.again(self)
+
+    def _line(self, line: bytes) -> None:
         # Danger: the text of a refusal is no word of the hosts; hosts held to drain would be let go by it.
         if self.watch.body is self and self.granted:
             self.heard = True
             self.watch.line(line.strip())
 
-    def lineLengthExceeded(self, line: bytes) -> None:
-        self.watch.complain("list-too-long", f"a line of discovery is over {LONGEST_LIST} bytes")
-        self.watch.again(self)
-
     def connectionLost(self, reason) -> None:
         self.watch.again(self)
 
@@ -114,7 +128,7 @@
         pool = HTTPConnectionPool(reactor, persistent=False)
         self.agent = Agent.usingEndpointFactory(reactor, _ByAddress(reactor, self.connected), pool)
         self.transport: Any = None  # of the call that is out, or the watch
-        self.body: _WatchBody | None = None
+        self.body: WatchBody | None = None
         self.asked: Any = None  # the call that has no answer yet
         self.back_off = back_off
         self.silence = None
@@ -210,7 +224,7 @@
             self._answered_or_failed()
         if not granted and self.back_off.fresh:
             self.complain("discovery-refused", f"discovery answered {response.code}")
-        response.deliverBody(_WatchBody(self, granted))
+        response.deliverBody(WatchBody(self, granted))
 
     def _answered_or_failed(self) -> None:
         """A call has been, as far as sends by the list wait for it."""
@@ -244,7 +258,7 @@
         # Danger: silence, a wait, a call in vain and a wait, each late by a stall, add up past the bound.
         return max(self.reactor.seconds() - timer.getTime(), 0.0)
 
-    def again(self, body: _WatchBody | None, why: Spans = LOST, late: float = 0.0) -> None:
+    def again(self, body: WatchBody | None, why: Spans = LOST, late: float = 0.0) -> None:
         """Opens the watch anew a little later, unless that is on the way already."""
         if body is not self.body or self.retry is not None:
             return
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -4,15 +4,19 @@
 import sys
 import time
 
+import orjson
 import pytest
 from helpers import (
     CONFIG, START, Wire, ask, at_host, desk, entry, free_ports, node, opening, ping_until_ready, row,
     serve_lines, serve_list, write,
 )  # fmt: skip
 from node_processes import connected
+from twisted.internet.testing import MemoryReactorClock
 
 from caperdeck.core.decide import TICK_TOKEN
 from caperdeck.core.model import Outcome, Report
+from caperdeck.state.backoff import BackOff
+from caperdeck.wire.discovery import Discovery, WatchBody
 
 STANDING = 60  # connections from before the start
 OVER_STANDING = 512  # descriptors over two for each of those, the least that deployments give
@@ -174,3 +178,33 @@
 @pytest.mark.parametrize("cold", [0, 100])
 def test_sessions_take_hardly_more_work_at_sixteen_times_the_servers(cold):
     assert calls_in_service(3200, 16 * cold) <= GROWTH * calls_in_service(200, cold)
+
+
+def large_list(servers):
+    rows = [row(f"s-{i:08x}", port=9000 + i) for i in range(servers)]
+    return orjson.dumps({"rev": 9, "all": True, "targets": rows}) + b"\n"
+
+
+def watch_of(reactor, heard):
+    return Discovery(
+        reactor, "127.0.0.1:8500", 4, lambda whole, rows: heard.append(len(rows)), lambda: None,
+        lambda *_: None, BackOff(7, 200),
+    )  # fmt: skip
+
+
+def read_in_pieces(servers, size):
+    """Processor seconds to read the list of so many servers in pieces of that size."""
+    heard, text = [], large_list(servers)
+    body = WatchBody(watch_of(MemoryReactorClock(), heard))
+    body.makeConnection(Wire())
+    began = time.process_time()
+    for at in range(0, len(text), size):
+        body.dataReceived(text[at : at + size])
+    assert heard == [servers]
+    return time.process_time() - began
+
+
+# guards against: processor time for a list in small pieces that grows with the square of its length
+def test_a_list_in_pieces_takes_time_by_its_length():
+    few, many = (min(read_in_pieces(servers, 16) for _ in range(3)) for servers in (400, 3200))
+    assert many < 2 * 8 * few
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -16,7 +16,7 @@
 from caperdeck.state.backoff import REFUSED, BackOff
 from caperdeck.state.budget import SocketBudget
 from caperdeck.wire.client import ClientFactory, ClientPort
-from caperdeck.wire.discovery import ANSWER, MOST_HOSTS, SILENT, Discovery, _WatchBody
+from caperdeck.wire.discovery import ANSWER, MOST_HOSTS, SILENT, Discovery, WatchBody
 from caperdeck.wire.probe import Probes
 from caperdeck.wire.report import parse_report
 from caperdeck.wire.request import RequestError, parse_request
@@ -471,7 +471,7 @@
     heard, said = [], []
     watch = Discovery(MemoryReactorClock(), "127.0.0.1:8500", 4, lambda *x: heard.append(x), lambda: None,
                       lambda reason, text: said.append(reason), BackOff(7, 3))  # fmt: skip
-    body = _WatchBody(watch)
+    body = WatchBody(watch)
     body.makeConnection(Wire())
     good = orjson.dumps({"rev": 5, "all": False, "targets": [row("s-1")] * 200})
     body.dataReceived(line + b"\n\n" + good[:9000])
@@ -484,7 +484,7 @@
     watch = Discovery(reactor, "127.0.0.1:8500", 4, None, lambda: None, lambda reason, _: said.append(reason),
                       BackOff(7, 3))  # fmt: skip
     watch.start()
-    body = _WatchBody(watch)
+    body = WatchBody(watch)
     body.makeConnection(Wire())
     reactor.advance(ANSWER / 2)
     body.dataReceived(b"\n")
@@ -513,7 +513,7 @@
     heard, said = [], []
     watch = Discovery(MemoryReactorClock(), "127.0.0.1:8500", 4, None, lambda: heard.append(1),
                       lambda reason, text: said.append(reason), BackOff(7, 3))  # fmt: skip
-    body = _WatchBody(watch, granted=False)
+    body = WatchBody(watch, granted=False)
     body.makeConnection(Wire())
     body.dataReceived(b"too many calls\n\n")
     lost(body)
@@ -559,7 +559,7 @@
     reactor, heard, said = MemoryReactorClock(), [], []
     watch = Discovery(reactor, "127.0.0.1:8500", 9, lambda *x: heard.append(x), lambda: None,
                       lambda reason, _: said.append(reason), BackOff(7, 3))  # fmt: skip
-    body = _WatchBody(watch)
+    body = WatchBody(watch)
     body.makeConnection(Wire())
     body.dataReceived(orjson.dumps({"rev": 8, "all": False, "targets": [row("s-0")]}) + b"\n")
     assert not heard and said == ["list-went-back"] and watch.rev == 0 and watch.retry is not None
@@ -703,7 +703,7 @@
         lambda reason, _: said.append(reason), BackOff(7, 200), lambda: bool(excused),
     )  # fmt: skip
     watch.start()
-    body = _WatchBody(watch)
+    body = WatchBody(watch)
     body.makeConnection(Wire())
     return watch, body
 
