A list that arrives slowly is read to its end

Callers saw: nothing yet; a node whose discovery takes over 2.2 s to write the list of thousands of servers would have begun to read it again and again, and never have known it. Evidence: forced on loopback, a list that takes 2.8 and 5 s; not one was read with the change taken out. Change: a line whose bytes have come within 0.5 s is waited for, 1 s from its first byte at first and twice as long each time that one was cut off on its way, 48 s at the most. Bytes that stop are silence as before.

--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -28,7 +28,11 @@
 # Danger: discovery may take calls in turn, and turn away what would wait for over 2 s. A call that is given
 # up sooner is worked on all the same, and all nodes together keep it busy with calls that nobody waits for.
 ANSWER = 2.2  # seconds from a call, its connection with it, until the first line, or the call is given up
+PIECE = 0.5  # seconds without a byte of a line that has begun, after which it is silence
+LINE_LIFE = 1.0  # seconds that a line may take from its first byte on, doubled each time it was cut off
+LONGEST_LINE_LIFE = 48.0
 SILENT = 2.4  # seconds without even an empty line after which the watch is opened anew; one comes every 2 s
+CHECK = 0.1  # seconds until it is looked again whether a line is still on its way
 BACK = 0.02  # seconds until the watch is opened anew by a node that was away
 
 
@@ -88,6 +92,7 @@
             line, self.pieces, self.length = b"".join(self.pieces), [], 0
             self._line(line)
             self._add(piece)
+        self.watch.progress(bool(self.pieces))
 
     def _add(self, piece: bytes) -> None:
         if not piece or self.length > LONGEST_LIST:
@@ -109,6 +114,34 @@
         self.watch.again(self)
 
 
+class LineInProgress:
+    """Whether a line that has yet to end is still on its way. Seconds of the reactor."""
+
+    def __init__(self) -> None:
+        self.began_at: float | None = None
+        self.heard_at = -math.inf
+        self.longest = LINE_LIFE
+
+    def heard(self, now: float, unfinished: bool) -> None:
+        """Bytes have come, and a line has yet to end or not."""
+        if not unfinished:
+            self.began_at, self.longest = None, LINE_LIFE
+        elif self.began_at is None:
+            self.began_at = now
+        self.heard_at = now
+
+    def comes(self, now: float) -> bool:
+        """Whether more of it has come lately, and it may take longer."""
+        return self.began_at is not None and now < min(self.heard_at + PIECE, self.began_at + self.longest)
+
+    def given_up(self, now: float) -> None:
+        """The watch ends; the next line may take longer if this one was still on its way."""
+        # Danger: a list that takes longer than a node waits for it would never be read.
+        if self.began_at is not None and now < self.heard_at + PIECE:
+            self.longest = min(2 * self.longest, LONGEST_LINE_LIFE)
+        self.began_at = None
+
+
 class Discovery:
     """Keeps a watch open for as long as the node runs."""
 
@@ -129,6 +162,7 @@
         self.agent = Agent.usingEndpointFactory(reactor, _ByAddress(reactor, self.connected), pool)
         self.transport: Any = None  # of the call that is out, or the watch
         self.body: WatchBody | None = None
+        self.in_progress = LineInProgress()
         self.asked: Any = None  # the call that has no answer yet
         self.back_off = back_off
         self.silence = None
@@ -238,11 +272,20 @@
         else:
             self.silence = self.reactor.callLater(seconds, self.fell_silent)
 
+    def progress(self, unfinished: bool) -> None:
+        """Bytes of the list have come, the last of them of a line that has yet to end or not."""
+        self.in_progress.heard(self.reactor.seconds(), unfinished)
+
     def fell_silent(self) -> None:
         # Danger: after the node itself was away the timer runs out before what lies in the socket is read.
         if self.excused():
             self.listen_for(BACK)
             return
+        now = self.reactor.seconds()
+        if self.body is not None and self.in_progress.comes(now):
+            self.listen_for(CHECK)
+            return
+        self.in_progress.given_up(now)
         late = self._late(self.silence)
         if self.back_off.fresh:
             waited = SILENT if self.body else ANSWER
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 
 import orjson
 import pytest
@@ -11,6 +12,7 @@
     serve_lines, serve_list, write,
 )  # fmt: skip
 from node_processes import connected
+from test_crossings import HEADERS, Agent
 from twisted.internet.testing import MemoryReactorClock
 
 from caperdeck.core.decide import TICK_TOKEN
@@ -208,3 +210,33 @@
 def test_a_list_in_pieces_takes_time_by_its_length():
     few, many = (min(read_in_pieces(servers, 16) for _ in range(3)) for servers in (400, 3200))
     assert many < 2 * 8 * few
+
+
+def arrives_over(seconds, agent):
+    """The answer to the last call, the list of a large fleet in it, comes evenly over that time."""
+    sock, text, watch = agent.accepted[-1], large_list(3200), agent.watch
+    sock.send(HEADERS + b"%x\r\n" % len(text))
+    agent.reactor.until(lambda: watch.body)
+    steps = round(seconds / 0.1)
+    for i in range(steps):
+        end = len(text) * (i + 1) // steps
+        sock.send(text[len(text) * i // steps : end])
+        # the kernel takes real time, which the reactor's clock does not tell
+        agent.reactor.until(lambda end=end: not watch.body or agent.told or watch.body.length >= end)
+        agent.step("hangs", 0.1)
+
+
+# guards against: a list never read, as it takes longer to arrive than a node waits for the end of a line
+@pytest.mark.parametrize("seconds", [2.8, 5.0])
+def test_a_list_that_arrives_slowly_is_read(seconds):
+    agent = Agent()
+    agent.watch.start()
+    agent.step("hangs", 0.1)
+    for _ in range(4):
+        with suppress(OSError):
+            arrives_over(seconds, agent)
+        agent.step("hangs", 1.5)
+        if agent.told:
+            break
+    agent.close()
+    assert len(agent.told) == 1
