Idle clients make room within 30 ms where descriptors are short, and probes leave more of them

Cause: a crowd is let in and ended in rounds of 60 ms, of as many as there are descriptors; a quarter of the limit was kept for probes, which left 25 a round, so eight rounds stand before a client behind the crowd. Change: rounds of 30 ms, and at most an eighth of the limit for probes. Fleets of up to 64 servers keep what they had with 512 descriptors, those of up to 128 with 1,024.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -38,7 +38,7 @@
 MOVED_LIFE = 10000.0  # a client sent away so long ago says nothing about its host any more
 OVERDUE_ANSWER = 50.0  # a client that has waited so much longer than it said has been forgotten
 IDLE = 2000.0  # a client that has sent no first line for so long is closed
-IDLE_SHORT = 60.0  # the same while sockets are short
+IDLE_SHORT = 30.0  # the same while sockets are short
 
 
 AT_ONCE = (Listed, Banned, Retuned, Narrowed)  # news that lead to nothing being sent
--- a/caperdeck/state/budget.py
+++ b/caperdeck/state/budget.py
@@ -7,7 +7,7 @@
 RESERVE = 192  # for clients that come at once and are turned away, for files and what libraries open
 RESERVE_PART = 0.25  # and no more than this part of the limit
 PROBES = 128  # connections for probes that descriptors are kept for, however many hosts there are
-PROBES_PART = 0.25  # and no more than this part of the limit
+PROBES_PART = 0.125  # and no more than this part of the limit
 DESCRIPTORS_A_SESSION = 2  # its client's side and its host's
 
 
