Rig: a process that is stopped as its successor starts is woken too

Cause: the end of a stop went to the process that is in the node's place by then; the old one stood for good. Change: both processes of a node are woken, as both are killed.

--- a/caperdeck/lab/real.py
+++ b/caperdeck/lab/real.py
@@ -231,7 +231,9 @@
             self.life(node, "awake")
             if node[0] == "o":
                 self.launcher.signal(node, signal.SIGRTMIN)
-            self.launcher.signal(node, signal.SIGCONT)
+            # a process that was stopped may have a successor beside it by now
+            for name in (node, node + OLD):
+                self.launcher.signal(name, signal.SIGCONT)
 
     def step(self, node: str, offset: float) -> None:
         self.wall_clocks[node].step_to(offset / 1000.0)
