Each line of a watch has its own time to arrive

Callers saw: nothing; found on reading the change again. The time that a line may take on its way counted from the first byte of an earlier one where both came in one piece, so a slow line behind others was given up as before. Change: the end of a line ends its time. Test: fails on the counting before (5.4 s is past 1 s from 0).

--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -92,7 +92,7 @@
             line, self.pieces, self.length = b"".join(self.pieces), [], 0
             self._line(line)
             self._add(piece)
-        self.watch.progress(bool(self.pieces))
+        self.watch.progress(ended=bool(rest), unfinished=bool(self.pieces))
 
     def _add(self, piece: bytes) -> None:
         if not piece or self.length > LONGEST_LIST:
@@ -122,11 +122,11 @@
         self.heard_at = -math.inf
         self.longest = LINE_LIFE
 
-    def heard(self, now: float, unfinished: bool) -> None:
-        """Bytes have come, and a line has yet to end or not."""
-        if not unfinished:
+    def heard(self, now: float, ended: bool, unfinished: bool) -> None:
+        """Bytes have come: whether a line ended in them, and whether one has yet to end."""
+        if ended:
             self.began_at, self.longest = None, LINE_LIFE
-        elif self.began_at is None:
+        if unfinished and self.began_at is None:
             self.began_at = now
         self.heard_at = now
 
@@ -272,9 +272,9 @@
         else:
             self.silence = self.reactor.callLater(seconds, self.fell_silent)
 
-    def progress(self, unfinished: bool) -> None:
-        """Bytes of the list have come, the last of them of a line that has yet to end or not."""
-        self.in_progress.heard(self.reactor.seconds(), unfinished)
+    def progress(self, ended: bool, unfinished: bool) -> None:
+        """Bytes of the list have come: whether a line ended in them, and whether one has yet to end."""
+        self.in_progress.heard(self.reactor.seconds(), ended, unfinished)
 
     def fell_silent(self) -> None:
         # Danger: after the node itself was away the timer runs out before what lies in the socket is read.
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -18,7 +18,7 @@
 from caperdeck.core.decide import TICK_TOKEN
 from caperdeck.core.model import Outcome, Report
 from caperdeck.state.backoff import BackOff
-from caperdeck.wire.discovery import Discovery, WatchBody
+from caperdeck.wire.discovery import Discovery, LineInProgress, WatchBody
 
 STANDING = 60  # connections from before the start
 OVER_STANDING = 512  # descriptors over two for each of those, the least that deployments give
@@ -240,3 +240,13 @@
             break
     agent.close()
     assert len(agent.told) == 1
+
+
+# guards against: the time that a line may take counted from the beginning of an earlier one
+def test_each_line_of_a_watch_has_its_own_time():
+    line = LineInProgress()
+    line.heard(0.0, ended=False, unfinished=True)
+    line.heard(5.0, ended=True, unfinished=True)
+    assert line.comes(5.4) and not line.comes(5.6)
+    line.heard(5.5, ended=True, unfinished=False)
+    assert not line.comes(5.5)
