Slopes: idle nodes are measured over a whole heartbeat where sizes are small

Cause: nodes ask once a second, and the small sizes were read for 0.3 s, so how many of two to eight questions fell into it was chance. Change: the small sizes are read for one heartbeat, in which each node asks once. The bound stays as it is.

--- a/caperdeck/lab/slopes/distribution.py
+++ b/caperdeck/lab/slopes/distribution.py
@@ -12,6 +12,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from caperdeck.core.settings import MS
+from caperdeck.distribution.subscriber import HEARTBEAT
+
 from . import bench
 from .line import Point
 from .process import own_memory
@@ -42,7 +45,7 @@
 )  # fmt: skip
 SMALL = Sizes(
     watches=(2, 4, 6, 8), processes=2, documents=(1000, 2000, 4000, 8000), watches_by_size=4, small=1000,
-    unwatched=0.3, idle=0.3, answered=0.2, versions=2, history=3,
+    unwatched=0.3, idle=HEARTBEAT / MS, answered=0.2, versions=2, history=3,
 )  # fmt: skip
 
 
