One dial for new and standing sessions; margin, long ago and the line with at= stand once

Found on reading the change again: the dial of a session that stood before repeated the ordinary one, the margin of an answer and the start of a host that is not told stood in two modules, and two test files wrote the same first line. Behaviour is unchanged: the ordinary dial bounds a connect by its own end as well, at which the dial was given up in both. The tests keep their assertions.

--- a/caperdeck/carry/carrier.py
+++ b/caperdeck/carry/carrier.py
@@ -158,7 +158,7 @@
             case Connect(_, dial, host, until):
                 # Danger: a timer of this turn runs before the client's end is read, which lies there.
                 if s.client.unread() != b"":
-                    self._dial(s, dial, host, until)
+                    self.dial(s, dial, host, until, self.limits.connect_time_out)
                     return
                 self._end(s, "client-left")
                 self.report(Left(s.index))
@@ -223,18 +223,13 @@
 
     # ---- dials
 
-    def _dial(self, s: Session, dial: int, host: int, until: float) -> None:
+    def dial(self, s: Session, dial: int, host: int, until: float, connect_time_out: float) -> None:
+        """Dials the host for the session, and gives the dial up at `until`."""
         s.host, s.dial, s.dialed_at = host, dial, self.clock()
         wait = max(until - self.clock(), 0.0)
-        s.conn = self.open_host(s, until, min(self.limits.connect_time_out, wait + 1))
+        s.conn = self.open_host(s, until, min(connect_time_out, wait + 1))
         s.timer = self.reactor.callLater(wait / MS, self._late, s.conn)
 
-    def dial_again(self, s: Session, host: int, connect_time_out: float, until: float) -> None:
-        """Dials the host at which the session stood before this node started."""
-        s.host, s.dial, s.dialed_at = host, 0, self.clock()
-        s.conn = self.open_host(s, until, connect_time_out)
-        s.timer = self.reactor.callLater(max(until - s.dialed_at, 0.0) / MS, self._late, s.conn)
-
     def dial_open(self, conn: HostSide) -> None:
         """The connection is up; the one place where a request line goes out."""
         s = conn.session
--- a/caperdeck/carry/resumption.py
+++ b/caperdeck/carry/resumption.py
@@ -31,7 +31,7 @@
     def clock(self) -> float:
         """The time in milliseconds."""
 
-    def dial_again(self, s: Session, host: int, connect_time_out: float, until: float) -> None: ...
+    def dial(self, s: Session, dial: int, host: int, until: float, connect_time_out: float) -> None: ...
 
     def give_up(self, s: Session, reason: str) -> None: ...
 
@@ -65,7 +65,7 @@
             self._later(s, "no-sockets")
         else:
             self._waits(s, None)
-            carrier.dial_again(s, host, CONNECT_TIME_OUT, self._answer_by(s))
+            carrier.dial(s, 0, host, self._answer_by(s), CONNECT_TIME_OUT)
 
     def _later(self, s: Session, reason: str) -> None:
         self._waits(s, reason)
--- a/caperdeck/core/host_table.py
+++ b/caperdeck/core/host_table.py
@@ -8,14 +8,11 @@
 import math
 from typing import Any
 
-from .model import Entry, Held, HostState, Sent, Settings
+from .model import LONG_AGO, Entry, Held, HostState, Sent, Settings
 from .rights import Rights
 from .warmup import warm_share
 
 
-LONG_AGO = 0.0  # the start of a host whose start is not told
-
-
 class HostTable:
     """The hosts as the roster has them, what is known of each, and the own sessions there.
 
--- a/caperdeck/core/model.py
+++ b/caperdeck/core/model.py
@@ -13,6 +13,9 @@
 from typing import NamedTuple
 
 
+LONG_AGO = 0.0  # the start of a host whose start is not told, on any clock
+
+
 class Effect(IntEnum):
     """What happens when a session of a listener runs again."""
 
--- a/caperdeck/state/start_times.py
+++ b/caperdeck/state/start_times.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-LONG_AGO = 0.0  # the start of a host whose start is not told, on either clock
+from caperdeck.core.model import LONG_AGO
+
 HEARD_WITHIN = 4000.0  # a change of the list tells of a start this soon after it, or its time is not believed
 NEWEST_WITHIN = 20_000.0  # the same of the newest start in a whole list, which may be some time ago
 
--- a/caperdeck/wire/desk.py
+++ b/caperdeck/wire/desk.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from caperdeck.carry.carrier import Carrier
+from caperdeck.carry.resumption import ANSWER_MARGIN
 from caperdeck.core.facade import Load, Up
 from caperdeck.core.model import Outcome
 from caperdeck.core.settings import MS
@@ -24,7 +25,6 @@
 from .report import parse_load
 from .request import RequestError, parse_request
 
-ANSWER_MARGIN = 30.0  # a client's answer is out so long before it stops waiting
 FULL_BACK_OFF = 500.0  # for clients turned away because sockets are short
 WAITS = 10.0  # times the longest wait of any class, and a first line's wait is no wait
 FAREWELLS = {b"MOVE": (Outcome.WITHDRAWN, "host-moved"), b"BYE": (Outcome.GOOD, "served")}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -145,6 +145,14 @@
     return OPEN.replace(b"9b1f", b"%04x" % number)
 
 
+UP_WITHIN = 40.0  # seconds, the stated target for connections that stood before a node's start
+
+
+def opening_at(number, host="s-0", wait=b"9223372036854"):
+    """The first line of a client whose connection stood at that host."""
+    return opening(number).replace(b"d=1200", b"d=" + wait) + b",at=" + host.encode()
+
+
 def row(uid, state="Ready", port=9000, boot=0):
     return {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "east", "state": state, "boot_ms": boot}
 
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -8,8 +8,8 @@
 import orjson
 import pytest
 from helpers import (
-    CONFIG, START, Wire, ask, at_host, desk, entry, free_ports, node, opening, ping_until_ready, row,
-    serve_lines, serve_list, write,
+    CONFIG, START, UP_WITHIN, Wire, ask, at_host, desk, entry, free_ports, node, opening, opening_at,
+    ping_until_ready, row, serve_lines, serve_list, write,
 )  # fmt: skip
 from node_processes import connected
 from test_crossings import HEADERS, Agent
@@ -22,8 +22,7 @@
 
 STANDING = 60  # connections from before the start
 OVER_STANDING = 512  # descriptors over two for each of those, the least that deployments give
-UP_WITHIN = 40.0  # seconds, the stated target for connections that stood before
-READY_WITHIN = 30.0  # seconds, the same for a node's start
+READY_WITHIN = 30.0  # seconds, the stated target for a node's start
 
 
 class LargeFleet:
@@ -82,8 +81,7 @@
     until = time.monotonic() + UP_WITHIN
     ping_until_ready(fleet.port, until)
     for i in range(STANDING):
-        line = opening(i).replace(b"d=1200", b"d=9223372036854")
-        fleet.client(line + b",at=s-%08x" % (7 * i))
+        fleet.client(opening_at(i, f"s-{7 * i:08x}"))
     assert fleet.answers(until) == [b"UP r1\r\n"] * STANDING
 
 
--- a/tests/test_resumption.py
+++ b/tests/test_resumption.py
@@ -1,12 +1,10 @@
 """Connections that stood at their servers before a node started, and come back to it with `at=`."""
 
 import pytest
-from helpers import OPEN, accept, connect, desk, logged, lost, opening, row, up
+from helpers import UP_WITHIN, OPEN, accept, connect, desk, logged, lost, opening_at, row, up
 from twisted.internet.error import ConnectionRefusedError as Refused
 from twisted.python.failure import Failure
 
-UP_WITHIN = 40.0  # seconds, the stated target for connections that stood before
-
 
 @pytest.fixture(autouse=True)
 def log():
@@ -14,13 +12,9 @@
         yield lines
 
 
-def line_of(number, host="s-0", wait=b"9223372036854"):
-    return opening(number).replace(b"d=1200", b"d=" + wait) + b",at=" + host.encode()
-
-
 def standing(d, host="s-0", number=0, wait=b"9223372036854"):
     """A client whose connection stood at that server."""
-    return connect(d, line_of(number, host, wait))
+    return connect(d, opening_at(number, host, wait))
 
 
 def comes_up(d, client):
@@ -75,7 +69,7 @@
     while more := d.budget.acceptable:
         clients += [connect(d) for _ in range(more)]
         for i, client in enumerate(clients[-more:]):
-            client.dataReceived(line_of(len(clients) + i) + b"\r\n")
+            client.dataReceived(opening_at(len(clients) + i) + b"\r\n")
     fixed = d.budget.used + d.budget.probes
     assert fixed + len(clients) + len(d.reactor.tcpClients) <= 200 - d.budget.reserve // 2
     for client in clients[1::2]:
