--- a/review/1/play.py
+++ b/review/1/play.py
@@ -15,7 +15,9 @@
 from fleet import Fleet  # noqa: E402
 from standin import CannotRunError, Platform, Record, ask, free_port, keep_alive, main  # noqa: E402
 
-PUSH_AFTER_S = 0.25  # from the start of the new process to the new configuration
+# From the start of a new process to the new configuration, for each node. The new process reads its file 0.1
+# to 0.2 s after its start and is linked to the old one after 0.4 to 0.5 s, later on a slower machine.
+PUSH_AFTER_S = {"n0": 0.2, "n1": 0.3, "n2": 0.45}
 BINDS_AFTER_S = 4.0  # after SIGHUP; the page allows 1.2 s for settings and 4 s for discovery
 BAD_SHARE, BAD_FOR_S = 0.5, 15.0  # of one host's sessions that fail, and for how long
 CLASS = "desk"  # its effect is at_most_once in the new configuration, idempotent before
@@ -38,7 +40,7 @@
     config = fleet.configs[name] | {"admin_addr": f"127.0.0.1:{free_port()}"}
     new = platform.start(config, f"{name}-new", f"tmp-{name}")
     if push:
-        await asyncio.sleep(PUSH_AFTER_S)
+        await asyncio.sleep(PUSH_AFTER_S[name])
         for label, values in ((name, fleet.configs[name]), (f"{name}-new", config)):
             platform.write_config(label, retuned(values))
         # The new process is in its first second and not ready, so it gets no SIGHUP.
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -83,9 +83,11 @@
         await agent.listen()
         return agent
 
-    async def start_nodes(self) -> None:
-        for name in self.names:
-            self.processes[name] = self.platform.start(self.configs[name], name, f"tmp-{name}")
+    async def start_nodes(self, own_core: bool = False) -> None:
+        for number, name in enumerate(self.names):
+            self.processes[name] = self.platform.start(
+                self.configs[name], name, f"tmp-{name}", number if own_core else None
+            )
         for name in self.names:
             await self.platform.ready(self.processes[name], self.configs[name])
 
--- a/review/standin.py
+++ b/review/standin.py
@@ -220,7 +220,7 @@
                 at, line = self.record.now(), line.rstrip(b"\r\n")
                 if line in (b"PING", b"STATS"):
                     load = len(self.sessions) / 100
-                    figures = b" x0=%.3f,inflight=%d,util=%.3f" % (load, len(self.sessions), load)
+                    figures = b" cpu=%.3f,active=%d,x0=%.3f" % (load, len(self.sessions), load)
                     writer.write(b"PONG" + (figures if line == b"STATS" else b"") + b"\r\n")
                 elif line.startswith(b"OPEN ") and not session_id:
                     session_id = line.split(b" ")[1].decode()
@@ -269,6 +269,7 @@
         self.node_of: dict[str, str] = {}  # by session id
         self.opened: dict[str, tuple[str, float]] = {}  # class and time of the request by session id
         self.answers: dict[str, list[str]] = {}  # final answers by session id
+        self.cut_off: list[str] = []  # sessions that were up and ended without MOVE or BYE
         self.tasks: set[asyncio.Task] = set()
         self.coming = True
 
@@ -327,10 +328,14 @@
                 reply = await asyncio.wait_for(reader.readline(), 7.0)
                 if reply != b"tick\r\n":
                     self.record.add(f"client {session_id} read {reply!r}, comes again")
+                    if not reply.startswith((b"MOVE", b"BYE")):
+                        self.cut_off.append(session_id)
                     return "moved"
             return "over"
         except (OSError, TimeoutError) as error:
             self.record.add(f"client {session_id} lost its connection: {error!r}")
+            if self.answers[session_id]:
+                self.cut_off.append(session_id)
             return "moved"
         finally:
             writer.close()
@@ -354,8 +359,15 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes: list[subprocess.Popen] = []
 
-    def start(self, config: dict[str, Any], label: str, tmp: str) -> subprocess.Popen:
-        """Starts a process of a node; its files are named by the label, its $TMPDIR by `tmp`."""
+    def start(
+        self, config: dict[str, Any], label: str, tmp: str, core: int | None = None
+    ) -> subprocess.Popen:
+        """Starts a process of a node; its files are named by the label, its $TMPDIR by `tmp`.
+
+        With `core` it runs on that core alone, which all processes of a node share.
+        """
+        cores = sorted(os.sched_getaffinity(0))
+        on = None if core is None else {cores[core % len(cores)]}
         (self.folder / tmp).mkdir(exist_ok=True)
         self.write_config(label, config)
         environment = {
@@ -366,7 +378,7 @@
         with open(self.folder / f"{label}.log", "ab") as log:
             process = subprocess.Popen(
                 ["/bin/sh", "-c", self.run], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                stdout=log, stderr=log,
+                stdout=log, stderr=log, preexec_fn=on and (lambda: os.sched_setaffinity(0, on)),
             )  # fmt: skip
         self.processes.append(process)
         self.record.add(f"platform starts {label} pid={process.pid}")
@@ -443,19 +455,22 @@
             self.longest = max(self.longest, time.monotonic() - began - 0.01)
 
 
+HELD, BROKEN, NOT_RUN = 0, 10, 2  # exit codes; Python's own for an error of the program is 1
+
+
 def main(folder: str, play: Callable[[Record, Platform, bool], Awaitable[bool]]) -> None:
-    """Plays a case; exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
+    """Plays a case and exits with HELD, BROKEN or NOT_RUN."""
     record = Record(Path(folder) / "record.txt")
     platform = Platform(record)
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: sys.exit(2))
-    code, loop = 2, asyncio.new_event_loop()
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
+    code, loop = NOT_RUN, asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     try:
         trouble = os.environ.get("TROUBLE") != "0"
         held = loop.run_until_complete(asyncio.wait_for(play(record, platform, trouble), 110.0))
         record.tell("the rule held" if held else "the rule was broken")
-        code = 0 if held else 1
+        code = HELD if held else BROKEN
     except CannotRunError as error:
         record.tell(f"the case could not run: {error}")
     except Exception:
