--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,82 +1,71 @@
-"""A node that was killed comes back while discovery is down; hosts began to drain before the outage."""
+"""A new configuration adds a class that does without a key which the settings page lets be absent."""
 
 from __future__ import annotations
 
 import asyncio
+import copy
 import signal
 import sys
 from pathlib import Path
+from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 from fleet import Fleet  # noqa: E402
-from standin import CannotRunError, Platform, Record, keep_alive, main  # noqa: E402
+from standin import CannotRunError, Platform, Record, ask, keep_alive, main  # noqa: E402
 
-NODE = "n0"
-DOWN_S = 8.0  # discovery is down for so long
-FRONT_AFTER_S = 1.0  # until the front, which asks now and then, finds that the node is ready again
-RATE, LIFE = 24.0, (3.0, 8.0)
+BINDS_AFTER_S = 4.0  # after SIGHUP; the page allows 1.2 s for settings and 4 s for discovery
+BAD_SHARE, BAD_FOR_S = 0.5, 15.0  # of one host's sessions that fail, and for how long
+CLASS, ADDED = "desk", "kiosk"
+RATE, LIFE = 20.0, (4.0, 12.0)
+
+
+def retuned(config: dict[str, Any], with_key: bool) -> dict[str, Any]:
+    """The configuration with another class, and with the other effect of one that it had."""
+    new = copy.deepcopy(config)
+    rows = new["settings"]["listeners"]
+    added = copy.deepcopy(rows[0]) | {"name": ADDED}
+    if not with_key:
+        del added["aimStretch"]
+    next(row for row in rows if row["name"] == CLASS)["effect"] = "at_most_once"
+    rows.append(added)
+    new["settings"]["specifics"]["messageAim"].append(0.1)
+    return new
 
 
 async def play(record: Record, platform: Platform, trouble: bool) -> bool:
-    fleet = Fleet(record, platform, nodes=3, hosts=8, grace=1.0, seed=2)
+    fleet = Fleet(record, platform, nodes=3, hosts=8, grace=1.0, seed=3)
     await fleet.open()
+    for config in fleet.configs.values():
+        for row in config["settings"]["listeners"]:
+            row["aimStretch"] = 0.5
     fleet.do(keep_alive(list(fleet.agents.values())))
     await fleet.start_nodes()
     fleet.do(fleet.clients.arrive(RATE, LIFE))
-    await asyncio.sleep(4.0)
-
-    address = fleet.clients.addresses.pop(NODE)  # the front has noticed
-    platform.signal(fleet.processes[NODE], signal.SIGKILL)
-    fleet.processes[NODE].wait()
-    fleet.configs[NODE]["known"] = fleet.agents[NODE].whole_list()  # as the node last had it
-    await asyncio.sleep(0.5)
-
-    drained = fleet.hosts[:4]
-    changes = {host.uid: "Terminating" for host in drained}
-    told = {name: dict.fromkeys(changes, record.now()) for name in fleet.names}
-    for agent in fleet.agents.values():
-        agent.learn(**changes)
-    record.tell(f"at {record.now():.2f} s four of eight hosts begin to drain, and every agent has it")
-    for host in drained:
-        fleet.do(host.drain(6.0))
-    await asyncio.sleep(1.0)
-
-    if trouble:
-        record.tell(f"at {record.now():.2f} s discovery goes down for {DOWN_S} s")
-        for agent in fleet.agents.values():
-            agent.go_silent()
-    await asyncio.sleep(0.5)
-
-    # What the agent has counts as told from the first moment of the new process.
-    told[NODE] = dict.fromkeys(changes, record.now())
-    fleet.processes[NODE] = platform.start(fleet.configs[NODE], f"{NODE}-again", f"tmp-{NODE}-again")
-    await platform.ready(fleet.processes[NODE], fleet.configs[NODE], within=10.0)
-    await asyncio.sleep(FRONT_AFTER_S)
-    fleet.clients.addresses[NODE] = address
-    record.add(f"the front takes {NODE} in")
-    await asyncio.sleep(DOWN_S - 1.5 - FRONT_AFTER_S)
-    if trouble:
-        record.tell(f"at {record.now():.2f} s discovery is back")
-        for agent in fleet.agents.values():
-            agent.come_back()
     await asyncio.sleep(3.0)
-    until = record.now()
+    pushed: dict[str, float] = {}
+    for name in fleet.names:
+        platform.write_config(name, retuned(fleet.configs[name], with_key=not trouble))
+        platform.signal(fleet.processes[name], signal.SIGHUP)
+        pushed[name] = record.now()
+    await asyncio.sleep(1.2)
+    fleet.clients.classes[ADDED] = 1.2  # clients name the new class from now on
+    await asyncio.sleep(BINDS_AFTER_S - 1.2)
+    record.tell(f"at {record.now():.2f} s one of eight hosts begins to fail {BAD_SHARE:.0%} of its sessions")
+    fleet.hosts[0].failing = BAD_SHARE
+    await asyncio.sleep(BAD_FOR_S)
     fleet.clients.coming = False
+    await asyncio.sleep(2.5)
     if any(process.poll() is not None for process in fleet.processes.values()):
         raise CannotRunError("a node has ended")
-    record.tell(f"the longest lag of the stand-ins: {fleet.lag.longest * 1000:.0f} ms")
-    late = fleet.late_sends(told, until)
-    for after, node, uid, session_id in sorted(late):
-        record.add(f"SENT LATE: {session_id} by {node} to {uid}, {after:.3f} s after the node was told")
-    for name in fleet.names:
-        mine = [row[0] for row in late if row[1] == name]
-        record.tell(
-            f"{name}: {len(mine)} requests sent to draining hosts after the grace"
-            + (f", the last {max(mine):.2f} s after it was told" if mine else "")
-        )
-    return not late
+    for name, config in fleet.configs.items():
+        counts = [await ask(config["admin_addr"], "telemetry", f"app_cfg_{kind}") for kind in ("acc", "inv")]
+        record.tell(f"{name}: {', '.join(counts)}")
+    added = [session_id for session_id, (name, _) in fleet.clients.opened.items() if name == ADDED]
+    served = sum(any(text.startswith("UP ") for text in fleet.clients.answers[i]) for i in added)
+    record.tell(f"{len(added)} sessions of the class that was added, {served} of them were served")
+    return fleet.ran_once(CLASS, {name: at + BINDS_AFTER_S for name, at in pushed.items()})
 
 
 if __name__ == "__main__":
--- a/review/standin.py
+++ b/review/standin.py
@@ -181,6 +181,7 @@
 
     def __init__(self, record: Record, uid: str, zone: str, cell: int) -> None:
         self.record, self.uid, self.zone, self.cell = record, uid, zone, cell
+        self.capacity = 200.0  # sessions that fill it
         self.draining = False
         self.failing = 0.0  # share of its sessions that fail once they have run
         self.ran: list[tuple[float, str]] = []  # time and id of each session that took effect
@@ -219,7 +220,7 @@
             while line := await reader.readline():
                 at, line = self.record.now(), line.rstrip(b"\r\n")
                 if line in (b"PING", b"STATS"):
-                    load = len(self.sessions) / 100
+                    load = len(self.sessions) / self.capacity
                     figures = b" cpu=%.3f,active=%d,x0=%.3f" % (load, len(self.sessions), load)
                     writer.write(b"PONG" + (figures if line == b"STATS" else b"") + b"\r\n")
                 elif line.startswith(b"OPEN ") and not session_id:
@@ -319,6 +320,7 @@
             self.answers[session_id].append(answer)
             self.record.add(f"client {session_id} answered {answer!r} by {node}")
             if not answer.startswith("UP "):
+                writer.close()
                 if answer.startswith("BUSY ") and answer[5:].isdigit():
                     await asyncio.sleep(int(answer[5:]) / 1000)
                 return "failed"
