--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,85 +1,82 @@
-"""A configuration comes that is short of a key: the group of a referenced class."""
+"""A node that was killed comes back while discovery is down; hosts began to drain before the outage."""
 
 from __future__ import annotations
 
 import asyncio
-import copy
 import signal
 import sys
 from pathlib import Path
-from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 from fleet import Fleet  # noqa: E402
-from standin import CannotRunError, Platform, Record, ask, keep_alive, main  # noqa: E402
+from standin import CannotRunError, Platform, Record, keep_alive, main  # noqa: E402
 
-BINDS_AFTER_S = 4.0  # after SIGHUP; nothing is judged before
-BAD_SHARE, BAD_FOR_S = 0.5, 15.0  # of one host's sessions that fail, and for how long
-CLASS = "hold"  # referenced; the hosts of one zone drop its repeats
-CLASSES = {"browse": ("idempotent", 0.5, 2.0), CLASS: ("deduplicated", 0.3, 1.2)}
-RATE, LIFE = 40.0, (4.0, 12.0)
-
-
-def row_of(config: dict[str, Any], name: str) -> dict[str, Any]:
-    return next(row for row in config["settings"]["listeners"] if row["name"] == name)
-
-
-def short_of_a_key(config: dict[str, Any]) -> dict[str, Any]:
-    broken = copy.deepcopy(config)
-    del row_of(broken, CLASS)["group"]
-    return broken
+NODE = "n0"
+DOWN_S = 8.0  # discovery is down for so long
+FRONT_AFTER_S = 1.0  # until the front, which asks now and then, finds that the node is ready again
+RATE, LIFE = 24.0, (3.0, 8.0)
 
 
 async def play(record: Record, platform: Platform, trouble: bool) -> bool:
-    fleet = Fleet(record, platform, nodes=3, hosts=8, grace=1.0, seed=3, classes=CLASSES)
+    fleet = Fleet(record, platform, nodes=3, hosts=8, grace=1.0, seed=2)
     await fleet.open()
-    for config in fleet.configs.values():
-        config["settings"]["prices"]["crossZone"] = 0.0
-        row_of(config, CLASS)["group"] = "zone"
-        # Both keys are for referenced classes.
-        del row_of(config, "browse")["group"], row_of(config, "browse")["memorySpan"]
     fleet.do(keep_alive(list(fleet.agents.values())))
     await fleet.start_nodes()
     fleet.do(fleet.clients.arrive(RATE, LIFE))
-    await asyncio.sleep(3.0)
-    pushed = dict.fromkeys(fleet.names, record.now())
+    await asyncio.sleep(4.0)
+
+    address = fleet.clients.addresses.pop(NODE)  # the front has noticed
+    platform.signal(fleet.processes[NODE], signal.SIGKILL)
+    fleet.processes[NODE].wait()
+    fleet.configs[NODE]["known"] = fleet.agents[NODE].whole_list()  # as the node last had it
+    await asyncio.sleep(0.5)
+
+    drained = fleet.hosts[:4]
+    changes = {host.uid: "Terminating" for host in drained}
+    told = {name: dict.fromkeys(changes, record.now()) for name in fleet.names}
+    for agent in fleet.agents.values():
+        agent.learn(**changes)
+    record.tell(f"at {record.now():.2f} s four of eight hosts begin to drain, and every agent has it")
+    for host in drained:
+        fleet.do(host.drain(6.0))
+    await asyncio.sleep(1.0)
+
+    if trouble:
+        record.tell(f"at {record.now():.2f} s discovery goes down for {DOWN_S} s")
+        for agent in fleet.agents.values():
+            agent.go_silent()
+    await asyncio.sleep(0.5)
+
+    # What the agent has counts as told from the first moment of the new process.
+    told[NODE] = dict.fromkeys(changes, record.now())
+    fleet.processes[NODE] = platform.start(fleet.configs[NODE], f"{NODE}-again", f"tmp-{NODE}-again")
+    await platform.ready(fleet.processes[NODE], fleet.configs[NODE], within=10.0)
+    await asyncio.sleep(FRONT_AFTER_S)
+    fleet.clients.addresses[NODE] = address
+    record.add(f"the front takes {NODE} in")
+    await asyncio.sleep(DOWN_S - 1.5 - FRONT_AFTER_S)
     if trouble:
-        for name in fleet.names:
-            platform.write_config(name, short_of_a_key(fleet.configs[name]))
-            platform.signal(fleet.processes[name], signal.SIGHUP)
-    await asyncio.sleep(BINDS_AFTER_S)
-    record.tell(f"at {record.now():.2f} s one of eight hosts begins to fail {BAD_SHARE:.0%} of its sessions")
-    fleet.hosts[0].failing = BAD_SHARE
-    await asyncio.sleep(BAD_FOR_S)
+        record.tell(f"at {record.now():.2f} s discovery is back")
+        for agent in fleet.agents.values():
+            agent.come_back()
+    await asyncio.sleep(3.0)
+    until = record.now()
     fleet.clients.coming = False
-    await asyncio.sleep(2.5)
     if any(process.poll() is not None for process in fleet.processes.values()):
         raise CannotRunError("a node has ended")
-    for name, config in fleet.configs.items():
-        counts = [await ask(config["admin_addr"], "telemetry", f"app_cfg_{kind}") for kind in ("acc", "inv")]
-        record.tell(f"{name}: {', '.join(counts)}")
-    return check(fleet, {name: at + BINDS_AFTER_S for name, at in pushed.items()})
-
-
-def check(fleet: Fleet, since: dict[str, float]) -> bool:
-    """Whether no session of the class took effect in two zones; within one, the hosts drop the repeat."""
-    clients, zones = fleet.clients, {}
-    for host in fleet.hosts:
-        for at, session_id in host.ran:
-            zones.setdefault(session_id, {}).setdefault(host.zone, f"{host.uid} in {host.zone} at {at:.3f}")
-    bound = [
-        session_id for session_id, (name, at) in clients.opened.items()
-        if name == CLASS and at >= since[clients.node_of[session_id]]
-    ]  # fmt: skip
-    if not bound:
-        raise CannotRunError("no session of the class was opened")
-    twice = [session_id for session_id in bound if len(zones.get(session_id, ())) > 1]
-    for session_id in twice:
-        fleet.record.add(f"RAN TWICE: {session_id}: {', '.join(zones[session_id].values())}")
-    fleet.record.tell(f"{len(bound)} sessions of the referenced class, {len(twice)} took effect in two zones")
-    return not twice
+    record.tell(f"the longest lag of the stand-ins: {fleet.lag.longest * 1000:.0f} ms")
+    late = fleet.late_sends(told, until)
+    for after, node, uid, session_id in sorted(late):
+        record.add(f"SENT LATE: {session_id} by {node} to {uid}, {after:.3f} s after the node was told")
+    for name in fleet.names:
+        mine = [row[0] for row in late if row[1] == name]
+        record.tell(
+            f"{name}: {len(mine)} requests sent to draining hosts after the grace"
+            + (f", the last {max(mine):.2f} s after it was told" if mine else "")
+        )
+    return not late
 
 
 if __name__ == "__main__":
