Upgrade: both processes log how many sessions were handed over

An upgrade in which connections are cut off leaves one line, "link reason=broken Broken pipe". It does not say whether the old process kept sessions back, the new one refused them, or packets on the way were dropped. The old process now logs how many sessions it has sent (handed-on sessions=), the new one how many it has read by the end of the link (incumbent-gone sessions=). Refused ones have their own lines as before (bad-session, side-gone).

--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -65,6 +65,8 @@
         self.busy_answers = 0
         self.addresses: list[UnixAddress] = []  # where a successor looks for this process
         self.reported_addresses: set[UnixAddress] = set()  # their failure to bind has been logged
+        self.sessions_handed_over = 0
+        self.sessions_received = 0  # packets with a session, also those that were refused
 
     @property
     def in_progress(self) -> bool:
@@ -190,6 +192,7 @@
             message, fds = encode_session(handler, session)
             if not self.side.link.try_send(message, fds):
                 break
+            self.sessions_handed_over += 1
             client, conn = session.client, session.host_connection
             handler.session_handed_over(session)
             release_connection(client)
@@ -214,7 +217,7 @@
         return open_descriptors()
 
     def finish(self) -> None:
-        logger.info("upgrade reason=handed-on")
+        logger.info("upgrade reason=handed-on sessions={}", self.sessions_handed_over)
         self.node.exit()
 
     # ---- the successor
@@ -254,6 +257,7 @@
         node.discovery.start()
 
     def receive_session(self, message: dict, fds: list[int]) -> None:
+        self.sessions_received += 1
         try:
             taken = adopt_session(self.node.handler, message, fds)
         except (RequestError, KeyError, TypeError, ValueError, OSError) as error:
@@ -262,6 +266,10 @@
         if not taken:
             logger.info("upgrade reason=side-gone line={!r}", message["line"][:40])
 
+    def incumbent_gone(self) -> None:
+        # Fewer sessions than the incumbent has logged are connections that were cut off.
+        logger.info("upgrade reason=incumbent-gone sessions={}", self.sessions_received)
+
     def set_descriptors_elsewhere(self, descriptors: int) -> None:
         self.node.handler.budget.used_by_other_process = descriptors
 
