Upgrade: a failed write no longer drops the connections that were handed over

Cause: the packets that hand connections over hold their only descriptors until the new process has read them. The link took a failed write (EPIPE, as the old process had ended) or ECONNRESET in a read for its end and closed the socket with all packets that lay unread in it.

Change: a failed write shuts the socket for sending only; what was sent before is read up to the end of the stream, also after ECONNRESET. That works because the kernel keeps the packets for as long as the reading end is open, whatever has become of the sender.

The test fails before the change in both forms (sessions missing after the first iteration).

--- a/caperdeck/ops/link.py
+++ b/caperdeck/ops/link.py
@@ -9,7 +9,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import orjson
@@ -206,6 +206,7 @@
         self.on_message: Callable[[Message, list[int]], None] = lambda message, fds: None
         self.on_closed: Callable[[], None] = lambda: None
         self.open = True
+        self.writable = True  # False once a packet could not be sent
         self.retry_timer: Any = None  # until it writes again
         reactor.addReader(self)
 
@@ -217,14 +218,14 @@
 
     def send(self, message: Message, fds: Sequence[int] = ()) -> None:
         """Sends the message now, or as soon as the other side has room."""
-        if self.open:
+        if self.open and self.writable:
             self.unsent.append((encode(message), fds))
             self.doWrite()
 
     def try_send(self, message: Message, fds: Sequence[int]) -> bool:
         """Sends the message now or not at all; False if the other side has no room."""
         data = encode(message)
-        if not self.open or self.unsent or len(data) > MAX_PACKET_BYTES:
+        if not (self.open and self.writable) or self.unsent or len(data) > MAX_PACKET_BYTES:
             return False
         return self._write(data, fds)
 
@@ -239,11 +240,20 @@
             if _is_transient(error):
                 self._write_later()
                 return False
-            logger.warning("link reason=broken {}", error.strerror)
-            self.reactor.callLater(0, self.close)
+            self._end_writing(error)
             return False
         return True
 
+    def _end_writing(self, error: OSError) -> None:
+        """Sends nothing more; what the other side has sent is still read, up to the end of its stream."""
+        # The other process may have ended with packets unread here, which hold the only descriptors of
+        # established connections.
+        logger.warning("link reason=write-failed {}", error.strerror)
+        self.writable = False
+        self.unsent.clear()
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     @property
     def _paused(self) -> bool:
         return self.retry_timer is not None and self.retry_timer.active()
@@ -271,7 +281,9 @@
             except OSError as error:
                 if _is_transient(error):
                     return
-                logger.warning("link reason=broken {}", error.strerror)
+                logger.warning("link reason=read-failed {}", error.strerror)
+                if error.errno == errno.ECONNRESET:
+                    continue  # the other process has ended with packets unread; its own can still be read
                 data, fds = b"", []
             if not data:
                 self.close()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,8 +13,8 @@
 from twisted.internet.task import Clock
 
 from caperdeck.ops.link import (
-    MAX_PACKET_BYTES, SOCKET_FILE, FolderAddress, NodeAddress, RendezvousSocket, UpgradeLink,
-    connect_to_incumbent, encode,
+    MAX_PACKET_BYTES, MAX_PACKETS_PER_READ, SOCKET_FILE, FolderAddress, NodeAddress, RendezvousSocket,
+    UpgradeLink, connect_to_incumbent, encode,
 )  # fmt: skip
 from caperdeck.ops.upgrade_protocol import (
     BAN_TIMEOUT_S, PROTOCOL_VERSION, ROSTER_TIMEOUT_S, Incumbent, Successor,
@@ -347,6 +347,64 @@
     raise OSError(number, os.strerror(number))
 
 
+SESSIONS = MAX_PACKETS_PER_READ + 30  # more than one iteration of the reactor reads
+
+
+class ClosedIncumbent:
+    """The successor's end of a link whose incumbent has sent its sessions and has ended."""
+
+    def __init__(self, leaves_unread=False):
+        self.reactor, incumbent, self.link = linked_pair()
+        self.received, self.ended = [], []
+        self.link.on_message = self.handle
+        self.link.on_closed = lambda: self.ended.append(len(self.received))
+        if leaves_unread:
+            self.link.send({"say": "ban"})
+        incumbent.send({"say": "ban"})
+        for number in range(SESSIONS):
+            incumbent.send({"say": "session", "number": number}, [0, 1])
+        assert not incumbent.unsent
+        incumbent.close()
+
+    def handle(self, message, fds):
+        for fd in fds:
+            os.close(fd)
+        if message["say"] == "ban":
+            self.link.send({"say": "banned"})
+            self.link.try_send({"say": "banned"}, ())
+        else:
+            self.received.append((message["number"], len(fds)))
+
+    def read_all(self):
+        for _ in range(5):
+            if self.link in self.reactor.readers:
+                self.link.doRead()
+            self.reactor.advance(0.1)
+
+
+@pytest.mark.parametrize("leaves_unread", [False, True], ids=["write fails", "read fails"])
+def test_sessions_that_an_ended_incumbent_has_sent_are_all_received(leaves_unread):
+    # Guards against connections cut off in an upgrade: a failed write, or ECONNRESET, closed the link unread.
+    successor = ClosedIncumbent(leaves_unread)
+    successor.read_all()
+    assert successor.received == [(number, 2) for number in range(SESSIONS)]
+    assert successor.ended == [SESSIONS] and not successor.link.open
+    assert not successor.reactor.readers and not successor.reactor.writers
+
+
+def test_after_a_failed_write_the_other_side_learns_that_the_link_has_ended(monkeypatch):
+    # Guards against two processes of which one waits for messages that the other no longer sends.
+    reactor, a, b = linked_pair()
+    with monkeypatch.context() as failing:
+        failing.setattr("caperdeck.ops.link.socket.send_fds", lambda *_: raised(errno.EMSGSIZE))
+        a.send({"n": 1})
+    reactor.advance(0)
+    b.doRead()
+    if a in reactor.readers:
+        a.doRead()
+    assert not a.open and not b.open
+
+
 # ---- what each side does
 
 
