Reload: a new process applies a file that was replaced while it could not be told

Cause: the new process reads its file at its start, and SIGHUP goes to the process that serves. Until the two are linked that one has nobody to tell; once it has handed over it tells nobody; and when it has ended, a process in its first second gets no signal at all.

Change: a process reads its file again as it opens the port alone, as it has the state of the old one, when that one has ended, and a second after its own start, and applies it if anything differs. A file that cannot be used changes nothing there and is not counted, as nobody asked for it. That works because each point comes after the last moment in which a signal for an older file can have gone elsewhere.

The tests fail before the change: the one with real processes with ERR for the new class, the others because the new settings are missing (those at a lone start for want of `open_alone`, which both ways of starting alone share now).

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -43,6 +43,7 @@
 JOIN_RETRY_S = 1.0  # until the port for peers is opened again
 KILL_MARGIN_MS = 700.0  # SIGKILL may come this long after SIGTERM plus the clients' longest wait
 ANSWER_MARGIN_MS = 250.0  # every client has been answered this long before SIGKILL
+UNSIGNALLED_START_S = 1.0  # after its start, a process is not signalled to reload
 EXIT_LINGER_MS = 150.0  # between the last connection and the exit
 
 
@@ -125,17 +126,24 @@
         self.install_signal_handlers()
         alone = not self.upgrade.contact_incumbent()
         if alone:
-            self.load_saved_hosts()
-            self.discovery.start()
-            self.handler.wait_for_list()
-            self.listen()
+            self.open_alone()
         if config.admin is not None:
             AdminServer(self.reactor, self.calls).listen(config.admin)
         self.start_sweeping()
+        # The process before this one may have ended by the time at which it would have been signalled.
+        self.reactor.callLater(UNSIGNALLED_START_S, self.reload_if_changed)
         self.handler.budget.used = open_descriptors() + 8 + RESERVED_DESCRIPTORS * (config.admin is not None)
         if alone:
             self.begin()
 
+    def open_alone(self) -> None:
+        """Opens the port of a node that no other process serves; raises BansError or CannotListenError."""
+        self.load_saved_hosts()
+        self.discovery.start()
+        self.handler.wait_for_list()
+        self.listen()
+        self.reload_if_changed()
+
     def install_signal_handlers(self) -> None:
         for number, do in (
             (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop),
@@ -311,8 +319,7 @@
         if self.published is not None and self.published.defer_reload(self.reload):
             return
         try:
-            new = self.read_config()
-            check_keys_kept(self.config, new)
+            new = self._read_usable_config()
         except ConfigError as error:
             # A truncated file, or one of another program, must not stop a node that serves.
             self.handler.metrics.rejected_configs += 1
@@ -320,17 +327,33 @@
             return
         self.apply_config(new)
 
+    def reload_if_changed(self) -> None:
+        """Applies the file if it has been replaced since this process read it."""
+        # The signal for it went to another process of this node, or came before this one handled signals.
+        if self.published is not None and self.published.defer_reload(self.reload_if_changed):
+            return
+        try:
+            new = self._read_usable_config()
+        except ConfigError as error:
+            # Not counted, as nobody asked this process to reload: the file may have been a pipe, say.
+            logger.info("reload reason=not-read-again {}", error)
+            return
+        if self._keep_start_values(new) != self.config:
+            self.apply_config(new)
+
+    def _read_usable_config(self) -> Config:
+        """Reads the file again; raises ConfigError if it cannot replace the active configuration."""
+        new = self.read_config()
+        check_keys_kept(self.config, new)
+        return new
+
     def apply_config(self, new: Config) -> None:
         """Serves with a configuration that has been checked."""
         old = self.config
         self.handler.metrics.accepted_configs += 1
         kept = [key for key in ("name", "listen", "admin") if getattr(new, key) != getattr(old, key)]
         kept += ["dcs"] * (new.names.zones != old.names.zones)
-        self.config = new = replace(
-            new, name=old.name, listen=old.listen, admin=old.admin,
-            names=replace(new.names, zones=old.names.zones),
-            settings=replace(new.settings, seed=old.settings.seed, zone=old.settings.zone),
-        )  # fmt: skip
+        self.config = new = self._keep_start_values(new)
         self.handler.budget.resize(new.sockets)
         self.handler.subsets = create_subsets(self.config) if self.use_subsets else None
         self.handler.apply_settings(new.settings, new.names, new.limits)
@@ -344,6 +367,16 @@
         logger.info("reload discovery={} sockets={} classes={} kept={}", new.discovery, new.sockets,
                     ",".join(new.names.listeners), ",".join(kept) or "-")  # fmt: skip
 
+    def _keep_start_values(self, new: Config) -> Config:
+        """The new configuration with the active values of what only a start applies."""
+        old = self.config
+        return replace(
+            new, name=old.name, listen=old.listen, admin=old.admin,
+            known_revision=old.known_revision, known_hosts=old.known_hosts,
+            names=replace(new.names, zones=old.names.zones),
+            settings=replace(new.settings, seed=old.settings.seed, zone=old.settings.zone),
+        )  # fmt: skip
+
     # ---- the stop
 
     def stop(self) -> None:
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -44,12 +44,13 @@
     takes_clients: bool
 
     def load_hosts(self, rows: list, bans: UpgradeState | None = None) -> None: ...
-    def load_saved_hosts(self) -> None: ...
+    def open_alone(self) -> None: ...
     def listen(self, fd: int = -1) -> None: ...
     def begin(self) -> None: ...
     def start_accepting(self) -> None: ...
     def stop_accepting(self) -> None: ...
     def reload(self) -> None: ...
+    def reload_if_changed(self) -> None: ...
     def exit(self, code: int = 0) -> None: ...
 
 
@@ -255,6 +256,8 @@
         node.handler.discovery_heard_at, node.discovery.rev = state["told_at"], state["rev"]
         node.listen(fds[0])
         node.discovery.start()
+        # From here on the incumbent passes reloads on.
+        node.reload_if_changed()
 
     def receive_session(self, message: dict, fds: list[int]) -> None:
         self.sessions_received += 1
@@ -269,6 +272,9 @@
     def incumbent_gone(self) -> None:
         # Fewer sessions than the incumbent has logged are connections that were cut off.
         logger.info("upgrade reason=incumbent-gone sessions={}", self.sessions_received)
+        if self.side.began:
+            # As it ended, the incumbent may have been signalled to reload without passing that on.
+            self.node.reload_if_changed()
 
     def set_descriptors_elsewhere(self, descriptors: int) -> None:
         self.node.handler.budget.used_by_other_process = descriptors
@@ -282,10 +288,7 @@
         logger.warning("upgrade reason=alone")
         try:
             if node.port is None:
-                node.load_saved_hosts()
-                node.discovery.start()
-                node.handler.wait_for_list()
-                node.listen()
+                node.open_alone()
         except (BansError, CannotListenError) as error:
             self.fail(str(error))
             return
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -188,6 +188,9 @@
 }  # fmt: skip
 
 
+NODE_CONFIG = CONFIG | {"admin_addr": "127.0.0.1:9100"}  # of service_over
+
+
 def write_config(path, value):
     path.write_text(value if isinstance(value, str) else json.dumps(value))
     return {"EDGE_CONFIG": str(path)}
@@ -195,7 +198,7 @@
 
 def service_over(handler, folder, **changes):
     """A service with this session handler, whose files are in the folder."""
-    config = CONFIG | {"admin_addr": "127.0.0.1:9100"} | changes
+    config = NODE_CONFIG | changes
     environment = write_config(folder / "c", config) | {"TMPDIR": str(folder)}
     service = Service(handler.reactor, load_config(environment), Sink(2), lambda: reload_config(environment))
     service.handler, service.clock = handler, handler.clock
--- a/tests/machine_faults.py
+++ b/tests/machine_faults.py
@@ -5,6 +5,8 @@
 import math
 import os
 import socket
+import time
+from pathlib import Path
 
 MOMENTARY_FAILURES = 10  # calls that fail before a momentary lack of resources ends
 
@@ -63,6 +65,21 @@
     )
 
 
+def a_connect_that_waits():
+    """The first connect of a Unix socket waits for `go` in $TMPDIR, and creates `waiting` there meanwhile."""
+    folder, kind = Path(os.environ["TMPDIR"]), socket.socket
+    connect = kind.connect
+
+    def wait_and_connect(sock, address):
+        if _is_unix(sock) and not (folder / "go").exists():
+            (folder / "waiting").touch()
+            while not (folder / "go").exists():
+                time.sleep(0.005)
+        return connect(sock, address)
+
+    kind.connect = wait_and_connect
+
+
 def a_link_that_fails_once():
     """Sending the first packet with descriptors of connections fails for lack of memory."""
 
@@ -77,6 +94,6 @@
     fault.__name__: fault
     for fault in (
         no_unix_socket_for_a_moment, no_unix_connect_for_a_moment, no_unix_sockets, no_room_in_the_folder,
-        a_link_that_fails_once,
+        a_connect_that_waits, a_link_that_fails_once,
     )
 }  # fmt: skip
--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -65,9 +65,8 @@
 
     def launch(self, fault=""):
         n = len(self.started)
-        config = self.config | {"admin_addr": f"127.0.0.1:{self.admin[n]}"}
         environment = {key: value for key, value in os.environ.items() if key != "TMPDIR"}
-        environment |= write_config(self.folder / f"c{n}", config) | self.shared_folder
+        environment |= self.write_config(n) | self.shared_folder
         words = ["-m", "caperdeck", "serve"]
         if fault:
             environment["PYTHONPATH"] = f"{TESTS.parent}:{TESTS}"
@@ -76,6 +75,11 @@
             self.started.append(subprocess.Popen([sys.executable, *words], env=environment, stderr=log))
         return self.started[-1]
 
+    def write_config(self, n):
+        """Writes the configuration of the process with this number."""
+        config = self.config | {"admin_addr": f"127.0.0.1:{self.admin[n]}"}
+        return write_config(self.folder / f"c{n}", config)
+
     def call(self, n, line):
         try:
             with socket.create_connection(("127.0.0.1", self.admin[n]), 2) as sock:
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -14,19 +14,22 @@
 import json
 import os
 import signal
+from dataclasses import replace
 
 import orjson
 import pytest
 from helpers import (
-    OPEN_LINE, START, accept, captured_log, connect, dials, make_handler, make_settings, open_line,
-    report_loads, roster_entry, service_over, session_request,
+    CONFIG, NODE_CONFIG, OPEN_LINE, START, accept, captured_log, connect, dials, make_handler, make_settings,
+    open_line, report_loads, roster_entry, service_over, session_request, write_config,
 )  # fmt: skip
 from node_processes import FakeFleet, NodeProcesses, until
-from test_upgrade import PortNumber, calls_of, connected_sides, raised
+from test_upgrade import MemoryLink, PortNumber, calls_of, connected_sides, raised
 
 from caperdeck.core.decide import Node
 from caperdeck.core.model import Outcome, RosterScope
+from caperdeck.lifecycle.service import UNSIGNALLED_START_S
 from caperdeck.ops.bans import FILE_NAME, BanChange, Bans, FileStamp
+from caperdeck.ops.upgrade_protocol import Successor
 
 # Resources that are missing: as the old process starts, as the new one starts, and a folder shared by both.
 MISSING_RESOURCES = [
@@ -324,6 +327,105 @@
     assert sent_cold([old], START + 1000.0, START + DURATION_MS) > 5
 
 
+CLASSES = CONFIG["settings"]["listeners"]
+ANOTHER_CLASS = {"settings": CONFIG["settings"] | {"listeners": [*CLASSES, CLASSES[0] | {"name": "desk"}]}}
+
+
+def test_a_reload_before_the_processes_are_linked_applies_at_the_new_one_too(run_nodes, fake_fleet):
+    # Guards against a node that serves on with old classes and effects: a signal to the old process in the
+    # time between the new one's reading of its file and its link to the old one.
+    nodes = run_nodes()
+    old = nodes.start()
+    nodes.launch("a_connect_that_waits")
+    until((nodes.folder / "tmp" / "waiting").exists)
+    nodes.config |= ANOTHER_CLASS
+    for number in range(2):
+        nodes.write_config(number)
+    old.send_signal(signal.SIGHUP)
+    until(lambda: nodes.metric(0, b"app_cfg_accepted_total") == 1)
+    (nodes.folder / "tmp" / "go").touch()
+    until(lambda: nodes.call(1, b"readyz") == [b"ACK"])
+    assert old.wait(30) == 0
+    sock, lines = nodes.resting_client()
+    sock.sendall(open_line(1).replace(b"c=chat", b"c=desk") + b"\r\n")
+    assert lines.readline() == b"UP r1\r\n" and nodes.metric(1, b"app_cfg_accepted_total") == 1
+
+
+def successor_state(tmp_path):
+    """A service that has become a successor, and the state that its incumbent sends."""
+    incumbent, successor = unlinked_services(tmp_path)
+    rows, state, _ = export_state(incumbent)
+    successor.listen = successor.discovery.start = lambda *_: None
+    successor.upgrade.side = Successor(successor.handler.reactor, MemoryLink(), successor.upgrade)
+    return successor, rows, json.loads(orjson.dumps(state))
+
+
+def alone(tmp_path):
+    (service, _) = unlinked_services(tmp_path)
+    service.listen = service.discovery.start = lambda *_: None
+    return service
+
+
+def as_it_opens_alone(tmp_path, replace_file):
+    service = alone(tmp_path)
+    replace_file()
+    service.open_alone()
+    return service
+
+
+def as_it_gets_the_state(tmp_path, replace_file):
+    service, rows, state = successor_state(tmp_path)
+    replace_file()
+    service.upgrade.import_state(rows, state, [0])
+    return service
+
+
+def as_the_incumbent_ends(tmp_path, replace_file):
+    service, rows, state = successor_state(tmp_path)
+    service.upgrade.import_state(rows, state, [0])
+    service.upgrade.side.has_state = service.upgrade.side.began = True
+    replace_file()
+    service.upgrade.side.link.close()
+    return service
+
+
+def after_the_first_second(tmp_path, replace_file):
+    service = alone(tmp_path)
+    service.install_signal_handlers = lambda: None
+    service.upgrade.contact_incumbent = lambda: True
+    service.config = replace(service.config, admin=None)
+    service.start()
+    replace_file()
+    service.reactor.advance(UNSIGNALLED_START_S)
+    return service
+
+
+MOMENTS = [as_it_opens_alone, as_it_gets_the_state, as_the_incumbent_ends, after_the_first_second]
+
+
+# Guards against a reload that is lost because its signal went to a process that could not pass it on.
+@pytest.mark.parametrize("read", MOMENTS)
+def test_a_file_replaced_before_this_process_can_be_told_is_applied(tmp_path, read):
+    service = read(tmp_path, lambda: write_config(tmp_path / "c", NODE_CONFIG | ANOTHER_CLASS))
+    assert "desk" in service.config.names.listeners and service.handler.metrics.accepted_configs == 1
+
+
+@pytest.mark.parametrize("read", MOMENTS)
+def test_a_file_that_still_applies_is_not_counted_as_a_reload(tmp_path, read):
+    known = {"known": {"rev": 50, "targets": []}}
+    service = read(tmp_path, lambda: write_config(tmp_path / "c", NODE_CONFIG | known))
+    metrics = service.handler.metrics
+    assert metrics.accepted_configs == metrics.rejected_configs == 0
+
+
+@pytest.mark.parametrize("read", MOMENTS)
+def test_a_broken_file_found_by_a_new_process_changes_nothing(tmp_path, read):
+    service = read(tmp_path, lambda: write_config(tmp_path / "c", '{"name": "n1", "list'))
+    metrics = service.handler.metrics
+    assert metrics.accepted_configs == metrics.rejected_configs == 0
+    assert list(service.config.names.listeners) == ["chat"]
+
+
 @pytest.mark.parametrize("signalled", ["old", "new"])
 def test_a_reload_of_one_process_makes_both_reload(signalled):
     _, incumbent, successor, old, new, deliver = connected_sides()
