Discovery: a saved list is not used while discovery may know of drains it cannot tell

Cause: a wait for the list of 0.5 s at the most, after which the list before was trusted. A list expired only after the end of a first watch, and a new process has had none.

The same holds where SIGHUP names a discovery that is silent, and where the call after the end of a watch hangs; both are forced on loopback.

Change: the watch knows whether the list is current: not before discovery's first line, nor from 4 s after SIGHUP until the first line of the new discovery, nor from the expiry of a list whose watch has ended while the next call hangs. New sessions are then refused (`no-list`, BUSY with a wait) and no request line is sent; standing sessions and those from before the start go on. It goes to the successor in an upgrade. Where nobody listens as discovery the list stays in use. That works because a list is used again only once a line has come that was written after what the agent had.

The tests fail before the change (requests sent where BUSY is due). Two tests are replaced, as they asked for what breaks the rule: "uses its saved list if discovery is silent" is now "refuses until a silent discovery sends its list", over 10 s and up to the list; "waits for at most half of a client's time" keeps its bound and expects BUSY in place of the request.

--- a/caperdeck/execution/backlog.py
+++ b/caperdeck/execution/backlog.py
@@ -30,6 +30,7 @@
 
     read_count: int  # reads that brought a part of the list
     is_open: bool  # the list can be read: a line has come, or a call for a fresh list has ended
+    is_current: bool  # no change of the list that counts as notified can be missing
 
     def take_expiry(self) -> bool:
         """Whether the list has become too old since its watch ended; True once per watch, and calls anew."""
@@ -86,7 +87,7 @@
         """Defers requests of a new process until the list has come from discovery, for a limited time."""
         # Changes at discovery count as notified from the first moment of the process, and starting up alone
         # may take as long as the grace period of a drain. Clients that wait in the queue of the port would be
-        # read before the list.
+        # read before the list. A request that the list does not reach in this time is refused.
         self._start_reading(self.read_clock())
 
     def limit_list_wait(self, until: float) -> None:
@@ -142,6 +143,10 @@
             self.deferred.append(callback)
         return self.catching_up
 
+    def may_use_list(self) -> bool:
+        """Whether new sessions may be placed by the list as it was last read."""
+        return self.source is None or self.source.is_current
+
     def has_unread_list(self) -> bool:
         """Whether the list has unread data; checks the socket at most once per LIST_CHECK_INTERVAL_MS."""
         # The reactor reads sockets in any order, and stalls too short to be detected add up, while the grace
--- a/caperdeck/execution/executor.py
+++ b/caperdeck/execution/executor.py
@@ -261,8 +261,8 @@
         self.refresh_bans()
         # While the connection was being opened, the host may have been banned, begun to drain or restarted,
         # and the client's time or the span in which the host drops repeats may have ended.
-        if session.request.resume_host is None and not self.balancer.may_send_request(
-            self.clock(), session.index
+        if session.request.resume_host is None and not (
+            self.may_use_list() and self.balancer.may_send_request(self.clock(), session.index)
         ):
             self._end_dial(session, Outcome.NEVER_SENT)
         elif not self.send_request(conn):
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -163,6 +163,7 @@
         readmissions = node.handler.balancer.readmitted
         state = {
             "rev": node.discovery.rev,
+            "list_current_until": node.discovery.current_until,
             "bans": list(node.bans.uids),
             "unsaved_bans": node.bans.unsaved,
             "called_back": {node.handler.hosts.uids[host]: at for host, at in readmissions.items()},
@@ -253,7 +254,9 @@
         capacities = dict(zip(state["uids"], state["memory"]["able"], strict=True))  # from an older version
         capacities |= {row["uid"]: row["able"] for row in rows if row.get("able") is not None}
         node.handler.restore_learned_state(state["memory"], capacities)
-        node.handler.discovery_heard_at, node.discovery.rev = state["told_at"], state["rev"]
+        node.handler.discovery_heard_at = state["told_at"]
+        # An older version says nothing of its list; it takes any list for current.
+        node.discovery.adopt_list(state["rev"], state.get("list_current_until"))
         node.listen(fds[0])
         node.discovery.start()
         # From here on the incumbent passes reloads on.
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -9,6 +9,7 @@
 
 import orjson
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionRefusedError as NoListenerError
 from twisted.internet.protocol import Protocol
 from twisted.web.client import URI, Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
@@ -38,6 +39,7 @@
 SILENCE_TIMEOUT_S = 2.4  # without any line; discovery sends at least an empty one every 2 s
 LINE_CHECK_INTERVAL_S = 0.1  # between checks whether an unfinished line is still arriving
 RECONNECT_AFTER_STALL_S = 0.02
+NEW_ADDRESS_GRACE_S = 4.0  # until the changes that a new discovery has count as notified
 
 
 @implementer(IAgentEndpointFactory)
@@ -181,6 +183,9 @@
         self.watch_ended_at: float | None = None  # None once a later call was answered or failed
         self.refreshing = False  # a call was made because the list had expired
         self.refreshed = False  # that call has brought a line, or failed
+        self.refresh_pending = False  # the list has expired, and no call since has brought a line or failed
+        # From this second of the reactor on, only a line of discovery makes the list current; None if it is.
+        self.unconfirmed_from: float | None = reactor.seconds()
 
     def start(self, lateness: float = 0.0) -> None:
         """Calls discovery; the time-out is shorter by the seconds that the call is late."""
@@ -199,6 +204,30 @@
     def is_open(self) -> bool:
         return self.refreshed or (self.body is not None and self.body.has_line)
 
+    @property
+    def is_current(self) -> bool:
+        """Whether new sessions may be placed by the list: no change that counts as notified can be missing.
+
+        Always true where lists are not pushed.
+        """
+        now = self.reactor.seconds()
+        confirmed = self.unconfirmed_from is None or now < self.unconfirmed_from
+        return math.isinf(self.list_lifetime) or (confirmed and not self.refresh_pending)
+
+    @property
+    def current_until(self) -> float | None:
+        """The second of the reactor at which the list stops being current; None while a watch confirms it."""
+        times = [self.unconfirmed_from] if self.unconfirmed_from is not None else []
+        if self.refresh_pending:
+            times.append(self.reactor.seconds())
+        if self.watch_ended_at is not None:
+            times.append(self.watch_ended_at + self.list_lifetime)
+        return min(times, default=None)
+
+    def adopt_list(self, rev: int, current_until: float | None) -> None:
+        """Continues with the list of another process of this node, before the first call."""
+        self.rev, self.unconfirmed_from = rev, current_until
+
     def has_unread_data(self) -> bool:
         """Whether the socket holds unread data or the end of the stream."""
         if self.transport is None or not self.transport.connected:
@@ -219,7 +248,7 @@
             return False
         self.watch_ended_at = None
         self.on_wake()
-        self.refreshing = True
+        self.refreshing = self.refresh_pending = True
         return True
 
     def on_wake(self) -> None:
@@ -231,7 +260,12 @@
             self.start()
 
     def switch_to(self, address: str) -> None:
-        """Switches to another discovery; the last list is used until the new one sends its own."""
+        """Switches to another discovery; the last list is used until the new one sends its own, or until the
+        changes that it has count as notified.
+        """
+        deadline = self.reactor.seconds() + NEW_ADDRESS_GRACE_S
+        if self.unconfirmed_from is None or deadline < self.unconfirmed_from:
+            self.unconfirmed_from = deadline
         # The other discovery may number its revisions anew: asked for changes since the old revision, it
         # might send none.
         self.address, self.rev = address, 0
@@ -258,6 +292,9 @@
         if self.call is call:
             self.call = None
             self._call_concluded()
+            if failure.check(NoListenerError):
+                # Nobody is there who could have notified this node of a change.
+                self.unconfirmed_from = None
             if self.back_off.is_reset:  # reported once per outage
                 self.on_problem("discovery-unreached", failure.getErrorMessage())
             self.schedule_retry(None)
@@ -275,6 +312,7 @@
         """Records the end of a call, for requests that wait for a fresh list."""
         self.watch_ended_at = None
         self.refreshed = self.refreshing
+        self.refresh_pending = False
 
     def restart_silence_timer(self, seconds: float) -> None:
         """Restarts the timer after which the watch counts as silent."""
@@ -302,10 +340,11 @@
             waited = SILENCE_TIMEOUT_S if self.body else ANSWER_TIMEOUT_S
             self.on_problem("discovery-silent", f"nothing from discovery for {waited} s")
         self.cancel_call()
+        if self.body is not None and self.body.has_line:
+            # The list does not expire: a change that a silent watch misses counts as notified later than one
+            # that any other end of the watch hides.
+            self.watch_ended_at = None
         self.close_watch()
-        # The list does not expire: a change that a silent watch misses counts as notified later than one that
-        # any other end of the watch hides.
-        self.watch_ended_at = None
         self.schedule_retry(None, lateness=lateness)
 
     def _lateness(self, timer: Any) -> float:
@@ -341,6 +380,7 @@
         self.on_line()
         self.back_off.reset()
         if not line:
+            self.unconfirmed_from = None
             return
         try:
             message = orjson.loads(line)
@@ -360,5 +400,5 @@
             self.rev = 0
             self.schedule_retry(self.body)
             return
-        self.rev = rev
+        self.rev, self.unconfirmed_from = rev, None
         self.on_list(complete, rows)
--- a/caperdeck/wire/session_handler.py
+++ b/caperdeck/wire/session_handler.py
@@ -27,6 +27,7 @@
 from .request import RequestError, parse_request
 
 DESCRIPTORS_BACK_OFF_MS = 500.0  # for clients that are refused because descriptors are short
+NO_LIST_BACK_OFF_MS = 500.0  # for clients that are refused because the list of hosts is not current
 MAX_WAIT_FACTOR = 10.0  # times the longest wait of any class; a longer wait in a request is invalid
 # What the last line of a host means for its session: the outcome, and the reason in the log.
 ENDINGS_BY_LINE = {b"MOVE": (Outcome.WITHDRAWN, "host-moved"), b"BYE": (Outcome.GOOD, "served")}
@@ -102,6 +103,11 @@
             return
         if session.finished:
             return
+        if not self.may_use_list():
+            # Hosts that have begun to drain may be on it as running.
+            back_off = min(NO_LIST_BACK_OFF_MS, self.limits.max_back_off)
+            self._answer_client(session, self.busy_line(back_off), "no-list", Status.THROTTLED)
+            return
         self.refresh_bans()
         request, now = session.request, self.clock()
         left = max(session.deadline - now - ANSWER_MARGIN_MS, 0.0)
--- a/tests/test_notification_deadlines.py
+++ b/tests/test_notification_deadlines.py
@@ -7,17 +7,19 @@
 import pytest
 from helpers import (
     CONFIG, OPEN_LINE, FakePeer, LoopbackNode, SteppedReactor, closing_factory, free_ports, host_row,
-    open_line, read_all, write_config,
+    open_line, read_all, resume_line, write_config,
 )  # fmt: skip
 from test_race_conditions import HEADERS, chunk, list_of
 from twisted.internet.tcp import Client
 
 from caperdeck.execution.backlog import LIST_WAIT_MS, MS
-from caperdeck.lifecycle.config import load_config
+from caperdeck.lifecycle.config import load_config, reload_config
 from caperdeck.lifecycle.logs import Sink
 from caperdeck.lifecycle.service import Service
 from caperdeck.state.backoff import UNREACHABLE, BackOff
-from caperdeck.wire.discovery import ANSWER_TIMEOUT_S, SILENCE_TIMEOUT_S, Discovery
+from caperdeck.wire.discovery import (
+    ANSWER_TIMEOUT_S, NEW_ADDRESS_GRACE_S, SILENCE_TIMEOUT_S, Discovery,
+)  # fmt: skip
 
 
 class WatchingNode(LoopbackNode):
@@ -228,20 +230,26 @@
 class StartedService:
     """A service that has just started on loopback with an old host list."""
 
-    def __init__(self, folder, monkeypatch, hosts=2):
+    def __init__(self, folder, monkeypatch, hosts=2, discovery_listens=True):
         monkeypatch.setattr(Service, "install_signal_handlers", lambda self: None)
         self.reactor, self.discovery, self.hosts = (
             SteppedReactor(),
             FakePeer(),
             [FakePeer() for _ in range(hosts)],
         )
+        if not discovery_listens:
+            self.discovery.server.close()
         (port,) = free_ports(1)
         environment = write_config(folder / "c", CONFIG | {
             "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{self.discovery.port}",
             "known": {"rev": 41, "all": True, "targets": [self.row(h) for h in range(hosts)]},
         }) | {"TMPDIR": str(folder)}  # fmt: skip
         self.service = Service(
-            self.reactor, load_config(environment), Sink(2), None, lambda: 1e6 + self.reactor.now * MS
+            self.reactor,
+            load_config(environment),
+            Sink(2),
+            lambda: reload_config(environment),
+            lambda: 1e6 + self.reactor.now * MS,
         )
         self.service.start()
         self.port_number = port
@@ -287,26 +295,193 @@
     assert not started.received_by(0) and started.received_by(1).count(b"OPEN ") == len(clients)
 
 
-def test_new_process_uses_its_saved_list_if_discovery_is_silent(started):
+def answers(client):
+    """Returns what a client has been answered so far, as lines."""
+    return read_all(client)[0].split(b"\r\n")[:-1]
+
+
+def assert_refused(client):
+    (answer,) = answers(client)
+    assert answer.startswith(b"BUSY ")
+
+
+# Guards against requests to hosts that began to drain before an outage of discovery in which a node started.
+def test_new_process_refuses_new_sessions_until_a_silent_discovery_sends_its_list(started):
     client = started.client(OPEN_LINE)
     started.reactor.advance_in_steps(LIST_WAIT_MS / MS - 0.05, step=0.01)
-    assert not started.received_by(0) + started.received_by(1)
+    assert not answers(client)
     started.reactor.advance_in_steps(0.1, step=0.01)
     started.reactor.settle()
-    assert (started.received_by(0) + started.received_by(1)).startswith(b"OPEN ")
+    assert_refused(client)
+    for number in range(20):  # past calls that are given up, and the delays after them
+        later = started.client(open_line(number))
+        started.reactor.advance_in_steps(0.5, step=0.01)
+        started.reactor.settle()
+        assert_refused(later)
+        started.discovery.accept()
+    assert not started.received_by(0) + started.received_by(1)
+    started.reactor.run_until(lambda: started.service.discovery.call is not None)
+    while started.discovery.accept():
+        pass
+    drains = list_of(42, started.row(0, "Terminating"), started.row(1))
+    started.discovery.accepted[-1].send(HEADERS + drains)
+    started.reactor.advance_in_steps(0.1, step=0.01)
+    client = started.client(open_line(99))
+    started.reactor.advance_in_steps(0.1, step=0.01)
+    assert not started.received_by(0) and started.received_by(1).startswith(b"OPEN ")
     assert not read_all(client)[1]
 
 
 def test_new_process_waits_for_the_list_for_at_most_half_of_a_clients_time(started):
     client = started.client(OPEN_LINE.replace(b"d=1200", b"d=300"))
     started.reactor.advance_in_steps(0.13, step=0.01)
-    assert not started.received_by(0) + started.received_by(1)
+    assert not answers(client)
     started.reactor.advance_in_steps(0.05, step=0.01)
     started.reactor.settle()
+    assert_refused(client)
+    assert not started.received_by(0) + started.received_by(1)
+
+
+NO_LIST = {
+    "refused": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+    "unreadable": HEADERS + chunk(b"[]\n"),
+    "no whole line": HEADERS + chunk(b'{"rev":42,"all":true,'),
+}
+
+
+@pytest.mark.parametrize("answer", NO_LIST.values(), ids=NO_LIST)
+def test_an_answer_without_a_list_does_not_make_the_saved_list_current(started, answer):
+    # Guards against requests by a saved list after any answer of discovery.
+    started.reactor.run_until(started.discovery.accept)
+    started.discovery.accepted[0].send(answer)
+    started.reactor.advance_in_steps(LIST_WAIT_MS / MS + 0.1, step=0.01)
+    client = started.client(OPEN_LINE)
+    started.reactor.advance_in_steps(0.1, step=0.01)
+    assert_refused(client)
+    assert not started.received_by(0) + started.received_by(1)
+
+
+def test_an_empty_line_confirms_the_saved_list(started):
+    started.reactor.run_until(started.discovery.accept)
+    started.discovery.accepted[0].send(HEADERS + chunk(b"\n"))
+    started.reactor.advance_in_steps(0.1, step=0.01)
+    client = started.client(OPEN_LINE)
+    started.reactor.advance_in_steps(0.1, step=0.01)
     assert (started.received_by(0) + started.received_by(1)).startswith(b"OPEN ")
     assert not read_all(client)[1]
 
 
+def test_a_session_from_before_the_start_is_resumed_while_discovery_is_silent(started):
+    started.reactor.advance_in_steps(1.0, step=0.01)
+    client = started.client(resume_line(1))
+    started.reactor.advance_in_steps(0.1, step=0.01)
+    assert started.received_by(0).startswith(b"OPEN ")
+    assert not read_all(client)[1]
+
+
+def test_new_process_uses_its_saved_list_where_nobody_listens_as_discovery(tmp_path, monkeypatch):
+    # Nobody is there who could have notified the node; it must not turn everybody away for good.
+    made = StartedService(tmp_path, monkeypatch, discovery_listens=False)
+    made.reactor.advance_in_steps(LIST_WAIT_MS / MS + 0.1, step=0.01)
+    client = made.client(OPEN_LINE)
+    made.reactor.advance_in_steps(0.1, step=0.01)
+    assert (made.received_by(0) + made.received_by(1)).startswith(b"OPEN ")
+    assert not read_all(client)[1]
+    made.close()
+
+
+class SwitchedNode(WatchingNode):
+    """A node that has been given another discovery, which accepts calls and says nothing."""
+
+    def __init__(self):
+        super().__init__(dialTimeout=9.0, listener={"handshakeTarget": 6.0, "hardLimit": 8.0})
+        self.open_watch()
+        self.silent = FakePeer()
+        self.watch.switch_to(f"127.0.0.1:{self.silent.port}")
+
+    def keep_silent_until(self, seconds):
+        while self.reactor.now < seconds:
+            self.sweep()
+            self.reactor.advance_in_steps(0.05, step=0.01)
+            self.silent.accept()
+
+    def close(self):
+        super().close()
+        self.silent.close()
+
+
+@pytest.fixture
+def switched_node():
+    yield from closing_factory(SwitchedNode)
+
+
+def test_requests_are_refused_once_the_changes_of_a_new_discovery_that_is_silent_count(switched_node):
+    # Guards against the list of the discovery before, used for good while a new one is down.
+    loopback = switched_node()
+    loopback.keep_silent_until(NEW_ADDRESS_GRACE_S - 0.5)
+    client = loopback.client(open_line(1))
+    loopback.keep_silent_until(NEW_ADDRESS_GRACE_S - 0.2)
+    assert (loopback.received_by(0) + loopback.received_by(1)).count(b"OPEN ") == 1
+    loopback.keep_silent_until(NEW_ADDRESS_GRACE_S + 0.1)
+    refused = loopback.client(open_line(2))
+    loopback.keep_silent_until(NEW_ADDRESS_GRACE_S + 0.4)
+    assert_refused(refused)
+    assert not loopback.received_by(0) + loopback.received_by(1)
+    assert not read_all(client)[1]
+
+
+def test_a_dial_under_way_is_not_sent_once_the_list_is_no_longer_current(switched_node):
+    # Guards against a request to a host whose drain the silent discovery knows of.
+    loopback = switched_node()
+    loopback.keep_silent_until(NEW_ADDRESS_GRACE_S - 0.5)
+    client, session = loopback.open_session(OPEN_LINE.replace(b"d=1200", b"d=8000"))
+    loopback.hold_dial(session)
+    loopback.keep_silent_until(NEW_ADDRESS_GRACE_S + 0.1)
+    loopback.finish_dial(session)
+    loopback.keep_silent_until(NEW_ADDRESS_GRACE_S + 0.5)
+    assert not loopback.received_by(0) + loopback.received_by(1)
+    assert_refused(client)
+
+
+@pytest.mark.parametrize("idle_s", [0.0, ANSWER_TIMEOUT_S + 1.0], ids=["in use", "idle"])
+def test_a_call_without_an_answer_does_not_prolong_a_list_whose_watch_has_ended(node_without_watch, idle_s):
+    # Guards against requests to hosts that began to drain between the end of a watch and an outage.
+    loopback = node_without_watch(grace=0.5)
+    loopback.advance_with_sweeps(0.26)
+    silent = []
+    while loopback.reactor.now < idle_s:
+        loopback.advance_with_sweeps(0.05)
+        loopback.discovery.accept()
+    for number in range(8):
+        silent.append(loopback.client(open_line(number)))
+        loopback.advance_with_sweeps(0.6)
+        loopback.discovery.accept()
+    for client in silent:
+        assert_refused(client)
+    assert not loopback.take_requested_ids()
+    loopback.reactor.run_until(lambda: loopback.watch.call is not None)
+    loopback.answer_calls()
+    loopback.discovery.accepted[-1].send(HEADERS + loopback.drains)
+    loopback.advance_with_sweeps(0.1)
+    client = loopback.client(open_line(99))
+    loopback.advance_with_sweeps(0.1)
+    assert not loopback.received_by(0) and loopback.received_by(1).startswith(b"OPEN ")
+
+
+def test_a_silent_watch_leaves_the_list_in_use(watching_node):
+    # In an outage the agent learns nothing, so the list stays what it was when the watch fell silent.
+    loopback = watching_node()
+    loopback.open_watch()
+    while loopback.reactor.now < 8.0:
+        loopback.sweep()
+        loopback.reactor.advance_in_steps(0.05, step=0.01)
+        loopback.discovery.accept()
+    client = loopback.client(OPEN_LINE)
+    loopback.reactor.settle()
+    assert (loopback.received_by(0) + loopback.received_by(1)).startswith(b"OPEN ")
+    assert not read_all(client)[1]
+
+
 def test_new_process_answers_the_front_end_before_it_has_the_list(started):
     front = started.client(b"PING")
     started.reactor.settle(60)
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -327,6 +327,18 @@
     assert sent_cold([old], START + 1000.0, START + DURATION_MS) > 5
 
 
+@pytest.mark.parametrize("line, current", [(b"", True), (None, False)], ids=["heard", "silent"])
+def test_a_new_process_takes_the_list_for_as_current_as_the_old_one_does(tmp_path, line, current):
+    # Guards against requests by a saved list after an upgrade in the outage in which the old process started.
+    here, there = unlinked_services(tmp_path)
+    if line is not None:
+        here.discovery.line_received(line)
+    rows, state, _ = export_state(here)
+    there.listen = there.discovery.start = lambda *_: None
+    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    assert here.discovery.is_current is there.discovery.is_current is current
+
+
 CLASSES = CONFIG["settings"]["listeners"]
 ANOTHER_CLASS = {"settings": CONFIG["settings"] | {"listeners": [*CLASSES, CLASSES[0] | {"name": "desk"}]}}
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -666,6 +666,7 @@
     handler = make_handler()
     parts = {
         "is_open": open_,
+        "is_current": True,
         "read_count": 0,
         "on_wake": lambda self: None,
         "take_expiry": lambda self: False,
