Discovery: whether the list is current is decided in a module of its own

The times and flags that make a list current or not stood among the calls and time-outs of the watch. ListCurrency has them now, without I/O and clock; one flag that followed from two others is gone.

--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -361,7 +361,7 @@
             # Node numbers refer to other nodes in another list of peers.
             self.leave_peers()
             self.join_peers()
-        self.discovery.list_lifetime = new.limits.list_lifetime / MS
+        self.discovery.currency.lifetime = new.limits.list_lifetime / MS
         if new.discovery != old.discovery:
             self.discovery.switch_to(new.discovery)
         logger.info("reload discovery={} sockets={} classes={} kept={}", new.discovery, new.sockets,
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -19,6 +19,8 @@
 from caperdeck.state.backoff import REFUSED, UNREACHABLE, BackOff, BackOffPolicy
 from caperdeck.state.timers import cancel
 
+from .list_currency import ListCurrency
+
 LINE_END = b"\n"
 MAX_LIST_BYTES = 16 << 20
 MAX_HOSTS = 10_000  # in one list
@@ -39,7 +41,6 @@
 SILENCE_TIMEOUT_S = 2.4  # without any line; discovery sends at least an empty one every 2 s
 LINE_CHECK_INTERVAL_S = 0.1  # between checks whether an unfinished line is still arriving
 RECONNECT_AFTER_STALL_S = 0.02
-NEW_ADDRESS_GRACE_S = 4.0  # until the changes that a new discovery has count as notified
 
 
 @implementer(IAgentEndpointFactory)
@@ -167,7 +168,7 @@
         self.on_line = on_line  # called for each line, including empty ones
         self.on_problem = on_problem
         self.is_catching_up = is_catching_up  # whether data that came during a stall is still unread
-        self.list_lifetime = list_lifetime  # seconds for which the list is used after its watch has ended
+        self.currency = ListCurrency(list_lifetime, reactor.seconds())
         pool = HTTPConnectionPool(reactor, persistent=False)
         self.agent = Agent.usingEndpointFactory(
             reactor, _AddressEndpointFactory(reactor, self.on_connect), pool
@@ -180,12 +181,7 @@
         self.silence_timer = None
         self.retry_timer = None
         self.read_count = 0  # reads that brought a part of the list
-        self.watch_ended_at: float | None = None  # None once a later call was answered or failed
         self.refreshing = False  # a call was made because the list had expired
-        self.refreshed = False  # that call has brought a line, or failed
-        self.refresh_pending = False  # the list has expired, and no call since has brought a line or failed
-        # From this second of the reactor on, only a line of discovery makes the list current; None if it is.
-        self.unconfirmed_from: float | None = reactor.seconds()
 
     def start(self, lateness: float = 0.0) -> None:
         """Calls discovery; the time-out is shorter by the seconds that the call is late."""
@@ -202,31 +198,22 @@
 
     @property
     def is_open(self) -> bool:
-        return self.refreshed or (self.body is not None and self.body.has_line)
+        refreshed = self.refreshing and not self.currency.refresh_pending
+        return refreshed or (self.body is not None and self.body.has_line)
 
     @property
     def is_current(self) -> bool:
-        """Whether new sessions may be placed by the list: no change that counts as notified can be missing.
-
-        Always true where lists are not pushed.
-        """
-        now = self.reactor.seconds()
-        confirmed = self.unconfirmed_from is None or now < self.unconfirmed_from
-        return math.isinf(self.list_lifetime) or (confirmed and not self.refresh_pending)
+        """Whether new sessions may be placed by the list."""
+        return self.currency.is_current(self.reactor.seconds())
 
     @property
     def current_until(self) -> float | None:
         """The second of the reactor at which the list stops being current; None while a watch confirms it."""
-        times = [self.unconfirmed_from] if self.unconfirmed_from is not None else []
-        if self.refresh_pending:
-            times.append(self.reactor.seconds())
-        if self.watch_ended_at is not None:
-            times.append(self.watch_ended_at + self.list_lifetime)
-        return min(times, default=None)
+        return self.currency.current_until(self.reactor.seconds())
 
     def adopt_list(self, rev: int, current_until: float | None) -> None:
         """Continues with the list of another process of this node, before the first call."""
-        self.rev, self.unconfirmed_from = rev, current_until
+        self.rev, self.currency.unconfirmed_from = rev, current_until
 
     def has_unread_data(self) -> bool:
         """Whether the socket holds unread data or the end of the stream."""
@@ -244,16 +231,15 @@
         """Whether the list has become too old since its watch ended; True once per watch, and calls anew."""
         # A change counts as notified whether or not a watch is open, and the delay before the next watch may
         # be longer than the grace period of a drain.
-        if self.watch_ended_at is None or self.reactor.seconds() - self.watch_ended_at < self.list_lifetime:
+        if not self.currency.take_expiry(self.reactor.seconds()):
             return False
-        self.watch_ended_at = None
         self.on_wake()
-        self.refreshing = self.refresh_pending = True
+        self.refreshing = True
         return True
 
     def on_wake(self) -> None:
         """After a stall of the node: makes a delayed call at once."""
-        self.refreshing = self.refreshed = False
+        self.refreshing = False
         # The silence time-out is not restarted: a node that stalls again and again would never reconnect.
         if self.retry_timer is not None and self.retry_timer.active():
             self.retry_timer.cancel()
@@ -263,9 +249,7 @@
         """Switches to another discovery; the last list is used until the new one sends its own, or until the
         changes that it has count as notified.
         """
-        deadline = self.reactor.seconds() + NEW_ADDRESS_GRACE_S
-        if self.unconfirmed_from is None or deadline < self.unconfirmed_from:
-            self.unconfirmed_from = deadline
+        self.currency.address_changed(self.reactor.seconds())
         # The other discovery may number its revisions anew: asked for changes since the old revision, it
         # might send none.
         self.address, self.rev = address, 0
@@ -291,10 +275,10 @@
     def call_failed(self, call: Any, failure: Any) -> None:
         if self.call is call:
             self.call = None
-            self._call_concluded()
             if failure.check(NoListenerError):
-                # Nobody is there who could have notified this node of a change.
-                self.unconfirmed_from = None
+                self.currency.nobody_listens()
+            else:
+                self.currency.call_concluded()
             if self.back_off.is_reset:  # reported once per outage
                 self.on_problem("discovery-unreached", failure.getErrorMessage())
             self.schedule_retry(None)
@@ -303,17 +287,11 @@
         self.call = None
         accepted = response.code == 200
         if not accepted:
-            self._call_concluded()
+            self.currency.call_concluded()
         if not accepted and self.back_off.is_reset:
             self.on_problem("discovery-refused", f"discovery answered {response.code}")
         response.deliverBody(WatchBody(self, accepted))
 
-    def _call_concluded(self) -> None:
-        """Records the end of a call, for requests that wait for a fresh list."""
-        self.watch_ended_at = None
-        self.refreshed = self.refreshing
-        self.refresh_pending = False
-
     def restart_silence_timer(self, seconds: float) -> None:
         """Restarts the timer after which the watch counts as silent."""
         if self.silence_timer is not None and self.silence_timer.active():
@@ -341,9 +319,7 @@
             self.on_problem("discovery-silent", f"nothing from discovery for {waited} s")
         self.cancel_call()
         if self.body is not None and self.body.has_line:
-            # The list does not expire: a change that a silent watch misses counts as notified later than one
-            # that any other end of the watch hides.
-            self.watch_ended_at = None
+            self.currency.watch_fell_silent()
         self.close_watch()
         self.schedule_retry(None, lateness=lateness)
 
@@ -360,7 +336,7 @@
         if body is not self.body or self.retry_timer is not None:
             return
         if body is not None and body.has_line:
-            self.watch_ended_at = self.reactor.seconds()
+            self.currency.watch_ended(self.reactor.seconds())
         self.close_watch()
         cancel(self.silence_timer)
         # After a stall without the back-off: changes that came meanwhile count as notified.
@@ -376,11 +352,11 @@
 
     def line_received(self, line: bytes) -> None:
         self.restart_silence_timer(SILENCE_TIMEOUT_S)
-        self._call_concluded()
+        self.currency.call_concluded()
         self.on_line()
         self.back_off.reset()
         if not line:
-            self.unconfirmed_from = None
+            self.currency.line_received()
             return
         try:
             message = orjson.loads(line)
@@ -400,5 +376,6 @@
             self.rev = 0
             self.schedule_retry(self.body)
             return
-        self.rev, self.unconfirmed_from = rev, None
+        self.rev = rev
+        self.currency.line_received()
         self.on_list(complete, rows)
--- a/tests/test_notification_deadlines.py
+++ b/tests/test_notification_deadlines.py
@@ -17,9 +17,8 @@
 from caperdeck.lifecycle.logs import Sink
 from caperdeck.lifecycle.service import Service
 from caperdeck.state.backoff import UNREACHABLE, BackOff
-from caperdeck.wire.discovery import (
-    ANSWER_TIMEOUT_S, NEW_ADDRESS_GRACE_S, SILENCE_TIMEOUT_S, Discovery,
-)  # fmt: skip
+from caperdeck.wire.discovery import ANSWER_TIMEOUT_S, SILENCE_TIMEOUT_S, Discovery
+from caperdeck.wire.list_currency import NEW_ADDRESS_GRACE_S
 
 
 class WatchingNode(LoopbackNode):
