Discovery: a call that fails for lack of local resources leaves an expired list unused

Where a watch has ended and its list has expired, any call that failed made the list usable again, also one for which this machine had no port, descriptor or route for a moment; new sessions then went by it although discovery was there and could tell of drains, until the next call, up to 0.6 s later. Such a failure changes nothing now: the next call decides. The test fails before the change for ENETUNREACH, EADDRNOTAVAIL and ENFILE (a request is sent where BUSY is due).

--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -17,6 +17,7 @@
 from zope.interface import implementer
 
 from caperdeck.state.backoff import REFUSED, UNREACHABLE, BackOff, BackOffPolicy
+from caperdeck.state.errors import is_transient
 from caperdeck.state.timers import cancel
 
 from .list_currency import ListCurrency
@@ -277,7 +278,8 @@
             self.call = None
             if failure.check(NoListenerError):
                 self.currency.nobody_listens()
-            else:
+            elif not is_transient(failure.value):
+                # What this machine lacks for a moment says nothing about discovery.
                 self.currency.call_concluded()
             if self.back_off.is_reset:  # reported once per outage
                 self.on_problem("discovery-unreached", failure.getErrorMessage())
--- a/tests/test_notification_deadlines.py
+++ b/tests/test_notification_deadlines.py
@@ -4,12 +4,17 @@
 change removes later than the grace period after that, whatever kept the node from reading.
 """
 
+import errno
+import os
+
 import pytest
 from helpers import (
     CONFIG, OPEN_LINE, FakePeer, LoopbackNode, SteppedReactor, closing_factory, free_ports, host_row,
     open_line, read_all, resume_line, write_config,
 )  # fmt: skip
 from test_race_conditions import HEADERS, chunk, list_of
+from twisted.internet.defer import fail
+from twisted.internet.error import getConnectError
 from twisted.internet.tcp import Client
 
 from caperdeck.execution.backlog import LIST_WAIT_MS, MS
@@ -467,6 +472,22 @@
     assert not loopback.received_by(0) and loopback.received_by(1).startswith(b"OPEN ")
 
 
+@pytest.mark.parametrize("number", [errno.ENETUNREACH, errno.EADDRNOTAVAIL, errno.ENFILE])
+def test_a_call_that_fails_for_lack_of_resources_does_not_make_the_list_current(node_without_watch, number):
+    # Guards against a list used on after any failed call: discovery was there and could tell of drains.
+    loopback = node_without_watch(grace=0.5)
+    lacking = getConnectError(OSError(number, os.strerror(number)))
+    loopback.watch.agent.request = lambda *_: fail(lacking)
+    loopback.advance_with_sweeps(0.26)
+    clients = [loopback.client(open_line(1))]
+    loopback.advance_with_sweeps(0.7)
+    clients.append(loopback.client(open_line(2)))
+    loopback.advance_with_sweeps(0.1)
+    for client in clients:
+        assert_refused(client)
+    assert not loopback.take_requested_ids()
+
+
 def test_a_silent_watch_leaves_the_list_in_use(watching_node):
     # In an outage the agent learns nothing, so the list stays what it was when the watch fell silent.
     loopback = watching_node()
