Discovery: a watch that ended during a stall makes its list expire at once

The lifetime of a list began when the end of its watch was read. A node that was stopped for seconds reads it on waking, while changes since the real end count as notified; with a call that hangs it placed sessions by the old list for up to half a grace more. The list has expired now when the end of a watch is read from the backlog of a stall. The test fails before the change (a request is sent where BUSY is due).

--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -338,7 +338,7 @@
         if body is not self.body or self.retry_timer is not None:
             return
         if body is not None and body.has_line:
-            self.currency.watch_ended(self.reactor.seconds())
+            self.currency.watch_ended(self.reactor.seconds(), noticed_late=self.is_catching_up())
         self.close_watch()
         cancel(self.silence_timer)
         # After a stall without the back-off: changes that came meanwhile count as notified.
--- a/caperdeck/wire/list_currency.py
+++ b/caperdeck/wire/list_currency.py
@@ -42,9 +42,9 @@
         self.unconfirmed_from = None
         self.call_concluded()
 
-    def watch_ended(self, now: float) -> None:
-        """The watch was closed or reset."""
-        self.watch_ended_at = now
+    def watch_ended(self, now: float, noticed_late: bool) -> None:
+        """The watch was closed or reset, perhaps long before that was noticed."""
+        self.watch_ended_at = now - self.lifetime if noticed_late and math.isfinite(self.lifetime) else now
 
     def watch_fell_silent(self) -> None:
         """The list does not expire: a change that a silent watch misses counts as notified later."""
--- a/tests/test_notification_deadlines.py
+++ b/tests/test_notification_deadlines.py
@@ -472,6 +472,22 @@
     assert not loopback.received_by(0) and loopback.received_by(1).startswith(b"OPEN ")
 
 
+def test_the_end_of_a_watch_during_a_stall_counts_from_before_it_is_read(watching_node):
+    # Guards against the lifetime of a list that begins when a node wakes, long after its watch has ended.
+    loopback = watching_node(grace=4.0, dialTimeout=5.0, listener={"handshakeTarget": 3.0})
+    list_socket = loopback.open_watch()
+    loopback.sweep()
+    loopback.stall_node(3.0)
+    list_socket.close()
+    client = loopback.client(OPEN_LINE.replace(b"d=1200", b"d=9000"))
+    for _ in range(30):
+        loopback.sweep()
+        loopback.reactor.advance_in_steps(0.05, step=0.01)
+        loopback.discovery.accept()  # and no answer
+    assert_refused(client)
+    assert not loopback.received_by(0) + loopback.received_by(1)
+
+
 @pytest.mark.parametrize("number", [errno.ENETUNREACH, errno.EADDRNOTAVAIL, errno.ENFILE])
 def test_a_call_that_fails_for_lack_of_resources_does_not_make_the_list_current(node_without_watch, number):
     # Guards against a list used on after any failed call: discovery was there and could tell of drains.
