Upgrade: a new process with another discovery asks it for its whole list

A new process took the version of the old one's list whatever discovery it came from. Where its file names another one, which may count versions anew, it asked that one for changes since a version of the old one's, and could miss drains. The state names the discovery now; where it differs the whole list is asked for, and the list counts as that of another discovery, as after SIGHUP. The test fails before the change (41 where 0 is due).

--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -162,6 +162,7 @@
             row["able"] = capacities[host] if host < len(capacities) else 0.0
         readmissions = node.handler.balancer.readmitted
         state = {
+            "discovery": node.discovery.address,
             "rev": node.discovery.rev,
             "list_current_until": node.discovery.current_until,
             "bans": list(node.bans.uids),
@@ -255,8 +256,9 @@
         capacities |= {row["uid"]: row["able"] for row in rows if row.get("able") is not None}
         node.handler.restore_learned_state(state["memory"], capacities)
         node.handler.discovery_heard_at = state["told_at"]
-        # An older version says nothing of its list; it takes any list for current.
-        node.discovery.adopt_list(state["rev"], state.get("list_current_until"))
+        # An older version says neither where its list is from nor whether it is current.
+        address = state.get("discovery", node.discovery.address)
+        node.discovery.adopt_list(address, state["rev"], state.get("list_current_until"))
         node.listen(fds[0])
         node.discovery.start()
         # From here on the incumbent passes reloads on.
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -212,9 +212,16 @@
         """The second of the reactor at which the list stops being current; None while a watch confirms it."""
         return self.currency.current_until(self.reactor.seconds())
 
-    def adopt_list(self, rev: int, current_until: float | None) -> None:
-        """Continues with the list of another process of this node, before the first call."""
+    def adopt_list(self, address: str, rev: int, current_until: float | None) -> None:
+        """Continues with the list of another process of this node, before the first call.
+
+        It came from the discovery at the address.
+        """
         self.rev, self.currency.unconfirmed_from = rev, current_until
+        if address != self.address:
+            # The revision is one of the other discovery's.
+            self.rev = 0
+            self.currency.address_changed(self.reactor.seconds())
 
     def has_unread_data(self) -> bool:
         """Whether the socket holds unread data or the end of the stream."""
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -30,6 +30,7 @@
 from caperdeck.lifecycle.service import UNSIGNALLED_START_S
 from caperdeck.ops.bans import FILE_NAME, BanChange, Bans, FileStamp
 from caperdeck.ops.upgrade_protocol import Successor
+from caperdeck.wire.list_currency import NEW_ADDRESS_GRACE_S
 
 # Resources that are missing: as the old process starts, as the new one starts, and a folder shared by both.
 MISSING_RESOURCES = [
@@ -339,6 +340,21 @@
     assert here.discovery.is_current is there.discovery.is_current is current
 
 
+@pytest.mark.parametrize("same, revision", [(True, 41), (False, 0)])
+def test_a_new_process_with_another_discovery_asks_it_for_its_whole_list(tmp_path, same, revision):
+    # Guards against drains missed because the new discovery is asked for changes since the old one's version.
+    here, there = unlinked_services(tmp_path)
+    here.discovery.line_received(b"")
+    if not same:
+        here.discovery.address = "127.0.0.1:8501"
+    rows, state, _ = export_state(here)
+    there.listen = there.discovery.start = lambda *_: None
+    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    assert there.discovery.rev == revision and there.discovery.is_current
+    there.handler.reactor.advance(NEW_ADDRESS_GRACE_S)
+    assert there.discovery.is_current is same
+
+
 CLASSES = CONFIG["settings"]["listeners"]
 ANOTHER_CLASS = {"settings": CONFIG["settings"] | {"listeners": [*CLASSES, CLASSES[0] | {"name": "desk"}]}}
 
