Upgrade: the new process does not rely on a list that may lack what the old one heard

A new process serves by the list that came with the old one's state until its own call to discovery is answered. A change that the old process heard after it had sent its state was missing from that list, and where the call hung, as in an outage that began then, sessions could go to hosts that drain.

The old process tells the revision of its list, and until when it is current, as it gives the port. Where the revision is another one, or the old process ended without telling, the list is not current until discovery has sent the new process a line. Tests: the one of a killed process fails before the change; the others call the new message, which was not there.

--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -216,6 +216,13 @@
         }
         handler.balancer.take_over_slots(handler.clock(), known)
 
+    def list_state(self) -> dict[str, Any]:
+        discovery = self.node.discovery
+        return {"rev": discovery.rev, "current_until": discovery.current_until}
+
+    def incumbent_stopped(self, list_state: dict[str, Any]) -> None:
+        self.node.discovery.other_process_stopped(list_state["rev"], list_state["current_until"])
+
     def open_descriptor_count(self) -> int:
         return open_descriptors()
 
@@ -294,6 +301,8 @@
         try:
             if node.port is None:
                 node.open_alone()
+            else:
+                node.discovery.other_process_stopped(None, None)
         except (BansError, CannotListenError) as error:
             self.fail(str(error))
             return
--- a/caperdeck/ops/upgrade_protocol.py
+++ b/caperdeck/ops/upgrade_protocol.py
@@ -25,6 +25,8 @@
 
     def hand_over_slots(self) -> dict[str, float]: ...
     def take_over_slots(self, slots: dict[str, float]) -> None: ...
+    def list_state(self) -> Message: ...
+    def incumbent_stopped(self, list_state: Message) -> None: ...
     def reload(self) -> None: ...
 
     def identity(self) -> list[str]: ...
@@ -142,7 +144,8 @@
             *packets, last = split_into_packets(self.node.hand_over_slots())
             for slots in packets:
                 self.link.send({"say": "slots", "slots": slots})
-            self.link.send({"say": "given", "held": self.node.open_descriptor_count(), "slots": last})
+            held, hosts = self.node.open_descriptor_count(), self.node.list_state()
+            self.link.send({"say": "given", "held": held, "slots": last, "list": hosts})
             self._hand_over_next_batch()
 
     def _hand_over_next_batch(self) -> None:
@@ -195,8 +198,10 @@
         elif kind == "slots":
             self.node.take_over_slots(message["slots"])
         elif kind == "given":
-            # An older version sends no slots.
+            # An older version sends neither slots nor the list's state.
             self.node.take_over_slots(message.get("slots") or {})
+            if (list_state := message.get("list")) is not None:
+                self.node.incumbent_stopped(list_state)
             self._begin(message["held"])
         elif kind == "session":
             self.node.receive_session(message, fds)
--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -183,6 +183,7 @@
         self.retry_timer = None
         self.read_count = 0  # reads that brought a part of the list
         self.refreshing = False  # a call was made because the list had expired
+        self.adopted_rev: int | None = None  # of a list from another process; None once discovery has spoken
 
     def start(self, lateness: float = 0.0) -> None:
         """Calls discovery; the time-out is shorter by the seconds that the call is late."""
@@ -218,10 +219,23 @@
         It came from the discovery at the address.
         """
         self.rev, self.currency.unconfirmed_from = rev, current_until
-        if address != self.address:
-            # The revision is one of the other discovery's.
-            self.rev = 0
-            self.currency.address_changed(self.reactor.seconds())
+        if address == self.address:
+            self.adopted_rev = rev
+            return
+        # The revision is one of the other discovery's.
+        self.rev = 0
+        self.currency.address_changed(self.reactor.seconds())
+
+    def other_process_stopped(self, rev: int | None, current_until: float | None) -> None:
+        """The process whose list was adopted serves no longer; these are the values of its last list.
+
+        The revision is None if the process ended without telling them.
+        """
+        if self.adopted_rev is None:
+            return
+        # It may have heard of changes in the meantime, and this process's own call may hang.
+        changed = rev != self.adopted_rev
+        self.currency.unconfirmed_from = self.reactor.seconds() if changed else current_until
 
     def has_unread_data(self) -> bool:
         """Whether the socket holds unread data or the end of the stream."""
@@ -260,7 +274,7 @@
         self.currency.address_changed(self.reactor.seconds())
         # The other discovery may number its revisions anew: asked for changes since the old revision, it
         # might send none.
-        self.address, self.rev = address, 0
+        self.address, self.rev, self.adopted_rev = address, 0, None
         self.back_off.reset()
         self.close_watch()
         cancel(self.retry_timer)
@@ -361,6 +375,7 @@
 
     def line_received(self, line: bytes) -> None:
         self.restart_silence_timer(SILENCE_TIMEOUT_S)
+        self.adopted_rev = None
         self.currency.call_concluded()
         self.on_line()
         self.back_off.reset()
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -355,6 +355,46 @@
     assert there.discovery.is_current is same
 
 
+HEARD_SINCE = {
+    "nothing new": (None, True),
+    "a change": (b'{"rev":42,"all":false,"targets":[]}', False),
+}
+
+
+@pytest.mark.parametrize("line, current", HEARD_SINCE.values(), ids=HEARD_SINCE)
+@pytest.mark.parametrize("own_line", [False, True], ids=["silent", "heard"])
+def test_a_change_that_the_old_process_hears_after_its_state_makes_the_list_old(
+    tmp_path, line, current, own_line
+):
+    # Guards against requests by the list of the state, where an outage hides what was heard after it.
+    here, there = unlinked_services(tmp_path)
+    here.discovery.line_received(b"")
+    rows, state, _ = export_state(here)
+    there.listen = there.discovery.start = lambda *_: None
+    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    if line is not None:
+        here.discovery.line_received(line)
+    if own_line:
+        there.discovery.line_received(b"")
+    there.upgrade.incumbent_stopped(json.loads(orjson.dumps(here.upgrade.list_state())))
+    assert there.discovery.is_current is (current or own_line)
+
+
+def test_a_list_from_a_process_that_has_died_is_not_current(tmp_path):
+    # Guards against requests by a list from the state of a process that is killed before it gives the port.
+    here, there = unlinked_services(tmp_path)
+    here.discovery.line_received(b"")
+    rows, state, _ = export_state(here)
+    there.listen = there.discovery.start = there.begin = lambda *_: None
+    there.port = PortNumber()
+    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    assert there.discovery.is_current
+    there.upgrade.begin_alone()
+    assert not there.discovery.is_current
+    there.discovery.line_received(b"")
+    assert there.discovery.is_current
+
+
 CLASSES = CONFIG["settings"]["listeners"]
 ANOTHER_CLASS = {"settings": CONFIG["settings"] | {"listeners": [*CLASSES, CLASSES[0] | {"name": "desk"}]}}
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -70,6 +70,9 @@
         self.did.append(("hand_over_slots",))
         return {}
 
+    def list_state(self):
+        return {"rev": 7, "current_until": None}
+
     def __getattr__(self, name):
         return lambda *args: self.did.append((name, *args))
 
@@ -103,7 +106,8 @@
     successor.discovery_answered()
     deliver()
     assert calls_of(old) == ["stop_accepting", "hand_over_slots"]
-    assert calls_of(new) == ["import_state", "take_over_slots", "begin"]
+    assert calls_of(new) == ["import_state", "take_over_slots", "incumbent_stopped", "begin"]
+    assert ("incumbent_stopped", {"rev": 7, "current_until": None}) in new.did
     clock.pump([0.01] * 4)
     deliver()
     assert (
