--- a/caperdeck/ops/link.py
+++ b/caperdeck/ops/link.py
@@ -248,7 +248,7 @@
         """Sends nothing more; what the other side has sent is still read, up to the end of its stream."""
         # The other process may have ended with packets unread here, which hold the only descriptors of
         # established connections.
-        logger.warning("link reason=write-failed {}", error.strerror)
+        logger.warning("link reason=broken {}", error.strerror)
         self.writable = False
         self.unsent.clear()
         with suppress(OSError):
@@ -281,7 +281,7 @@
             except OSError as error:
                 if _is_transient(error):
                     return
-                logger.warning("link reason=read-failed {}", error.strerror)
+                logger.warning("link reason=broken {}", error.strerror)
                 if error.errno == errno.ECONNRESET:
                     continue  # the other process has ended with packets unread; its own can still be read
                 data, fds = b"", []
