Tests of two processes: handing the state over is written once

Five tests exported the state of one service and imported it at another in the same three lines. hand_over_state does it now; each test keeps its assertions.

--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -210,6 +210,13 @@
     return service.upgrade.export_state()
 
 
+def hand_over_state(here, there):
+    """Makes the second service a successor that has the first one's state, as it arrives."""
+    rows, state, _ = export_state(here)
+    there.listen = there.discovery.start = lambda *_: None
+    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+
+
 def test_emptying_the_folder_includes_no_host(tmp_path):
     here, there = unlinked_services(tmp_path)
     assert admin_call(there, b"exclude s-0") == "ACK"
@@ -273,9 +280,7 @@
     admin_call(here, b"exclude s-0")
     admin_call(here, b"include s-0")
     at = here.handler.balancer.readmitted[0]
-    rows, state, _ = export_state(here)
-    there.listen = there.discovery.start = lambda *_: None
-    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    hand_over_state(here, there)
     node = there.handler.balancer._node
     assert node.started_at[0] == at and node._warm_share(at + 1.0, 0) == pytest.approx(0.3, abs=0.01)
     assert node._warm_share(at + 1.0, 1) == 1.0
@@ -334,9 +339,7 @@
     here, there = unlinked_services(tmp_path)
     if line is not None:
         here.discovery.line_received(line)
-    rows, state, _ = export_state(here)
-    there.listen = there.discovery.start = lambda *_: None
-    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    hand_over_state(here, there)
     assert here.discovery.is_current is there.discovery.is_current is current
 
 
@@ -347,9 +350,7 @@
     here.discovery.line_received(b"")
     if not same:
         here.discovery.address = "127.0.0.1:8501"
-    rows, state, _ = export_state(here)
-    there.listen = there.discovery.start = lambda *_: None
-    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    hand_over_state(here, there)
     assert there.discovery.rev == revision and there.discovery.is_current
     there.handler.reactor.advance(NEW_ADDRESS_GRACE_S)
     assert there.discovery.is_current is same
@@ -369,9 +370,7 @@
     # Guards against requests by the list of the state, where an outage hides what was heard after it.
     here, there = unlinked_services(tmp_path)
     here.discovery.line_received(b"")
-    rows, state, _ = export_state(here)
-    there.listen = there.discovery.start = lambda *_: None
-    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    hand_over_state(here, there)
     if line is not None:
         here.discovery.line_received(line)
     if own_line:
@@ -384,10 +383,8 @@
     # Guards against requests by a list from the state of a process that is killed before it gives the port.
     here, there = unlinked_services(tmp_path)
     here.discovery.line_received(b"")
-    rows, state, _ = export_state(here)
-    there.listen = there.discovery.start = there.begin = lambda *_: None
-    there.port = PortNumber()
-    there.upgrade.import_state(rows, json.loads(orjson.dumps(state)), [0])
+    there.port, there.begin = PortNumber(), lambda: None
+    hand_over_state(here, there)
     assert there.discovery.is_current
     there.upgrade.begin_alone()
     assert not there.discovery.is_current
