Upgrade: an id in use at one process is refused at the other

Cause: each process refuses an id by its own table of open requests, and the two processes of an upgrade did not tell each other theirs. Evidence: the record of the case shows both UPs while the first request waits in the old process; no message of the link names an id.

Change: the old process sends the digests of its ids before it gives the port, each tells the other of ids opened and closed from then on, and both read the link before they take on a request. The close of an id is sent before the client gets its answer, so that it may come again at once.

The table test of test_ops counts the same ids under their new name.

--- a/caperdeck/execution/executor.py
+++ b/caperdeck/execution/executor.py
@@ -76,6 +76,8 @@
         self.set_accepting: Callable[[bool], None] = lambda on: None
         # Applies bans that were set at other processes of this node.
         self.refresh_bans: Callable[[], None] = lambda: None
+        # Reads which ids the other process of an upgrade has taken into use and released.
+        self.refresh_ids: Callable[[], None] = lambda: None
         self.idle_timer = None  # of the next check of idle clients while descriptors are short
         self.commands: deque[Command] = deque()
         self.executing = False
--- a/caperdeck/lifecycle/service.py
+++ b/caperdeck/lifecycle/service.py
@@ -117,6 +117,7 @@
         self.takes_clients = False  # False before the start, and once a successor has taken over
         self.port_open = True  # until the end of a stop
         self.upgrade = Upgrade(reactor, self)
+        self.upgrade.watch_ids()
 
     def start(self) -> None:
         """Starts serving, or takes over from a process of this node that serves; raises OSError, BansError or
--- a/caperdeck/ops/link.py
+++ b/caperdeck/ops/link.py
@@ -24,6 +24,7 @@
 MAX_PACKET_BYTES = 160 << 10
 MAX_DESCRIPTORS = 4  # per packet
 MAX_PACKETS_PER_READ = 64  # in one iteration of the reactor
+MAX_PENDING_PACKETS = 4096  # more than a socket buffer holds
 MAX_SOCKET_PATH_BYTES = 100  # what the kernel takes as the address of a Unix socket
 NO_LISTENER_ERRNOS = (errno.ENOENT, errno.ECONNREFUSED)  # never bound, or its process has ended
 LISTEN_BACKLOG = 4
@@ -273,7 +274,14 @@
             self.reactor.removeWriter(self)
 
     def doRead(self) -> None:
-        for _ in range(MAX_PACKETS_PER_READ):
+        self._read_packets(MAX_PACKETS_PER_READ)
+
+    def read_pending(self) -> None:
+        """Handles everything that the other side has sent so far, without waiting for the reactor."""
+        self._read_packets(MAX_PENDING_PACKETS)
+
+    def _read_packets(self, limit: int) -> None:
+        for _ in range(limit):
             if not self.open:
                 return
             try:
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -15,6 +15,7 @@
 from twisted.internet.error import CannotListenError
 
 from caperdeck.state.budget import open_descriptors
+from caperdeck.state.request_ids import id_digest
 from caperdeck.state.timers import cancel
 from caperdeck.wire.request import RequestError
 
@@ -88,6 +89,35 @@
         if self.side is not None:
             self.side.send_reload()
 
+    def watch_ids(self) -> None:
+        """Tells the other process from now on which ids of requests are in use at this one."""
+        ids = self.node.handler.sessions.ids
+        ids.on_opened, ids.on_closed = self._id_opened, self._id_closed
+        self.node.handler.refresh_ids = self.read_messages
+
+    def _id_opened(self, request_id: str) -> None:
+        if self.in_progress:
+            self.side.send_ids([id_digest(request_id)], [])
+
+    def _id_closed(self, request_id: str) -> None:
+        if self.in_progress:
+            self.side.send_ids([], [id_digest(request_id)])
+
+    def open_id_digests(self) -> list[str]:
+        return self.node.handler.sessions.ids.open_digests()
+
+    def update_other_ids(self, opened: list[str], closed: list[str]) -> None:
+        self.node.handler.sessions.ids.update_elsewhere(opened, closed)
+
+    def forget_other_ids(self) -> None:
+        self.node.handler.sessions.ids.other_process_gone()
+
+    def read_messages(self) -> None:
+        """Reads what the other process has sent, before a request is taken on by what it says."""
+        # A client that the other process has just answered may come again before the reactor reads the link.
+        if self.in_progress:
+            self.side.link.read_pending()
+
     def reload(self) -> None:
         """Reloads because the other process reloads."""
         self.node.reload()
--- a/caperdeck/ops/upgrade_protocol.py
+++ b/caperdeck/ops/upgrade_protocol.py
@@ -16,6 +16,7 @@
 BAN_TIMEOUT_S = 0.5  # for the other side's confirmation of a ban
 HANDOVER_INTERVAL_S = 0.01  # between two batches of connections
 CONNECTIONS_PER_BATCH = 24
+MAX_IDS_PER_PACKET = 2000
 
 Message = dict[str, Any]
 
@@ -27,6 +28,9 @@
     def take_over_slots(self, slots: dict[str, float]) -> None: ...
     def list_state(self) -> Message: ...
     def incumbent_stopped(self, list_state: Message) -> None: ...
+    def open_id_digests(self) -> list[str]: ...
+    def update_other_ids(self, opened: list[str], closed: list[str]) -> None: ...
+    def forget_other_ids(self) -> None: ...
     def reload(self) -> None: ...
 
     def identity(self) -> list[str]: ...
@@ -48,11 +52,14 @@
 
 
 class UpgradeSide:
-    """What both sides share: a ban given to one is applied at the other before it is acknowledged."""
+    """What both sides share: a ban given to one is applied at the other before it is acknowledged, and each
+    knows the ids of the requests that are open at the other.
+    """
 
     def __init__(self, reactor: Any, link: Any, node: UpgradeNode) -> None:
         self.reactor, self.link, self.node = reactor, link, node
         self.open = True
+        self.shares_ids = False  # the other process may take requests, or this one beside it
         self.last_ban_number = 0
         self.pending_bans: dict[int, Callable[[], None]] = {}
         link.on_message, link.on_closed = self.handle_message, self.handle_closed
@@ -75,6 +82,11 @@
         if self.open:
             self.link.send({"say": "reload"})
 
+    def send_ids(self, opened: list[str], closed: list[str]) -> None:
+        """This process has opened and closed requests whose ids have these digests."""
+        if self.open and self.shares_ids:
+            self.link.send({"say": "ids", "opened": opened, "closed": closed})
+
     def _ban_done(self, number: int) -> None:
         if (on_done := self.pending_bans.pop(number, None)) is not None:
             on_done()
@@ -86,6 +98,8 @@
                 self.link.send({"say": "banned", "number": message["number"]})
             case "banned":
                 self._ban_done(message["number"])
+            case "ids":
+                self.node.update_other_ids(message["opened"], message["closed"])
             case "reload":
                 self.handle_reload()
             case kind:
@@ -101,6 +115,7 @@
         self.open = False
         for number in list(self.pending_bans):
             self._ban_done(number)
+        self.node.forget_other_ids()
         self.handle_other_side_gone()
 
     def handle_other_side_gone(self) -> None:
@@ -112,6 +127,12 @@
         self.link.on_closed = lambda: None
 
 
+def split_ids(digests: list[str]) -> list[list[str]]:
+    """The digests of ids in portions that each fit into a packet."""
+    starts = range(0, len(digests), MAX_IDS_PER_PACKET)
+    return [digests[start : start + MAX_IDS_PER_PACKET] for start in starts]
+
+
 def split_into_packets(slots: dict[str, float]) -> list[dict[str, float]]:
     """The slots in portions that each fit into a packet; at least one portion."""
     items = list(slots.items())
@@ -141,6 +162,10 @@
         elif kind == "take" and not self.port_given:
             self.port_given = True
             self.node.stop_accepting()
+            # The other process has to know them before its first client.
+            self.shares_ids = True
+            for digests in split_ids(self.node.open_id_digests()):
+                self.send_ids(digests, [])
             *packets, last = split_into_packets(self.node.hand_over_slots())
             for slots in packets:
                 self.link.send({"say": "slots", "slots": slots})
@@ -227,7 +252,7 @@
 
     def _begin(self, descriptors: int) -> None:
         if not self.began:
-            self.began = True
+            self.began = self.shares_ids = True
             self.node.set_descriptors_elsewhere(descriptors)
             self.node.begin()
 
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -11,6 +11,8 @@
 
 from caperdeck.core.model import Outcome
 
+from .request_ids import RequestIds
+
 
 class OpenRequest(Protocol):
     """A client's request for a session, as the protocol front end has decoded it."""
@@ -88,17 +90,14 @@
         self.opening: dict[Session, None] = {}  # without a final answer, the oldest first
         self.unanswered: dict[Session, None] = {}  # with a line that waits, the longest wait first
         self.created_count = 0
-        self.ids: set[str] = set()  # as given by clients
-
-    def has_id(self, session_id: str) -> bool:
-        return session_id in self.ids
+        self.ids = RequestIds()  # as given by clients
 
     def create(self, request: OpenRequest, client: ClientSide, now: float) -> Session:
         session = Session(self.created_count, request, client, now, now + request.wait_ms)
         self.created_count += 1
         self.by_index[session.index] = session
         self.opening[session] = None
-        self.ids.add(request.id)
+        self.ids.opened(request.id)
         return session
 
     def remove(self, session: Session) -> None:
@@ -106,7 +105,7 @@
         self.opening.pop(session, None)
         self.unanswered.pop(session, None)
         self.by_index.pop(session.index, None)
-        self.ids.discard(session.request.id)
+        self.ids.closed(session.request.id)
 
     def mark_established(self, session: Session, now: float) -> None:
         """Records that the session has its final answer, and that lines pass from now on."""
--- a/caperdeck/wire/session_handler.py
+++ b/caperdeck/wire/session_handler.py
@@ -69,7 +69,8 @@
             ):
                 raise RequestError("bad-wait")
             # Two open sessions with one id could not be told apart, not even by their hosts.
-            if self.sessions.has_id(request.id):
+            self.refresh_ids()
+            if self.sessions.ids.is_in_use(request.id):
                 raise RequestError("id-in-use")
         except RequestError as error:
             if request is not None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -203,6 +203,7 @@
     service = Service(handler.reactor, load_config(environment), Sink(2), lambda: reload_config(environment))
     service.handler, service.clock = handler, handler.clock
     handler.refresh_bans = service.ban_calls.read_file_changes
+    service.upgrade.watch_ids()
     if handler.hosts.uids:
         service.ban_calls.begin()
     return service
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -371,10 +371,10 @@
 def tables(d):
     n = d.balancer._node
     return (
-        len(d.sessions.by_index), len(d.sessions.ids), len(d.sessions.unanswered), len(d.idle_clients),
-        d.budget.client_connections, d.budget.session_count, len(n.sessions), sum(n.connections),
-        sum(n.pending_dials), sum(map(len, n.established)), len(n.used_hosts), len(d.balancer._dials),
-        sum(map(len, n.probe_waiters)),
+        len(d.sessions.by_index), len(d.sessions.ids.open_here), len(d.sessions.unanswered),
+        len(d.idle_clients), d.budget.client_connections, d.budget.session_count, len(n.sessions),
+        sum(n.connections), sum(n.pending_dials), sum(map(len, n.established)), len(n.used_hosts),
+        len(d.balancer._dials), sum(map(len, n.probe_waiters)),
     )  # fmt: skip
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,7 +8,7 @@
 import threading
 
 import pytest
-from helpers import connect, establish, host_row, make_handler, open_line, service_over
+from helpers import connect, establish, host_row, lose_connection, make_handler, open_line, service_over
 from node_processes import FakeFleet, NodeProcesses, until
 from twisted.internet.task import Clock
 
@@ -17,7 +17,7 @@
     UpgradeLink, connect_to_incumbent, encode,
 )  # fmt: skip
 from caperdeck.ops.upgrade_protocol import (
-    BAN_TIMEOUT_S, PROTOCOL_VERSION, ROSTER_TIMEOUT_S, Incumbent, Successor,
+    BAN_TIMEOUT_S, MAX_IDS_PER_PACKET, PROTOCOL_VERSION, ROSTER_TIMEOUT_S, Incumbent, Successor,
 )  # fmt: skip
 from caperdeck.state.clocks import unix_time
 
@@ -73,6 +73,12 @@
     def list_state(self):
         return {"rev": 7, "current_until": None}
 
+    def open_id_digests(self):
+        return []
+
+    def forget_other_ids(self):
+        """The link has ended; `calls_of` has what follows from that."""
+
     def __getattr__(self, name):
         return lambda *args: self.did.append((name, *args))
 
@@ -503,6 +509,79 @@
     assert ended == [1] and not service.upgrade.in_progress
 
 
+# ---- ids of requests
+
+
+class PairedLink(MemoryLink):
+    """One of two ends in memory; what the other end has sent waits until it is read."""
+
+    def read_pending(self):
+        sent, self.other.sent = self.other.sent, []
+        for message in sent:
+            self.on_message(json.loads(encode(message)), [])
+
+
+def serving_pair(tmp_path):
+    """The session handlers of an old and a new process of one node, just after the port was handed over."""
+    old, new = (service_over(make_handler(hosts=1), tmp_path) for _ in range(2))
+    here, there = PairedLink(), PairedLink()
+    here.other, there.other = there, here
+    old.upgrade.side = Incumbent(old.handler.reactor, here, old.upgrade)
+    new.upgrade.side = Successor(new.handler.reactor, there, new.upgrade)
+    there.sent.clear()
+    new.begin = lambda: None
+    old.upgrade.hand_over_connections = lambda limit: False
+    return old.handler, new.handler, lambda: here.on_message({"say": "take"}, [])
+
+
+def is_taken_on(handler, number):
+    return connect(handler, open_line(number)).transport.lines() == []
+
+
+def test_an_id_in_use_at_the_old_process_of_an_upgrade_is_refused_at_the_new_one(tmp_path):
+    # Guards against two requests of one id that are served at once, by the two processes of an upgrade.
+    old, new, hand_over_port = serving_pair(tmp_path)
+    establish(old)
+    opening = connect(old, open_line(1))
+    hand_over_port()
+    assert [is_taken_on(new, number) for number in (0, 1, 2)] == [False, False, True]
+    lose_connection(opening)
+    assert [is_taken_on(new, number) for number in (0, 1)] == [False, True]
+
+
+def test_an_id_in_use_at_the_new_process_of_an_upgrade_is_refused_at_the_old_one(tmp_path):
+    # Guards against the same by a client that the old process accepted before it handed over the port.
+    old, new, hand_over_port = serving_pair(tmp_path)
+    idle = [connect(old) for _ in range(2)]
+    hand_over_port()
+    assert is_taken_on(new, 1)
+    for number, client in enumerate(idle):
+        client.dataReceived(open_line(number) + b"\r\n")
+    assert [client.transport.lines() for client in idle] == [[], [b"ERR"]]
+    assert [is_taken_on(new, number) for number in (0, 1)] == [False, False]
+
+
+def test_ids_of_a_process_that_has_gone_are_free_again(tmp_path):
+    # Guards against clients refused for the requests of a process that died during an upgrade.
+    old, new, hand_over_port = serving_pair(tmp_path)
+    connect(old, open_line(1))
+    hand_over_port()
+    assert not is_taken_on(new, 1)
+    new.refresh_ids.__self__.side.link.close()
+    assert is_taken_on(new, 1)
+
+
+def test_the_ids_of_thousands_of_requests_fit_into_packets(tmp_path):
+    # Guards against an upgrade that closes its link because the ids in use exceed a packet.
+    old, _, hand_over_port = serving_pair(tmp_path)
+    sent = old.refresh_ids.__self__.side.link.sent
+    for number in range(2 * MAX_IDS_PER_PACKET + 1):
+        old.sessions.ids.opened("\u20ac" * 1300 + str(number))
+    hand_over_port()
+    ids = [message for message in sent if message["say"] == "ids"]
+    assert len(ids) == 3 and max(len(encode(message)) for message in ids) < MAX_PACKET_BYTES
+
+
 # ---- processes
 
 
