Sessions: the class of a request that waits for the list is looked up when it is placed

Cause: first_line_received looked up the number of the class, and _open_session used it after the wait for the list, when new settings may have renumbered the classes. Evidence: with a handler that waits while a class before `pay` is dropped or added, a host's ERR to a once-only session leads to a second dial; with fewer classes than the number, IndexError ends the loop over all requests that wait.

Change: the name is looked up in the turn in which the balancer reads the class. A class that has gone gives BUSY, as nothing has run.

--- a/caperdeck/wire/session_handler.py
+++ b/caperdeck/wire/session_handler.py
@@ -60,8 +60,7 @@
         request = None
         try:
             request = parse_request(line)
-            listener = self.names.listeners.get(request.listener)
-            if listener is None:
+            if request.listener not in self.names.listeners:
                 raise RequestError("unknown-class")
             # A session to be resumed may wait for as long as the start of the node takes.
             if request.resume_host is None and request.wait_ms > MAX_WAIT_FACTOR * max(
@@ -95,10 +94,10 @@
         if request.resume_host is not None:
             self.resumption.begin(session)
             return
-        self._open_session(session, listener)
+        self._open_session(session)
 
-    def _open_session(self, session: Session, listener: int) -> None:
-        if self.defer(partial(self._open_session, session, listener)):
+    def _open_session(self, session: Session) -> None:
+        if self.defer(partial(self._open_session, session)):
             # Waiting for the list must not use up all the time of a client with a short wait.
             self.limit_list_wait((self.clock() + session.deadline) / 2)
             return
@@ -109,6 +108,11 @@
             back_off = min(NO_LIST_BACK_OFF_MS, self.limits.max_back_off)
             self._answer_client(session, self.busy_line(back_off), "no-list", Status.THROTTLED)
             return
+        # Only now, as new settings may have renumbered the classes while the request waited.
+        listener = self.names.listeners.get(session.request.listener)
+        if listener is None:
+            self._answer_client(session, self.busy_line(0.0), "class-dropped", Status.THROTTLED)
+            return
         self.refresh_bans()
         request, now = session.request, self.clock()
         left = max(session.deadline - now - ANSWER_MARGIN_MS, 0.0)
