Reload: a file is refused for a lost key that has a default, rows compared by class

A file that had lost the group of its one deduplicated class was taken and meant `all`.

Cause: check_keys_kept compared the keys that every row of a list has, and all other keys, read or not.

Change: keys with a default are listed and must be kept; rows of classes are compared by name where both files have the class; group and memorySpan are required for a deduplicated class; other keys may come and go. A key that neither the file nor the environment has is named.

--- a/caperdeck/core/settings.py
+++ b/caperdeck/core/settings.py
@@ -70,9 +70,14 @@
     for i, row in enumerate(rows):
         where = f"listeners[{i}]."
         target = read_number(row, "handshakeTarget", where, over=0.0) * MS
+        effect = _choice(EFFECTS, require(row, "effect", where), "effect")
+        if effect is Effect.REFERENCED:
+            # A default would send repeats to hosts that do not drop them.
+            require(row, "group", where)
+            require(row, "memorySpan", where)
         listeners.append(Listener(
-            effect=_choice(EFFECTS, require(row, "effect", where), "effect"),
-            scope=_choice(SCOPES, row.get("group") or "all", "group"),
+            effect=effect,
+            scope=_choice(SCOPES, row.get("group", "all"), "group"),
             memory_span=read_number(row, "memorySpan", where, 0.0, minimum=0.0) * MS,
             handshake_target=target,
             message_target=message_targets[i] * MS if i < len(message_targets) else target,
--- a/caperdeck/lab/setup.py
+++ b/caperdeck/lab/setup.py
@@ -30,7 +30,7 @@
     }  # fmt: skip
     listener = {
         "name": "live", "effect": clients.effect, "handshakeTarget": clients.target / 1000,
-        "hardLimit": clients.wait / 1000, "utility": UTILITY, "memorySpan": 5.0,
+        "hardLimit": clients.wait / 1000, "utility": UTILITY, "group": "all", "memorySpan": 5.0,
     }  # fmt: skip
     return {
         "name": name, "listen": listen, "discovery": discovery, "seed": f"{node_seed:016x}",
--- a/caperdeck/lifecycle/config.py
+++ b/caperdeck/lifecycle/config.py
@@ -17,6 +17,8 @@
 from caperdeck.state.addresses import Address, AddressError, parse_address
 from caperdeck.state.limits import Limits
 
+from .config_keys import FileKeys, read_keys
+
 MIN_SOCKETS = 32
 MAX_FILE_BYTES = 8 << 20
 MIN_IDLE_S = 30.0  # clients send something every two seconds
@@ -55,7 +57,7 @@
     admin: Address | None  # the address for operators' calls
     shared_folder: str | None  # is accessible to a successor process as well
     peers: PeersConfig
-    file_keys: frozenset[str]  # paths of the file's keys, without those below `known`
+    file_keys: FileKeys
     file_values: dict[str, Any] | None = None  # the file as read, if published versions are merged into it
 
 
@@ -71,7 +73,8 @@
         raise ConfigError("no configuration: EDGE_CONFIG is not set")
     raw = _read(path)
     for key in ("name", "listen", "discovery", "admin_addr"):
-        raw.setdefault(key, environment.get(f"EDGE_{key.upper()}"))
+        if (value := environment.get(f"EDGE_{key.upper()}")) is not None:
+            raw.setdefault(key, value)
     try:
         config = decode(raw, environment.get("TMPDIR") or None)
     except ConfigError as error:
@@ -117,24 +120,11 @@
 
 
 def check_keys_kept(old: Config, new: Config) -> None:
-    """Raises ConfigError if the new file lacks a key of the old one."""
-    # Most keys have a default, so a truncated file would silently fall back to the defaults.
-    if lost_keys := sorted(old.file_keys - new.file_keys):
+    """Raises ConfigError if the new file lacks a key of the old one for which it would take a default."""
+    if lost_keys := old.file_keys.lost(new.file_keys):
         raise ConfigError(f"configuration: {', '.join(lost_keys[:5])} missing, but present in the active one")
 
 
-def key_paths(value: Any, path: str = "") -> frozenset[str]:
-    """The dotted paths of all keys; for the rows of a list, those that every row has."""
-    if isinstance(value, dict):
-        return frozenset().union(*(
-            {path + key} | (key_paths(child, f"{path}{key}.") if key != "known" else set())
-            for key, child in value.items()
-        ))  # fmt: skip
-    if isinstance(value, list) and value:
-        return frozenset.intersection(*(key_paths(row, path) for row in value))
-    return frozenset()
-
-
 def decode_config(raw: dict[str, Any], shared_folder: str | None = None) -> Config:
     """Decodes a file's values; raises SettingsError, AddressError or an error of a conversion."""
     setup = require(raw, "settings", "")
@@ -167,7 +157,7 @@
             raw.get("peers_all"),
             tuple(map(str, setup.get("tiers") or ())),
         ),
-        file_keys=key_paths(raw),
+        file_keys=read_keys(raw),
     )
 
 
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -254,7 +254,7 @@
     assert read_all(host)[1]
 
 
-REFERENCED = {"effect": "deduplicated", "memorySpan": 0.3}
+REFERENCED = {"effect": "deduplicated", "group": "all", "memorySpan": 0.3}
 
 
 def second_dial(loopback):
