Discovery: a list is used for half a grace at the most while no call can be answered

Cause: after a silent watch or a call without an answer the next call was delayed by up to 0.6 s, and the list stayed in use, as the expiry after half a grace held for ended watches alone and any failed call lifted it. Evidence: forced on loopback, with discovery back at the moment at which the delay begins: a request to the draining host after 0.25 s, in each of four cases (silent watch, unanswered call, failed call, nobody listens).

Change: where lists are pushed, a silent discovery is called again within a quarter of the grace, and the list expires half a grace after the last moment at which a watch or a call could have been answered, or a call failed. A call that waits keeps the list in use, so clients are served through an outage.

Tests before the change: the four cases failed.

--- a/caperdeck/wire/discovery.py
+++ b/caperdeck/wire/discovery.py
@@ -30,7 +30,8 @@
 # the calls in between. The time-outs below keep within that: a watch that fell silent, a delay, a lost call
 # and another delay take SILENCE_TIMEOUT_S + ANSWER_TIMEOUT_S + 2 * 0.6 s = 5.8 s; a refusal and the delay
 # after it take 4.8 s. 200 nodes that lose discovery at the same instant make at most 45 calls in 0.1 s. They
-# go on with 670 calls a second if no connection comes up, 80 if calls hang and 56 if calls are refused.
+# go on with 670 calls a second if no connection comes up, 80 if calls hang and 56 if calls are refused. Where
+# lists are pushed, delays after silence are shorter, and requests make nodes call up to twice a grace.
 
 # From the call, including its connection, to the first line. Discovery may serve calls one after another and
 # refuse those that would wait for more than 2 s. With a shorter time-out it would still work on calls that
@@ -197,6 +198,7 @@
 
     def on_connect(self, transport: Any) -> None:
         self.transport = transport
+        self.currency.connected()
 
     @property
     def is_open(self) -> bool:
@@ -298,10 +300,10 @@
         if self.call is call:
             self.call = None
             if failure.check(NoListenerError):
-                self.currency.nobody_listens()
+                self.currency.nobody_listens(self.reactor.seconds())
             elif not is_transient(failure.value):
                 # What this machine lacks for a moment says nothing about discovery.
-                self.currency.call_concluded()
+                self.currency.call_failed(self.reactor.seconds())
             if self.back_off.is_reset:  # reported once per outage
                 self.on_problem("discovery-unreached", failure.getErrorMessage())
             self.schedule_retry(None)
@@ -310,7 +312,7 @@
         self.call = None
         accepted = response.code == 200
         if not accepted:
-            self.currency.call_concluded()
+            self.currency.call_answered()
         if not accepted and self.back_off.is_reset:
             self.on_problem("discovery-refused", f"discovery answered {response.code}")
         response.deliverBody(WatchBody(self, accepted))
@@ -341,10 +343,9 @@
             waited = SILENCE_TIMEOUT_S if self.body else ANSWER_TIMEOUT_S
             self.on_problem("discovery-silent", f"nothing from discovery for {waited} s")
         self.cancel_call()
-        if self.body is not None and self.body.has_line:
-            self.currency.watch_fell_silent()
+        self.currency.silence_given_up(now)
         self.close_watch()
-        self.schedule_retry(None, lateness=lateness)
+        self.schedule_retry(None, lateness=lateness, max_delay=self.currency.max_call_delay)
 
     def _lateness(self, timer: Any) -> float:
         """Returns by how many seconds a timer that fires now is late."""
@@ -353,8 +354,9 @@
         return max(self.reactor.seconds() - timer.getTime(), 0.0)
 
     def schedule_retry(
-        self, body: WatchBody | None, policy: BackOffPolicy = UNREACHABLE, lateness: float = 0.0
-    ) -> None:
+        self, body: WatchBody | None, policy: BackOffPolicy = UNREACHABLE, lateness: float = 0.0,
+        max_delay: float = math.inf,
+    ) -> None:  # fmt: skip
         """Closes the watch and schedules the next call; does nothing for a body of an earlier watch."""
         if body is not self.body or self.retry_timer is not None:
             return
@@ -366,7 +368,7 @@
         wait = (
             RECONNECT_AFTER_STALL_S
             if self.is_catching_up()
-            else max(self.back_off.next_delay(policy) - lateness, 0.0)
+            else max(min(self.back_off.next_delay(policy), max_delay) - lateness, 0.0)
         )
         self.retry_timer = self.reactor.callLater(wait, self._start_retry)
 
@@ -376,7 +378,7 @@
     def line_received(self, line: bytes) -> None:
         self.restart_silence_timer(SILENCE_TIMEOUT_S)
         self.adopted_rev = None
-        self.currency.call_concluded()
+        self.currency.call_answered()
         self.on_line()
         self.back_off.reset()
         if not line:
--- a/caperdeck/wire/list_currency.py
+++ b/caperdeck/wire/list_currency.py
@@ -10,19 +10,24 @@
 import math
 
 NEW_ADDRESS_GRACE_S = 4.0  # until the changes that a new discovery has count as notified
+CALL_DELAY_PART = 0.5  # of the lifetime, until a silent discovery is called again; the rest is for the call
 
 
 class ListCurrency:
     """Whether the list is current, by the lines, calls and watches of discovery.
 
-    `lifetime` is how long the list stays current after its watch has ended; infinite if lists are not pushed.
+    `lifetime` is how long the list stays current without a watch or a call that discovery could answer;
+    infinite if lists are not pushed.
     """
 
     def __init__(self, lifetime: float, now: float) -> None:
         self.lifetime = lifetime
         # From this time on, only a line of discovery makes the list current; None if it is.
         self.unconfirmed_from: float | None = now
-        self.watch_ended_at: float | None = None  # None once a later call was answered or failed
+        self.watch_ended_at: float | None = None  # or a later call failed; None once one was answered
+        self.contact_lost_at: float | None = (
+            None  # a silent watch or call was given up; None once called again
+        )
         self.refresh_pending = False  # the list has expired, and no call since has brought a line or failed
 
     # ---- what happens
@@ -30,25 +35,35 @@
     def line_received(self) -> None:
         """Discovery has sent a line that could be read: the list is what it has."""
         self.unconfirmed_from = None
-        self.call_concluded()
+        self.call_answered()
 
-    def call_concluded(self) -> None:
-        """A call was answered or refused, or it failed; a list whose watch had ended is used on."""
-        self.watch_ended_at = None
+    def call_answered(self) -> None:
+        """A call was answered or refused; a list whose watch had ended is used on."""
+        self.watch_ended_at = self.contact_lost_at = None
         self.refresh_pending = False
 
-    def nobody_listens(self) -> None:
-        """No process listens as discovery, so that there is none that was told of a change."""
+    def call_failed(self, now: float) -> None:
+        """A call failed; the list is used on, but discovery may be back and have changes from now on."""
+        self.call_answered()
+        self.watch_ended_at = now
+
+    def nobody_listens(self, now: float) -> None:
+        """No process listens as discovery, so that there is none that was told of a change so far."""
         self.unconfirmed_from = None
-        self.call_concluded()
+        self.call_failed(now)
+
+    def connected(self) -> None:
+        """A call waits for its answer, which comes as soon as discovery can send anything."""
+        self.contact_lost_at = None
 
     def watch_ended(self, now: float, noticed_late: bool) -> None:
         """The watch was closed or reset, perhaps long before that was noticed."""
         self.watch_ended_at = now - self.lifetime if noticed_late and math.isfinite(self.lifetime) else now
 
-    def watch_fell_silent(self) -> None:
-        """The list does not expire: a change that a silent watch misses counts as notified later."""
-        self.watch_ended_at = None
+    def silence_given_up(self, now: float) -> None:
+        """A watch or call on which nothing came was closed; discovery may be back before the next call."""
+        # Discovery learns nothing while it is silent, so the list is used on once a call waits there again.
+        self.contact_lost_at = now
 
     def address_changed(self, now: float) -> None:
         """The list comes from another discovery than the one that is watched from now on."""
@@ -57,15 +72,21 @@
             self.unconfirmed_from = deadline
 
     def take_expiry(self, now: float) -> bool:
-        """Whether the list has expired after the end of its watch; True once per watch."""
-        if self.watch_ended_at is None or now - self.watch_ended_at < self.lifetime:
+        """Whether the list has expired without a watch or call that could be answered; True once."""
+        times = [time for time in (self.watch_ended_at, self.contact_lost_at) if time is not None]
+        if not times or now - min(times) < self.lifetime:
             return False
-        self.watch_ended_at = None
+        self.watch_ended_at = self.contact_lost_at = None
         self.refresh_pending = True
         return True
 
     # ---- what follows
 
+    @property
+    def max_call_delay(self) -> float:
+        """The longest delay before a silent discovery is called again, in seconds."""
+        return self.lifetime * CALL_DELAY_PART
+
     def is_current(self, now: float) -> bool:
         """Whether no change that counts as notified can be missing; always true if lists are not pushed."""
         if math.isinf(self.lifetime):
--- a/tests/test_notification_deadlines.py
+++ b/tests/test_notification_deadlines.py
@@ -141,17 +141,19 @@
 # ---- the watch has ended, and the next call is delayed
 
 
-class NodeWithoutWatch(WatchingNode):
-    """Discovery has ended the watch, and the node delays the next call for the longest time."""
+class DelayingNode(WatchingNode):
+    """A node with an open watch, which delays each call after a failure for the longest time."""
 
-    def __init__(self, grace):
+    def __init__(self, grace=0.25):
         super().__init__(dialTimeout=5.0, nodes=200, grace=grace, listener={"handshakeTarget": 3.0})
         self.watch.back_off.next_delay = lambda policy=UNREACHABLE: UNREACHABLE.max_span_s
-        self.open_watch().close()
-        self.reactor.run_until(lambda: self.watch.retry_timer is not None)
-        self.drains = list_of(
-            2, self.row(0, "Terminating"), self.row(1)
-        )  # discovery has this change from now on
+        self.list_socket = self.open_watch()
+        self.drains = list_of(2, self.row(0, "Terminating"), self.row(1))  # a change that discovery will have
+
+    def run_until_delay(self):
+        """Runs until the next call is delayed."""
+        while self.watch.retry_timer is None or not self.watch.retry_timer.active():
+            self.advance_with_sweeps(0.01)
 
     def advance_with_sweeps(self, seconds):
         for _ in range(round(seconds / 0.01)):
@@ -169,6 +171,20 @@
             self.discovery.accepted[-1].send(HEADERS + self.drains)
 
 
+class NodeWithoutWatch(DelayingNode):
+    """Discovery has ended the watch, and has the change from now on."""
+
+    def __init__(self, grace):
+        super().__init__(grace)
+        self.list_socket.close()
+        self.reactor.run_until(lambda: self.watch.retry_timer is not None)
+
+
+@pytest.fixture
+def delaying_node():
+    yield from closing_factory(DelayingNode)
+
+
 @pytest.fixture
 def node_without_watch():
     yield from closing_factory(NodeWithoutWatch)
@@ -228,6 +244,66 @@
     assert 4 <= calls <= (loopback.reactor.now - began) * 2 / 0.25 and len(asked) > 80
 
 
+# ---- discovery has been silent, and has a change as it returns
+
+
+def silent_watch(loopback):
+    loopback.run_until_delay()
+
+
+def unanswered_call(loopback):
+    loopback.run_until_delay()
+    while not loopback.discovery.accept():
+        loopback.advance_with_sweeps(0.01)
+    loopback.run_until_delay()
+
+
+def failed_call(loopback):
+    loopback.list_socket.close()
+    while not loopback.discovery.accept():
+        loopback.advance_with_sweeps(0.01)
+    loopback.discovery.accepted[-1].close()
+    loopback.run_until_delay()
+
+
+def nobody_listens(loopback):
+    loopback.discovery.server.close()
+    loopback.list_socket.close()
+    loopback.advance_with_sweeps(UNREACHABLE.max_span_s + 0.1)
+    loopback.run_until_delay()
+    loopback.discovery.listen(loopback.discovery.port)
+
+
+@pytest.mark.parametrize("before", [silent_watch, unanswered_call, failed_call, nobody_listens])
+def test_no_request_after_the_grace_to_a_host_that_drains_as_discovery_returns(delaying_node, before):
+    # Guards against a delay before the next call that is longer than the grace.
+    loopback = delaying_node()
+    before(loopback)
+    returned_at, clients = loopback.reactor.now, []
+    while loopback.reactor.now < returned_at + 0.25:
+        clients.append(loopback.client(open_line(len(clients))))
+        loopback.advance_with_sweeps(0.01)
+        loopback.answer_calls()
+    loopback.take_requested_ids()
+    for _ in range(60):
+        clients.append(loopback.client(open_line(len(clients))))
+        loopback.advance_with_sweeps(0.01)
+        loopback.answer_calls()
+        assert not loopback.received_by(0)
+    assert loopback.received_by(1)
+
+
+def test_clients_are_served_throughout_an_outage_in_which_discovery_is_silent(delaying_node):
+    # Guards against clients refused while discovery accepts calls and sends nothing.
+    loopback = delaying_node()
+    while loopback.reactor.now < 12.0:
+        with loopback.client(OPEN_LINE):
+            loopback.advance_with_sweeps(0.02)
+            loopback.discovery.accept()
+            assert len(loopback.take_requested_ids()) == 1
+        loopback.advance_with_sweeps(0.03)
+
+
 # ---- a new process
 
 
