Upgrade: ids for a process that does not read wait in one table

Each id opened or closed was queued as a message of its own, so that a stopped process of an upgrade made the other one keep them without end. Changes that cannot be sent at once now wait by id, and one that is undone meanwhile leaves nothing. Found by reading, on the way through all writes to peers that may not read. Test: 199 requests opened and closed, and one closed and one opened that stay so, leave 2 entries, which arrive once there is room.

--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -97,11 +97,11 @@
 
     def _id_opened(self, request_id: str) -> None:
         if self.in_progress:
-            self.side.send_ids([id_digest(request_id)], [])
+            self.side.id_changed(id_digest(request_id), True)
 
     def _id_closed(self, request_id: str) -> None:
         if self.in_progress:
-            self.side.send_ids([], [id_digest(request_id)])
+            self.side.id_changed(id_digest(request_id), False)
 
     def open_id_digests(self) -> list[str]:
         return self.node.handler.sessions.ids.open_digests()
--- a/caperdeck/ops/upgrade_protocol.py
+++ b/caperdeck/ops/upgrade_protocol.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from itertools import islice
 from typing import Any, Protocol
 
 PROTOCOL_VERSION = 1
@@ -60,6 +61,8 @@
         self.reactor, self.link, self.node = reactor, link, node
         self.open = True
         self.shares_ids = False  # the other process may take requests, or this one beside it
+        self.unsent_ids: dict[str, bool] = {}  # digests of ids opened (True) or closed, until there is room
+        self.ids_timer: Any = None  # until they are tried again
         self.last_ban_number = 0
         self.pending_bans: dict[int, Callable[[], None]] = {}
         link.on_message, link.on_closed = self.handle_message, self.handle_closed
@@ -82,10 +85,26 @@
         if self.open:
             self.link.send({"say": "reload"})
 
-    def send_ids(self, opened: list[str], closed: list[str]) -> None:
-        """This process has opened and closed requests whose ids have these digests."""
-        if self.open and self.shares_ids:
-            self.link.send({"say": "ids", "opened": opened, "closed": closed})
+    def id_changed(self, digest: str, opened: bool) -> None:
+        """This process has opened or closed a request whose id has this digest."""
+        if not (self.open and self.shares_ids):
+            return
+        # Queued one by one, changes for a process that does not read would use up memory. What is undone
+        # before it is sent needs no message.
+        if self.unsent_ids.pop(digest, opened) is opened:
+            self.unsent_ids[digest] = opened
+        self._send_ids()
+
+    def _send_ids(self) -> None:
+        if not self.open or (self.ids_timer is not None and self.ids_timer.active()):
+            return
+        while self.unsent_ids:
+            portion = list(islice(self.unsent_ids.items(), MAX_IDS_PER_PACKET))
+            if not self.link.try_send(ids_message(portion), ()):
+                self.ids_timer = self.reactor.callLater(HANDOVER_INTERVAL_S, self._send_ids)
+                return
+            for digest, _ in portion:
+                del self.unsent_ids[digest]
 
     def _ban_done(self, number: int) -> None:
         if (on_done := self.pending_bans.pop(number, None)) is not None:
@@ -127,6 +146,14 @@
         self.link.on_closed = lambda: None
 
 
+def ids_message(changes: Iterable[tuple[str, bool]]) -> Message:
+    """The message about ids that were opened (True) and closed."""
+    parts: dict[bool, list[str]] = {True: [], False: []}
+    for digest, opened in changes:
+        parts[opened].append(digest)
+    return {"say": "ids", "opened": parts[True], "closed": parts[False]}
+
+
 def split_ids(digests: list[str]) -> list[list[str]]:
     """The digests of ids in portions that each fit into a packet."""
     starts = range(0, len(digests), MAX_IDS_PER_PACKET)
@@ -165,7 +192,7 @@
             # The other process has to know them before its first client.
             self.shares_ids = True
             for digests in split_ids(self.node.open_id_digests()):
-                self.send_ids(digests, [])
+                self.link.send(ids_message((digest, True) for digest in digests))
             *packets, last = split_into_packets(self.node.hand_over_slots())
             for slots in packets:
                 self.link.send({"say": "slots", "slots": slots})
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -571,6 +571,23 @@
     assert is_taken_on(new, 1)
 
 
+def test_ids_for_a_process_that_does_not_read_wait_in_bounded_memory(tmp_path):
+    # Guards against memory without end in an upgrade whose other process has stopped.
+    old, new, hand_over_port = serving_pair(tmp_path)
+    lasting = connect(old, open_line(0))
+    hand_over_port()
+    side = old.refresh_ids.__self__.side
+    room, side.link.try_send = side.link.try_send, lambda message, fds: False
+    lose_connection(lasting)
+    for number in range(1, 200):
+        lose_connection(connect(old, open_line(number)))
+    connect(old, open_line(200))
+    assert len(side.unsent_ids) == 2
+    side.link.try_send = room
+    old.reactor.advance(0.1)
+    assert [is_taken_on(new, number) for number in (0, 7, 200)] == [True, True, False]
+
+
 def test_the_ids_of_thousands_of_requests_fit_into_packets(tmp_path):
     # Guards against an upgrade that closes its link because the ids in use exceed a packet.
     old, _, hand_over_port = serving_pair(tmp_path)
