Clients: a connection is not read while its own answers are unsent

Callers saw: one client that sends PING at full speed and reads nothing takes a node past its memory limit (reported: 37 to 311 MB in 6 s).

Cause: before a session is established nothing couples reading from a client with what it has been sent, and its PONGs pile up in the transport. Evidence: in the test the node keeps 19,082,940 bytes for one client after 400 turns.

Change: until its session is established a client's connection is the producer of its own answers, so it is paused above the transport's 64 KB. One that is paused has unread data for good and is closed as idle after 2 s all the same; with data unread it would have been taken for one whose first line has just come.

--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -57,6 +57,9 @@
 
     def connectionMade(self) -> None:
         self.disable_nagle()
+        # Answers to a client that does not read would use up memory: as a producer of its own answers, this
+        # connection is not read either until they have been sent.
+        self.transport.registerProducer(self, True)
         self.opened_at = self.handler.clock()
         self.handler.client_connected(self)
 
--- a/caperdeck/wire/session_handler.py
+++ b/caperdeck/wire/session_handler.py
@@ -199,6 +199,7 @@
 
     def _couple_flow_control(self, client: ClientConnection, conn: HostConnection) -> None:
         """Pauses reading from either side while the other one does not accept data."""
+        client.transport.unregisterProducer()
         client.transport.registerProducer(conn, True)
         conn.transport.registerProducer(client, True)
 
