Sessions: the id of a once-only request that may have run is not served again

Callers saw: a client of an at_most_once class left 50 ms after its request, and the same id, on a new connection, was begun a second time: 50 of 50 ids at one node, 27 of 29 over an upgrade.

Cause: an id was known while its request was open alone, and the request ended with its client, though its host had it.

Change: the id is remembered from its sending on and freed only when the host says that nothing has run and no dial before may have; until then it is answered ERR. 65,536 ids are kept by digest. The processes of an upgrade tell each other, in the messages about ids in use, which have one typed change for both.

--- a/caperdeck/core/facade.py
+++ b/caperdeck/core/facade.py
@@ -14,8 +14,8 @@
 
 from .decide import Node
 from .model import (
-    Action, Dial, HostState, LoadReport, Move, NoteKind, Outcome, Probe, Refuse, RosterEntry, RosterScope,
-    SessionRequest, Settings, TearDown, Wake, Watch, Withdraw,
+    Action, Dial, Effect, HostState, LoadReport, Move, NoteKind, Outcome, Probe, Refuse, RosterEntry,
+    RosterScope, SessionRequest, Settings, TearDown, Wake, Watch, Withdraw,
 )  # fmt: skip
 from .fleet_state import FleetState
 
@@ -250,6 +250,11 @@
         """Whether the request may still be sent on the session's dial, whose connection is established."""
         return self._node.may_send_request(now, session)
 
+    def is_once_only(self, session: int) -> bool:
+        """Whether a session without a final answer must never run twice."""
+        state = self._node.sessions.get(session)
+        return state is not None and state.listener.effect is Effect.ONCE_ONLY
+
     def _event(self, now: float, event: Event) -> list[Action]:
         match event:
             case SessionEstablished(session):
--- a/caperdeck/execution/executor.py
+++ b/caperdeck/execution/executor.py
@@ -20,7 +20,7 @@
     Balancer, BanChanged, CancelDial, ClientDisconnected, Command, Connect, DialEnded, Event, FailSession,
     ProbeCompleted, ProbeHost, RedirectClient, RefuseSession, RosterUpdated, SettingsChanged, SubsetsChanged,
 )  # fmt: skip
-from caperdeck.core.model import HostState, Outcome, Settings
+from caperdeck.core.model import NEVER_RAN, HostState, Outcome, Settings
 from caperdeck.core.settings import MS, Names
 from caperdeck.state.budget import SocketBudget
 from caperdeck.state.figures import Metrics, Status
@@ -271,6 +271,8 @@
             self._end_dial(session, Outcome.UNREACHED)
         else:
             self.metrics.relayed_requests += 1
+            if self.balancer.is_once_only(session.index):
+                self.sessions.ids.mark_sent(session.request.id)
 
     def dial_failed(self, conn: HostSide) -> None:
         self.clock()
@@ -292,12 +294,22 @@
             self.hosts.uids[session.host], name, session.host_connection.request_sent,
             self.clock() - session.dialed_at,
         )  # fmt: skip
+        self._record_whether_run(session, outcome)
         self._close_host_connection(session, reset=False)
         if session.request.resume_host is None:
             self.report_event(DialEnded(session.index, session.dial, outcome, False))
         else:
             self.resumption.dial_failed(session, name)
 
+    def _record_whether_run(self, session: Session, outcome: Outcome) -> None:
+        """Frees the id of a once-only session again if none of its dials can have run."""
+        if not session.host_connection.request_sent:
+            return
+        if outcome not in NEVER_RAN:
+            session.may_have_run = True
+        elif not session.may_have_run and self.balancer.is_once_only(session.index):
+            self.sessions.ids.mark_never_run(session.request.id)
+
     def _close_host_connection(self, session: Session, reset: bool) -> None:
         """Closes the session's host connection, if any, and cancels the timer of its dial."""
         conn, session.host_connection = session.host_connection, None
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -15,7 +15,7 @@
 from twisted.internet.error import CannotListenError
 
 from caperdeck.state.budget import open_descriptors
-from caperdeck.state.request_ids import id_digest
+from caperdeck.state.request_ids import IdChange
 from caperdeck.state.timers import cancel
 from caperdeck.wire.request import RequestError
 
@@ -90,24 +90,20 @@
             self.side.send_reload()
 
     def watch_ids(self) -> None:
-        """Tells the other process from now on which ids of requests are in use at this one."""
-        ids = self.node.handler.sessions.ids
-        ids.on_opened, ids.on_closed = self._id_opened, self._id_closed
+        """Tells the other process from now on what this one records of ids."""
+        self.node.handler.sessions.ids.on_change = self._id_changed
         self.node.handler.refresh_ids = self.read_messages
 
-    def _id_opened(self, request_id: str) -> None:
+    def _id_changed(self, change: IdChange) -> None:
         if self.in_progress:
-            self.side.id_changed(id_digest(request_id), True)
+            self.side.id_changed(change)
 
-    def _id_closed(self, request_id: str) -> None:
-        if self.in_progress:
-            self.side.id_changed(id_digest(request_id), False)
-
-    def open_id_digests(self) -> list[str]:
-        return self.node.handler.sessions.ids.open_digests()
+    def known_ids(self) -> list[IdChange]:
+        return self.node.handler.sessions.ids.snapshot()
 
-    def update_other_ids(self, opened: list[str], closed: list[str]) -> None:
-        self.node.handler.sessions.ids.update_elsewhere(opened, closed)
+    def apply_id_changes(self, changes: list[IdChange]) -> None:
+        for change in changes:
+            self.node.handler.sessions.ids.apply(change)
 
     def forget_other_ids(self) -> None:
         self.node.handler.sessions.ids.other_process_gone()
--- a/caperdeck/ops/upgrade_protocol.py
+++ b/caperdeck/ops/upgrade_protocol.py
@@ -10,6 +10,8 @@
 from itertools import islice
 from typing import Any, Protocol
 
+from caperdeck.state.request_ids import IdChange, IdTable
+
 PROTOCOL_VERSION = 1
 MAX_ROWS_PER_PACKET = 200  # hosts
 ROSTER_TIMEOUT_S = 1.0  # the successor takes over without discovery's first answer after this
@@ -18,6 +20,10 @@
 HANDOVER_INTERVAL_S = 0.01  # between two batches of connections
 CONNECTIONS_PER_BATCH = 24
 MAX_IDS_PER_PACKET = 2000
+ID_FIELDS = {  # of a message about ids: the table, and whether its ids were entered there
+    "opened": (IdTable.OPEN, True), "closed": (IdTable.OPEN, False),
+    "sent": (IdTable.SENT, True), "never_run": (IdTable.SENT, False),
+}  # fmt: skip
 
 Message = dict[str, Any]
 
@@ -29,8 +35,8 @@
     def take_over_slots(self, slots: dict[str, float]) -> None: ...
     def list_state(self) -> Message: ...
     def incumbent_stopped(self, list_state: Message) -> None: ...
-    def open_id_digests(self) -> list[str]: ...
-    def update_other_ids(self, opened: list[str], closed: list[str]) -> None: ...
+    def known_ids(self) -> list[IdChange]: ...
+    def apply_id_changes(self, changes: list[IdChange]) -> None: ...
     def forget_other_ids(self) -> None: ...
     def reload(self) -> None: ...
 
@@ -54,14 +60,15 @@
 
 class UpgradeSide:
     """What both sides share: a ban given to one is applied at the other before it is acknowledged, and each
-    knows the ids of the requests that are open at the other.
+    knows which ids of requests the other has open or has sent.
     """
 
     def __init__(self, reactor: Any, link: Any, node: UpgradeNode) -> None:
         self.reactor, self.link, self.node = reactor, link, node
         self.open = True
         self.shares_ids = False  # the other process may take requests, or this one beside it
-        self.unsent_ids: dict[str, bool] = {}  # digests of ids opened (True) or closed, until there is room
+        # Changes that wait for room: the table and the digest of the id, and whether it was entered there.
+        self.unsent_ids: dict[tuple[IdTable, str], bool] = {}
         self.ids_timer: Any = None  # until they are tried again
         self.last_ban_number = 0
         self.pending_bans: dict[int, Callable[[], None]] = {}
@@ -85,14 +92,15 @@
         if self.open:
             self.link.send({"say": "reload"})
 
-    def id_changed(self, digest: str, opened: bool) -> None:
-        """This process has opened or closed a request whose id has this digest."""
+    def id_changed(self, change: IdChange) -> None:
+        """This process has recorded something of an id."""
         if not (self.open and self.shares_ids):
             return
         # Queued one by one, changes for a process that does not read would use up memory. What is undone
         # before it is sent needs no message.
-        if self.unsent_ids.pop(digest, opened) is opened:
-            self.unsent_ids[digest] = opened
+        key = change.table, change.digest
+        if self.unsent_ids.pop(key, change.added) is change.added:
+            self.unsent_ids[key] = change.added
         self._send_ids()
 
     def _send_ids(self) -> None:
@@ -100,11 +108,11 @@
             return
         while self.unsent_ids:
             portion = list(islice(self.unsent_ids.items(), MAX_IDS_PER_PACKET))
-            if not self.link.try_send(ids_message(portion), ()):
+            if not self.link.try_send(encode_ids(IdChange(*key, added) for key, added in portion), ()):
                 self.ids_timer = self.reactor.callLater(HANDOVER_INTERVAL_S, self._send_ids)
                 return
-            for digest, _ in portion:
-                del self.unsent_ids[digest]
+            for key, _ in portion:
+                del self.unsent_ids[key]
 
     def _ban_done(self, number: int) -> None:
         if (on_done := self.pending_bans.pop(number, None)) is not None:
@@ -118,7 +126,7 @@
             case "banned":
                 self._ban_done(message["number"])
             case "ids":
-                self.node.update_other_ids(message["opened"], message["closed"])
+                self.node.apply_id_changes(decode_ids(message))
             case "reload":
                 self.handle_reload()
             case kind:
@@ -146,18 +154,21 @@
         self.link.on_closed = lambda: None
 
 
-def ids_message(changes: Iterable[tuple[str, bool]]) -> Message:
-    """The message about ids that were opened (True) and closed."""
-    parts: dict[bool, list[str]] = {True: [], False: []}
-    for digest, opened in changes:
-        parts[opened].append(digest)
-    return {"say": "ids", "opened": parts[True], "closed": parts[False]}
+def encode_ids(changes: Iterable[IdChange]) -> Message:
+    """The message about changes of what is recorded of ids."""
+    fields: dict[str, list[str]] = {name: [] for name in ID_FIELDS}
+    names = {key: name for name, key in ID_FIELDS.items()}
+    for table, digest, added in changes:
+        fields[names[table, added]].append(digest)
+    return {"say": "ids", **fields}
 
 
-def split_ids(digests: list[str]) -> list[list[str]]:
-    """The digests of ids in portions that each fit into a packet."""
-    starts = range(0, len(digests), MAX_IDS_PER_PACKET)
-    return [digests[start : start + MAX_IDS_PER_PACKET] for start in starts]
+def decode_ids(message: Message) -> list[IdChange]:
+    return [
+        IdChange(table, digest, added)
+        for name, (table, added) in ID_FIELDS.items()
+        for digest in message[name]
+    ]
 
 
 def split_into_packets(slots: dict[str, float]) -> list[dict[str, float]]:
@@ -191,8 +202,9 @@
             self.node.stop_accepting()
             # The other process has to know them before its first client.
             self.shares_ids = True
-            for digests in split_ids(self.node.open_id_digests()):
-                self.link.send(ids_message((digest, True) for digest in digests))
+            known = self.node.known_ids()
+            for start in range(0, len(known), MAX_IDS_PER_PACKET):
+                self.link.send(encode_ids(known[start : start + MAX_IDS_PER_PACKET]))
             *packets, last = split_into_packets(self.node.hand_over_slots())
             for slots in packets:
                 self.link.send({"say": "slots", "slots": slots})
--- a/caperdeck/state/request_ids.py
+++ b/caperdeck/state/request_ids.py
@@ -1,33 +1,48 @@
-"""The ids of requests in use, at this process and at the other process of an upgrade."""
+"""The ids of requests that may not be served now: those in use, and once-only ones that have been sent.
+
+During an upgrade two processes serve a node. They tell each other of changes, with digests of the ids, as an
+id may be as long as a request line.
+"""
 
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from enum import IntEnum
+from typing import NamedTuple
 
 DIGEST_BYTES = 16
+MAX_SENT_IDS = 65_536  # the oldest are forgotten
 
 
-def id_digest(request_id: str) -> str:
-    """What the processes of a node tell each other of an id, which may be as long as a request line."""
-    return hashlib.blake2b(request_id.encode(), digest_size=DIGEST_BYTES).hexdigest()
+class IdTable(IntEnum):
+    """What is recorded of an id."""
 
+    OPEN = 0  # a request or session with it is open
+    SENT = 1  # a once-only request with it has been sent to a host, and may have run
 
-def _tell_nobody(request_id: str) -> None:
-    """There is no other process."""
 
+class IdChange(NamedTuple):
+    """An id was entered in a table, or removed from it."""
 
-class RequestIds:
-    """The ids of open requests and sessions of a node, which two processes serve during an upgrade.
+    table: IdTable
+    digest: str
+    added: bool
+
+
+def id_digest(request_id: str) -> str:
+    """The digest by which the processes of a node speak of an id."""
+    return hashlib.blake2b(request_id.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
-    `on_opened` and `on_closed` tell the other process, of the ids of this one.
-    """
+
+class RequestIds:
+    """The ids known to one process of a node. `on_change` gets each change that the process makes itself."""
 
     def __init__(self) -> None:
         self.open_here: set[str] = set()
         self.open_elsewhere: set[str] = set()  # digests of the ids at the other process
-        self.on_opened: Callable[[str], None] = _tell_nobody
-        self.on_closed: Callable[[str], None] = _tell_nobody
+        self.sent: dict[str, None] = {}  # digests of the ids sent by either process, the oldest first
+        self.on_change: Callable[[IdChange], None] | None = None
 
     def is_in_use(self, request_id: str) -> bool:
         """Whether a request with this id is open at either process."""
@@ -35,25 +50,56 @@
             return True
         return bool(self.open_elsewhere) and id_digest(request_id) in self.open_elsewhere
 
-    def opened(self, request_id: str) -> None:
+    def was_sent(self, request_id: str) -> bool:
+        """Whether a once-only request with this id may have run, as far as is remembered."""
+        return bool(self.sent) and id_digest(request_id) in self.sent
+
+    def mark_open(self, request_id: str) -> None:
         """A request with this id has been taken on by this process."""
         self.open_here.add(request_id)
-        self.on_opened(request_id)
+        self._report(IdTable.OPEN, request_id, True)
 
-    def closed(self, request_id: str) -> None:
+    def mark_closed(self, request_id: str) -> None:
         """The request has been answered, has ended, or goes on in the other process."""
         self.open_here.discard(request_id)
-        self.on_closed(request_id)
-
-    def open_digests(self) -> list[str]:
-        """The digests of the ids at this process."""
-        return [id_digest(request_id) for request_id in self.open_here]
-
-    def update_elsewhere(self, opened: Iterable[str], closed: Iterable[str]) -> None:
-        """The other process has opened and closed requests whose ids have these digests."""
-        self.open_elsewhere.update(opened)
-        self.open_elsewhere.difference_update(closed)
+        self._report(IdTable.OPEN, request_id, False)
+
+    def mark_sent(self, request_id: str) -> None:
+        """A once-only request with this id goes to a host."""
+        self._remember(id_digest(request_id))
+        self._report(IdTable.SENT, request_id, True)
+
+    def mark_never_run(self, request_id: str) -> None:
+        """The host has said that the request did not run."""
+        self.sent.pop(id_digest(request_id), None)
+        self._report(IdTable.SENT, request_id, False)
+
+    def snapshot(self) -> list[IdChange]:
+        """The changes that bring another process to what this one knows."""
+        changes = [IdChange(IdTable.OPEN, id_digest(request_id), True) for request_id in self.open_here]
+        return changes + [IdChange(IdTable.SENT, digest, True) for digest in self.sent]
+
+    def apply(self, change: IdChange) -> None:
+        """Records a change that the other process has made."""
+        match change:
+            case IdChange(IdTable.OPEN, digest, True):
+                self.open_elsewhere.add(digest)
+            case IdChange(IdTable.OPEN, digest, False):
+                self.open_elsewhere.discard(digest)
+            case IdChange(IdTable.SENT, digest, True):
+                self._remember(digest)
+            case IdChange(IdTable.SENT, digest, False):
+                self.sent.pop(digest, None)
 
     def other_process_gone(self) -> None:
-        """The other process has ended, and its requests with it."""
+        """The other process has ended, and its requests with it; what it has sent may have run."""
         self.open_elsewhere.clear()
+
+    def _remember(self, digest: str) -> None:
+        self.sent[digest] = None
+        if len(self.sent) > MAX_SENT_IDS:
+            del self.sent[next(iter(self.sent))]
+
+    def _report(self, table: IdTable, request_id: str, added: bool) -> None:
+        if self.on_change is not None:
+            self.on_change(IdChange(table, id_digest(request_id), added))
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -80,6 +80,7 @@
     established_at: float = 0.0  # 0 until the session is established
     client_heard_at: float = 0.0  # when the client's last line came
     unanswered_since: float = 0.0  # since when a client's line waits for one from the host; 0 if none does
+    may_have_run: bool = False  # a dial has ended without saying that the session did not run
     finished: bool = False  # answered or ended: nothing more is sent for it
 
 
@@ -98,7 +99,7 @@
         self.created_count += 1
         self.by_index[session.index] = session
         self.opening[session] = None
-        self.ids.opened(request.id)
+        self.ids.mark_open(request.id)
         return session
 
     def remove(self, session: Session) -> None:
@@ -106,7 +107,7 @@
         self.opening.pop(session, None)
         self.unanswered.pop(session, None)
         self.by_index.pop(session.index, None)
-        self.ids.closed(session.request.id)
+        self.ids.mark_closed(session.request.id)
 
     def mark_established(self, session: Session, now: float) -> None:
         """Records that the session has its final answer, and that lines pass from now on."""
--- a/caperdeck/wire/session_handler.py
+++ b/caperdeck/wire/session_handler.py
@@ -71,6 +71,9 @@
             self.refresh_ids()
             if self.sessions.ids.is_in_use(request.id):
                 raise RequestError("id-in-use")
+            # Its client may have left before the answer, or want the effect again.
+            if self.sessions.ids.was_sent(request.id):
+                raise RequestError("id-used")
         except RequestError as error:
             if request is not None:
                 self.metrics.count_answer(request.listener, Status.FAULTED)
--- /dev/null
+++ b/tests/test_repeated_ids.py
@@ -0,0 +1,134 @@
+"""An id that comes again: a once-only request that may have run is not served a second time."""
+
+import pytest
+from helpers import accept, connect, establish, lose_connection, make_handler, open_line
+from test_upgrade import serving_pair
+
+from caperdeck.state.request_ids import MAX_SENT_IDS, RequestIds
+
+ONCE_ONLY = {"effect": "at_most_once"}
+REFUSED = [b"ERR"]
+
+
+def once_only_handler():
+    return make_handler(hosts=2, listener=ONCE_ONLY)
+
+
+def send_one(handler, number=1):
+    """A client whose request has reached a host; returns both connections."""
+    client = connect(handler, open_line(number))
+    return client, accept(handler)
+
+
+def client_leaves(client, host):
+    lose_connection(client)
+
+
+def client_is_reset(client, host):
+    lose_connection(client, clean=False)
+
+
+def host_answers_with_an_error(client, host):
+    host.dataReceived(b"ERR\r\n")
+
+
+def host_is_reset(client, host):
+    lose_connection(host, clean=False)
+
+
+def served_and_ended(client, host):
+    host.dataReceived(b"UP r1\r\n")
+    lose_connection(client)
+
+
+def served_and_moved(client, host):
+    host.dataReceived(b"UP r1\r\nMOVE\r\n")
+    lose_connection(host)
+    lose_connection(client)
+
+
+MAY_HAVE_RUN = [
+    client_leaves, client_is_reset, host_answers_with_an_error, host_is_reset, served_and_ended,
+    served_and_moved,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("end", MAY_HAVE_RUN)
+def test_a_once_only_id_that_may_have_run_is_not_served_again(end):
+    # Guards against a once-only request that runs twice as its client comes again with the same id.
+    handler = once_only_handler()
+    end(*send_one(handler))
+    dials = len(handler.reactor.tcpClients)
+    assert connect(handler, open_line(1)).transport.lines() == REFUSED
+    assert len(handler.reactor.tcpClients) == dials
+    assert connect(handler, open_line(2)).transport.lines() == []
+
+
+def host_is_full(client, host):
+    host.dataReceived(b"BUSY\r\n")
+
+
+def test_a_once_only_id_that_has_never_run_is_served_again():
+    # Guards against a client refused for good after a refusal that says that trying again is harmless.
+    handler = make_handler(hosts=1, listener=ONCE_ONLY, mostDials=1)
+    client, host = send_one(handler)
+    host_is_full(client, host)
+    assert client.transport.lines()[0].startswith(b"BUSY")
+    lose_connection(client)
+    handler.reactor.advance(8.0)  # the host counts as full for some seconds
+    assert connect(handler, open_line(1)).transport.lines() == []
+
+
+def test_a_once_only_id_that_was_not_sent_is_served_again():
+    handler = once_only_handler()
+    client = connect(handler, open_line(1))
+    lose_connection(client)
+    assert connect(handler, open_line(1)).transport.lines() == []
+
+
+@pytest.mark.parametrize("end", MAY_HAVE_RUN)
+def test_an_idempotent_id_is_served_again(end):
+    # Guards against clients refused where a second run does no harm.
+    handler = make_handler(hosts=2, mostDials=1)
+    client, host = send_one(handler)
+    end(client, host)
+    lose_connection(client)
+    handler.reactor.advance(8.0)
+    assert connect(handler, open_line(1)).transport.lines() != REFUSED
+
+
+def test_a_once_only_id_sent_by_either_process_of_an_upgrade_is_not_served_by_the_other(tmp_path):
+    # Guards against the same over an upgrade: sent before it, during it, and by the new process.
+    old, new, hand_over_port = serving_pair(tmp_path, listener=ONCE_ONLY)
+    idle = [connect(old) for _ in range(2)]
+    lose_connection(send_one(old, 1)[0])
+    crossing, _ = send_one(old, 2)
+    hand_over_port()
+    lose_connection(crossing)
+    idle[0].dataReceived(open_line(3) + b"\r\n")
+    accept(old)
+    lose_connection(idle[0])
+    for number in (1, 2, 3):
+        assert connect(new, open_line(number)).transport.lines() == REFUSED
+    lose_connection(send_one(new, 4)[0])
+    idle[1].dataReceived(open_line(4) + b"\r\n")
+    assert idle[1].transport.lines() == REFUSED
+
+
+def test_a_once_only_id_stays_used_after_the_other_process_has_gone(tmp_path):
+    # Guards against a second run after the process that sent the first one has ended.
+    old, new, hand_over_port = serving_pair(tmp_path, listener=ONCE_ONLY)
+    establish(old)
+    hand_over_port()
+    assert connect(new, open_line(0)).transport.lines() == REFUSED
+    new.refresh_ids.__self__.side.link.close()
+    assert connect(new, open_line(0)).transport.lines() == REFUSED
+
+
+def test_the_memory_of_sent_ids_is_bounded():
+    # Guards against memory without end, for ever new ids.
+    ids = RequestIds()
+    for number in range(MAX_SENT_IDS + 3):
+        ids.mark_sent(str(number))
+    assert len(ids.sent) == MAX_SENT_IDS
+    assert [ids.was_sent(str(number)) for number in (0, 2, 3, MAX_SENT_IDS + 2)] == [False, False, True, True]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -73,7 +73,7 @@
     def list_state(self):
         return {"rev": 7, "current_until": None}
 
-    def open_id_digests(self):
+    def known_ids(self):
         return []
 
     def forget_other_ids(self):
@@ -521,9 +521,9 @@
             self.on_message(json.loads(encode(message)), [])
 
 
-def serving_pair(tmp_path):
+def serving_pair(tmp_path, **parts):
     """The session handlers of an old and a new process of one node, just after the port was handed over."""
-    old, new = (service_over(make_handler(hosts=1), tmp_path) for _ in range(2))
+    old, new = (service_over(make_handler(hosts=1, **parts), tmp_path) for _ in range(2))
     here, there = PairedLink(), PairedLink()
     here.other, there.other = there, here
     old.upgrade.side = Incumbent(old.handler.reactor, here, old.upgrade)
@@ -593,7 +593,7 @@
     old, _, hand_over_port = serving_pair(tmp_path)
     sent = old.refresh_ids.__self__.side.link.sent
     for number in range(2 * MAX_IDS_PER_PACKET + 1):
-        old.sessions.ids.opened("\u20ac" * 1300 + str(number))
+        old.sessions.ids.mark_open("\u20ac" * 1300 + str(number))
     hand_over_port()
     ids = [message for message in sent if message["say"] == "ids"]
     assert len(ids) == 3 and max(len(encode(message)) for message in ids) < MAX_PACKET_BYTES
