--- a/tests/test_lab_virtual.py
+++ b/tests/test_lab_virtual.py
@@ -117,7 +117,7 @@
 
 
 def lose_sessions(monkeypatch):
-    monkeypatch.setattr(SessionHandler, "_open_session", lambda self, s, listener: None)
+    monkeypatch.setattr(SessionHandler, "_open_session", lambda self, s: None)
 
 
 COLD = {
