Clients: at most 32 lines of one client are handled in a turn of the reactor

Callers saw: beside 20 clients that send PING at full speed 2 of 126 usual clients got UP, the others BUSY or no answer in 2.6 s; beside one the slowest took 0.76 s where it read its answers.

Cause: a turn handled all lines of a read of 64 KB from each client, some ten thousand PINGs.

Change: lines over the share wait for the next turn, in order, and the client is not read meanwhile. That is kept apart from the pause while the other side is full. Lines of a client that is being closed are dropped.

With it 6 of the file pass, three times.

--- a/caperdeck/execution/executor.py
+++ b/caperdeck/execution/executor.py
@@ -560,5 +560,5 @@
             # A client whose first line has just arrived is not closed, as it would get no answer to it. One
             # whose line crosses the close on the way gets this answer. One that does not read its answers is
             # not read either.
-            if client.paused or not client.peek():
+            if client.other_side_full or not client.peek():
                 client.close(self.busy_line(0.0), linger=self.budget.may_serve() and not self.stopping)
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -28,7 +28,7 @@
     """A session's connection to its client."""
 
     opened_at: float
-    paused: bool  # not read until the answers written so far have been sent
+    other_side_full: bool  # not read until the answers written so far have been sent
 
     def pass_on(self, line: bytes) -> None: ...
 
--- a/caperdeck/wire/client.py
+++ b/caperdeck/wire/client.py
@@ -18,6 +18,8 @@
 
 from .lines import LINGER_S, SHORT_LINGER_S, BoundedPort, LineConnection
 
+MAX_LINES_PER_TURN = 32  # of one client, in one turn of the reactor
+
 
 class ClientHandler(Protocol):
     """The session handler, as client connections use it."""
@@ -54,6 +56,9 @@
         self.session: Session | None = None
         self.opened_at = 0.0
         self.closing = False
+        self.lines_left = MAX_LINES_PER_TURN  # of this turn
+        self.other_side_full = False  # what this client sends cannot be passed on, or its answers not sent
+        self.turn_timer: Any = None  # continues with lines that are left over from the turn before
 
     def connectionMade(self) -> None:
         self.disable_nagle()
@@ -63,9 +68,17 @@
         self.opened_at = self.handler.clock()
         self.handler.client_connected(self)
 
+    def dataReceived(self, data: bytes) -> None:
+        self.lines_left = MAX_LINES_PER_TURN
+        super().dataReceived(data)
+
     def lineReceived(self, line: bytes) -> None:
         if self.closing:
+            self.clearLineBuffer()
             return
+        self.lines_left -= 1
+        if not self.lines_left:
+            self._continue_next_turn()
         if self.session is None:
             self.handler.first_line_received(self, line)
         elif self.session.established_at:
@@ -74,6 +87,24 @@
             # A client that does not wait may send hundreds of commands; none of them may reach a host.
             self.handler.client_protocol_error(self, "did-not-wait")
 
+    def _continue_next_turn(self) -> None:
+        """Leaves further lines to the next turn, so that a client that sends many does not delay others."""
+        super().pauseProducing()
+        self.turn_timer = self.handler.reactor.callLater(0, self._continue)
+
+    def _continue(self) -> None:
+        if not self.other_side_full and self.transport.connected:
+            super().resumeProducing()
+
+    def pauseProducing(self) -> None:
+        self.other_side_full = True
+        super().pauseProducing()
+
+    def resumeProducing(self) -> None:
+        self.other_side_full = False
+        if self.turn_timer is None or not self.turn_timer.active():
+            super().resumeProducing()
+
     def lineLengthExceeded(self, line: bytes) -> None:
         if not self.closing:
             self.handler.client_protocol_error(self, "long-line")
@@ -87,7 +118,7 @@
         if last_line is not None:
             self.pass_on(last_line)
         self.half_close(self.handler.reactor, LINGER_S if linger else SHORT_LINGER_S)
-        if self.paused:
+        if self.other_side_full:
             self.resumeProducing()
 
     def peek(self) -> bytes | None:
@@ -120,6 +151,7 @@
 
     def connectionLost(self, reason) -> None:
         cancel(self.linger_timer)
+        cancel(self.turn_timer)
         if not self.closing:
             self.closing = True
             self.handler.client_disconnected(self, reset=not reason.check(ConnectionDone))
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -7,8 +7,10 @@
 from helpers import OPEN_LINE, LoopbackNode, closing_factory, read_all
 
 from caperdeck.execution.executor import IDLE_MS
+from caperdeck.wire.client import MAX_LINES_PER_TURN
 from caperdeck.wire.lines import LINGER_S
 
+PING = b"PING\r\n"
 PINGS = b"PING\r\n" * 20_000
 MAX_UNSENT_BYTES = 256 << 10  # a transport's buffer, and the answers to one read
 
@@ -22,6 +24,7 @@
     """A client for whose answers the kernel keeps little."""
     client = socket.socket()
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32 << 10)
     client.connect(("127.0.0.1", loopback.port_number))
     client.setblocking(False)
     loopback.reactor.run_until(lambda: loopback.handler.idle_clients)
@@ -78,6 +81,58 @@
         assert read_all(host)[0].endswith(b"one\r\n")
 
 
+def test_a_client_that_sends_many_lines_at_once_does_not_delay_others(loop):
+    # Guards against clients answered late or never, beside some that send small lines at full speed.
+    loopback = loop()
+    with loopback.client() as rude, loopback.client() as usual:
+        loopback.reactor.run_until(lambda: len(loopback.handler.idle_clients) == 2)
+        rude.send(PING * 5_000)
+        usual.send(PING)
+        for _ in range(4):
+            loopback.reactor.run_turn(0.0005)
+        assert read_all(usual)[0] == b"PONG\r\n"
+        assert 0 < read_all(rude)[0].count(b"PONG") <= 4 * MAX_LINES_PER_TURN
+
+
+def test_lines_left_over_from_a_turn_are_all_handled_and_end_with_the_client(loop):
+    # Guards against lines that are lost, or handled out of order, as they are spread over turns.
+    loopback = loop()
+    lines = [b"%d" % number for number in range(10 * MAX_LINES_PER_TURN)]
+    client = loopback.client(OPEN_LINE)
+    host = loopback.accept_at_host()
+    host.send(b"UP r1\r\n")
+    loopback.reactor.settle()
+    client.send(b"\r\n".join(lines) + b"\r\n")
+    client.shutdown(socket.SHUT_WR)
+    loopback.reactor.settle(60)
+    received, ended = read_all(host)
+    assert received.split(b"\r\n")[1:-1] == lines and ended == "end"
+    client.close()
+
+
+def test_lines_left_over_from_a_turn_wait_while_the_host_does_not_read(loop):
+    # Guards against memory without end, by lines that are handled although the host takes no more.
+    loopback = loop()
+    client = loopback.client(OPEN_LINE)
+    host = loopback.accept_at_host()
+    host.send(b"UP r1\r\n")
+    loopback.reactor.settle()
+    connection = loopback.session().client
+    connection.pauseProducing()
+    client.send(b"one\r\n" * 100)
+    loopback.reactor.settle()
+    assert b"one" not in read_all(host)[0]
+    connection.resumeProducing()
+    loopback.reactor.run_turn()
+    connection.pauseProducing()
+    loopback.reactor.settle()
+    assert read_all(host)[0].count(b"one") <= MAX_LINES_PER_TURN
+    connection.resumeProducing()
+    loopback.reactor.settle()
+    assert read_all(host)[0].count(b"one") >= 100 - MAX_LINES_PER_TURN
+    client.close()
+
+
 def test_a_client_that_does_not_read_its_answers_is_closed_as_an_idle_one(loop):
     # Guards against a descriptor held for good by a client whose unread data looks like a first line.
     loopback = loop()
