Upgrade: messages about ids have a module of their own

A pure move out of upgrade_protocol.py, with the table of changes that wait as a class; a message that lacks a field is read as one with nothing in it. Same messages, same tests.

--- /dev/null
+++ b/caperdeck/ops/id_messages.py
@@ -0,0 +1,68 @@
+"""Messages between two processes of one node about the ids of requests, and changes that wait to be sent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from itertools import islice
+from typing import Any
+
+from caperdeck.state.request_ids import IdChange, IdTable
+
+MAX_IDS_PER_PACKET = 2000
+FIELDS = {  # of a message: the table, and whether its ids were entered there
+    "opened": (IdTable.OPEN, True), "closed": (IdTable.OPEN, False),
+    "sent": (IdTable.SENT, True), "never_run": (IdTable.SENT, False),
+}  # fmt: skip
+FIELD_NAMES = {key: name for name, key in FIELDS.items()}
+
+Message = dict[str, Any]
+
+
+def encode_ids(changes: Iterable[IdChange]) -> Message:
+    fields: dict[str, list[str]] = {name: [] for name in FIELDS}
+    for table, digest, added in changes:
+        fields[FIELD_NAMES[table, added]].append(digest)
+    return {"say": "ids", **fields}
+
+
+def decode_ids(message: Message) -> list[IdChange]:
+    return [
+        IdChange(table, digest, added)
+        for name, (table, added) in FIELDS.items()
+        for digest in message.get(name, ())
+    ]
+
+
+def id_packets(changes: list[IdChange]) -> Iterator[Message]:
+    """Messages that each fit into a packet."""
+    for start in range(0, len(changes), MAX_IDS_PER_PACKET):
+        yield encode_ids(changes[start : start + MAX_IDS_PER_PACKET])
+
+
+class UnsentIdChanges:
+    """Changes that wait until the other process has room for them, by table and id.
+
+    Kept one by one, changes for a process that does not read would use up memory. One that is undone before
+    it is sent leaves nothing.
+    """
+
+    def __init__(self) -> None:
+        self.added: dict[tuple[IdTable, str], bool] = {}
+
+    def __len__(self) -> int:
+        return len(self.added)
+
+    def add(self, change: IdChange) -> None:
+        key = change.table, change.digest
+        if self.added.pop(key, change.added) is change.added:
+            self.added[key] = change.added
+
+    def send(self, try_send: Callable[[Message], bool]) -> bool:
+        """Sends as many as there is room for, in order; False if some are left."""
+        while self.added:
+            portion = list(islice(self.added.items(), MAX_IDS_PER_PACKET))
+            if not try_send(encode_ids(IdChange(*key, added) for key, added in portion)):
+                return False
+            for key, _ in portion:
+                del self.added[key]
+        return True
--- a/caperdeck/ops/upgrade_protocol.py
+++ b/caperdeck/ops/upgrade_protocol.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from itertools import islice
+from collections.abc import Callable
 from typing import Any, Protocol
 
-from caperdeck.state.request_ids import IdChange, IdTable
+from caperdeck.state.request_ids import IdChange
+
+from .id_messages import UnsentIdChanges, decode_ids, id_packets
 
 PROTOCOL_VERSION = 1
 MAX_ROWS_PER_PACKET = 200  # hosts
@@ -19,11 +20,6 @@
 BAN_TIMEOUT_S = 0.5  # for the other side's confirmation of a ban
 HANDOVER_INTERVAL_S = 0.01  # between two batches of connections
 CONNECTIONS_PER_BATCH = 24
-MAX_IDS_PER_PACKET = 2000
-ID_FIELDS = {  # of a message about ids: the table, and whether its ids were entered there
-    "opened": (IdTable.OPEN, True), "closed": (IdTable.OPEN, False),
-    "sent": (IdTable.SENT, True), "never_run": (IdTable.SENT, False),
-}  # fmt: skip
 
 Message = dict[str, Any]
 
@@ -67,8 +63,7 @@
         self.reactor, self.link, self.node = reactor, link, node
         self.open = True
         self.shares_ids = False  # the other process may take requests, or this one beside it
-        # Changes that wait for room: the table and the digest of the id, and whether it was entered there.
-        self.unsent_ids: dict[tuple[IdTable, str], bool] = {}
+        self.unsent_ids = UnsentIdChanges()
         self.ids_timer: Any = None  # until they are tried again
         self.last_ban_number = 0
         self.pending_bans: dict[int, Callable[[], None]] = {}
@@ -94,25 +89,14 @@
 
     def id_changed(self, change: IdChange) -> None:
         """This process has recorded something of an id."""
-        if not (self.open and self.shares_ids):
-            return
-        # Queued one by one, changes for a process that does not read would use up memory. What is undone
-        # before it is sent needs no message.
-        key = change.table, change.digest
-        if self.unsent_ids.pop(key, change.added) is change.added:
-            self.unsent_ids[key] = change.added
-        self._send_ids()
+        if self.open and self.shares_ids:
+            self.unsent_ids.add(change)
+            self._send_ids()
 
     def _send_ids(self) -> None:
-        if not self.open or (self.ids_timer is not None and self.ids_timer.active()):
-            return
-        while self.unsent_ids:
-            portion = list(islice(self.unsent_ids.items(), MAX_IDS_PER_PACKET))
-            if not self.link.try_send(encode_ids(IdChange(*key, added) for key, added in portion), ()):
-                self.ids_timer = self.reactor.callLater(HANDOVER_INTERVAL_S, self._send_ids)
-                return
-            for key, _ in portion:
-                del self.unsent_ids[key]
+        waiting = self.ids_timer is not None and self.ids_timer.active()
+        if self.open and not waiting and not self.unsent_ids.send(lambda ids: self.link.try_send(ids, ())):
+            self.ids_timer = self.reactor.callLater(HANDOVER_INTERVAL_S, self._send_ids)
 
     def _ban_done(self, number: int) -> None:
         if (on_done := self.pending_bans.pop(number, None)) is not None:
@@ -154,23 +138,6 @@
         self.link.on_closed = lambda: None
 
 
-def encode_ids(changes: Iterable[IdChange]) -> Message:
-    """The message about changes of what is recorded of ids."""
-    fields: dict[str, list[str]] = {name: [] for name in ID_FIELDS}
-    names = {key: name for name, key in ID_FIELDS.items()}
-    for table, digest, added in changes:
-        fields[names[table, added]].append(digest)
-    return {"say": "ids", **fields}
-
-
-def decode_ids(message: Message) -> list[IdChange]:
-    return [
-        IdChange(table, digest, added)
-        for name, (table, added) in ID_FIELDS.items()
-        for digest in message[name]
-    ]
-
-
 def split_into_packets(slots: dict[str, float]) -> list[dict[str, float]]:
     """The slots in portions that each fit into a packet; at least one portion."""
     items = list(slots.items())
@@ -202,9 +169,8 @@
             self.node.stop_accepting()
             # The other process has to know them before its first client.
             self.shares_ids = True
-            known = self.node.known_ids()
-            for start in range(0, len(known), MAX_IDS_PER_PACKET):
-                self.link.send(encode_ids(known[start : start + MAX_IDS_PER_PACKET]))
+            for ids in id_packets(self.node.known_ids()):
+                self.link.send(ids)
             *packets, last = split_into_packets(self.node.hand_over_slots())
             for slots in packets:
                 self.link.send({"say": "slots", "slots": slots})
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,12 +12,13 @@
 from node_processes import FakeFleet, NodeProcesses, until
 from twisted.internet.task import Clock
 
+from caperdeck.ops.id_messages import MAX_IDS_PER_PACKET
 from caperdeck.ops.link import (
     MAX_PACKET_BYTES, MAX_PACKETS_PER_READ, SOCKET_FILE, FolderAddress, NodeAddress, RendezvousSocket,
     UpgradeLink, connect_to_incumbent, encode,
 )  # fmt: skip
 from caperdeck.ops.upgrade_protocol import (
-    BAN_TIMEOUT_S, MAX_IDS_PER_PACKET, PROTOCOL_VERSION, ROSTER_TIMEOUT_S, Incumbent, Successor,
+    BAN_TIMEOUT_S, PROTOCOL_VERSION, ROSTER_TIMEOUT_S, Incumbent, Successor,
 )  # fmt: skip
 from caperdeck.state.clocks import unix_time
 
