--- a/caperdeck/wire/list_currency.py
+++ b/caperdeck/wire/list_currency.py
@@ -25,9 +25,7 @@
         # From this time on, only a line of discovery makes the list current; None if it is.
         self.unconfirmed_from: float | None = now
         self.watch_ended_at: float | None = None  # or a later call failed; None once one was answered
-        self.contact_lost_at: float | None = (
-            None  # a silent watch or call was given up; None once called again
-        )
+        self.contact_lost_at: float | None = None  # a silent watch or call was closed; None once called again
         self.refresh_pending = False  # the list has expired, and no call since has brought a line or failed
 
     # ---- what happens
