Ids: requests are counted, so that the end of one of two does not free their id

After an id has been served twice, two sessions of one process have it (seen by the operators in the adoption at the end of a broken upgrade). The table was a set, so the end of the first one freed the id of the other, and a third client was served.

The ids in use are counted, here and for the other process of an upgrade, and every request is reported. Changes that wait for the other process are the difference of entries and removals, so an id that is opened and closed again still leaves nothing.

Both new tests fail on the code before ("is_in_use" is False after the first end).

--- a/caperdeck/ops/id_messages.py
+++ b/caperdeck/ops/id_messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
-from itertools import islice
+from itertools import islice, repeat
 from typing import Any
 
 from caperdeck.state.request_ids import IdChange, IdTable
@@ -47,22 +47,28 @@
     """
 
     def __init__(self) -> None:
-        self.added: dict[tuple[IdTable, str], bool] = {}
+        self.net: dict[tuple[IdTable, str], int] = {}  # entries less removals
 
     def __len__(self) -> int:
-        return len(self.added)
+        return len(self.net)
 
     def add(self, change: IdChange) -> None:
         key = change.table, change.digest
-        if self.added.pop(key, change.added) is change.added:
-            self.added[key] = change.added
+        net = self.net.pop(key, 0) + (1 if change.added else -1)
+        if net:
+            self.net[key] = net
 
     def send(self, try_send: Callable[[Message], bool]) -> bool:
         """Sends as many as there is room for, in order; False if some are left."""
-        while self.added:
-            portion = list(islice(self.added.items(), MAX_IDS_PER_PACKET))
-            if not try_send(encode_ids(IdChange(*key, added) for key, added in portion)):
+        while self.net:
+            portion = list(islice(self.net.items(), MAX_IDS_PER_PACKET))
+            if not try_send(encode_ids(_changes(portion))):
                 return False
             for key, _ in portion:
-                del self.added[key]
+                del self.net[key]
         return True
+
+
+def _changes(portion: Iterable[tuple[tuple[IdTable, str], int]]) -> Iterator[IdChange]:
+    for (table, digest), net in portion:
+        yield from repeat(IdChange(table, digest, net > 0), abs(net))
--- a/caperdeck/state/request_ids.py
+++ b/caperdeck/state/request_ids.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections import Counter
 from collections.abc import Callable
 from enum import IntEnum
 from typing import NamedTuple
@@ -36,19 +37,20 @@
 
 
 class RequestIds:
-    """The ids known to one process of a node. `on_change` gets each change that the process makes itself."""
+    """The ids known to one process of a node. `on_change` gets each change that the process makes itself.
+
+    Requests are counted, as two of one id may be open after the processes were unable to tell each other.
+    """
 
     def __init__(self) -> None:
-        self.open_here: set[str] = set()
-        self.open_elsewhere: set[str] = set()  # digests of the ids at the other process
+        self.open_here: Counter[str] = Counter()  # requests by id
+        self.open_elsewhere: Counter[str] = Counter()  # by digest, at the other process
         self.sent: dict[str, None] = {}  # digests of the ids sent by either process, the oldest first
         self.on_change: Callable[[IdChange], None] | None = None
 
     def is_in_use(self, request_id: str) -> bool:
         """Whether a request with this id is open at either process."""
-        if request_id in self.open_here:
-            return True
-        return bool(self.open_elsewhere) and id_digest(request_id) in self.open_elsewhere
+        return request_id in self.open_here or self._is_open_elsewhere(request_id)
 
     def was_sent(self, request_id: str) -> bool:
         """Whether a once-only request with this id may have run, as far as is remembered."""
@@ -56,12 +58,12 @@
 
     def mark_open(self, request_id: str) -> None:
         """A request with this id has been taken on by this process."""
-        self.open_here.add(request_id)
+        self.open_here[request_id] += 1
         self._report(IdTable.OPEN, request_id, True)
 
     def mark_closed(self, request_id: str) -> None:
-        """The request has been answered, has ended, or goes on in the other process."""
-        self.open_here.discard(request_id)
+        """A request with this id has been answered or has ended."""
+        _decrement(self.open_here, request_id)
         self._report(IdTable.OPEN, request_id, False)
 
     def mark_sent(self, request_id: str) -> None:
@@ -76,16 +78,18 @@
 
     def snapshot(self) -> list[IdChange]:
         """The changes that bring another process to what this one knows."""
-        changes = [IdChange(IdTable.OPEN, id_digest(request_id), True) for request_id in self.open_here]
+        changes = [
+            IdChange(IdTable.OPEN, id_digest(request_id), True) for request_id in self.open_here.elements()
+        ]
         return changes + [IdChange(IdTable.SENT, digest, True) for digest in self.sent]
 
     def apply(self, change: IdChange) -> None:
         """Records a change that the other process has made."""
         match change:
             case IdChange(IdTable.OPEN, digest, True):
-                self.open_elsewhere.add(digest)
+                self.open_elsewhere[digest] += 1
             case IdChange(IdTable.OPEN, digest, False):
-                self.open_elsewhere.discard(digest)
+                _decrement(self.open_elsewhere, digest)
             case IdChange(IdTable.SENT, digest, True):
                 self._remember(digest)
             case IdChange(IdTable.SENT, digest, False):
@@ -95,6 +99,9 @@
         """The other process has ended, and its requests with it; what it has sent may have run."""
         self.open_elsewhere.clear()
 
+    def _is_open_elsewhere(self, request_id: str) -> bool:
+        return bool(self.open_elsewhere) and id_digest(request_id) in self.open_elsewhere
+
     def _remember(self, digest: str) -> None:
         self.sent[digest] = None
         if len(self.sent) > MAX_SENT_IDS:
@@ -103,3 +110,10 @@
     def _report(self, table: IdTable, request_id: str, added: bool) -> None:
         if self.on_change is not None:
             self.on_change(IdChange(table, id_digest(request_id), added))
+
+
+def _decrement(counts: Counter[str], key: str) -> None:
+    """Counts one less, and keeps no key without a count."""
+    counts[key] -= 1
+    if counts[key] <= 0:
+        del counts[key]
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -4,6 +4,7 @@
 from helpers import accept, connect, establish, lose_connection, make_handler, open_line
 from test_upgrade import serving_pair
 
+from caperdeck.ops.id_messages import UnsentIdChanges, decode_ids
 from caperdeck.state.request_ids import MAX_SENT_IDS, RequestIds
 
 ONCE_ONLY = {"effect": "at_most_once"}
@@ -132,3 +133,27 @@
         ids.mark_sent(str(number))
     assert len(ids.sent) == MAX_SENT_IDS
     assert [ids.was_sent(str(number)) for number in (0, 2, 3, MAX_SENT_IDS + 2)] == [False, False, True, True]
+
+
+def test_the_end_of_one_of_two_sessions_with_an_id_does_not_free_it():
+    # Guards against a third client served with an id that two sessions have, as after a lost link.
+    ids = RequestIds()
+    ids.mark_open("a")
+    ids.mark_open("a")
+    ids.mark_closed("a")
+    assert ids.is_in_use("a")
+    ids.mark_closed("a")
+    assert not ids.is_in_use("a")
+
+
+def test_two_requests_of_an_id_at_the_other_process_are_counted_there_too():
+    # Guards against the same at the process that does not hold them, also while it has not read of them.
+    ids, unsent, told = RequestIds(), UnsentIdChanges(), RequestIds()
+    ids.on_change = unsent.add
+    for mark in (ids.mark_open, ids.mark_open):
+        mark("a")
+    unsent.send(lambda message: [told.apply(change) for change in decode_ids(message)])
+    for in_use in (True, False):
+        ids.mark_closed("a")
+        unsent.send(lambda message: [told.apply(change) for change in decode_ids(message)])
+        assert told.is_in_use("a") is in_use
