Handover: an id is in use while its session is on the way to the other process

Cause: the old process removed the id from its table as it sent the session, and counted it for the new process only once that had adopted the session and reported it. For the 1 to 2 ms between neither process refused it, and a client that the old process had accepted before was taken on.

Change: the old process counts the id for the new one in the moment in which it lets go of it. The session's packet states that, so the new process does not report the id as opened; it reports its end. A session that the new process cannot take is reported as ended too, else its id would stay refused. Counts, not a set, as reports and hand-overs may cross. An older version on either side is served: its packets lack the id, and an adopted session is reported as before.

It works because packets of one direction are read in order and each event changes a count once: there is no moment at which the id is counted by nobody, and the end is reported by the one that holds it.

--- a/caperdeck/execution/executor.py
+++ b/caperdeck/execution/executor.py
@@ -340,7 +340,7 @@
         """Forgets a session that goes on in another process of this node."""
         session.client.closing = session.host_connection.ended = True
         session.host_connection = None
-        self.sessions.remove(session)
+        self.sessions.hand_over(session)
         self.budget.session_count -= 1
         self.budget.client_connections -= 1
         self.report_event(DialEnded(session.index, session.dial, Outcome.WITHDRAWN, True))
--- a/caperdeck/ops/handover.py
+++ b/caperdeck/ops/handover.py
@@ -6,6 +6,7 @@
 import socket
 from typing import TYPE_CHECKING, Any
 
+from caperdeck.state.request_ids import id_digest
 from caperdeck.wire.client import ClientConnection
 from caperdeck.wire.request import parse_request
 from caperdeck.wire.host import HostConnection
@@ -57,6 +58,7 @@
     message = {
         "say": "session",
         "line": decode_text(session.request.line),
+        "id": id_digest(session.request.id),  # counts as open at the other process from now on
         "host": handler.hosts.uids[session.host],
         "dial": session.dial,
         "since": session.requested_at,
@@ -102,9 +104,8 @@
             return False
         client = ClientConnection(handler)
         adopt_connection(handler, descriptors[0], client)
-        session = handler.sessions.create(
-            parse_request(message["line"].encode("latin-1")), client, message["since"]
-        )
+        request = parse_request(message["line"].encode("latin-1"))
+        session = handler.sessions.adopt(request, client, message["since"], counted="id" in message)
         host_side = HostConnection(handler, session, message["deadline"])
         host_side.taken_over = True
         adopt_connection(handler, descriptors[1], host_side)
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -15,7 +15,7 @@
 from twisted.internet.error import CannotListenError
 
 from caperdeck.state.budget import open_descriptors
-from caperdeck.state.request_ids import IdChange
+from caperdeck.state.request_ids import IdChange, IdTable
 from caperdeck.state.timers import cancel
 from caperdeck.wire.request import RequestError
 
@@ -303,9 +303,12 @@
             taken = adopt_session(self.node.handler, message, fds)
         except (RequestError, KeyError, TypeError, ValueError, OSError) as error:
             logger.error("upgrade reason=bad-session {!r}", error)
-            return
-        if not taken:
-            logger.info("upgrade reason=side-gone line={!r}", message["line"][:40])
+            taken = False
+        else:
+            if not taken:
+                logger.info("upgrade reason=side-gone line={!r}", str(message.get("line"))[:40])
+        if not taken and "id" in message:
+            self.side.id_changed(IdChange(IdTable.OPEN, str(message["id"]), False))
 
     def incumbent_gone(self) -> None:
         # Fewer sessions than the incumbent has logged are connections that were cut off.
--- a/caperdeck/state/request_ids.py
+++ b/caperdeck/state/request_ids.py
@@ -44,7 +44,7 @@
 
     def __init__(self) -> None:
         self.open_here: Counter[str] = Counter()  # requests by id
-        self.open_elsewhere: Counter[str] = Counter()  # by digest, at the other process
+        self.open_elsewhere: Counter[str] = Counter()  # by digest: at the other process, or on the way to it
         self.sent: dict[str, None] = {}  # digests of the ids sent by either process, the oldest first
         self.on_change: Callable[[IdChange], None] | None = None
 
@@ -66,6 +66,16 @@
         _decrement(self.open_here, request_id)
         self._report(IdTable.OPEN, request_id, False)
 
+    def mark_handed_over(self, request_id: str) -> None:
+        """A session with this id goes to the other process, and counts as open there from now on."""
+        # The other process can report the id only after a while, in which nobody would hold it.
+        self.open_elsewhere[id_digest(request_id)] += 1
+        self.mark_closed(request_id)
+
+    def mark_adopted(self, request_id: str) -> None:
+        """A session that the other process counts as open here already is now held by this process."""
+        self.open_here[request_id] += 1
+
     def mark_sent(self, request_id: str) -> None:
         """A once-only request with this id goes to a host."""
         self._remember(id_digest(request_id))
--- a/caperdeck/state/sessions.py
+++ b/caperdeck/state/sessions.py
@@ -95,19 +95,44 @@
         self.ids = RequestIds()  # as given by clients
 
     def create(self, request: OpenRequest, client: ClientSide, now: float) -> Session:
-        session = Session(self.created_count, request, client, now, now + request.wait_ms)
+        """Enters a session for a request that this process takes on."""
+        session = self._enter(request, client, now)
+        self.ids.mark_open(request.id)
+        return session
+
+    def adopt(self, request: OpenRequest, client: ClientSide, requested_at: float, counted: bool) -> Session:
+        """Enters a session that another process of this node has handed over; `counted` says whether that
+        process counts the id as open here already, as older versions do not.
+        """
+        session = self._enter(request, client, requested_at)
+        if counted:
+            self.ids.mark_adopted(request.id)
+        else:
+            self.ids.mark_open(request.id)
+        return session
+
+    def _enter(self, request: OpenRequest, client: ClientSide, requested_at: float) -> Session:
+        session = Session(self.created_count, request, client, requested_at, requested_at + request.wait_ms)
         self.created_count += 1
         self.by_index[session.index] = session
         self.opening[session] = None
-        self.ids.mark_open(request.id)
         return session
 
     def remove(self, session: Session) -> None:
+        """Forgets a session that has ended."""
+        self._leave(session)
+        self.ids.mark_closed(session.request.id)
+
+    def hand_over(self, session: Session) -> None:
+        """Forgets a session that goes on in another process of this node."""
+        self._leave(session)
+        self.ids.mark_handed_over(session.request.id)
+
+    def _leave(self, session: Session) -> None:
         session.finished = True
         self.opening.pop(session, None)
         self.unanswered.pop(session, None)
         self.by_index.pop(session.index, None)
-        self.ids.mark_closed(session.request.id)
 
     def mark_established(self, session: Session, now: float) -> None:
         """Records that the session has its final answer, and that lines pass from now on."""
