Handover: a session that cannot be adopted leaves nothing in the new process

What callers saw: the client of a session whose packet was damaged, or for whose host connection no descriptor was left, kept an open connection that nobody served. With an unknown host the whole link broke, and with it the hand-over of all other sessions.

Cause: the session was entered in the tables before the packet had been read to its end and before its second connection was held, and nothing was taken back on an error. An IndexError was not caught.

Change: a packet is decoded whole first, into a typed record; the session is entered once both connections are held; a host that is not known is an error of this one packet. A client that is held already is told MOVE. Its id is freed once, by the message of the refusal.

--- a/caperdeck/ops/handover.py
+++ b/caperdeck/ops/handover.py
@@ -4,7 +4,7 @@
 
 import os
 import socket
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from caperdeck.state.request_ids import id_digest
 from caperdeck.wire.client import ClientConnection
@@ -13,7 +13,7 @@
 from caperdeck.wire.lines import SingleConnectionFactory
 
 if TYPE_CHECKING:
-    from caperdeck.state.sessions import Session
+    from caperdeck.state.sessions import OpenRequest, Session
     from caperdeck.wire.session_handler import SessionHandler
 
 MAX_BUFFERED_BYTES = 32 << 10  # per connection; a session with more is handed over once they have been sent
@@ -97,38 +97,84 @@
     return True
 
 
+class HandedOverSession(NamedTuple):
+    """A session as its message states it; times in milliseconds, data of the client before the host's."""
+
+    request: OpenRequest
+    id_counted: bool  # the sender counts the id as open here already
+    host: str
+    dial: int
+    requested_at: float
+    deadline: float
+    established_at: float
+    client_heard_at: float
+    awaits_answer: bool
+    read: tuple[bytes, bytes]
+    unsent: tuple[bytes, bytes]
+
+
+def decode_session(message: dict[str, Any]) -> HandedOverSession:
+    """Raises RequestError, KeyError, TypeError, ValueError or AttributeError if the message states none."""
+    return HandedOverSession(
+        parse_request(message["line"].encode("latin-1")),
+        "id" in message,
+        str(message["host"]),
+        int(message["dial"]),
+        *(float(message[key]) for key in ("since", "deadline", "up_at", "heard_at")),
+        bool(message["asked"]),
+        _both_sides(message["read"]),
+        _both_sides(message["unsent"]),
+    )
+
+
+def _both_sides(texts: list[str]) -> tuple[bytes, bytes]:
+    client, host = texts
+    return client.encode("latin-1"), host.encode("latin-1")
+
+
 def adopt_session(handler: SessionHandler, message: dict[str, Any], descriptors: list[int]) -> bool:
-    """Takes over a session that another process of this node handed over; False if a side has gone."""
+    """Takes over a session that another process of this node handed over; False if a side has gone.
+
+    Raises OSError, or the errors of `decode_session`; the session is then entered nowhere.
+    """
     try:
         if len(descriptors) != 2 or not all(map(is_connected, descriptors)):
             return False
-        client = ClientConnection(handler)
-        adopt_connection(handler, descriptors[0], client)
-        request = parse_request(message["line"].encode("latin-1"))
-        session = handler.sessions.adopt(request, client, message["since"], counted="id" in message)
-        host_side = HostConnection(handler, session, message["deadline"])
-        host_side.taken_over = True
-        adopt_connection(handler, descriptors[1], host_side)
-        session.host, session.dial, session.host_connection = (
-            handler.hosts.index_of(message["host"]),
-            message["dial"],
-            host_side,
-        )
-        handler.sessions.mark_established(session, message["up_at"])
-        session.deadline, session.client_heard_at = message["deadline"], message["heard_at"]
-        handler.session_taken_over(session, message["asked"])
+        state = decode_session(message)
+        session = _enter_session(handler, state, descriptors)
     finally:
         for descriptor in descriptors:
             os.close(descriptor)
-    sides = (client, host_side)
-    for side, data in zip(sides, message["unsent"], strict=True):
+    sides = (session.client, session.host_connection)
+    for side, data in zip(sides, state.unsent, strict=True):
         if data:
-            side.transport.write(data.encode("latin-1"))
-    for side, data in zip(sides, message["read"], strict=True):
+            side.transport.write(data)
+    for side, data in zip(sides, state.read, strict=True):
         if data:
-            side.dataReceived(data.encode("latin-1"))
+            side.dataReceived(data)
     return True
 
 
+def _enter_session(handler: SessionHandler, state: HandedOverSession, descriptors: list[int]) -> Session:
+    """Enters the session once both connections are held; raises KeyError for an unknown host, or OSError."""
+    host = handler.hosts.index_by_uid[state.host]
+    client = ClientConnection(handler)
+    adopt_connection(handler, descriptors[0], client)
+    host_side = HostConnection(handler, None, state.deadline)
+    host_side.taken_over = True
+    try:
+        adopt_connection(handler, descriptors[1], host_side)
+    except OSError:
+        client.close(handler.redirect_line)
+        raise
+    session = handler.sessions.adopt(state.request, client, state.requested_at, state.id_counted)
+    host_side.session = session
+    session.host, session.dial, session.host_connection = host, state.dial, host_side
+    handler.sessions.mark_established(session, state.established_at)
+    session.deadline, session.client_heard_at = state.deadline, state.client_heard_at
+    handler.session_taken_over(session, state.awaits_answer)
+    return session
+
+
 def adopt_connection(handler: SessionHandler, descriptor: int, protocol: Any) -> None:
     handler.reactor.adoptStreamConnection(descriptor, socket.AF_INET, SingleConnectionFactory(protocol))
--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -301,7 +301,7 @@
         self.sessions_received += 1
         try:
             taken = adopt_session(self.node.handler, message, fds)
-        except (RequestError, KeyError, TypeError, ValueError, OSError) as error:
+        except (RequestError, KeyError, TypeError, ValueError, AttributeError, OSError) as error:
             logger.error("upgrade reason=bad-session {!r}", error)
             taken = False
         else:
--- a/caperdeck/wire/host.py
+++ b/caperdeck/wire/host.py
@@ -30,9 +30,9 @@
 
 
 class HostConnection(LineConnection):
-    def __init__(self, handler: HostHandler, session: Session, dial_deadline: float) -> None:
+    def __init__(self, handler: HostHandler, session: Session | None, dial_deadline: float) -> None:
         self.handler = handler
-        self.session = session
+        self.session = session  # None until a session that is taken over has been entered
         self.request_sent = False  # the request line has been handed to the transport
         self.partially_sent = False  # the kernel took only a part of it; the transport buffers the rest
         self.taken_over = False  # the session was established in another process of this node
--- a/tests/test_handover_ids.py
+++ b/tests/test_handover_ids.py
@@ -1,5 +1,7 @@
 """The ids of sessions that one process of a node hands over to the other during an upgrade."""
 
+import errno
+import os
 import socket
 
 import pytest
@@ -7,6 +9,7 @@
 
 from caperdeck.ops.link import UpgradeLink
 from caperdeck.ops.upgrade_protocol import Incumbent, Successor
+from caperdeck.state.request_ids import IdChange, IdTable, id_digest
 
 REFUSED = b"ERR\r\n"
 TAKEN_ON = b""  # no answer yet
@@ -137,25 +140,58 @@
     first.close()
 
 
-def packet_with_a_bad_line(pair, first):
-    deliver = pair.new.upgrade.receive_session
-    pair.new.upgrade.receive_session = lambda message, fds: deliver(message | {"line": "OPEN"}, fds)
+def damaged_packet(**changes):
+    def damage(pair, first):
+        deliver = pair.new.upgrade.receive_session
+        pair.new.upgrade.receive_session = lambda message, fds: deliver(message | changes, fds)
 
+    return damage
 
-REFUSALS = [client_is_reset, packet_with_a_bad_line]
 
+def no_descriptor_for_the_host(pair, first):
+    adopt, calls = pair.new.reactor.adoptStreamConnection, []
 
-@pytest.mark.parametrize("fault", REFUSALS)
+    def adopt_first_only(*arguments):
+        calls.append(arguments)
+        if len(calls) == 2:
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+        return adopt(*arguments)
+
+    pair.new.reactor.adoptStreamConnection = adopt_first_only
+
+
+REFUSALS = {
+    "client reset": client_is_reset, "bad line": damaged_packet(line="OPEN"),
+    "no data": damaged_packet(unsent=None), "unknown host": damaged_packet(host="s-9"),
+    "no descriptor": no_descriptor_for_the_host,
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("fault", REFUSALS.values(), ids=REFUSALS)
 def test_the_id_of_a_session_that_the_other_process_cannot_take_is_free_again(pair, fault):
     # Guards against an id refused for good, and sessions left in a table, after a packet that was refused.
     first = pair.old.established_client()
-    late = [pair.old.accepted_client() for _ in range(2)]
+    late = [pair.old.accepted_client() for _ in range(3)]
     pair.hand_over()
     fault(pair, first)
     assert pair.old.answer_to(late[0]) == REFUSED
+    old_ids, another = pair.old.handler.sessions.ids, id_digest(open_line(NUMBER).split()[1].decode())
+    old_ids.apply(IdChange(IdTable.OPEN, another, True))
     pair.settle()
     assert not pair.new.handler.sessions.by_index and not pair.new.handler.budget.session_count
-    assert pair.old.answer_to(late[1]) == TAKEN_ON
+    assert pair.old.answer_to(late[1]) == REFUSED  # freed once: another session with the id still counts
+    old_ids.apply(IdChange(IdTable.OPEN, another, False))
+    assert pair.old.answer_to(late[2]) == TAKEN_ON
+
+
+def test_a_client_whose_session_cannot_be_adopted_is_told_to_open_a_new_one(pair):
+    # Guards against a client that waits on a connection without a host.
+    first = pair.old.established_client()
+    pair.old.accepted_client()
+    pair.hand_over()
+    no_descriptor_for_the_host(pair, first)
+    pair.settle()
+    assert read_all(first) == (b"MOVE\r\n", "end")
 
 
 def test_the_id_of_a_session_that_no_process_has_read_is_free_once_the_other_one_has_gone(pair):
