Upgrade: the old process does not end before the ids it has sent are told

What callers would see: a once-only request that ran at a host through the old process runs again as its id comes to the new one.

Cause: changes of ids wait for room in the link, and the old process finished, or ended by a signal, without them. A session could overtake them in the same way.

Change: the old process hands nothing over and does not finish while changes wait, and sends what there is room for as it is stopped.

Both tests fail before the change: the old process has finished, and the id is taken on.

--- a/caperdeck/ops/upgrade_protocol.py
+++ b/caperdeck/ops/upgrade_protocol.py
@@ -95,9 +95,12 @@
 
     def _send_ids(self) -> None:
         waiting = self.ids_timer is not None and self.ids_timer.active()
-        if self.open and not waiting and not self.unsent_ids.send(lambda ids: self.link.try_send(ids, ())):
+        if self.open and not waiting and not self._try_to_send_ids():
             self.ids_timer = self.reactor.callLater(HANDOVER_INTERVAL_S, self._send_ids)
 
+    def _try_to_send_ids(self) -> bool:
+        return self.unsent_ids.send(lambda ids: self.link.try_send(ids, ()))
+
     def _ban_done(self, number: int) -> None:
         if (on_done := self.pending_bans.pop(number, None)) is not None:
             on_done()
@@ -134,6 +137,8 @@
 
     def detach(self) -> None:
         """This process ends: the end of the link is no longer acted on."""
+        if self.open:
+            self._try_to_send_ids()
         self.open = False
         self.link.on_closed = lambda: None
 
@@ -182,7 +187,8 @@
         """Hands over the connections in small batches until none is left."""
         if not self.open:
             return
-        if self.node.hand_over_connections(CONNECTIONS_PER_BATCH):
+        # A session, or the end of this process, must not overtake what has been sent under an id.
+        if not self.unsent_ids and self.node.hand_over_connections(CONNECTIONS_PER_BATCH):
             self.node.finish()
             return
         self.link.try_send({"say": "held", "held": self.node.open_descriptor_count()}, ())
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -126,6 +126,43 @@
     assert connect(new, open_line(0)).transport.lines() == REFUSED
 
 
+def unreported_request(tmp_path):
+    """An old process whose link had no room for the id of a once-only request that it has sent; also the new
+    process, and a function that makes room.
+    """
+    old, new, hand_over_port = serving_pair(tmp_path, listener=ONCE_ONLY)
+    upgrade = old.refresh_ids.__self__
+    del upgrade.hand_over_connections
+    late = connect(old)
+    hand_over_port()
+    link = upgrade.side.link
+    room, link.try_send = link.try_send, lambda message, fds: False
+    late.dataReceived(open_line(1) + b"\r\n")
+    accept(old)
+    lose_connection(late)
+    return upgrade, new, lambda: setattr(link, "try_send", room)
+
+
+def test_an_old_process_does_not_finish_before_the_new_one_knows_what_it_has_sent(tmp_path):
+    # Guards against a once-only request that runs again at the new process, as the old one has ended.
+    upgrade, new, make_room = unreported_request(tmp_path)
+    finished = []
+    upgrade.finish = lambda: finished.append(True)
+    upgrade.reactor.advance(0.05)
+    assert not finished
+    make_room()
+    upgrade.reactor.pump([0.01] * 5)
+    assert finished and connect(new, open_line(1)).transport.lines() == REFUSED
+
+
+def test_an_old_process_that_is_stopped_tells_the_new_one_what_it_has_sent(tmp_path):
+    # Guards against the same as the old process ends by a signal.
+    upgrade, new, make_room = unreported_request(tmp_path)
+    make_room()
+    upgrade.detach()
+    assert connect(new, open_line(1)).transport.lines() == REFUSED
+
+
 def test_the_memory_of_sent_ids_is_bounded():
     # Guards against memory without end, for ever new ids.
     ids = RequestIds()
