Upgrade: an id that both processes read in the same instant is served once

It could still happen: each process read the link, found nothing, took the request on and told the other, so both served it.

Cause: the check came before the other process was told, and was not made again after it.

Change: a process that has taken an id on, and told the other, reads the link once more before it does anything for the request, and answers ERR if the id is in use beside its own, or was sent. Each tells before it reads, so of two processes at least one reads of the other, whatever the order; where both do, both answer ERR. A session that the old process has established and handed over meanwhile is seen, too.

3 of the 5 new tests fail before the change: both requests were taken on. The 2 others are the order that was safe already.

Open: while one process does not read, the link takes 278 messages (measured here); ids beyond that wait at the sender, and for up to 10 ms after the other process runs again it cannot know them.

--- a/caperdeck/state/request_ids.py
+++ b/caperdeck/state/request_ids.py
@@ -52,6 +52,10 @@
         """Whether a request with this id is open at either process."""
         return request_id in self.open_here or self._is_open_elsewhere(request_id)
 
+    def is_in_use_twice(self, request_id: str) -> bool:
+        """Whether a request with this id is open at either process beside one of this process."""
+        return self.open_here[request_id] > 1 or self._is_open_elsewhere(request_id)
+
     def was_sent(self, request_id: str) -> bool:
         """Whether a once-only request with this id may have run, as far as is remembered."""
         return bool(self.sent) and id_digest(request_id) in self.sent
--- a/caperdeck/wire/session_handler.py
+++ b/caperdeck/wire/session_handler.py
@@ -24,7 +24,7 @@
 from .host import HostConnection
 from .probe import ProbePool
 from .report import parse_load
-from .request import RequestError, parse_request
+from .request import Request, RequestError, parse_request
 
 DESCRIPTORS_BACK_OFF_MS = 500.0  # for clients that are refused because descriptors are short
 NO_LIST_BACK_OFF_MS = 500.0  # for clients that are refused because the list of hosts is not current
@@ -60,20 +60,7 @@
         request = None
         try:
             request = parse_request(line)
-            if request.listener not in self.names.listeners:
-                raise RequestError("unknown-class")
-            # A session to be resumed may wait for as long as the start of the node takes.
-            if request.resume_host is None and request.wait_ms > MAX_WAIT_FACTOR * max(
-                self.limits.max_client_wait, MS
-            ):
-                raise RequestError("bad-wait")
-            # Two open sessions with one id could not be told apart, not even by their hosts.
-            self.refresh_ids()
-            if self.sessions.ids.is_in_use(request.id):
-                raise RequestError("id-in-use")
-            # Its client may have left before the answer, or want the effect again.
-            if self.sessions.ids.was_sent(request.id):
-                raise RequestError("id-used")
+            self._check_request(request)
         except RequestError as error:
             if request is not None:
                 self.metrics.count_answer(request.listener, Status.FAULTED)
@@ -89,15 +76,41 @@
             self.metrics.count_answer(request.listener, Status.THROTTLED)
             self._refuse(client, self.busy_line(back_off), "no-sockets", line[:80])
             return
+        self._take_on(client, request)
+
+    def _check_request(self, request: Request) -> None:
+        """Raises RequestError for a request that may not be served."""
+        if request.listener not in self.names.listeners:
+            raise RequestError("unknown-class")
+        # A session to be resumed may wait for as long as the start of the node takes.
+        if request.resume_host is None and request.wait_ms > MAX_WAIT_FACTOR * max(
+            self.limits.max_client_wait, MS
+        ):
+            raise RequestError("bad-wait")
+        # Two open sessions with one id could not be told apart, not even by their hosts.
+        self.refresh_ids()
+        if self.sessions.ids.is_in_use(request.id):
+            raise RequestError("id-in-use")
+        # Its client may have left before the answer, or want the effect again.
+        if self.sessions.ids.was_sent(request.id):
+            raise RequestError("id-used")
+
+    def _take_on(self, client: ClientConnection, request: Request) -> None:
+        """Enters a session for the request, and begins to serve it."""
         self.budget.session_count += 1
         now = self.clock()
         # The client's wait began when its line arrived, which may have been during a stall of this node.
         session = client.session = self.sessions.create(request, client, now - self.read_delay())
         session.deadline = min(session.deadline, self.answer_by)
-        if request.resume_host is not None:
+        # Only now can the other process of an upgrade read of the id. Where both take it on at the same time,
+        # at least one of them reads here that the other has.
+        self.refresh_ids()
+        if self.sessions.ids.is_in_use_twice(request.id) or self.sessions.ids.was_sent(request.id):
+            self._answer_client(session, self.error_line, "id-in-use")
+        elif request.resume_host is not None:
             self.resumption.begin(session)
-            return
-        self._open_session(session)
+        else:
+            self._open_session(session)
 
     def _open_session(self, session: Session) -> None:
         if self.defer(partial(self._open_session, session)):
--- a/tests/test_handover_ids.py
+++ b/tests/test_handover_ids.py
@@ -218,3 +218,25 @@
     pair.hand_over()
     pair.settle()
     assert pair.old.answer_to(late) == REFUSED
+
+
+def test_a_request_is_refused_whose_id_is_adopted_while_it_is_taken_on(pair):
+    # Guards against an id served at the new process, as the old one established and handed it over meanwhile.
+    late = pair.old.accepted_client()
+    pair.old.accepted_client()
+    pair.hand_over()
+    pair.new.settle()
+    read_link = pair.new.handler.refresh_ids
+
+    def read_and_be_held_up():
+        read_link()
+        pair.new.handler.refresh_ids = read_link
+        assert pair.old.answer_to(late) == TAKEN_ON
+        pair.old.accept_at_host().sendall(b"UP r1\r\n")
+        pair.old.settle()
+        pair.old.settle()
+        assert pair.old.upgrade.sessions_handed_over == 1
+
+    pair.new.handler.refresh_ids = read_and_be_held_up
+    assert not pair.new.new_client_is_taken_on()
+    assert len(pair.new.handler.sessions.by_index) == 1 and read_all(late)[0] == b"UP r1\r\n"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -562,6 +562,30 @@
     assert [is_taken_on(new, number) for number in (0, 1)] == [False, False]
 
 
+@pytest.mark.parametrize("read", [1, 2], ids=["before it tells the other", "after it has told the other"])
+@pytest.mark.parametrize("first", ["old", "new"])
+def test_an_id_that_both_processes_read_in_the_same_instant_is_served_once(tmp_path, first, read):
+    # Guards against two requests of one id, each taken on before its process has read of the other.
+    old, new, hand_over_port = serving_pair(tmp_path)
+    clients = {"old": connect(old), "new": connect(new)}
+    hand_over_port()
+    handler, other = (old, new) if first == "old" else (new, old)
+    (other_client,) = (client for client in clients.values() if client.handler is other)
+    read_link, reads = handler.refresh_ids, []
+
+    def read_and_be_held_up():
+        read_link()
+        reads.append(1)
+        if len(reads) == read:
+            other_client.dataReceived(open_line(1) + b"\r\n")
+
+    handler.refresh_ids = read_and_be_held_up
+    clients[first].dataReceived(open_line(1) + b"\r\n")
+    if len(reads) < read:
+        other_client.dataReceived(open_line(1) + b"\r\n")
+    assert sorted(client.transport.lines() for client in clients.values()) == [[], [b"ERR"]]
+
+
 def test_ids_of_a_process_that_has_gone_are_free_again(tmp_path):
     # Guards against clients refused for the requests of a process that died during an upgrade.
     old, new, hand_over_port = serving_pair(tmp_path)
