--- a/caperdeck/ops/upgrade.py
+++ b/caperdeck/ops/upgrade.py
@@ -15,7 +15,7 @@
 from twisted.internet.error import CannotListenError
 
 from caperdeck.state.budget import open_descriptors
-from caperdeck.state.request_ids import IdChange, IdTable
+from caperdeck.state.request_ids import IdChange, IdTable, id_digest
 from caperdeck.state.timers import cancel
 from caperdeck.wire.request import RequestError
 
@@ -94,9 +94,9 @@
         self.node.handler.sessions.ids.on_change = self._id_changed
         self.node.handler.refresh_ids = self.read_messages
 
-    def _id_changed(self, change: IdChange) -> None:
+    def _id_changed(self, table: IdTable, request_id: str, added: bool) -> None:
         if self.in_progress:
-            self.side.id_changed(change)
+            self.side.id_changed(IdChange(table, id_digest(request_id), added))
 
     def known_ids(self) -> list[IdChange]:
         return self.node.handler.sessions.ids.snapshot()
--- a/caperdeck/state/request_ids.py
+++ b/caperdeck/state/request_ids.py
@@ -37,7 +37,8 @@
 
 
 class RequestIds:
-    """The ids known to one process of a node. `on_change` gets each change that the process makes itself.
+    """The ids known to one process of a node. `on_change` is called with each
+    change that the process makes itself: the table, the id, and whether it was entered or removed.
 
     Requests are counted, as two of one id may be open after the processes were unable to tell each other.
     """
@@ -46,7 +47,7 @@
         self.open_here: Counter[str] = Counter()  # requests by id
         self.open_elsewhere: Counter[str] = Counter()  # by digest: at the other process, or on the way to it
         self.sent: dict[str, None] = {}  # digests of the ids sent by either process, the oldest first
-        self.on_change: Callable[[IdChange], None] | None = None
+        self.on_change: Callable[[IdTable, str, bool], None] = lambda table, request_id, added: None
 
     def is_in_use(self, request_id: str) -> bool:
         """Whether a request with this id is open at either process."""
@@ -63,12 +64,12 @@
     def mark_open(self, request_id: str) -> None:
         """A request with this id has been taken on by this process."""
         self.open_here[request_id] += 1
-        self._report(IdTable.OPEN, request_id, True)
+        self.on_change(IdTable.OPEN, request_id, True)
 
     def mark_closed(self, request_id: str) -> None:
         """A request with this id has been answered or has ended."""
         _decrement(self.open_here, request_id)
-        self._report(IdTable.OPEN, request_id, False)
+        self.on_change(IdTable.OPEN, request_id, False)
 
     def mark_handed_over(self, request_id: str) -> None:
         """A session with this id goes to the other process, and counts as open there from now on."""
@@ -83,12 +84,12 @@
     def mark_sent(self, request_id: str) -> None:
         """A once-only request with this id goes to a host."""
         self._remember(id_digest(request_id))
-        self._report(IdTable.SENT, request_id, True)
+        self.on_change(IdTable.SENT, request_id, True)
 
     def mark_never_run(self, request_id: str) -> None:
         """The host has said that the request did not run."""
         self.sent.pop(id_digest(request_id), None)
-        self._report(IdTable.SENT, request_id, False)
+        self.on_change(IdTable.SENT, request_id, False)
 
     def snapshot(self) -> list[IdChange]:
         """The changes that bring another process to what this one knows."""
@@ -121,10 +122,6 @@
         if len(self.sent) > MAX_SENT_IDS:
             del self.sent[next(iter(self.sent))]
 
-    def _report(self, table: IdTable, request_id: str, added: bool) -> None:
-        if self.on_change is not None:
-            self.on_change(IdChange(table, id_digest(request_id), added))
-
 
 def _decrement(counts: Counter[str], key: str) -> None:
     """Counts one less, and keeps no key without a count."""
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -5,7 +5,7 @@
 from test_upgrade import serving_pair
 
 from caperdeck.ops.id_messages import UnsentIdChanges, decode_ids
-from caperdeck.state.request_ids import MAX_SENT_IDS, RequestIds
+from caperdeck.state.request_ids import MAX_SENT_IDS, IdChange, RequestIds, id_digest
 
 ONCE_ONLY = {"effect": "at_most_once"}
 REFUSED = [b"ERR"]
@@ -186,7 +186,7 @@
 def test_two_requests_of_an_id_at_the_other_process_are_counted_there_too():
     # Guards against the same at the process that does not hold them, also while it has not read of them.
     ids, unsent, told = RequestIds(), UnsentIdChanges(), RequestIds()
-    ids.on_change = unsent.add
+    ids.on_change = lambda table, request_id, added: unsent.add(IdChange(table, id_digest(request_id), added))
     for mark in (ids.mark_open, ids.mark_open):
         mark("a")
     unsent.send(lambda message: [told.apply(change) for change in decode_ids(message)])
