Upgrade: one function cuts rows, slots and ids into packets

Three loops of one shape become one, sending the state and giving the port get a method each. Also: a class attribute that shadowed nothing goes from OwnedNode, and a comment says what current_until leaves out. No behaviour changes.

--- a/caperdeck/lifecycle/owners.py
+++ b/caperdeck/lifecycle/owners.py
@@ -122,8 +122,6 @@
             wait = max(self.target.due - now, 0.0) / 1000.0 + EXPIRY_DELAY_S
             self.expiry_timer = self.reactor.callLater(wait, self._ejection_expired)
 
-    ejected: set[str] = set()
-
     def _ejection_expired(self) -> None:
         self.expiry_timer = None
         self._apply_ejections(self.handler.clock())
--- a/caperdeck/ops/id_messages.py
+++ b/caperdeck/ops/id_messages.py
@@ -8,6 +8,8 @@
 
 from caperdeck.state.request_ids import IdChange, IdTable
 
+from .packets import portions
+
 MAX_IDS_PER_PACKET = 2000
 FIELDS = {  # of a message: the table, and whether its ids were entered there
     "opened": (IdTable.OPEN, True), "closed": (IdTable.OPEN, False),
@@ -35,8 +37,7 @@
 
 def id_packets(changes: list[IdChange]) -> Iterator[Message]:
     """Messages that each fit into a packet."""
-    for start in range(0, len(changes), MAX_IDS_PER_PACKET):
-        yield encode_ids(changes[start : start + MAX_IDS_PER_PACKET])
+    return map(encode_ids, portions(changes, MAX_IDS_PER_PACKET))
 
 
 class UnsentIdChanges:
--- a/caperdeck/ops/upgrade_protocol.py
+++ b/caperdeck/ops/upgrade_protocol.py
@@ -12,6 +12,7 @@
 from caperdeck.state.request_ids import IdChange
 
 from .id_messages import UnsentIdChanges, decode_ids, id_packets
+from .packets import portions
 
 PROTOCOL_VERSION = 1
 MAX_ROWS_PER_PACKET = 200  # hosts
@@ -143,13 +144,9 @@
         self.link.on_closed = lambda: None
 
 
-def split_into_packets(slots: dict[str, float]) -> list[dict[str, float]]:
+def slot_portions(slots: dict[str, float]) -> list[dict[str, float]]:
     """The slots in portions that each fit into a packet; at least one portion."""
-    items = list(slots.items())
-    return [
-        dict(items[start : start + MAX_ROWS_PER_PACKET])
-        for start in range(0, len(items), MAX_ROWS_PER_PACKET)
-    ] or [{}]
+    return [dict(portion) for portion in portions(list(slots.items()), MAX_ROWS_PER_PACKET)] or [{}]
 
 
 class Incumbent(UpgradeSide):
@@ -161,27 +158,33 @@
 
     def handle_other(self, kind: Any, message: Message, fds: list[int]) -> None:
         if kind == "hello":
-            ours = [PROTOCOL_VERSION, *self.node.identity()]
-            if (theirs := message.get("who")) != ours:
-                self.link.send({"say": "no", "reason": f"this is {ours}, not {theirs}"})
-                return
-            rows, state, fds = self.node.export_state()
-            for start in range(0, len(rows), MAX_ROWS_PER_PACKET):
-                self.link.send({"say": "hosts", "rows": rows[start : start + MAX_ROWS_PER_PACKET]})
-            self.link.send({"say": "state", **state}, fds)
+            self._send_state(message.get("who"))
         elif kind == "take" and not self.port_given:
             self.port_given = True
-            self.node.stop_accepting()
-            # The other process has to know them before its first client.
-            self.shares_ids = True
-            for ids in id_packets(self.node.known_ids()):
-                self.link.send(ids)
-            *packets, last = split_into_packets(self.node.hand_over_slots())
-            for slots in packets:
-                self.link.send({"say": "slots", "slots": slots})
-            held, hosts = self.node.open_descriptor_count(), self.node.list_state()
-            self.link.send({"say": "given", "held": held, "slots": last, "list": hosts})
-            self._hand_over_next_batch()
+            self._give_port()
+
+    def _send_state(self, theirs: Any) -> None:
+        ours = [PROTOCOL_VERSION, *self.node.identity()]
+        if theirs != ours:
+            self.link.send({"say": "no", "reason": f"this is {ours}, not {theirs}"})
+            return
+        rows, state, fds = self.node.export_state()
+        for portion in portions(rows, MAX_ROWS_PER_PACKET):
+            self.link.send({"say": "hosts", "rows": portion})
+        self.link.send({"say": "state", **state}, fds)
+
+    def _give_port(self) -> None:
+        self.node.stop_accepting()
+        # The other process has to know them before its first client.
+        self.shares_ids = True
+        for ids in id_packets(self.node.known_ids()):
+            self.link.send(ids)
+        *packets, last = slot_portions(self.node.hand_over_slots())
+        for slots in packets:
+            self.link.send({"say": "slots", "slots": slots})
+        held, hosts = self.node.open_descriptor_count(), self.node.list_state()
+        self.link.send({"say": "given", "held": held, "slots": last, "list": hosts})
+        self._hand_over_next_batch()
 
     def _hand_over_next_batch(self) -> None:
         """Hands over the connections in small batches until none is left."""
--- a/caperdeck/wire/list_currency.py
+++ b/caperdeck/wire/list_currency.py
@@ -94,6 +94,7 @@
 
     def current_until(self, now: float) -> float | None:
         """When the list stops being current unless discovery is heard; None while a watch confirms it."""
+        # Without the time at which contact was lost: it ends with the call that a new process makes at once.
         times = [self.unconfirmed_from] if self.unconfirmed_from is not None else []
         if self.refresh_pending:
             times.append(now)
