--- a/caperdeck/state/request_ids.py
+++ b/caperdeck/state/request_ids.py
@@ -37,8 +37,10 @@
 
 
 class RequestIds:
-    """The ids known to one process of a node. `on_change` is called with each
-    change that the process makes itself: the table, the id, and whether it was entered or removed.
+    """The ids known to one process of a node.
+
+    `on_change` is called with each change that the process makes itself: the table, the id, and whether it
+    was entered or removed.
 
     Requests are counted, as two of one id may be open after the processes were unable to tell each other.
     """
